Lay out the project and its pure cores: table and scheduler

Cause: the repository is empty. The table's fold and the scheduler read no clock and no socket, so that replay and virtual-clock tests give the same verdict on every run.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,62 @@
+import tseslint from 'typescript-eslint';
+
+const VERBS =
+  'create|start|stop|read|write|append|send|handle|choose|place|queue|grant|revoke|renew|claim|fold|apply|check|parse|format|record|measure|is|has|to';
+const VERB_PATTERN = { regex: `^(${VERBS})([A-Z0-9].*)?$`, match: true };
+
+/** House rule: a product file exports one thing. */
+const oneExport = {
+  meta: { type: 'problem', schema: [] },
+  create: (context) => {
+    let exportCount = 0;
+    const countExport = (node) => {
+      exportCount += 1;
+      if (exportCount > 1) {
+        context.report({ node, message: 'One export a file.' });
+      }
+    };
+    return { ExportNamedDeclaration: countExport, ExportDefaultDeclaration: countExport };
+  },
+};
+
+/** House rule: a product file opens with, and each export carries, a doc comment. */
+const documentedExport = {
+  meta: { type: 'problem', schema: [] },
+  create: (context) => ({
+    ExportNamedDeclaration: (node) => {
+      const comments = context.sourceCode.getCommentsBefore(node);
+      const last = comments[comments.length - 1];
+      if (last === undefined || last.type !== 'Block' || !last.value.startsWith('*')) {
+        context.report({ node, message: 'An export carries a doc comment.' });
+      }
+    },
+  }),
+};
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'node_modules/**', 'scripts/**', '*.mjs'] },
+  ...tseslint.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      '@typescript-eslint/naming-convention': [
+        'error',
+        { selector: 'function', format: ['camelCase'], custom: VERB_PATTERN },
+        { selector: 'classMethod', format: ['camelCase'], custom: VERB_PATTERN },
+        { selector: 'variable', types: ['function'], modifiers: ['global'], format: ['camelCase'], custom: VERB_PATTERN },
+      ],
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: false }],
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      'prefer-const': 'error',
+      'no-console': 'error',
+      eqeqeq: 'error',
+    },
+  },
+  {
+    files: ['packages/**/*.ts', 'app/**/*.ts', 'dev/**/*.ts'],
+    plugins: { house: { rules: { oneExport, documentedExport } } },
+    rules: { 'house/oneExport': 'error', 'house/documentedExport': 'error' },
+  },
+);
--- /dev/null
+++ b/packages/common/startDelay.ts
@@ -0,0 +1,15 @@
+/** Resolves after `ms` milliseconds, or at once when `signal` aborts. Never rejects. */
+export const startDelay = (ms: number, signal?: AbortSignal): Promise<void> =>
+  new Promise((resolve) => {
+    if (signal?.aborted === true) {
+      resolve();
+      return;
+    }
+    const handleEnd = () => {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', handleEnd);
+      resolve();
+    };
+    const timer = setTimeout(handleEnd, ms);
+    signal?.addEventListener('abort', handleEnd);
+  });
--- /dev/null
+++ b/packages/scheduler/constants.ts
@@ -0,0 +1,15 @@
+/** Fixed numbers of the decision core. */
+export const SCHEDULER = {
+  /** Most tasks of one shape that the room index tells apart on a worker. */
+  maxFit: 64,
+  /** A batch request with less slack than this many expected run times is urgent. */
+  urgentSlackRuns: 2,
+  /** Preemption looks at most at this many running tasks. */
+  preemptionScan: 64,
+  /** Smallest retry-after bound in milliseconds. */
+  minRetryAfterMs: 1000,
+  /** Largest retry-after bound in milliseconds. */
+  maxRetryAfterMs: 60_000,
+  /** Weight of the newest run time in a row's moving average. */
+  runTimeSmoothing: 0.1,
+} as const;
--- /dev/null
+++ b/packages/scheduler/policies.ts
@@ -0,0 +1,28 @@
+import type { Policy } from './Policy';
+import type { PolicyName } from './PolicyName';
+
+/** The policies, found by name. */
+export const policies: Readonly<Record<PolicyName, Policy>> = {
+  stairline: {
+    isWeighted: true,
+    isAdmissionChecked: true,
+    isPreempting: true,
+    isShareKept: true,
+    chooseWorker: (row, index, pick) =>
+      row.placement === 'pack' ? index.chooseTightest() : index.chooseRoomiest(pick),
+  },
+  'arrival-random': {
+    isWeighted: false,
+    isAdmissionChecked: false,
+    isPreempting: false,
+    isShareKept: false,
+    chooseWorker: (_row, index, pick) => index.chooseAny(pick),
+  },
+  'least-loaded': {
+    isWeighted: false,
+    isAdmissionChecked: false,
+    isPreempting: false,
+    isShareKept: false,
+    chooseWorker: (_row, index, pick) => index.chooseRoomiest(pick),
+  },
+};
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,15 @@
+// Bundles the product (dist/stairline.cjs) and the development tools (dist/dev.cjs) into one file each.
+import { build } from 'esbuild';
+
+const shared = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  // jsonc-parser's UMD "main" cannot be bundled; its ES module can.
+  mainFields: ['module', 'main'],
+  logLevel: 'warning',
+};
+
+await build({ ...shared, entryPoints: ['app/main.ts'], outfile: 'dist/stairline.cjs' });
+await build({ ...shared, entryPoints: ['dev/main.ts'], outfile: 'dist/dev.cjs' });
