--- /dev/null
+++ b/dev/devCommands.ts
@@ -0,0 +1,7 @@
+import type { Command } from '../packages/cli/Command';
+import { demoCommand } from './demo/demoCommand';
+import { endpointsCommand } from './endpointsCommand';
+import { platformCommand } from './platformCommand';
+
+/** Commands for development and tests; none of them is in the binary. */
+export const devCommands: readonly Command[] = [platformCommand, endpointsCommand, demoCommand];
--- /dev/null
+++ b/dev/fleet/ManagedProcess.ts
@@ -0,0 +1,61 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream, type WriteStream } from 'node:fs';
+
+interface ManagedProcessOptions {
+  readonly name: string;
+  readonly args: readonly string[];
+  readonly logFile: string;
+}
+
+/** One child process of a test or demo. It is signalled by its own id only. */
+export class ManagedProcess {
+  private readonly child: ChildProcess;
+  private readonly log: WriteStream;
+  private output = '';
+  readonly exit: Promise<number | null>;
+
+  constructor(readonly options: ManagedProcessOptions) {
+    this.log = createWriteStream(options.logFile, { flags: 'a' });
+    this.child = spawn(process.execPath, options.args, { stdio: ['ignore', 'pipe', 'pipe'] });
+    for (const stream of [this.child.stdout, this.child.stderr]) {
+      stream?.on('data', (chunk: Buffer) => {
+        this.output += chunk.toString('utf8');
+        this.log.write(chunk);
+      });
+    }
+    this.exit = new Promise((resolve) => this.child.once('exit', (code) => resolve(code)));
+  }
+
+  /** Everything that it has printed so far. */
+  readOutput(): string {
+    return this.output;
+  }
+
+  isAlive(): boolean {
+    return this.child.exitCode === null && this.child.signalCode === null;
+  }
+
+  sendSignal(signal: NodeJS.Signals): void {
+    this.child.kill(signal);
+  }
+
+  /** Resolves once it has printed a text; rejects when it ends before. */
+  async startWait(text: string): Promise<void> {
+    while (!this.output.includes(text)) {
+      if (!this.isAlive()) {
+        throw new Error(`${this.options.name} ended early: ${this.output}`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+  }
+
+  /** Ends it at once and waits. */
+  async stop(): Promise<void> {
+    if (this.isAlive()) {
+      this.child.kill('SIGCONT');
+      this.child.kill('SIGKILL');
+      await this.exit;
+    }
+    this.log.end();
+  }
+}
--- /dev/null
+++ b/packages/cli/CommandInput.ts
@@ -0,0 +1,5 @@
+/** Parsed arguments of a subcommand. */
+export interface CommandInput {
+  readonly values: Readonly<Record<string, string | boolean | undefined>>;
+  readonly positionals: readonly string[];
+}
--- /dev/null
+++ b/packages/cli/checkCommand.ts
@@ -0,0 +1,24 @@
+import type { Command } from './Command';
+import { exitCodes } from './exitCodes';
+import { readCheckedSettings } from './readCheckedSettings';
+import { sharedOptions } from './sharedOptions';
+import { writeLine } from './writeLine';
+
+/** `stairline check`: tells all that is wrong in a settings file at once. */
+export const checkCommand: Command = {
+  name: 'check',
+  summary: 'Check a settings file; print every problem with its path, line and what was expected.',
+  usage: '--settings FILE',
+  options: { settings: sharedOptions.settings },
+  start: async (input) => {
+    const settings = readCheckedSettings(input);
+    if (settings === undefined) {
+      return exitCodes.usage;
+    }
+    const rows = Object.keys(settings.rows).length;
+    writeLine(
+      `The settings are good: cell ${settings.cell}, ${settings.entries.length} entry boxes, ${rows} rows.`,
+    );
+    return exitCodes.done;
+  },
+};
--- /dev/null
+++ b/packages/cli/commands.ts
@@ -0,0 +1,21 @@
+import { checkCommand } from './checkCommand';
+import type { Command } from './Command';
+import { endedCommand } from './endedCommand';
+import { entryCommand } from './entryCommand';
+import { explainCommand } from './explainCommand';
+import { replayCommand } from './replayCommand';
+import { statusCommand } from './statusCommand';
+import { tableCommand } from './tableCommand';
+import { timelineCommand } from './timelineCommand';
+
+/** All commands of the binary, in the order of the help. */
+export const commands: readonly Command[] = [
+  entryCommand,
+  checkCommand,
+  statusCommand,
+  tableCommand,
+  timelineCommand,
+  explainCommand,
+  replayCommand,
+  endedCommand,
+];
--- /dev/null
+++ b/packages/cli/formatCommandList.ts
@@ -0,0 +1,16 @@
+import type { Command } from './Command';
+
+const NAME_WIDTH = 10;
+
+/** Formats the list of commands. */
+export const formatCommandList = (commands: readonly Command[]): string => {
+  const lines = commands.map((command) => `  ${command.name.padEnd(NAME_WIDTH)} ${command.summary}`);
+  return [
+    'usage: stairline COMMAND [ARGUMENTS]',
+    '',
+    'commands:',
+    ...lines,
+    '',
+    '`stairline COMMAND --help` tells more. Exit codes: 0 done, 1 failed or refused, 2 called wrongly.',
+  ].join('\n');
+};
--- /dev/null
+++ b/packages/cli/readCheckedSettings.ts
@@ -0,0 +1,22 @@
+import { readSettings } from '../settings/readSettings';
+import type { Settings } from '../settings/Settings';
+import type { CommandInput } from './CommandInput';
+import { writeError } from './writeError';
+
+/** Reads the settings that `--settings` names; prints all problems and gives undefined when there are any. */
+export const readCheckedSettings = (input: CommandInput): Settings | undefined => {
+  const file = input.values['settings'];
+  if (typeof file !== 'string') {
+    writeError('--settings FILE is needed.');
+    return undefined;
+  }
+  const settings = readSettings(file);
+  if (settings.ok) {
+    return settings.value;
+  }
+  for (const problem of settings.error) {
+    const place = problem.path === '' ? '' : ` ${problem.path}`;
+    writeError(`${file}:${problem.line}:${place}: ${problem.expected}`);
+  }
+  return undefined;
+};
--- /dev/null
+++ b/packages/cli/writeError.ts
@@ -0,0 +1,4 @@
+/** Writes a line to standard error. */
+export const writeError = (line: string): void => {
+  process.stderr.write(`${line}\n`);
+};
--- a/packages/common/HybridClock.ts
+++ b/packages/common/HybridClock.ts
@@ -10,7 +10,8 @@
   /** Creates the stamp of a new local event. */
   createStamp(): HybridTime {
     const wall = Math.floor(this.clock.readWall());
-    this.last = wall > this.last.ms ? { ms: wall, count: 0 } : { ms: this.last.ms, count: this.last.count + 1 };
+    this.last =
+      wall > this.last.ms ? { ms: wall, count: 0 } : { ms: this.last.ms, count: this.last.count + 1 };
     return this.last;
   }
 
--- a/packages/common/createLogger.ts
+++ b/packages/common/createLogger.ts
@@ -14,7 +14,14 @@
     const [sentence, fields] = entry.args as [string, Record<string, unknown> | undefined];
     const time = entry.date.toISOString();
     if (options.form === 'json') {
-      const line = { time, level: entry.type, box: options.box, part: entry.tag, message: sentence, ...fields };
+      const line = {
+        time,
+        level: entry.type,
+        box: options.box,
+        part: entry.tag,
+        message: sentence,
+        ...fields,
+      };
       process.stderr.write(`${JSON.stringify(line)}\n`);
       return;
     }
--- /dev/null
+++ b/packages/common/toHostPort.ts
@@ -0,0 +1,10 @@
+interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** Splits `HOST:PORT`. */
+export const toHostPort = (address: string): HostPort => {
+  const separator = address.lastIndexOf(':');
+  return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
+};
--- /dev/null
+++ b/packages/entry/WorkerDirectory.ts
@@ -0,0 +1,149 @@
+import { Backoff } from '../common/Backoff';
+import type { WorkerId } from '../common/WorkerId';
+import { EndpointClient } from '../gateway/EndpointClient';
+import type { Ownership } from '../ownership/Ownership';
+import type { BoxListing } from '../platform/BoxListing';
+import { demandMath } from '../scheduler/demandMath';
+import type { WorkerView } from '../scheduler/WorkerView';
+import type { EntryContext } from './EntryContext';
+import { workerUnit } from './workerUnit';
+
+interface WorkerEntry {
+  listing: BoxListing;
+  /** False once the platform's list no longer names it. */
+  isListed: boolean;
+  readonly client: EndpointClient;
+  readonly backoff: Backoff;
+  /** Not placed on before this monotonic time, after a connection failed. */
+  suspendedUntil: number;
+  /** What the scheduler was last told, as text, to tell it only of changes. */
+  lastTold: string;
+}
+
+const SUSPEND_BASE_MS = 250;
+const SUSPEND_MAX_MS = 10_000;
+const CONNECT_TIMEOUT_MS = 500;
+/** A paused earlier start of each box of the hall may still hold its connections. */
+const STARTS_PER_BOX = 2;
+
+/** Owns what this process knows of its hall's workers, and the connections to them. */
+export class WorkerDirectory {
+  private readonly workers = new Map<WorkerId, WorkerEntry>();
+
+  constructor(
+    private readonly context: EntryContext,
+    private readonly ownership: Ownership,
+  ) {}
+
+  /** Takes a new list from the platform. While none comes, the last one stands. */
+  applyBoxes(listings: readonly BoxListing[]): void {
+    const listed = new Set(listings.map((listing) => listing.worker));
+    for (const listing of listings) {
+      this.applyListing(listing);
+    }
+    for (const [worker, entry] of this.workers) {
+      if (!listed.has(worker)) {
+        entry.isListed = false;
+      }
+    }
+    this.ownership.applyKnownUnits(listings.map((listing) => workerUnit.toUnit(listing.worker)));
+  }
+
+  /** Creates the views that have changed since the last call. */
+  createChangedViews(): readonly WorkerView[] {
+    const now = this.context.clock.readNow();
+    const changed: WorkerView[] = [];
+    for (const entry of this.workers.values()) {
+      const view = this.createView(entry, now);
+      const told = JSON.stringify(view);
+      if (told !== entry.lastTold) {
+        entry.lastTold = told;
+        changed.push(view);
+        this.handleChange(entry, view);
+      }
+    }
+    return changed;
+  }
+
+  /** Asked directly before a byte is written. */
+  hasRight(worker: WorkerId): boolean {
+    return this.ownership.readRight(workerUnit.toUnit(worker), this.context.clock.readNow()) === 'granted';
+  }
+
+  readClient(worker: WorkerId): EndpointClient | undefined {
+    return this.workers.get(worker)?.client;
+  }
+
+  /** Number of workers that this process may place on now. */
+  readPlaceableCount(): number {
+    return [...this.workers.keys()].filter((worker) => this.hasRight(worker)).length;
+  }
+
+  readCount(): number {
+    return this.workers.size;
+  }
+
+  /** Records that a worker takes no connection: it is left alone for a while, longer each time. */
+  recordNoConnection(worker: WorkerId): void {
+    const entry = this.workers.get(worker);
+    if (entry !== undefined) {
+      entry.suspendedUntil = this.context.clock.readNow() + SUSPEND_BASE_MS + entry.backoff.chooseDelay();
+    }
+  }
+
+  recordAnswered(worker: WorkerId): void {
+    this.workers.get(worker)?.backoff.recordSuccess();
+  }
+
+  stop(): void {
+    for (const entry of this.workers.values()) {
+      entry.client.stop();
+    }
+  }
+
+  private applyListing(listing: BoxListing): void {
+    const known = this.workers.get(listing.worker);
+    if (known !== undefined && known.listing.address === listing.address) {
+      known.listing = listing;
+      known.isListed = true;
+      return;
+    }
+    known?.client.stop();
+    this.workers.set(listing.worker, {
+      listing,
+      isListed: true,
+      client: this.createClient(listing),
+      backoff: new Backoff({ baseMs: SUSPEND_BASE_MS, maxMs: SUSPEND_MAX_MS, random: this.context.random }),
+      suspendedUntil: -Infinity,
+      lastTold: '',
+    });
+  }
+
+  private createClient(listing: BoxListing): EndpointClient {
+    const { settings, hall } = this.context;
+    const boxes = settings.entries.filter((entry) => entry.hall === hall).length;
+    return new EndpointClient({
+      address: listing.address,
+      maxConnections: Math.max(1, Math.floor(listing.connections / (boxes * STARTS_PER_BOX))),
+      answerLimit: settings.limits.answerBytes,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      marginMs: settings.timings.marginMs,
+    });
+  }
+
+  private createView(entry: WorkerEntry, now: number): WorkerView {
+    const { listing } = entry;
+    const unit = workerUnit.toUnit(listing.worker);
+    const isOpen = entry.isListed && listing.state === 'live' && now >= entry.suspendedUntil;
+    const isPlaceable = isOpen && this.ownership.readRight(unit, now) === 'granted';
+    const foreign = this.ownership.isOwner(unit) ? this.ownership.readForeign(unit) : demandMath.NOTHING;
+    return { id: listing.worker, rack: listing.rack, capacity: listing.capacity, isPlaceable, foreign };
+  }
+
+  private handleChange(entry: WorkerEntry, view: WorkerView): void {
+    if (!this.ownership.isOwner(workerUnit.toUnit(view.id))) {
+      // The endpoint's connections are shared out over all boxes: those of a lost worker are given back.
+      entry.client.stopIdle();
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/EndpointClient.ts
@@ -0,0 +1,166 @@
+import type { Dispatcher } from 'undici';
+import { toErrorText } from '../common/toErrorText';
+import type { Dispatch } from './Dispatch';
+import type { DispatchResult } from './DispatchResult';
+import { EndpointConnection } from './EndpointConnection';
+import { headerNames } from './headerNames';
+import { startSocket } from './startSocket';
+
+interface EndpointClientOptions {
+  /** Host and port. */
+  readonly address: string;
+  /** Most connections from this process. */
+  readonly maxConnections: number;
+  readonly answerLimit: number;
+  readonly connectTimeoutMs: number;
+  /** Added to a task's time limit before its end is taken for granted, in milliseconds. */
+  readonly marginMs: number;
+}
+
+type Found = { readonly connection: EndpointConnection } | { readonly failure: DispatchResult };
+
+const NO_RIGHT: DispatchResult = { kind: 'notSent', why: 'noRight', reason: 'the right to place was lost' };
+
+/** Owns the connections of this process to one endpoint, and sends tasks over them. */
+export class EndpointClient {
+  private connections: EndpointConnection[] = [];
+  private opening = 0;
+
+  constructor(private readonly options: EndpointClientOptions) {}
+
+  /** Connections open or being opened. */
+  readCount(): number {
+    return this.connections.filter((connection) => !connection.isClosed).length + this.opening;
+  }
+
+  /** Sends a task and resolves when its end is known, or its time limit has passed. Never rejects. */
+  async sendTask(dispatch: Dispatch): Promise<DispatchResult> {
+    const found = await this.claimConnection();
+    if ('failure' in found) {
+      return found.failure;
+    }
+    const { connection } = found;
+    if (!dispatch.hasRight()) {
+      connection.isBusy = false;
+      return NO_RIGHT;
+    }
+    const result = await this.sendOn(connection, dispatch);
+    connection.isBusy = false;
+    if (result.kind === 'unknown') {
+      connection.stop();
+    }
+    return result;
+  }
+
+  /** Sends a short steering call on a task (`checkpoint`, `renew`, `stop`). Returns its status, or 0 without one. */
+  async sendAction(task: string, action: 'checkpoint' | 'renew' | 'stop', limitMs: number): Promise<number> {
+    const found = await this.claimConnection();
+    if ('failure' in found) {
+      return 0;
+    }
+    const { connection } = found;
+    try {
+      const { statusCode, body } = await connection.client.request({
+        method: 'POST',
+        path: `/tasks/${encodeURIComponent(task)}/${action}`,
+        headers: { [headerNames.timeLimit]: String(limitMs) },
+        signal: AbortSignal.timeout(this.options.connectTimeoutMs),
+      });
+      await body.dump();
+      return statusCode;
+    } catch {
+      connection.stop();
+      return 0;
+    } finally {
+      connection.isBusy = false;
+    }
+  }
+
+  /** Closes the connections that carry nothing. */
+  stopIdle(): void {
+    for (const connection of this.connections) {
+      if (!connection.isBusy) {
+        connection.stop();
+      }
+    }
+  }
+
+  /** Closes all connections; tasks under way end as unknown. */
+  stop(): void {
+    for (const connection of this.connections) {
+      connection.stop();
+    }
+  }
+
+  private async claimConnection(): Promise<Found> {
+    this.connections = this.connections.filter((connection) => !connection.isClosed);
+    const idle = this.connections.find((connection) => !connection.isBusy);
+    if (idle !== undefined) {
+      idle.isBusy = true;
+      return { connection: idle };
+    }
+    if (this.readCount() >= this.options.maxConnections) {
+      return { failure: { kind: 'notSent', why: 'noConnection', reason: 'all connections are in use' } };
+    }
+    return this.createConnection();
+  }
+
+  private async createConnection(): Promise<Found> {
+    this.opening += 1;
+    const { address, answerLimit, connectTimeoutMs } = this.options;
+    const socket = await startSocket({ address, timeoutMs: connectTimeoutMs });
+    this.opening -= 1;
+    if (!socket.ok) {
+      return { failure: { kind: 'notSent', why: 'noConnection', reason: socket.error } };
+    }
+    const connection = new EndpointConnection({ address, socket: socket.value, answerLimit });
+    connection.isBusy = true;
+    this.connections.push(connection);
+    return { connection };
+  }
+
+  private async sendOn(connection: EndpointConnection, dispatch: Dispatch): Promise<DispatchResult> {
+    // The worker ends the task at its time limit; the slot is held until then even if the caller gave up.
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(), dispatch.timeLimitMs + this.options.marginMs);
+    try {
+      const response = await connection.client.request({
+        method: 'POST',
+        path: `/run/${encodeURIComponent(dispatch.row)}`,
+        headers: {
+          ...dispatch.headers,
+          [headerNames.task]: dispatch.task,
+          [headerNames.timeLimit]: String(dispatch.timeLimitMs),
+          [headerNames.demand]: JSON.stringify(dispatch.need),
+          [headerNames.callerRequest]: dispatch.callerRequest,
+        },
+        body: dispatch.body,
+        signal: abort.signal,
+      });
+      return await this.readAnswer(response, dispatch);
+    } catch (thrown) {
+      const reason = abort.signal.aborted ? 'no end seen within the time limit' : toErrorText(thrown);
+      return { kind: 'unknown', reason };
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async readAnswer(response: Dispatcher.ResponseData, dispatch: Dispatch): Promise<DispatchResult> {
+    const { headers, statusCode } = response;
+    const body = Buffer.from(await response.body.arrayBuffer());
+    if (headers[headerNames.task] !== dispatch.task) {
+      return { kind: 'unknown', reason: 'the answer belongs to another task' };
+    }
+    const announced = headers['content-length'];
+    const isFramed = announced !== undefined || headers['transfer-encoding'] !== undefined;
+    if (!isFramed || (announced !== undefined && Number(announced) !== body.length)) {
+      return { kind: 'unknown', reason: 'the answer cannot be shown to be whole' };
+    }
+    if (headers[headerNames.yielded] === '1') {
+      return { kind: 'yielded' };
+    }
+    const contentType = String(headers['content-type'] ?? 'application/octet-stream');
+    return { kind: 'answered', status: statusCode, contentType, body };
+  }
+}
--- /dev/null
+++ b/packages/peers/PeerServer.ts
@@ -0,0 +1,78 @@
+import { applyWSSHandler } from '@trpc/server/adapters/ws';
+import Fastify, { type FastifyInstance } from 'fastify';
+import { WebSocketServer } from 'ws';
+import type { CallAnswer } from '../gateway/CallAnswer';
+import type { Call } from '../gateway/Call';
+import { headerNames } from '../gateway/headerNames';
+import { parseCall } from '../gateway/parseCall';
+import type { RequestId } from '../common/RequestId';
+import { toId } from '../common/toId';
+import { PEERS } from './constants';
+import { createPeerRouter } from './createPeerRouter';
+import { formatForwardAnswer } from './formatForwardAnswer';
+import type { PeerHandlers } from './PeerHandlers';
+
+interface PeerServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly bodyLimit: number;
+  readonly handlers: PeerHandlers;
+  readonly handleCall: (call: Call, signal: AbortSignal) => Promise<CallAnswer>;
+}
+
+interface ForwardRoute {
+  readonly Params: { readonly row: string };
+}
+
+/** The peers' listener: tRPC over WebSocket, and calls sent on, whose opaque bodies go over plain HTTP. */
+export class PeerServer {
+  private readonly app: FastifyInstance;
+  private readonly sockets: WebSocketServer;
+
+  constructor(private readonly options: PeerServerOptions) {
+    this.app = Fastify({ bodyLimit: options.bodyLimit, keepAliveTimeout: 30_000, requestTimeout: 0 });
+    this.app.removeAllContentTypeParsers();
+    this.app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+    this.app.post<ForwardRoute>('/forward/:row', async (request, reply) => {
+      const id = toId<RequestId>(String(request.headers[headerNames.request] ?? ''));
+      const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
+      const parsed = parseCall({
+        id,
+        row: request.params.row,
+        headers: request.headers,
+        body,
+        isForwarded: true,
+      });
+      const answer = parsed.ok
+        ? await options.handleCall(parsed.value, this.createLeftSignal(reply.raw))
+        : ({
+            outcome: 'not-run',
+            reason: 'badRequest',
+            detail: parsed.error,
+            retryAfterMs: undefined,
+          } as const);
+      const formatted = formatForwardAnswer(answer);
+      return reply.code(200).headers(formatted.headers).type('application/octet-stream').send(formatted.body);
+    });
+    this.sockets = new WebSocketServer({ server: this.app.server, path: PEERS.path, maxPayload: 8_388_608 });
+    applyWSSHandler({ wss: this.sockets, router: createPeerRouter(options.handlers) });
+  }
+
+  async start(): Promise<void> {
+    await this.app.listen({ host: this.options.host, port: this.options.port });
+  }
+
+  /** Closes the listener and all links. Call it last: a refused connection tells peers that this process has ended. */
+  async stop(): Promise<void> {
+    for (const socket of this.sockets.clients) {
+      socket.terminate();
+    }
+    await this.app.close();
+  }
+
+  private createLeftSignal(response: { on(event: 'close', listener: () => void): unknown }): AbortSignal {
+    const left = new AbortController();
+    response.on('close', () => left.abort());
+    return left.signal;
+  }
+}
--- /dev/null
+++ b/packages/peers/formatForwardAnswer.ts
@@ -0,0 +1,16 @@
+import type { CallAnswer } from '../gateway/CallAnswer';
+import { headerNames } from '../gateway/headerNames';
+
+interface ForwardAnswer {
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** Formats an answer for the entry box that sent the call on. */
+export const formatForwardAnswer = (answer: CallAnswer): ForwardAnswer => {
+  const { body, rest } =
+    answer.outcome === 'ran'
+      ? { body: answer.body, rest: { ...answer, body: undefined } }
+      : { body: Buffer.alloc(0), rest: answer };
+  return { headers: { [headerNames.answer]: encodeURIComponent(JSON.stringify(rest)) }, body };
+};
--- /dev/null
+++ b/packages/peers/parseForwardAnswer.ts
@@ -0,0 +1,14 @@
+import type { CallAnswer } from '../gateway/CallAnswer';
+
+/** Parses the answer of the entry box that a call was sent on to; undefined when it is not understood. */
+export const parseForwardAnswer = (header: string | undefined, body: Buffer): CallAnswer | undefined => {
+  if (header === undefined) {
+    return undefined;
+  }
+  try {
+    const answer = JSON.parse(decodeURIComponent(header)) as CallAnswer;
+    return answer.outcome === 'ran' ? { ...answer, body } : answer;
+  } catch {
+    return undefined;
+  }
+};
--- a/packages/scheduler/Scheduler.ts
+++ b/packages/scheduler/Scheduler.ts
@@ -74,6 +74,11 @@
     return this.tasks;
   }
 
+  /** Tasks that have a place on one worker. */
+  readWorkerTasks(worker: WorkerId): Iterable<RequestId> {
+    return this.books.readTasks(worker);
+  }
+
   /** Requests that wait now. */
   readWaitingCount(): number {
     return this.waiting.size;
--- a/packages/scheduler/SchedulerEffect.ts
+++ b/packages/scheduler/SchedulerEffect.ts
@@ -14,5 +14,15 @@
       /** What it waited for, for the explanation. */
       readonly waitedFor: 'nothing' | 'room' | 'limit';
     }
-  | { readonly kind: 'refuse'; readonly id: RequestId; readonly reason: RefusalReason; readonly retryAfterMs: number }
-  | { readonly kind: 'yield'; readonly id: RequestId; readonly worker: WorkerId; readonly inFavourOf: RequestId };
+  | {
+      readonly kind: 'refuse';
+      readonly id: RequestId;
+      readonly reason: RefusalReason;
+      readonly retryAfterMs: number;
+    }
+  | {
+      readonly kind: 'yield';
+      readonly id: RequestId;
+      readonly worker: WorkerId;
+      readonly inFavourOf: RequestId;
+    };
--- a/packages/scheduler/WorkerBooks.ts
+++ b/packages/scheduler/WorkerBooks.ts
@@ -65,6 +65,11 @@
     return this.workers.get(worker)?.view.isPlaceable === true;
   }
 
+  /** Tasks placed on a worker. */
+  readTasks(worker: WorkerId): Iterable<RequestId> {
+    return this.workers.get(worker)?.tasks ?? [];
+  }
+
   /** Slots of all workers that this process may place on. */
   readPlaceableSlots(): number {
     return this.placeableSlots;
--- a/packages/scheduler/chooseVictim.ts
+++ b/packages/scheduler/chooseVictim.ts
@@ -37,7 +37,11 @@
     for (const id of state.running) {
       const task = question.tasks.get(id);
       scanned += 1;
-      if (task !== undefined && isEnough(question, task) && (best === undefined || task.startedAt > best.startedAt)) {
+      if (
+        task !== undefined &&
+        isEnough(question, task) &&
+        (best === undefined || task.startedAt > best.startedAt)
+      ) {
         best = task;
       }
       if (scanned >= SCHEDULER.preemptionScan) {
--- a/packages/scheduler/demandMath.ts
+++ b/packages/scheduler/demandMath.ts
@@ -18,7 +18,15 @@
   slots: left.slots - right.slots,
 });
 
-const toFit = (room: number, need: number): number => (need === 0 ? Infinity : Math.floor((room + ROUNDING) / need));
+const toScaled = (demand: Demand, factor: number): Demand => ({
+  cpus: demand.cpus * factor,
+  memoryMb: demand.memoryMb * factor,
+  accelerators: demand.accelerators * factor,
+  slots: demand.slots * factor,
+});
+
+const toFit = (room: number, need: number): number =>
+  need === 0 ? Infinity : Math.floor((room + ROUNDING) / need);
 
 /** How many tasks of one demand fit into the room; 0 when the room is overdrawn in any dimension. */
 const toFitCount = (room: Demand, need: Demand): number => {
@@ -32,4 +40,4 @@
 };
 
 /** Arithmetic on demands; all functions are pure. */
-export const demandMath = { NOTHING, toSum, toDifference, toFitCount } as const;
+export const demandMath = { NOTHING, toSum, toDifference, toScaled, toFitCount } as const;
--- /dev/null
+++ b/packages/settings/formatPath.ts
@@ -0,0 +1,9 @@
+/** Formats a path into a value: `entries[2].callers`. */
+export const formatPath = (path: readonly PropertyKey[]): string => {
+  let text = '';
+  for (const part of path) {
+    const isIndex = typeof part === 'number';
+    text += isIndex ? `[${part}]` : `${text === '' ? '' : '.'}${String(part)}`;
+  }
+  return text;
+};
--- /dev/null
+++ b/packages/settings/readSettings.ts
@@ -0,0 +1,102 @@
+import { readFileSync } from 'node:fs';
+import { findNodeAtLocation, parseTree, printParseErrorCode, type Node, type ParseError } from 'jsonc-parser';
+import type { Result } from '../common/Result';
+import type { RowName } from '../common/RowName';
+import { toErrorText } from '../common/toErrorText';
+import { toId } from '../common/toId';
+import { checkRow } from '../table/checkRow';
+import { formatTableError } from '../table/formatTableError';
+import { formatPath } from './formatPath';
+import type { Settings } from './Settings';
+import type { SettingsProblem } from './SettingsProblem';
+import { settingsSchema } from './settingsSchema';
+import { toPlainValue } from './toPlainValue';
+
+type Path = readonly PropertyKey[];
+
+const toLine = (text: string, offset: number): number => text.slice(0, offset).split('\n').length;
+
+/** The line of the value at a path, or of the nearest value around it. */
+const toPathLine = (text: string, root: Node | undefined, path: Path): number => {
+  for (let length = path.length; root !== undefined && length >= 0; length -= 1) {
+    const node = findNodeAtLocation(root, path.slice(0, length) as (string | number)[]);
+    if (node !== undefined) {
+      return toLine(text, node.offset);
+    }
+  }
+  return 1;
+};
+
+const createSyntaxProblem = (text: string, error: ParseError): SettingsProblem => ({
+  path: '',
+  line: toLine(text, error.offset),
+  expected: `JSON with comments: ${printParseErrorCode(error.error)}`,
+});
+
+/** Checks what the schema cannot: names that must be unique, and rules within a row. */
+const checkMeaning = (settings: Settings): { path: Path; expected: string }[] => {
+  const problems: { path: Path; expected: string }[] = [];
+  const boxes = settings.entries.map((entry) => entry.box);
+  for (const [index, box] of boxes.entries()) {
+    if (boxes.indexOf(box) !== index) {
+      problems.push({
+        path: ['entries', index, 'box'],
+        expected: `a box name used once; ${box} is used before`,
+      });
+    }
+  }
+  const addresses = settings.entries.flatMap((entry) => [entry.callers, entry.operators, entry.peers]);
+  for (const [index, entry] of settings.entries.entries()) {
+    for (const name of ['callers', 'operators', 'peers'] as const) {
+      if (addresses.filter((used) => used === entry[name]).length > 1) {
+        problems.push({
+          path: ['entries', index, name],
+          expected: `an address used once; ${entry[name]} is used twice`,
+        });
+      }
+    }
+  }
+  for (const [name, columns] of Object.entries(settings.rows)) {
+    const row = checkRow(toId<RowName>(name), columns);
+    if (!row.ok) {
+      problems.push({ path: ['rows', name], expected: formatTableError(row.error) });
+    }
+  }
+  if (settings.timings.suspectMs < settings.timings.leaseMs + settings.timings.marginMs) {
+    problems.push({ path: ['timings', 'suspectMs'], expected: 'at least leaseMs plus marginMs' });
+  }
+  if (settings.timings.heartbeatMs * 2 >= settings.timings.leaseMs) {
+    problems.push({ path: ['timings', 'heartbeatMs'], expected: 'less than half of leaseMs' });
+  }
+  return problems;
+};
+
+/** Reads and checks a settings file. On failure gives all problems at once, each with its place. */
+export const readSettings = (file: string): Result<Settings, readonly SettingsProblem[]> => {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (thrown) {
+    return { ok: false, error: [{ path: '', line: 0, expected: `a readable file: ${toErrorText(thrown)}` }] };
+  }
+  const syntaxErrors: ParseError[] = [];
+  const root = parseTree(text, syntaxErrors, { allowTrailingComma: true });
+  if (root === undefined || syntaxErrors.length > 0) {
+    return { ok: false, error: syntaxErrors.map((error) => createSyntaxProblem(text, error)) };
+  }
+  const parsed = settingsSchema.safeParse(toPlainValue(root));
+  if (!parsed.success) {
+    const problems = parsed.error.issues.map((issue) => {
+      const unknownKey = issue.code === 'unrecognized_keys' ? issue.keys[0] : undefined;
+      const path = unknownKey === undefined ? issue.path : [...issue.path, unknownKey];
+      return { path: formatPath(path), line: toPathLine(text, root, path), expected: issue.message };
+    });
+    return { ok: false, error: problems };
+  }
+  const problems = checkMeaning(parsed.data).map((problem) => ({
+    path: formatPath(problem.path),
+    line: toPathLine(text, root, problem.path),
+    expected: problem.expected,
+  }));
+  return problems.length === 0 ? { ok: true, value: parsed.data } : { ok: false, error: problems };
+};
--- /dev/null
+++ b/packages/standins/EndpointStandin.ts
@@ -0,0 +1,209 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { demandMath } from '../scheduler/demandMath';
+import type { Demand } from '../table/Demand';
+import type { EndpointFault } from './EndpointFault';
+import type { EndpointRecord } from './EndpointRecord';
+import { readJsonBody } from './readJsonBody';
+import { sendJson } from './sendJson';
+import type { StandinBox } from './StandinBox';
+import type { StandinReport } from './StandinReport';
+import type { StandinTask } from './StandinTask';
+import { startListening } from './startListening';
+
+const SLOW_FACTOR = 10;
+const DEFAULT_RUN_MS = 20;
+
+/**
+ * Stands in for one endpoint box without guards: it runs whatever it is given and keeps count, so that a test can
+ * ask it whether it was ever overfilled. How long a task runs comes with the request.
+ */
+export class EndpointStandin {
+  private readonly tasks = new Map<string, StandinTask>();
+  private readonly starts = new Map<string, number>();
+  private peak: Demand = demandMath.NOTHING;
+  private peakConnections = 0;
+  private connections = 0;
+  private fault: EndpointFault = 'none';
+  private server: Server | undefined;
+
+  constructor(private readonly box: StandinBox) {}
+
+  async start(): Promise<void> {
+    const server = createServer((request, response) => {
+      this.handleRequest(request, response).catch(() => response.destroy());
+    });
+    server.keepAliveTimeout = 60_000;
+    server.on('connection', (socket) => {
+      this.connections += 1;
+      this.peakConnections = Math.max(this.peakConnections, this.connections);
+      socket.on('close', () => {
+        this.connections -= 1;
+      });
+    });
+    this.server = server;
+    await startListening(server, this.box.address);
+  }
+
+  stop(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+  }
+
+  /** Creates the report that a worker sends to the platform. */
+  createReport(): StandinReport {
+    const now = performance.now();
+    const tasks = [...this.tasks.values()].map((task) => ({
+      task: task.task,
+      need: task.need,
+      endsWithinMs: Math.max(0, task.endsAt - now),
+    }));
+    return { worker: this.box.worker, hall: this.box.hall, ageMs: 0, tasks };
+  }
+
+  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [, part, name, action] = (request.url ?? '/').split('?')[0]?.split('/') ?? [];
+    if (part === 'run' && name !== undefined) {
+      await this.handleRun(name, request, response);
+    } else if (part === 'tasks' && name !== undefined) {
+      this.handleTask(decodeURIComponent(name), action ?? '', request, response);
+    } else if (part === 'standin' && name === 'fault') {
+      this.fault = (await readJsonBody(request)) as EndpointFault;
+      sendJson(response, 200, {});
+    } else if (part === 'standin') {
+      sendJson(response, 200, this.createRecord());
+    } else {
+      sendJson(response, 404, { error: 'unknown path' });
+    }
+  }
+
+  private createRecord(): EndpointRecord {
+    const running = [...this.tasks.values()];
+    return {
+      worker: this.box.worker,
+      peak: this.peak,
+      peakConnections: this.peakConnections,
+      capacity: this.box.capacity,
+      runningCount: running.length,
+      starts: Object.fromEntries(this.starts),
+      runningSeats: running.map((task) => task.task).filter((task) => task.includes('/seat/')),
+    };
+  }
+
+  private async handleRun(row: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const fault = this.fault;
+    if (fault === 'resetBefore') {
+      request.socket.destroy();
+      return;
+    }
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+      chunks.push(chunk as Buffer);
+    }
+    const body = Buffer.concat(chunks);
+    const task = this.startTask(row, request, response);
+    const runMs =
+      Number(request.headers['x-run-ms'] ?? DEFAULT_RUN_MS) * (fault === 'slow' ? SLOW_FACTOR : 1);
+    if (fault !== 'silent' && Number.isFinite(runMs)) {
+      task.timers.push(setTimeout(() => this.handleEnd(task, body, fault), runMs));
+    }
+    this.startLease(task);
+  }
+
+  private startTask(row: string, request: IncomingMessage, response: ServerResponse): StandinTask {
+    const id = String(request.headers['x-task-id'] ?? 'unnamed');
+    const need = JSON.parse(
+      String(request.headers['x-demand'] ?? '{"cpus":0,"memoryMb":0,"accelerators":0,"slots":1}'),
+    ) as Demand;
+    const limitMs = Number(request.headers['x-time-limit-ms'] ?? 60_000);
+    const task: StandinTask = {
+      task: id,
+      row,
+      need,
+      endsAt: performance.now() + limitMs,
+      response,
+      timers: [],
+    };
+    this.tasks.set(id, task);
+    const caller = String(request.headers['x-caller-request'] ?? id);
+    const key = `${row} ${caller}`;
+    this.starts.set(key, (this.starts.get(key) ?? 0) + 1);
+    this.recordPeak();
+    return task;
+  }
+
+  /** The worker ends a task at its lease, whatever its caller does. */
+  private startLease(task: StandinTask): void {
+    const remainingMs = task.endsAt - performance.now();
+    if (remainingMs <= 0) {
+      this.stopTask(task, 410, 'lease ended');
+      return;
+    }
+    task.timers.push(setTimeout(() => this.startLease(task), remainingMs + 1));
+  }
+
+  private recordPeak(): void {
+    let sum = demandMath.NOTHING;
+    for (const task of this.tasks.values()) {
+      sum = demandMath.toSum(sum, task.need);
+    }
+    this.peak = {
+      cpus: Math.max(this.peak.cpus, sum.cpus),
+      memoryMb: Math.max(this.peak.memoryMb, sum.memoryMb),
+      accelerators: Math.max(this.peak.accelerators, sum.accelerators),
+      slots: Math.max(this.peak.slots, sum.slots),
+    };
+  }
+
+  private handleTask(id: string, action: string, request: IncomingMessage, response: ServerResponse): void {
+    const task = this.tasks.get(id);
+    if (task === undefined) {
+      sendJson(response, 404, { error: 'no such task' });
+      return;
+    }
+    const actions: Readonly<Record<string, () => void>> = {
+      renew: () => {
+        task.endsAt = performance.now() + Number(request.headers['x-time-limit-ms'] ?? 0);
+      },
+      checkpoint: () => this.stopTask(task, 409, 'checkpoint'),
+      stop: () => this.stopTask(task, 409, 'stopped'),
+    };
+    actions[action]?.();
+    sendJson(response, 200, {});
+  }
+
+  private stopTask(task: StandinTask, status: number, why: string): void {
+    this.handleGone(task);
+    task.response.setHeader('x-task-id', task.task);
+    task.response.setHeader('x-yielded', why === 'checkpoint' ? '1' : '0');
+    sendJson(task.response, status, { error: why });
+  }
+
+  private handleGone(task: StandinTask): void {
+    this.tasks.delete(task.task);
+    for (const timer of task.timers) {
+      clearTimeout(timer);
+    }
+  }
+
+  private handleEnd(task: StandinTask, body: Buffer, fault: EndpointFault): void {
+    this.handleGone(task);
+    const { response } = task;
+    const answer = Buffer.concat([Buffer.from(`${task.row}:`), body]);
+    const id = fault === 'cross' ? 'another/task' : task.task;
+    if (fault === 'resetAfter') {
+      response.destroy();
+      return;
+    }
+    if (fault === 'truncate') {
+      response.writeHead(200, { 'x-task-id': id, 'content-length': answer.length + 10 });
+      response.write(answer);
+      response.socket?.destroySoon();
+      return;
+    }
+    response.writeHead(200, { 'x-task-id': id, 'content-length': answer.length });
+    response.end(answer);
+    if (fault === 'double') {
+      response.socket?.write(`HTTP/1.1 200 OK\r\nx-task-id: ${id}\r\ncontent-length: 5\r\n\r\nagain`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/PlatformStandin.ts
@@ -0,0 +1,175 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { StandinBox } from './StandinBox';
+import type { StandinFaults } from './StandinFaults';
+import type { StandinReport } from './StandinReport';
+import { readJsonBody } from './readJsonBody';
+import { sendJson } from './sendJson';
+import { startListening } from './startListening';
+import { StandinStream } from './StandinStream';
+
+interface PlatformStandinOptions {
+  /** Host and port to listen on. */
+  readonly address: string;
+  /** How long a worker's report lies before it is shown, in milliseconds. */
+  readonly reportLagMs: number;
+  /** How long a change of the box list lies before it is shown, in milliseconds. */
+  readonly listLagMs: number;
+}
+
+type Handler = (url: URL, request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+interface StoredReport {
+  readonly report: StandinReport;
+  readonly storedAt: number;
+}
+
+/**
+ * Stands in for the platform in development and tests: log, box list and worker reports over HTTP.
+ * Paths under /standin steer it and bring about its failures.
+ */
+export class PlatformStandin {
+  private readonly streams = new Map<string, StandinStream>();
+  private boxes: readonly StandinBox[] = [];
+  private shownBoxes: readonly StandinBox[] = [];
+  private readonly reports = new Map<string, StoredReport[]>();
+  private faults: StandinFaults = { isDown: false, delayMs: 0, loseAnswers: 0, cutBoxes: [] };
+  private server: Server | undefined;
+  private appendCount = 0;
+  private readCount = 0;
+
+  private readonly handlers: Readonly<Record<string, Handler>> = {
+    'POST /streams': (url, request, response) => this.handleAppend(url, request, response),
+    'GET /streams': (url, _request, response) => this.handleRead(url, response),
+    'GET /boxes': (url, _request, response) => this.handleBoxes(url, response),
+    'GET /reports': (url, _request, response) => this.handleReports(url, response),
+    'POST /standin': (url, request, response) => this.handleStandin(url, request, response),
+    'GET /standin': (_url, _request, response) => this.handleCounts(response),
+  };
+
+  constructor(private readonly options: PlatformStandinOptions) {}
+
+  async start(): Promise<void> {
+    this.server = createServer((request, response) => {
+      this.handleRequest(request, response).catch(() => response.destroy());
+    });
+    await startListening(this.server, this.options.address);
+  }
+
+  stop(): void {
+    this.server?.close();
+    this.server?.closeAllConnections();
+  }
+
+  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://platform');
+    const part = `/${url.pathname.split('/')[1] ?? ''}`;
+    const isSteering = part === '/standin';
+    if (!isSteering && this.faults.isDown) {
+      request.socket.destroy();
+      return;
+    }
+    if (!isSteering && this.faults.delayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, this.faults.delayMs));
+    }
+    const handler = this.handlers[`${request.method} ${part}`];
+    if (handler === undefined) {
+      sendJson(response, 404, { error: 'unknown path' });
+      return;
+    }
+    await handler(url, request, response);
+  }
+
+  private readStream(url: URL): StandinStream {
+    const name = decodeURIComponent(url.pathname.split('/')[2] ?? '');
+    const stream = this.streams.get(name) ?? new StandinStream();
+    this.streams.set(name, stream);
+    return stream;
+  }
+
+  private async handleAppend(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = (await readJsonBody(request)) as { value: unknown };
+    const offset = this.readStream(url).appendValue(body.value);
+    this.appendCount += 1;
+    const isLost = Math.random() < this.faults.loseAnswers || this.faults.isDown;
+    if (isLost) {
+      request.socket.destroy();
+      return;
+    }
+    sendJson(response, 200, { offset });
+  }
+
+  private async handleRead(url: URL, response: ServerResponse): Promise<void> {
+    this.readCount += 1;
+    const stream = this.readStream(url);
+    const from = Number(url.searchParams.get('from') ?? 0);
+    const limit = Number(url.searchParams.get('limit') ?? 500);
+    await stream.startWait(from, Number(url.searchParams.get('waitMs') ?? 0));
+    if (this.faults.isDown) {
+      response.destroy();
+      return;
+    }
+    sendJson(response, 200, stream.readPage(from, limit));
+  }
+
+  private async handleBoxes(url: URL, response: ServerResponse): Promise<void> {
+    const hall = url.searchParams.get('hall');
+    sendJson(response, 200, { boxes: this.shownBoxes.filter((box) => box.hall === hall) });
+  }
+
+  private async handleReports(url: URL, response: ServerResponse): Promise<void> {
+    const hall = url.searchParams.get('hall');
+    const now = performance.now();
+    const shown = [];
+    for (const stored of this.reports.values()) {
+      const visible = stored.filter((entry) => entry.storedAt <= now - this.options.reportLagMs).at(-1);
+      if (visible !== undefined && visible.report.hall === hall) {
+        const { worker, tasks, ageMs } = visible.report;
+        shown.push({ worker, tasks, ageMs: ageMs + now - visible.storedAt });
+      }
+    }
+    sendJson(response, 200, { reports: shown });
+  }
+
+  private async handleStandin(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readJsonBody(request);
+    const steer: Readonly<Record<string, (value: unknown) => void>> = {
+      '/standin/boxes': (value) => this.applyBoxes(value as readonly StandinBox[]),
+      '/standin/faults': (value) => this.applyFaults(value as Partial<StandinFaults>),
+      '/standin/reports': (value) => this.recordReports(value as readonly StandinReport[]),
+      '/standin/trim': (value) => this.applyTrim(value as { stream: string; first: number }),
+    };
+    steer[url.pathname]?.(body);
+    sendJson(response, 200, {});
+  }
+
+  private async handleCounts(response: ServerResponse): Promise<void> {
+    sendJson(response, 200, { appends: this.appendCount, reads: this.readCount });
+  }
+
+  private applyBoxes(boxes: readonly StandinBox[]): void {
+    this.boxes = boxes;
+    setTimeout(() => {
+      this.shownBoxes = boxes;
+    }, this.options.listLagMs);
+  }
+
+  private applyFaults(faults: Partial<StandinFaults>): void {
+    this.faults = { ...this.faults, ...faults };
+    if (this.faults.isDown) {
+      this.server?.closeIdleConnections();
+    }
+  }
+
+  private applyTrim(trim: { stream: string; first: number }): void {
+    this.streams.get(trim.stream)?.applyTrim(trim.first);
+  }
+
+  private recordReports(reports: readonly StandinReport[]): void {
+    const storedAt = performance.now();
+    for (const report of reports) {
+      const kept = (this.reports.get(report.worker) ?? []).slice(-20);
+      kept.push({ report, storedAt });
+      this.reports.set(report.worker, kept);
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/startListening.ts
@@ -0,0 +1,14 @@
+import type { Server } from 'node:net';
+import { toHostPort } from '../common/toHostPort';
+
+/** Starts a server on `HOST:PORT` and resolves once it listens. */
+export const startListening = (server: Server, address: string): Promise<void> => {
+  const { host, port } = toHostPort(address);
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+};
--- a/packages/table/TableError.ts
+++ b/packages/table/TableError.ts
@@ -3,4 +3,9 @@
   | { readonly kind: 'unknownCell'; readonly cell: string; readonly expected: string }
   | { readonly kind: 'badValue'; readonly cell: string; readonly expected: string }
   | { readonly kind: 'rule'; readonly rule: string; readonly expected: string }
-  | { readonly kind: 'overtaken'; readonly byEditId: string; readonly byOperator: string; readonly atOffset: number };
+  | {
+      readonly kind: 'overtaken';
+      readonly byEditId: string;
+      readonly byOperator: string;
+      readonly atOffset: number;
+    };
--- a/packages/table/checkEdit.ts
+++ b/packages/table/checkEdit.ts
@@ -29,7 +29,10 @@
       : { ok: false, error: { kind: 'unknownCell', cell: edit.cell, expected: 'a row of the table' } };
   }
   if (table.rows.has(name)) {
-    return { ok: false, error: { kind: 'rule', rule: 'row-is-new', expected: 'a row that is not in the table yet' } };
+    return {
+      ok: false,
+      error: { kind: 'rule', rule: 'row-is-new', expected: 'a row that is not in the table yet' },
+    };
   }
   const row = checkRow(name, edit.value);
   return row.ok ? { ok: true, value: { kind: 'putRow', row: row.value } } : row;
--- a/packages/table/rowSchema.ts
+++ b/packages/table/rowSchema.ts
@@ -1,9 +1,13 @@
 import { z } from 'zod';
+import { TABLE_LIMITS } from './constants';
 
 const NAME = /^[a-z][a-z0-9-]{0,62}$/;
 const HOUR_MS = 3_600_000;
 const count = (max: number) => z.int().min(0).max(max);
-const duration = z.int().min(1).max(24 * HOUR_MS);
+const duration = z
+  .int()
+  .min(1)
+  .max(24 * HOUR_MS);
 
 /** Checks one row as settings and operators write it; unknown columns are refused. */
 export const rowSchema = z.strictObject({
@@ -20,7 +24,7 @@
   maxSharePercent: z.int().min(1).max(100).default(100),
   deadlineMs: duration.default(30_000),
   expectedMs: duration.default(1000),
-  timeLimitMs: duration.default(60_000),
+  timeLimitMs: z.int().min(1).max(TABLE_LIMITS.longestTaskMs).default(60_000),
   repeatable: z.boolean().default(true),
   placement: z.enum(['spread', 'pack']).default('spread'),
   preemptible: z.boolean().default(false),
