--- a/dev/fleet/Fleet.ts
+++ b/dev/fleet/Fleet.ts
@@ -90,7 +90,7 @@
       box,
       ...extra,
     ];
-    await this.startProcess(box, args, '[entry] Started.');
+    await this.startProcess(box, args, 'Started.');
   }
 
   /** Entry boxes in the settings' order. */
--- a/dev/fleet/ManagedProcess.ts
+++ b/dev/fleet/ManagedProcess.ts
@@ -7,6 +7,8 @@
   readonly logFile: string;
 }
 
+const START_LIMIT_MS = 30_000;
+
 /** One child process of a test or demo. It is signalled by its own id only. */
 export class ManagedProcess {
   private readonly child: ChildProcess;
@@ -41,9 +43,10 @@
 
   /** Resolves once it has printed a text; rejects when it ends before. */
   async startWait(text: string): Promise<void> {
+    const until = performance.now() + START_LIMIT_MS;
     while (!this.output.includes(text)) {
-      if (!this.isAlive()) {
-        throw new Error(`${this.options.name} ended early: ${this.output}`);
+      if (!this.isAlive() || performance.now() > until) {
+        throw new Error(`${this.options.name} did not get ready: ${this.output}`);
       }
       await new Promise((resolve) => setTimeout(resolve, 20));
     }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,7 +44,13 @@
         'error',
         { selector: 'function', format: ['camelCase'], custom: VERB_PATTERN },
         { selector: 'classMethod', format: ['camelCase'], custom: VERB_PATTERN },
-        { selector: 'variable', types: ['function'], modifiers: ['global'], format: ['camelCase'], custom: VERB_PATTERN },
+        {
+          selector: 'variable',
+          types: ['function'],
+          modifiers: ['global'],
+          format: ['camelCase'],
+          custom: VERB_PATTERN,
+        },
       ],
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: false }],
@@ -54,6 +60,11 @@
       eqeqeq: 'error',
     },
   },
+  {
+    // A reporter's methods have the names that the test runner calls.
+    files: ['tests/helpers/CountReporter.ts'],
+    rules: { '@typescript-eslint/naming-convention': 'off' },
+  },
   {
     files: ['packages/**/*.ts', 'app/**/*.ts', 'dev/**/*.ts'],
     plugins: { house: { rules: { oneExport, documentedExport } } },
--- a/packages/entry/JobController.ts
+++ b/packages/entry/JobController.ts
@@ -67,9 +67,15 @@
 
   /** Renews a replica's lease. Returns the worker's status, 0 without an answer. */
   async renewJob(id: RequestId, leaseMs: number, hasRight: () => boolean): Promise<number> {
+    const active = this.jobs.get(id);
     const task = this.options.scheduler.readTask(id);
     const client = task === undefined ? undefined : this.options.directory.readClient(task.worker);
-    return client === undefined || !hasRight() ? 0 : client.sendAction(this.toTaskId(id), 'renew', leaseMs);
+    if (active === undefined || active.draining !== undefined || client === undefined || !hasRight()) {
+      return 0;
+    }
+    // The renewal may take effect even when its answer is lost, so the lease counts anew from here.
+    active.sentAt = this.options.context.clock.readNow();
+    return client.sendAction(this.toTaskId(id), 'renew', leaseMs);
   }
 
   /** Applies what has changed about workers. */
@@ -223,6 +229,7 @@
       callerRequest: job.callerRequest,
       need: task.need,
       timeLimitMs: active.timeLimitMs,
+      readEndsAt: () => this.readEndsAt(active),
       body: job.body,
       headers: job.headers,
       hasRight: () => this.hasRight(active, worker),
@@ -273,12 +280,18 @@
     this.handleEvent({ kind: 'unplaced', id: active.job.id, isYield: false });
   }
 
+  /** When the worker has ended the task at the latest. */
+  private readEndsAt(active: ActiveJob): number {
+    return active.sentAt + active.timeLimitMs + this.options.context.settings.timings.marginMs;
+  }
+
   /** The slot stays taken until the task is known to have ended: by a report, or by its time limit. */
   private startDraining(active: ActiveJob, worker: WorkerId, reason: string): void {
-    const { clock, settings } = this.options.context;
-    const now = clock.readNow();
-    const endsAt = active.sentAt + active.timeLimitMs + settings.timings.marginMs;
-    const timer = setTimeout(() => this.handleDrained(active.job.id), Math.max(0, endsAt - now));
+    const now = this.options.context.clock.readNow();
+    const timer = setTimeout(
+      () => this.handleDrained(active.job.id),
+      Math.max(0, this.readEndsAt(active) - now),
+    );
     active.draining = { since: now, timer };
     this.options.metrics.recordCount('unknownEnds');
     this.recordJobEvent(active.job.id, 'end not seen', { worker, reason });
--- a/packages/entry/WorkerDirectory.ts
+++ b/packages/entry/WorkerDirectory.ts
@@ -127,7 +127,7 @@
       maxConnections: Math.max(1, Math.floor(listing.connections / (boxes * STARTS_PER_BOX))),
       answerLimit: settings.limits.answerBytes,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      marginMs: settings.timings.marginMs,
+      clock: this.context.clock,
     });
   }
 
--- a/packages/gateway/Dispatch.ts
+++ b/packages/gateway/Dispatch.ts
@@ -8,6 +8,8 @@
   readonly callerRequest: string;
   readonly need: Demand;
   readonly timeLimitMs: number;
+  /** Monotonic time by which the worker has ended the task, in milliseconds; a renewed lease moves it. */
+  readonly readEndsAt: () => number;
   readonly body: Buffer;
   readonly headers: Readonly<Record<string, string>>;
   /** Asked directly before the bytes are written. */
--- a/packages/gateway/EndpointClient.ts
+++ b/packages/gateway/EndpointClient.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici';
+import type { Clock } from '../common/Clock';
 import { toErrorText } from '../common/toErrorText';
 import type { Dispatch } from './Dispatch';
 import type { DispatchResult } from './DispatchResult';
@@ -13,8 +14,7 @@
   readonly maxConnections: number;
   readonly answerLimit: number;
   readonly connectTimeoutMs: number;
-  /** Added to a task's time limit before its end is taken for granted, in milliseconds. */
-  readonly marginMs: number;
+  readonly clock: Clock;
 }
 
 type Found = { readonly connection: EndpointConnection } | { readonly failure: DispatchResult };
@@ -121,8 +121,7 @@
 
   private async sendOn(connection: EndpointConnection, dispatch: Dispatch): Promise<DispatchResult> {
     // The worker ends the task at its time limit; the slot is held until then even if the caller gave up.
-    const abort = new AbortController();
-    const timer = setTimeout(() => abort.abort(), dispatch.timeLimitMs + this.options.marginMs);
+    const limit = this.startLimit(dispatch);
     try {
       const response = await connection.client.request({
         method: 'POST',
@@ -135,17 +134,32 @@
           [headerNames.callerRequest]: dispatch.callerRequest,
         },
         body: dispatch.body,
-        signal: abort.signal,
+        signal: limit.signal,
       });
       return await this.readAnswer(response, dispatch);
     } catch (thrown) {
-      const reason = abort.signal.aborted ? 'no end seen within the time limit' : toErrorText(thrown);
+      const reason = limit.signal.aborted ? 'no end seen within the time limit' : toErrorText(thrown);
       return { kind: 'unknown', reason };
     } finally {
-      clearTimeout(timer);
+      limit.stop();
     }
   }
 
+  private startLimit(dispatch: Dispatch): { signal: AbortSignal; stop: () => void } {
+    const abort = new AbortController();
+    let timer: NodeJS.Timeout | undefined;
+    const handleTime = () => {
+      const leftMs = dispatch.readEndsAt() - this.options.clock.readNow();
+      if (leftMs <= 0) {
+        abort.abort();
+      } else {
+        timer = setTimeout(handleTime, leftMs);
+      }
+    };
+    handleTime();
+    return { signal: abort.signal, stop: () => clearTimeout(timer) };
+  }
+
   private async readAnswer(response: Dispatcher.ResponseData, dispatch: Dispatch): Promise<DispatchResult> {
     const { headers, statusCode } = response;
     const body = Buffer.from(await response.body.arrayBuffer());
--- a/packages/gateway/EndpointConnection.ts
+++ b/packages/gateway/EndpointConnection.ts
@@ -30,7 +30,8 @@
           return;
         }
         isUsed = true;
-        handleSocket(null, options.socket);
+        // Not within the call: undici would not notice the connection. A microtask is still the same turn of the loop.
+        queueMicrotask(() => handleSocket(null, options.socket));
       },
     });
     options.socket.once('close', () => {
--- a/packages/peers/PeerClient.ts
+++ b/packages/peers/PeerClient.ts
@@ -12,10 +12,13 @@
 
 /** The link of this process to one other entry box. */
 export class PeerClient {
-  private socket = this.createSocket();
-  private trpc = this.createClient();
+  private socket: ReturnType<typeof createWSClient>;
+  private trpc: TRPCClient<PeerRouter>;
 
-  constructor(readonly address: PeerAddress) {}
+  constructor(readonly address: PeerAddress) {
+    this.socket = this.createSocket();
+    this.trpc = this.createClient();
+  }
 
   /** Sends a heartbeat. Whatever fails, the answer comes within the time-out. */
   async sendHeartbeat(message: PeerMessage): Promise<Result<PeerMessage, PeerError>> {
--- a/packages/platform/StreamReader.ts
+++ b/packages/platform/StreamReader.ts
@@ -31,13 +31,16 @@
   async start(): Promise<void> {
     const { client, stream, waitMs, random } = this.options;
     const backoff = new Backoff({ baseMs: RETRY_BASE_MS, maxMs: RETRY_MAX_MS, random });
+    let isFirst = true;
     while (!this.stopping.signal.aborted) {
-      const page = await client.readPage(stream, this.options.readNextOffset(), waitMs);
+      // The first read does not wait for news: it tells where the stream ends.
+      const page = await client.readPage(stream, this.options.readNextOffset(), isFirst ? 0 : waitMs);
       if (this.stopping.signal.aborted) {
         return;
       }
       if (page.ok) {
         backoff.recordSuccess();
+        isFirst = false;
         this.options.handlePage(page.value);
       } else {
         this.options.handleError(page.error);
--- a/packages/replay/ReplayTally.ts
+++ b/packages/replay/ReplayTally.ts
@@ -16,7 +16,7 @@
 }
 
 const MICROS = 1000;
-const roundTo = (value: number): number => Math.round(value * 10_000) / 10_000;
+const toRounded = (value: number): number => Math.round(value * 10_000) / 10_000;
 
 /** Gathers the figures of a replay. */
 export class ReplayTally {
@@ -99,7 +99,7 @@
   createResult(policy: string): ReplayResult {
     const total = [...this.capacities.values()].reduce(demandMath.toSum, demandMath.NOTHING);
     const toPart = (used: number, capacity: number) =>
-      capacity === 0 || this.waitingMs === 0 ? 0 : roundTo(used / capacity / this.waitingMs);
+      capacity === 0 || this.waitingMs === 0 ? 0 : toRounded(used / capacity / this.waitingMs);
     const { cpus, memoryMb, accelerators, slots } = this.usedWhileWaiting;
     return {
       policy,
@@ -129,7 +129,7 @@
       workersInUse:
         this.runningMs === 0
           ? 0
-          : roundTo(this.busyWorkerMs / this.runningMs / Math.max(1, this.capacities.size)),
+          : toRounded(this.busyWorkerMs / this.runningMs / Math.max(1, this.capacities.size)),
       digest: this.hash.digest('hex').slice(0, 16),
     };
   }
--- a/packages/scheduler/Scheduler.ts
+++ b/packages/scheduler/Scheduler.ts
@@ -1,6 +1,5 @@
 import type { RequestId } from '../common/RequestId';
 import type { RowName } from '../common/RowName';
-import type { TeamName } from '../common/TeamName';
 import type { WorkerId } from '../common/WorkerId';
 import type { Row } from '../table/Row';
 import type { Team } from '../table/Team';
--- a/packages/settings/settingsSchema.ts
+++ b/packages/settings/settingsSchema.ts
@@ -6,7 +6,7 @@
 const address = z
   .string()
   .regex(/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, 'expected an IP number and a port, for example 10.0.0.1:7000');
-const ms = (min: number, max: number) => z.int().min(min).max(max);
+const toDuration = (min: number, max: number) => z.int().min(min).max(max);
 
 const entry = z.strictObject({
   box: nameSchema,
@@ -20,18 +20,18 @@
 });
 
 const timings = z.strictObject({
-  heartbeatMs: ms(50, 10_000).default(1000),
-  leaseMs: ms(200, 60_000).default(3000),
-  marginMs: ms(50, 10_000).default(500),
-  suspectMs: ms(200, 120_000).default(4000),
-  boxListMs: ms(50, 60_000).default(1000),
-  reportMs: ms(50, 60_000).default(1000),
-  platformTimeoutMs: ms(50, 60_000).default(2000),
-  longPollMs: ms(0, 60_000).default(1000),
-  tablePollMs: ms(0, 60_000).default(10_000),
-  seatLeaseMs: ms(500, 600_000).default(10_000),
-  stopLimitMs: ms(100, 3_600_000).default(120_000),
-  standingRenewMs: ms(1000, 86_400_000).default(600_000),
+  heartbeatMs: toDuration(50, 10_000).default(1000),
+  leaseMs: toDuration(200, 60_000).default(3000),
+  marginMs: toDuration(50, 10_000).default(500),
+  suspectMs: toDuration(200, 120_000).default(4000),
+  boxListMs: toDuration(50, 60_000).default(1000),
+  reportMs: toDuration(50, 60_000).default(1000),
+  platformTimeoutMs: toDuration(50, 60_000).default(2000),
+  longPollMs: toDuration(0, 60_000).default(1000),
+  tablePollMs: toDuration(0, 60_000).default(10_000),
+  seatLeaseMs: toDuration(500, 600_000).default(10_000),
+  stopLimitMs: toDuration(100, 3_600_000).default(120_000),
+  standingRenewMs: toDuration(1000, 86_400_000).default(600_000),
 });
 
 const limits = z.strictObject({
--- a/packages/table/checkEdit.ts
+++ b/packages/table/checkEdit.ts
@@ -13,6 +13,13 @@
 
 type Checked = Result<TableChange, TableError>;
 
+/** The columns of a row or team without its name. */
+const toColumns = <Named extends { readonly name: string }>(named: Named): Omit<Named, 'name'> => {
+  const columns: Partial<Named> = { ...named };
+  delete columns.name;
+  return columns as Omit<Named, 'name'>;
+};
+
 const checkOvertaken = (table: TableState, edit: Edit): TableError | undefined => {
   const last = table.cells.get(edit.cell);
   if (last === undefined || last.offset === edit.basedOn) {
@@ -47,15 +54,14 @@
   if (current === undefined) {
     return { ok: false, error: { kind: 'unknownCell', cell: edit.cell, expected: 'a row of the table' } };
   }
-  const { name: _name, ...columns } = current;
-  const row = checkRow(name, { ...columns, [address.column]: edit.value });
+  const row = checkRow(name, { ...toColumns(current), [address.column]: edit.value });
   return row.ok ? { ok: true, value: { kind: 'putRow', row: row.value } } : row;
 };
 
 const checkTeamCell = (table: TableState, address: CellAddress, edit: Edit): Checked => {
   const name = toId<TeamName>(address.name);
-  const { name: _name, ...columns } = table.teams.get(name) ?? { name, maxRunning: 0, maxQueued: 0 };
-  const parsed = teamSchema.safeParse({ ...columns, [address.column ?? '']: edit.value });
+  const current = table.teams.get(name) ?? { name, maxRunning: 0, maxQueued: 0 };
+  const parsed = teamSchema.safeParse({ ...toColumns(current), [address.column ?? '']: edit.value });
   if (!parsed.success) {
     const expected = parsed.error.issues.map((issue) => issue.message).join('; ');
     return { ok: false, error: { kind: 'badValue', cell: edit.cell, expected } };
--- a/packages/table/rowSchema.ts
+++ b/packages/table/rowSchema.ts
@@ -3,7 +3,7 @@
 
 const NAME = /^[a-z][a-z0-9-]{0,62}$/;
 const HOUR_MS = 3_600_000;
-const count = (max: number) => z.int().min(0).max(max);
+const toCount = (max: number) => z.int().min(0).max(max);
 const duration = z
   .int()
   .min(1)
@@ -16,10 +16,10 @@
   weight: z.number().min(0.01).max(1000).default(1),
   priority: z.int().min(0).max(100).default(0),
   cpus: z.number().min(0).max(1024).default(1),
-  memoryMb: count(16_777_216).default(256),
-  accelerators: count(64).default(0),
+  memoryMb: toCount(16_777_216).default(256),
+  accelerators: toCount(64).default(0),
   slots: z.int().min(1).max(64).default(1),
-  maxRunning: count(1_000_000).default(0),
+  maxRunning: toCount(1_000_000).default(0),
   maxQueued: z.int().min(1).max(100_000).default(1000),
   maxSharePercent: z.int().min(1).max(100).default(100),
   deadlineMs: duration.default(30_000),
@@ -28,5 +28,5 @@
   repeatable: z.boolean().default(true),
   placement: z.enum(['spread', 'pack']).default('spread'),
   preemptible: z.boolean().default(false),
-  replicas: count(10_000).default(0),
+  replicas: toCount(10_000).default(0),
 });
--- /dev/null
+++ b/tests/helpers/fastTimings.ts
@@ -0,0 +1,15 @@
+import type { FleetOptions } from '../../dev/fleet/FleetOptions';
+
+/** Short times for process tests; the proportions are those of the defaults. */
+export const fastTimings: FleetOptions['timings'] = {
+  heartbeatMs: 200,
+  leaseMs: 1000,
+  marginMs: 300,
+  suspectMs: 1400,
+  boxListMs: 200,
+  reportMs: 200,
+  platformTimeoutMs: 1000,
+  longPollMs: 300,
+  tablePollMs: 1000,
+  seatLeaseMs: 2000,
+};
