--- a/packages/table/checkEdit.ts
+++ b/packages/table/checkEdit.ts
@@ -6,19 +6,18 @@
 import type { CellAddress } from './CellAddress';
 import type { Edit } from './Edit';
 import { parseCell } from './parseCell';
+import type { Row } from './Row';
 import type { TableChange } from './TableChange';
 import type { TableError } from './TableError';
 import type { TableState } from './TableState';
+import type { Team } from './Team';
 import { teamSchema } from './teamSchema';
 
 type Checked = Result<TableChange, TableError>;
 
 /** The columns of a row or team without its name. */
-const toColumns = <Named extends { readonly name: string }>(named: Named): Omit<Named, 'name'> => {
-  const columns: Partial<Named> = { ...named };
-  delete columns.name;
-  return columns as Omit<Named, 'name'>;
-};
+const toColumns = (named: Row | Team): object =>
+  Object.fromEntries(Object.entries(named).filter(([column]) => column !== 'name'));
 
 const checkOvertaken = (table: TableState, edit: Edit): TableError | undefined => {
   const last = table.cells.get(edit.cell);
