Explore the ownership rules on virtual time

Change: a world of three boxes, one worker and one standing seat takes random steps from fixed seeds; after each the sums must fit, the replica runs once, and no two processes, paused ones too, hold one right.

--- a/dev/devCommands.ts
+++ b/dev/devCommands.ts
@@ -1,7 +1,13 @@
 import type { Command } from '../packages/cli/Command';
 import { demoCommand } from './demo/demoCommand';
+import { exploreCommand } from './explorer/exploreCommand';
 import { endpointsCommand } from './endpointsCommand';
 import { platformCommand } from './platformCommand';
 
 /** Commands for development and tests; none of them is in the binary. */
-export const devCommands: readonly Command[] = [platformCommand, endpointsCommand, demoCommand];
+export const devCommands: readonly Command[] = [
+  platformCommand,
+  endpointsCommand,
+  demoCommand,
+  exploreCommand,
+];
--- /dev/null
+++ b/dev/explorer/ExplorerCounts.ts
@@ -0,0 +1,10 @@
+/** How often an exploration reached what it is meant to reach. */
+export interface ExplorerCounts {
+  steps: number;
+  placed: number;
+  refusedByRight: number;
+  views: number;
+  deaths: number;
+  pauses: number;
+  replicas: number;
+}
--- /dev/null
+++ b/dev/explorer/startExploration.ts
@@ -0,0 +1,52 @@
+import { createRandom } from '../../packages/common/createRandom';
+import type { OwnershipRules } from '../../packages/ownership/OwnershipRules';
+import type { ExplorerCounts } from './ExplorerCounts';
+import type { ExplorerRun } from './ExplorerRun';
+import { ExplorerWorld } from './ExplorerWorld';
+
+interface ExplorationOptions {
+  readonly rules: OwnershipRules;
+  readonly firstSeed: number;
+  readonly runs: number;
+  readonly stepsPerRun: number;
+}
+
+const LARGE = 1_000_000;
+
+const toSum = (left: ExplorerCounts, right: ExplorerCounts): ExplorerCounts => ({
+  steps: left.steps + right.steps,
+  placed: left.placed + right.placed,
+  refusedByRight: left.refusedByRight + right.refusedByRight,
+  views: left.views + right.views,
+  deaths: left.deaths + right.deaths,
+  pauses: left.pauses + right.pauses,
+  replicas: left.replicas + right.replicas,
+});
+
+const NOTHING: ExplorerCounts = {
+  steps: 0,
+  placed: 0,
+  refusedByRight: 0,
+  views: 0,
+  deaths: 0,
+  pauses: 0,
+  replicas: 0,
+};
+
+/** Explores random runs from fixed seeds, one after the other, until one is broken. */
+export const startExploration = (options: ExplorationOptions): ExplorerRun => {
+  let counts = NOTHING;
+  for (let seed = options.firstSeed; seed < options.firstSeed + options.runs; seed += 1) {
+    const random = createRandom(seed);
+    const world = new ExplorerWorld({ rules: options.rules, seed });
+    for (let step = 0; step < options.stepsPerRun; step += 1) {
+      const toNumber = () => Math.floor(random() * LARGE);
+      const what = world.applyStep({ action: toNumber(), left: toNumber(), right: toNumber() });
+      if (what !== undefined) {
+        return { counts: toSum(counts, world.counts), failure: { seed, step, what } };
+      }
+    }
+    counts = toSum(counts, world.counts);
+  }
+  return { counts, failure: undefined };
+};
