--- /dev/null
+++ b/dev/bench/benchSections.ts
@@ -0,0 +1,15 @@
+import type { BenchSection } from './BenchSection';
+import { controlSection } from './controlSection';
+import { decisionSection } from './decisionSection';
+import { memorySection } from './memorySection';
+import { overloadSection } from './overloadSection';
+import { policySection } from './policySection';
+
+/** All sections, in the order of the report. */
+export const benchSections: readonly BenchSection[] = [
+  decisionSection,
+  policySection,
+  overloadSection,
+  memorySection,
+  controlSection,
+];
--- a/dev/devCommands.ts
+++ b/dev/devCommands.ts
@@ -1,7 +1,9 @@
 import type { Command } from '../packages/cli/Command';
+import { benchCommand } from './bench/benchCommand';
 import { demoCommand } from './demo/demoCommand';
 import { exploreCommand } from './explorer/exploreCommand';
 import { endpointsCommand } from './endpointsCommand';
+import { replayAllCommand } from './replayAllCommand';
 import { platformCommand } from './platformCommand';
 
 /** Commands for development and tests; none of them is in the binary. */
@@ -10,4 +12,6 @@
   endpointsCommand,
   demoCommand,
   exploreCommand,
+  replayAllCommand,
+  benchCommand,
 ];
--- a/dev/fleet/Fleet.ts
+++ b/dev/fleet/Fleet.ts
@@ -162,6 +162,12 @@
     }
   }
 
+  /** The metrics of a box as text. */
+  async readMetrics(box: string): Promise<string> {
+    const response = await request(`http://${this.readEntry(box).operators}/metrics`);
+    return response.body.text();
+  }
+
   /** Statuses of the boxes that answer. */
   async readAllStatus(): Promise<readonly EntryStatus[]> {
     const statuses = await Promise.all(this.readBoxes().map((box) => this.readStatus(box)));
--- /dev/null
+++ b/dev/replayAllCommand.ts
@@ -0,0 +1,42 @@
+import { readFileSync, writeFileSync } from 'node:fs';
+import type { Command } from '../packages/cli/Command';
+import { exitCodes } from '../packages/cli/exitCodes';
+import { writeLine } from '../packages/cli/writeLine';
+import { formatReplay } from '../packages/replay/formatReplay';
+import { measureReplay } from '../packages/replay/measureReplay';
+import { createTrace } from './traces/createTrace';
+import { toOutcomeFile } from './traces/toOutcomeFile';
+import { traceShapes } from './traces/traceShapes';
+
+const readStated = (file: string): string | undefined => {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch {
+    return undefined;
+  }
+};
+
+/** `dev replay-all`: all generated traces against their stated outcomes. */
+export const replayAllCommand: Command = {
+  name: 'replay-all',
+  summary: 'Replay all generated traces and compare with the outcomes stated in traces/.',
+  usage: '[--write]',
+  options: { write: { type: 'boolean', help: 'state the outcomes anew' } },
+  start: async ({ values }) => {
+    let differing = 0;
+    for (const shape of traceShapes) {
+      const result = measureReplay(createTrace(shape), 'stairline');
+      const file = toOutcomeFile(shape.name);
+      const text = `${JSON.stringify({ about: shape.about, ...result }, null, 2)}\n`;
+      if (values['write'] === true) {
+        writeFileSync(file, text);
+      }
+      const isSame = readStated(file) === text;
+      differing += isSame ? 0 : 1;
+      writeLine(
+        `\n${shape.name}: ${shape.about}\n${formatReplay(result)}\n${isSame ? 'as stated' : 'DIFFERS from what is stated'}`,
+      );
+    }
+    return differing === 0 ? exitCodes.done : exitCodes.failed;
+  },
+};
--- a/packages/cli/endedCommand.ts
+++ b/packages/cli/endedCommand.ts
@@ -1,5 +1,6 @@
 import type { HallId } from '../common/HallId';
 import type { ProcessId } from '../common/ProcessId';
+import { ByteCounter } from '../common/ByteCounter';
 import { systemClock } from '../common/systemClock';
 import { toId } from '../common/toId';
 import type { HallRecord } from '../ownership/HallRecord';
@@ -44,6 +45,7 @@
       timeoutMs: timings.platformTimeoutMs,
       clock: systemClock,
       caller: 'operator',
+      counter: new ByteCounter(),
     });
     const record: HallRecord = { kind: 'ended', process: toId<ProcessId>(process), operator: 'operator' };
     const appended = await client.appendRecord(streams.toHallStream(cell, toId<HallId>(hall)), record);
--- a/packages/entry/EntryProcess.ts
+++ b/packages/entry/EntryProcess.ts
@@ -1,4 +1,5 @@
 import type { BoxId } from '../common/BoxId';
+import { ByteCounter } from '../common/ByteCounter';
 import type { HallId } from '../common/HallId';
 import { HybridClock } from '../common/HybridClock';
 import type { ProcessId } from '../common/ProcessId';
@@ -57,6 +58,7 @@
 export class EntryProcess {
   private readonly context: EntryContext;
   private readonly logger: Logger;
+  private readonly counter = new ByteCounter();
   private readonly metrics = new Metrics();
   private readonly client: PlatformClient;
   private readonly scheduler: Scheduler;
@@ -85,6 +87,7 @@
       timeoutMs: settings.timings.platformTimeoutMs,
       clock: options.clock,
       caller: options.box,
+      counter: this.counter,
     });
     const shareIndex = settings.entries.findIndex((entry) => entry.box === options.box);
     const shareCount = settings.entries.length;
@@ -131,6 +134,7 @@
       ownership: this.ownership,
       table: this.table,
       metrics,
+      counter: this.counter,
       readStatus: () => this.scheduler.readStatus(),
       isTaking: () => this.isReady(),
       handleRights: () => this.hall.applyRights(),
@@ -249,7 +253,7 @@
     const entry = settings.entries.find((other) => other.box === box);
     const { limits } = settings;
     const handleCall = this.calls.handleCall.bind(this.calls);
-    const formatMetrics = () => this.metrics.formatText();
+    const formatMetrics = () => this.metrics.formatText(this.counter.readTotal());
     return {
       callers: new CallerServer({
         ...toHostPort(entry?.callers ?? ''),
@@ -264,6 +268,7 @@
       peers: new PeerServer({
         ...toHostPort(entry?.peers ?? ''),
         bodyLimit: limits.bodyBytes,
+        counter: this.counter,
         handleCall,
         handlers: {
           handleHeartbeat: (message) => this.peers.handleHeartbeat(message),
--- a/packages/entry/Metrics.ts
+++ b/packages/entry/Metrics.ts
@@ -54,9 +54,9 @@
     return (this.waits.get(row)?.getValueAtPercentile(percentile) ?? 0) / MICROS_PER_MS;
   }
 
-  /** Formats everything in the text form that collectors read. */
-  formatText(): string {
-    const lines: string[] = [];
+  /** Formats everything in the text form that collectors read. `controlBytes`: to and from peers and platform. */
+  formatText(controlBytes: number): string {
+    const lines = [`stairline_control_bytes_total ${controlBytes}`];
     for (const [name, value] of this.counts) {
       lines.push(
         `stairline_${name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`)}_total ${value}`,
--- a/packages/entry/PeerController.ts
+++ b/packages/entry/PeerController.ts
@@ -1,3 +1,4 @@
+import type { ByteCounter } from '../common/ByteCounter';
 import type { ProcessId } from '../common/ProcessId';
 import type { RowName } from '../common/RowName';
 import { startDelay } from '../common/startDelay';
@@ -25,6 +26,8 @@
   readonly ownership: Ownership;
   readonly table: TableController;
   readonly metrics: Metrics;
+  /** Counts the bytes of control. */
+  readonly counter: ByteCounter;
   readonly readStatus: () => readonly RowStatus[];
   readonly isTaking: () => boolean;
   /** Told after what a peer said may have changed the rights of this process. */
@@ -183,7 +186,7 @@
     const { limits, timings } = this.options.context.settings;
     return {
       address,
-      client: new PeerClient(address, timings.leaseMs * PEERS.timeoutPart),
+      client: new PeerClient(address, timings.leaseMs * PEERS.timeoutPart, this.options.counter),
       forward: new ForwardClient({
         address: address.peers,
         answerLimit: limits.answerBytes,
--- a/packages/peers/PeerClient.ts
+++ b/packages/peers/PeerClient.ts
@@ -1,8 +1,9 @@
 import { createTRPCClient, createWSClient, wsLink, type TRPCClient } from '@trpc/client';
-import { WebSocket } from 'ws';
+import type { ByteCounter } from '../common/ByteCounter';
 import type { Result } from '../common/Result';
 import { toErrorText } from '../common/toErrorText';
 import { startSocket } from '../gateway/startSocket';
+import { createCountedSocket } from './createCountedSocket';
 import { PEERS } from './constants';
 import type { PeerAddress } from './PeerAddress';
 import type { PeerError } from './PeerError';
@@ -19,6 +20,7 @@
     readonly address: PeerAddress,
     /** Longest wait for an answer, in milliseconds. */
     private readonly timeoutMs: number,
+    private readonly counter: ByteCounter,
   ) {
     this.socket = this.createSocket();
     this.trpc = this.createClient();
@@ -69,7 +71,7 @@
   private createSocket(): ReturnType<typeof createWSClient> {
     return createWSClient({
       url: `ws://${this.address.peers}${PEERS.path}`,
-      WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
+      WebSocket: createCountedSocket(this.counter),
       lazy: { enabled: true, closeMs: 60_000 },
       retryDelayMs: () => 60_000,
     });
--- a/packages/peers/PeerServer.ts
+++ b/packages/peers/PeerServer.ts
@@ -5,6 +5,7 @@
 import type { Call } from '../gateway/Call';
 import { headerNames } from '../gateway/headerNames';
 import { parseCall } from '../gateway/parseCall';
+import type { ByteCounter } from '../common/ByteCounter';
 import type { RequestId } from '../common/RequestId';
 import { toId } from '../common/toId';
 import { PEERS } from './constants';
@@ -16,6 +17,7 @@
   readonly host: string;
   readonly port: number;
   readonly bodyLimit: number;
+  readonly counter: ByteCounter;
   readonly handlers: PeerHandlers;
   readonly handleCall: (call: Call, signal: AbortSignal) => Promise<CallAnswer>;
 }
@@ -55,6 +57,7 @@
       return reply.code(200).headers(formatted.headers).type('application/octet-stream').send(formatted.body);
     });
     this.sockets = new WebSocketServer({ server: this.app.server, path: PEERS.path, maxPayload: 8_388_608 });
+    this.sockets.on('connection', (_socket, request) => options.counter.recordSocket(request.socket));
     applyWSSHandler({ wss: this.sockets, router: createPeerRouter(options.handlers) });
   }
 
--- a/packages/platform/PlatformClient.ts
+++ b/packages/platform/PlatformClient.ts
@@ -1,11 +1,13 @@
 import { Pool } from 'undici';
 import type { z } from 'zod';
+import type { ByteCounter } from '../common/ByteCounter';
 import type { Clock } from '../common/Clock';
 import type { HallId } from '../common/HallId';
 import type { Result } from '../common/Result';
 import { toErrorText } from '../common/toErrorText';
 import type { WorkerId } from '../common/WorkerId';
 import type { WorkerReport } from '../ownership/WorkerReport';
+import { createCountedConnector } from './createCountedConnector';
 import type { BoxListing } from './BoxListing';
 import type { LogPage } from './LogPage';
 import type { PlatformError } from './PlatformError';
@@ -20,6 +22,7 @@
   readonly clock: Clock;
   /** Who calls, for the platform's records. */
   readonly caller: string;
+  readonly counter: ByteCounter;
 }
 
 interface Call {
@@ -39,7 +42,11 @@
   private readonly pool: Pool;
 
   constructor(private readonly options: PlatformClientOptions) {
-    this.pool = new Pool(`http://${options.address}`, { connections: CONNECTIONS, pipelining: 1 });
+    this.pool = new Pool(`http://${options.address}`, {
+      connections: CONNECTIONS,
+      pipelining: 1,
+      connect: createCountedConnector(options.counter),
+    });
   }
 
   /** Appends one record. After an error other than `refused` the record may be in the log all the same. */
--- a/packages/replay/ReplayResult.ts
+++ b/packages/replay/ReplayResult.ts
@@ -1,4 +1,4 @@
-/** Waiting and ends of one row in a replay. */
+/** Waiting and ends of one row and team in a replay. */
 interface ReplayRow {
   readonly row: string;
   readonly requests: number;
--- a/packages/replay/ReplayTally.ts
+++ b/packages/replay/ReplayTally.ts
@@ -1,6 +1,5 @@
 import { createHash } from 'node:crypto';
 import { build, type Histogram } from 'hdr-histogram-js';
-import type { RowName } from '../common/RowName';
 import { demandMath } from '../scheduler/demandMath';
 import type { SchedulerEffect } from '../scheduler/SchedulerEffect';
 import type { Demand } from '../table/Demand';
@@ -21,7 +20,7 @@
 /** Gathers the figures of a replay. */
 export class ReplayTally {
   private readonly hash = createHash('sha256');
-  private readonly rows = new Map<RowName, RowTally>();
+  private readonly rows = new Map<string, RowTally>();
   private readonly capacities = new Map<string, Demand>();
   private readonly runningOn = new Map<string, number>();
   private used: Demand = demandMath.NOTHING;
@@ -37,7 +36,7 @@
   refusals = 0;
   sentOn = 0;
 
-  recordRequest(row: RowName): void {
+  recordRequest(row: string): void {
     this.readRow(row).requests += 1;
   }
 
@@ -66,7 +65,7 @@
     this.refusals += effect.kind === 'refuse' ? 1 : 0;
   }
 
-  recordPlaced(row: RowName, worker: string, need: Demand, waitedMs: number): void {
+  recordPlaced(row: string, worker: string, need: Demand, waitedMs: number): void {
     const tally = this.readRow(row);
     tally.placed += 1;
     tally.waits.recordValue(Math.round(waitedMs * MICROS));
@@ -85,11 +84,11 @@
     }
   }
 
-  recordRefused(row: RowName): void {
+  recordRefused(row: string): void {
     this.readRow(row).refused += 1;
   }
 
-  recordEnded(row: RowName, isLate: boolean): void {
+  recordEnded(row: string, isLate: boolean): void {
     const tally = this.readRow(row);
     tally.late += isLate ? 1 : 0;
     tally.good += isLate ? 0 : 1;
@@ -134,7 +133,7 @@
     };
   }
 
-  private readRow(row: RowName): RowTally {
+  private readRow(row: string): RowTally {
     const known = this.rows.get(row);
     if (known !== undefined) {
       return known;
--- a/packages/replay/Replayer.ts
+++ b/packages/replay/Replayer.ts
@@ -20,6 +20,7 @@
   readonly comeBacks: number;
   /** For a planned end: the placement that it ends; void once the task has yielded. */
   readonly placement?: number;
+  readonly isLoss?: boolean | undefined;
 }
 
 interface Running {
@@ -32,11 +33,16 @@
 
 /** How long a worker takes to stop a task by checkpoint, in milliseconds. */
 const CHECKPOINT_MS = 20;
+/** When the end of tasks on a lost worker is known, in milliseconds after the loss. */
+const LOSS_KNOWN_MS = 3000;
 /** Cores look for waiting requests that are too late this often, in milliseconds. */
 const TICK_MS = 100;
 /** What a peer said of its room is this old on average, in milliseconds. */
 const ROOM_AGE_MS = 1000;
 
+/** Figures are kept for each team of a row. */
+const toLabel = (request: SchedulerRequest): string => `${request.row} ${request.team}`;
+
 /** Drives one decision core per entry box through a trace on virtual time. */
 export class Replayer {
   private readonly queue = new TinyQueue<QueuedEvent>(
@@ -62,7 +68,7 @@
     });
     this.told = this.cores.map(() => new Map());
     for (const line of trace.lines) {
-      this.queueEvent({ ...line, runMs: line.runMs, comeBacks: options.comeBacks });
+      this.queueEvent({ ...line, runMs: line.runMs, isLoss: line.isLoss, comeBacks: options.comeBacks });
     }
   }
 
@@ -105,9 +111,35 @@
       return;
     }
     this.recordWorkers(item.event);
+    if (item.isLoss === true) {
+      this.queueLosses(item);
+    }
     this.applyTo(item.entry, item.event, item.at);
   }
 
+  /** What ran on a lost worker is known to have ended only after a while, and then runs again. */
+  private queueLosses(item: QueuedEvent): void {
+    if (item.event.kind !== 'workers') {
+      return;
+    }
+    for (const worker of item.event.workers) {
+      for (const id of this.cores[item.entry]?.readWorkerTasks(worker.id) ?? []) {
+        const running = this.known.get(id);
+        if (running !== undefined) {
+          running.placement += 1;
+          const event: SchedulerEvent = { kind: 'unplaced', id, isYield: true };
+          this.queueEvent({
+            at: item.at + LOSS_KNOWN_MS,
+            entry: item.entry,
+            event,
+            runMs: undefined,
+            comeBacks: 0,
+          });
+        }
+      }
+    }
+  }
+
   private isVoid(item: QueuedEvent): boolean {
     if (item.placement === undefined || item.event.kind !== 'finish') {
       return false;
@@ -129,7 +161,7 @@
 
   private applyRequest(item: QueuedEvent, request: SchedulerRequest): void {
     if (item.comeBacks === this.options.comeBacks) {
-      this.tally.recordRequest(request.row);
+      this.tally.recordRequest(toLabel(request));
     }
     this.known.set(request.id, { request, runMs: item.runMs, comeBacks: item.comeBacks, placement: 0 });
     const entry = this.chooseEntry(item.entry, request, item.at);
@@ -177,7 +209,7 @@
     if (ended !== undefined) {
       this.tally.recordFreed(ended.worker, ended.need);
       if (event.kind === 'finish') {
-        this.tally.recordEnded(ended.request.row, at > ended.request.deadlineAt);
+        this.tally.recordEnded(toLabel(ended.request), at > ended.request.deadlineAt);
         this.known.delete(ended.request.id);
       }
     }
@@ -194,8 +226,8 @@
       case 'place': {
         const task = core.readTask(effect.id);
         if (running !== undefined && task !== undefined) {
-          this.tally.recordPlaced(effect.row, effect.worker, task.need, effect.waitedMs);
-          this.queueEnd(entry, running, at);
+          this.tally.recordPlaced(toLabel(running.request), effect.worker, task.need, effect.waitedMs);
+          this.queueEnd(entry, running, effect.worker, at);
         }
         break;
       }
@@ -212,7 +244,7 @@
     }
   }
 
-  private queueEnd(entry: number, running: Running, at: number): void {
+  private queueEnd(entry: number, running: Running, worker: string, at: number): void {
     if (running.runMs === undefined) {
       return;
     }
@@ -220,7 +252,8 @@
     const { placement } = running;
     const { id } = running.request;
     const event: SchedulerEvent = { kind: 'finish', id };
-    this.queueEvent({ at: at + running.runMs, entry, event, runMs: undefined, comeBacks: 0, placement });
+    const endsAt = at + running.runMs * (this.trace.slow[worker] ?? 1);
+    this.queueEvent({ at: endsAt, entry, event, runMs: undefined, comeBacks: 0, placement });
   }
 
   private handleRefusal(entry: number, running: Running | undefined, retryAfterMs: number, at: number): void {
@@ -230,7 +263,7 @@
     const { request, runMs, comeBacks } = running;
     this.known.delete(request.id);
     if (comeBacks === 0 || runMs === undefined) {
-      this.tally.recordRefused(request.row);
+      this.tally.recordRefused(toLabel(request));
       return;
     }
     const arrivedAt = at + retryAfterMs;
--- a/packages/replay/Trace.ts
+++ b/packages/replay/Trace.ts
@@ -9,5 +9,7 @@
   readonly shareIndex: number;
   /** Number of decision cores that the trace drives. */
   readonly entries: number;
+  /** Workers whose tasks take this many times as long. */
+  readonly slow: Readonly<Record<string, number>>;
   readonly lines: readonly TraceLine[];
 }
--- a/packages/replay/TraceLine.ts
+++ b/packages/replay/TraceLine.ts
@@ -9,4 +9,6 @@
   readonly event: SchedulerEvent;
   /** For a request: how long its task runs once placed. Absent in a recording, which has the ends as events. */
   readonly runMs?: number;
+  /** For a `workers` event: the tasks there are lost, and are to run again once their end is known. */
+  readonly isLoss?: boolean;
 }
--- a/packages/replay/readTrace.ts
+++ b/packages/replay/readTrace.ts
@@ -16,6 +16,7 @@
   shareCount: z.int().min(1),
   shareIndex: z.int().min(0).default(0),
   entries: z.int().min(1).default(1),
+  slow: z.record(z.string(), z.number().min(0)).default({}),
 });
 
 const KINDS = ['request', 'finish', 'unplaced', 'cancel', 'workers', 'table', 'tick'] as const;
@@ -24,6 +25,7 @@
   entry: z.int().min(0).default(0),
   event: z.looseObject({ kind: z.enum(KINDS) }),
   runMs: z.number().min(0).optional(),
+  isLoss: z.boolean().optional(),
 });
 
 const parseJson = (text: string): unknown => {
--- a/packages/scheduler/RoomIndex.ts
+++ b/packages/scheduler/RoomIndex.ts
@@ -80,6 +80,19 @@
     return undefined;
   }
 
+  /** Chooses the worker with the most room by looking at every one. A baseline only. */
+  chooseByScan(): WorkerId | undefined {
+    let best: WorkerId | undefined;
+    let bestFit = 0;
+    for (const [worker, place] of this.places) {
+      if (place.fit > bestFit) {
+        best = worker;
+        bestFit = place.fit;
+      }
+    }
+    return best;
+  }
+
   /** How many more tasks of the shape fit in all. */
   readTotal(): number {
     return this.total;
--- a/packages/scheduler/policies.ts
+++ b/packages/scheduler/policies.ts
@@ -18,6 +18,14 @@
     isShareKept: false,
     chooseWorker: (_row, index, pick) => index.chooseAny(pick),
   },
+  // The policy in use but for the search: it looks at every worker. It shows what the room index saves.
+  'naive-scan': {
+    isWeighted: true,
+    isAdmissionChecked: true,
+    isPreempting: true,
+    isShareKept: true,
+    chooseWorker: (_row, index) => index.chooseByScan(),
+  },
   'least-loaded': {
     isWeighted: false,
     isAdmissionChecked: false,
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -25,7 +25,7 @@
   new HallBench(rules, standardRules, chooseUnit(order));
 
 /** `x` is left out by `n`, whose proposal landed without `n` hearing of it; then `x` asks `n` for a promise. */
-const playPromiseDespiteProposal = (rules: Partial<OwnershipRules>): string[] => {
+const startPromiseDespiteProposal = (rules: Partial<OwnershipRules>): string[] => {
   const hall = createHall(['x#1', 'j#1', 'n#1'], rules);
   hall.startHall(['x#1', 'n#1']);
   hall.now += 1400;
@@ -51,7 +51,7 @@
 };
 
 /** `m` leaves `x` out and dies; `x` hears of neither, but proves the death when the promise has long lapsed. */
-const playLateWaiver = (rules: Partial<OwnershipRules>): string[] => {
+const startLateWaiver = (rules: Partial<OwnershipRules>): string[] => {
   const hall = createHall(['x#1', 'j#1', 'm#1'], rules);
   hall.startHall(['x#1', 'm#1']);
   hall.now += 1400;
@@ -73,16 +73,16 @@
 
 describe('ownership: wordings of the rules that failed', () => {
   it('gives no promise while an own proposal may still land', () => {
-    expect(playPromiseDespiteProposal({ isPromiseGrantable: (state) => !state.isStopped })).toEqual([
+    expect(startPromiseDespiteProposal({ isPromiseGrantable: (state) => !state.isStopped })).toEqual([
       'x#1',
       'j#1',
     ]);
-    expect(playPromiseDespiteProposal({})).toEqual([]);
+    expect(startPromiseDespiteProposal({})).toEqual([]);
   });
 
   it("needs a dead member's promise unless its death was proved while the promise stood", () => {
-    expect(playLateWaiver({ isWaivable: () => true })).toEqual(['x#1', 'j#1']);
-    expect(playLateWaiver({})).toEqual(['j#1']);
+    expect(startLateWaiver({ isWaivable: () => true })).toEqual(['x#1', 'j#1']);
+    expect(startLateWaiver({})).toEqual(['j#1']);
   });
 });
 
