--- a/dev/bench/memorySection.ts
+++ b/dev/bench/memorySection.ts
@@ -1,9 +1,15 @@
+import { randomUUID } from 'node:crypto';
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
 import { formatColumns } from '../../packages/cli/formatColumns';
 import { createRandom } from '../../packages/common/createRandom';
 import type { ProcessId } from '../../packages/common/ProcessId';
 import type { RequestId } from '../../packages/common/RequestId';
 import { toId } from '../../packages/common/toId';
 import type { UnitId } from '../../packages/common/UnitId';
+import { ClaimFold } from '../../packages/entry/ClaimFold';
+import { EndpointConnection } from '../../packages/gateway/EndpointConnection';
+import { startSocket } from '../../packages/gateway/startSocket';
 import { Ownership } from '../../packages/ownership/Ownership';
 import { Scheduler } from '../../packages/scheduler/Scheduler';
 import { createTable } from '../../packages/table/createTable';
@@ -17,6 +23,8 @@
 const WORKERS = 14_000;
 const TASKS = 50_000;
 const ROWS = 2000;
+const CLAIMS = 50_000;
+const CONNECTIONS = 500;
 
 const createScheduler = (rows: readonly Row[]): Scheduler => {
   const scheduler = new Scheduler({
@@ -58,6 +66,46 @@
     : Array.from({ length: ROWS }, (_, index) => ({ ...first, name: toId(`row-${index}`) }) as Row);
 };
 
+const createClaims = (): ClaimFold => {
+  const fold = new ClaimFold();
+  for (let number = 0; number < CLAIMS; number += 1) {
+    const claim = {
+      key: `course-build:key-${number}`,
+      claimId: randomUUID(),
+      process: 'hall-medeu-entry-1#abc',
+    };
+    fold.applyRecord(number, { kind: 'claims', claims: [claim], released: [] });
+  }
+  return fold;
+};
+
+/** Heap of one idle connection, measured with real sockets to a server in this process. */
+const measureConnection = async (): Promise<number> => {
+  const server = createServer((socket) =>
+    socket
+      .on('error', () => socket.destroy())
+      .on('end', () => socket.end())
+      .unref(),
+  ).listen(0, '127.0.0.1');
+  server.unref();
+  await once(server, 'listening');
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const before = measureHeap();
+  const connections: EndpointConnection[] = [];
+  for (let number = 0; number < CONNECTIONS; number += 1) {
+    const socket = await startSocket({ address, timeoutMs: 1000 });
+    if (socket.ok) {
+      connections.push(new EndpointConnection({ address, socket: socket.value, answerLimit: 1000 }));
+    }
+  }
+  const after = measureHeap();
+  for (const connection of connections) {
+    connection.stop();
+  }
+  server.close();
+  return ((after - before) * BYTES_PER_MB) / CONNECTIONS;
+};
+
 /** Memory per worker, running task, row and owned unit. */
 export const memorySection: BenchSection = {
   name: 'memory',
@@ -96,11 +144,15 @@
       ownership.applyKnownUnits(views.map((one) => toId<UnitId>(`worker/${one.id}`)));
       return ownership;
     });
+    const perKey = measureEach(CLAIMS, createClaims);
+    const perConnection = await measureConnection();
     const lines = [
       ['worker in the scheduler', Math.round(perWorker)],
       ['running task in the scheduler', Math.round(perTask)],
       ['row in table and scheduler', Math.round(perRow)],
       ['owned unit', Math.round(perUnit)],
+      ['claimed key', Math.round(perKey)],
+      ['connection to an endpoint, both ends', Math.round(perConnection)],
     ];
     return formatColumns(['thing', 'bytes each'], lines);
   },
--- a/dev/explorer/ExplorerWorld.ts
+++ b/dev/explorer/ExplorerWorld.ts
@@ -1,3 +1,4 @@
+import type { BoxId } from '../../packages/common/BoxId';
 import { createRandom } from '../../packages/common/createRandom';
 import type { ProcessId } from '../../packages/common/ProcessId';
 import type { Random } from '../../packages/common/Random';
@@ -9,6 +10,7 @@
 import type { OwnershipRules } from '../../packages/ownership/OwnershipRules';
 import { toBox } from '../../packages/ownership/toBox';
 import type { WorkerReport } from '../../packages/ownership/WorkerReport';
+import { createCounts } from './createCounts';
 import type { ExplorerCounts } from './ExplorerCounts';
 import type { ExplorerMessage } from './ExplorerMessage';
 import type { ExplorerProcess } from './ExplorerProcess';
@@ -56,15 +58,7 @@
   private readonly timeStepMs: number;
   /** Runs are from calm to rough, by their seed. */
   private readonly faultsPerThousand: number;
-  readonly counts: ExplorerCounts = {
-    steps: 0,
-    placed: 0,
-    refusedByRight: 0,
-    views: 0,
-    deaths: 0,
-    pauses: 0,
-    replicas: 0,
-  };
+  readonly counts: ExplorerCounts = createCounts();
 
   /** What goes on without failures, with its weights. */
   private readonly workActions: readonly Action[] = [
@@ -295,7 +289,8 @@
       }
       case 'page':
         to.ownership.applyLogRead(message.read, now);
-        this.recordOwnEnds(to);
+        // A process holds its box's address, so every earlier start of the box has ended.
+        to.ownership.recordAlive(toBox(to.id), to.id, now);
         return true;
       case 'report':
         to.ownership.applyReport(WORKER, message.report, message.askedAt, now);
@@ -328,16 +323,6 @@
     this.sendMessage({ kind: 'page', to: process.id, read }, isPrompt);
   }
 
-  /** A process holds its box's address, so every earlier start of the box has ended. */
-  private recordOwnEnds(process: ExplorerProcess): void {
-    const known = [...(process.ownership.readView()?.members ?? []), ...process.ownership.readLeftOut()];
-    for (const other of known) {
-      if (toBox(other) === toBox(process.id) && other !== process.id) {
-        process.ownership.recordEnd(other, this.toLocal(process));
-      }
-    }
-  }
-
   private sendProposal(left: number, isPrompt: boolean): void {
     const process = this.readRunning(left);
     const view = process?.ownership.createProposal(this.toLocal(process));
@@ -485,12 +470,7 @@
     if (alive?.state === 'paused') {
       return;
     }
-    const known = [...(process.ownership.readView()?.members ?? []), ...process.ownership.readLeftOut()];
-    for (const other of known) {
-      if (toBox(other) === `box${box}` && other !== alive?.id) {
-        process.ownership.recordEnd(other, this.toLocal(process));
-      }
-    }
+    process.ownership.recordAlive(toId<BoxId>(`box${box}`), alive?.id, this.toLocal(process));
   }
 
   private handlePause(left: number): void {
--- a/dev/explorer/startExploration.ts
+++ b/dev/explorer/startExploration.ts
@@ -1,5 +1,6 @@
 import { createRandom } from '../../packages/common/createRandom';
 import type { OwnershipRules } from '../../packages/ownership/OwnershipRules';
+import { createCounts } from './createCounts';
 import type { ExplorerCounts } from './ExplorerCounts';
 import type { ExplorerRun } from './ExplorerRun';
 import { ExplorerWorld } from './ExplorerWorld';
@@ -23,19 +24,9 @@
   replicas: left.replicas + right.replicas,
 });
 
-const NOTHING: ExplorerCounts = {
-  steps: 0,
-  placed: 0,
-  refusedByRight: 0,
-  views: 0,
-  deaths: 0,
-  pauses: 0,
-  replicas: 0,
-};
-
 /** Explores random runs from fixed seeds, one after the other, until one is broken. */
 export const startExploration = (options: ExplorationOptions): ExplorerRun => {
-  let counts = NOTHING;
+  let counts = createCounts();
   for (let seed = options.firstSeed; seed < options.firstSeed + options.runs; seed += 1) {
     const random = createRandom(seed);
     const world = new ExplorerWorld({ rules: options.rules, seed });
--- a/packages/entry/HallController.ts
+++ b/packages/entry/HallController.ts
@@ -3,7 +3,6 @@
 import type { HallRecord } from '../ownership/HallRecord';
 import type { Ownership } from '../ownership/Ownership';
 import { parseHallRecord } from '../ownership/parseHallRecord';
-import { toBox } from '../ownership/toBox';
 import { formatPlatformError } from '../platform/formatPlatformError';
 import type { LogPage } from '../platform/LogPage';
 import type { PlatformClient } from '../platform/PlatformClient';
@@ -153,21 +152,11 @@
     }
     const { askedAt, first, tail } = page;
     ownership.applyLogRead({ askedAt, first, tail, records }, context.clock.readNow());
-    this.recordEarlierStarts();
+    // This process listens on its box's address, so every earlier start of the box has ended.
+    ownership.recordAlive(context.box, context.process, context.clock.readNow());
     this.applyRights();
   }
 
-  /** This process listens on its box's address, so every earlier start of the box has ended. */
-  private recordEarlierStarts(): void {
-    const { ownership, context } = this.options;
-    const known = [...(ownership.readView()?.members ?? []), ...ownership.readLeftOut()];
-    for (const other of known) {
-      if (toBox(other) === context.box && other !== context.process) {
-        ownership.recordEnd(other, context.clock.readNow());
-      }
-    }
-  }
-
   private handleReadError(sentence: string): void {
     if (this.isLogAnswering) {
       this.logger.warn(sentence);
--- a/packages/entry/PeerController.ts
+++ b/packages/entry/PeerController.ts
@@ -262,15 +262,10 @@
   /** Proof of end: at the box's address another process answers, or nobody does. */
   private recordEnds(box: BoxId, alive: ProcessId | undefined): void {
     const { context, ownership } = this.options;
-    const members = [...(ownership.readView()?.members ?? []), ...ownership.readLeftOut()];
-    for (const member of members) {
-      const isReplaced = toBox(member) === box && member !== alive && !ownership.isEnded(member);
-      if (isReplaced) {
-        ownership.recordEnd(member, context.clock.readNow());
-        context.timeline.recordEvent({ part: 'peers', kind: 'end proved', detail: { process: member } });
-        this.logger.warn('Process has ended.', { process: member });
-        this.options.handleRights();
-      }
+    for (const process of ownership.recordAlive(box, alive, context.clock.readNow())) {
+      context.timeline.recordEvent({ part: 'peers', kind: 'end proved', detail: { process } });
+      this.logger.warn('Process has ended.', { process });
+      this.options.handleRights();
     }
   }
 
--- a/packages/gateway/CallerServer.ts
+++ b/packages/gateway/CallerServer.ts
@@ -1,8 +1,9 @@
-import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import type { RequestId } from '../common/RequestId';
 import { toId } from '../common/toId';
 import type { Call } from './Call';
 import type { CallAnswer } from './CallAnswer';
+import { createBufferApp } from './createBufferApp';
 import { headerNames } from './headerNames';
 import { parseCall } from './parseCall';
 import { toProblem } from './toProblem';
@@ -40,10 +41,8 @@
   private readonly app: FastifyInstance;
 
   constructor(private readonly options: CallerServerOptions) {
-    this.app = Fastify({ bodyLimit: options.bodyLimit, keepAliveTimeout: 30_000, requestTimeout: 0 });
+    this.app = createBufferApp(options.bodyLimit);
     this.app.server.maxConnections = options.maxConnections;
-    this.app.removeAllContentTypeParsers();
-    this.app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
     this.app.setErrorHandler((error: { code?: string; message: string }, request, reply) => {
       const reason = error.code === 'FST_ERR_CTP_BODY_TOO_LARGE' ? 'bodyTooLarge' : 'badRequest';
       return this.sendAnswer(reply, toId<RequestId>(request.id), createNotRun(reason, error.message));
--- a/packages/gateway/NotRunReason.ts
+++ b/packages/gateway/NotRunReason.ts
@@ -2,12 +2,4 @@
 
 /** Every reason for which a caller is told `not-run`. No path says it for a reason that is not listed here. */
 export type NotRunReason =
-  | RefusalReason
-  | 'badRequest'
-  | 'bodyTooLarge'
-  | 'claimUnavailable'
-  | 'claimTaken'
-  | 'callerLeft'
-  | 'overloaded'
-  | 'noTable'
-  | 'internal';
+  RefusalReason | 'badRequest' | 'bodyTooLarge' | 'claimUnavailable' | 'callerLeft' | 'overloaded';
--- a/packages/gateway/notRunStatuses.ts
+++ b/packages/gateway/notRunStatuses.ts
@@ -17,9 +17,6 @@
   badRequest: { status: 400, title: 'The request is not understood' },
   bodyTooLarge: { status: 413, title: 'The body is over the limit' },
   claimUnavailable: { status: 503, title: 'The key cannot be claimed while the log does not answer' },
-  claimTaken: { status: 409, title: 'Another request claimed the key at the same time' },
   callerLeft: { status: 499, title: 'The caller left before it ran' },
   overloaded: { status: 503, title: 'Too many requests at once' },
-  noTable: { status: 503, title: 'The table has not been read yet' },
-  internal: { status: 500, title: 'An internal error before it was sent' },
 };
--- a/packages/ownership/Ownership.ts
+++ b/packages/ownership/Ownership.ts
@@ -1,3 +1,4 @@
+import type { BoxId } from '../common/BoxId';
 import type { ProcessId } from '../common/ProcessId';
 import type { UnitId } from '../common/UnitId';
 import { demandMath } from '../scheduler/demandMath';
@@ -17,6 +18,7 @@
 import type { OwnershipRules } from './OwnershipRules';
 import type { OwnershipState } from './OwnershipState';
 import { readPeer } from './readPeer';
+import { toBox } from './toBox';
 import type { UnitRight } from './UnitRight';
 import type { View } from './View';
 import { ViewFold } from './ViewFold';
@@ -129,6 +131,19 @@
     this.applyTime(now);
   }
 
+  /**
+   * Records that on a box no process but `alive` (none when undefined) is alive: its port refuses, or that one answers.
+   * Returns the processes whose end this proves.
+   */
+  recordAlive(box: BoxId, alive: ProcessId | undefined, now: number): readonly ProcessId[] {
+    const known = [...(this.state.view?.members ?? []), ...this.state.leftOut.keys()];
+    const ended = known.filter((other) => toBox(other) === box && other !== alive && !this.isEnded(other));
+    for (const process of ended) {
+      this.recordEnd(process, now);
+    }
+    return ended;
+  }
+
   /** True when the process is proved to have ended. */
   isEnded(process: ProcessId): boolean {
     return this.state.peers.get(process)?.endedAt !== undefined;
--- a/packages/peers/PeerServer.ts
+++ b/packages/peers/PeerServer.ts
@@ -1,8 +1,9 @@
 import { applyWSSHandler } from '@trpc/server/adapters/ws';
-import Fastify, { type FastifyInstance } from 'fastify';
+import type { FastifyInstance } from 'fastify';
 import { WebSocketServer } from 'ws';
 import type { CallAnswer } from '../gateway/CallAnswer';
 import type { Call } from '../gateway/Call';
+import { createBufferApp } from '../gateway/createBufferApp';
 import { headerNames } from '../gateway/headerNames';
 import { parseCall } from '../gateway/parseCall';
 import type { ByteCounter } from '../common/ByteCounter';
@@ -32,9 +33,7 @@
   private readonly sockets: WebSocketServer;
 
   constructor(private readonly options: PeerServerOptions) {
-    this.app = Fastify({ bodyLimit: options.bodyLimit, keepAliveTimeout: 30_000, requestTimeout: 0 });
-    this.app.removeAllContentTypeParsers();
-    this.app.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body));
+    this.app = createBufferApp(options.bodyLimit);
     this.app.post<ForwardRoute>('/forward/:row', async (request, reply) => {
       const id = toId<RequestId>(String(request.headers[headerNames.request] ?? ''));
       const body = (request.body as Buffer | undefined) ?? Buffer.alloc(0);
--- a/tests/path.test.ts
+++ b/tests/path.test.ts
@@ -79,6 +79,27 @@
     expect(stale).toMatchObject({ kind: 'refused', reason: expect.stringContaining('overtaken by edit') });
   });
 
+  it('runs nothing of a caller that left while it waited, or of a row that was removed', async () => {
+    const long = { headers: { 'x-run-ms': '1500', 'x-stairline-deadline-ms': '9000' } };
+    const running = Array.from({ length: 8 }, () =>
+      fleet.readBoxes().map((one) => fleet.sendCall(one, 'sheet-stitch', long)),
+    ).flat();
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    const left = await fleet.sendCall(box, 'sheet-stitch', { ...long, timeoutMs: 300 });
+    expect(left.outcome).toBe('cut');
+    const waiting = fleet.sendCall(box, 'sheet-stitch', long);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    await fleet.sendOperator(box, '/table/edits', {
+      cell: 'row/sheet-stitch',
+      value: null,
+      operator: 'anna',
+    });
+    expect(await waiting).toMatchObject({ status: 410, outcome: 'not-run' });
+    await Promise.all(running);
+    const starts = (await fleet.readRecords()).flatMap((record) => Object.keys(record.starts));
+    expect(starts.filter((start) => start.startsWith('sheet-stitch ')).length).toBeLessThanOrEqual(16);
+  });
+
   it('never overfills an endpoint, in any dimension or in connections', async () => {
     const calls = Array.from({ length: 300 }, (_, index) => {
       const target = fleet.readBoxes()[index % 2] ?? '';
