--- a/packages/entry/ClaimFold.ts
+++ b/packages/entry/ClaimFold.ts
@@ -8,7 +8,7 @@
 }
 
 /** Keys remembered at most; the oldest are forgotten first, as the log forgets its oldest records. */
-const MAX_KEYS = 200_000;
+const MAX_KEYS = 100_000;
 
 /** Folds the claims' stream: the first claim of a key in offset order holds it until it is given back. */
 export class ClaimFold {
--- a/packages/entry/PeerController.ts
+++ b/packages/entry/PeerController.ts
@@ -154,7 +154,14 @@
       request: call.id,
       detail: { to: peer.address.box },
     });
-    return peer.forward.sendCall(call, remainingMs, false);
+    const toldAt = peer.heardAt;
+    const result = await peer.forward.sendCall(call, remainingMs, false);
+    const hasRun = result.kind === 'answered' && result.answer.outcome === 'ran';
+    if (hasRun && peer.heardAt === toldAt) {
+      // The room that the call took is free again, and no heartbeat has counted it yet.
+      peer.room.set(call.row, (peer.room.get(call.row) ?? 0) + 1);
+    }
+    return result;
   }
 
   /** Asks the process that claimed a key for its answer; undefined when it cannot be asked. */
