--- a/packages/scheduler/Scheduler.ts
+++ b/packages/scheduler/Scheduler.ts
@@ -4,9 +4,9 @@
 import type { Row } from '../table/Row';
 import type { Team } from '../table/Team';
 import { chooseRetryAfter } from './chooseRetryAfter';
-import { Headroom } from './Headroom';
 import { chooseVictim } from './chooseVictim';
 import { SCHEDULER } from './constants';
+import { Headroom } from './Headroom';
 import { policies } from './policies';
 import type { Policy } from './Policy';
 import type { RefusalReason } from './RefusalReason';
@@ -24,8 +24,6 @@
 
 type EventOf<Kind extends SchedulerEvent['kind']> = Extract<SchedulerEvent, { kind: Kind }>;
 type Handlers = { readonly [Kind in SchedulerEvent['kind']]: (event: EventOf<Kind>, now: number) => void };
-/** A single run counts at most this many times its row's mean against a worker. */
-const MAX_PACE = 20;
 
 type PlaceOutcome = 'placed' | 'blocked';
 
@@ -170,7 +168,7 @@
 
   private recordRun(state: RowState, task: Task, ranMs: number): void {
     if (this.policy.isSlownessCounted && state.runMs > 0) {
-      this.books.recordPace(task.worker, Math.min(MAX_PACE, ranMs / state.runMs));
+      this.books.recordPace(task.worker, Math.min(SCHEDULER.maxPace, ranMs / state.runMs));
     }
     state.recordRun(ranMs);
   }
--- a/packages/scheduler/constants.ts
+++ b/packages/scheduler/constants.ts
@@ -18,6 +18,8 @@
   maxHeadroomPart: 0.25,
   /** A worker whose tasks run this many times as long as the mean counts as slow. */
   slowFactor: 2,
+  /** A single run counts at most this many times its row's mean against a worker. */
+  maxPace: 20,
   /** A worker's slowness above 1 halves in this time without news, in milliseconds. */
   slownessHalfLifeMs: 60_000,
   /** Weight of the newest run time in a row's moving average. */
