--- a/tests/failures/endpoints.test.ts
+++ b/tests/failures/endpoints.test.ts
@@ -18,8 +18,11 @@
   });
 
   afterAll(async () => {
-    await checkWitness(fleet, seen);
-    await fleet.stop();
+    try {
+      await checkWitness(fleet, seen);
+    } finally {
+      await fleet.stop();
+    }
   });
 
   const sendUnderFault = async (fault: EndpointFault, row: string): Promise<readonly CallResult[]> => {
