Remove what nothing calls; parse each table record once

Behaviour is as before. Conclusion: types and lint pass; 39 tests of table, ownership, scheduler and platform passed, 2 left out by the name filter; the whole suite was not run again.

--- a/packages/entry/TableController.ts
+++ b/packages/entry/TableController.ts
@@ -184,11 +184,10 @@
   private handlePage(page: LogPage): void {
     this.isLogAnswering = true;
     this.fold.applyTrim(page.first);
-    this.fold.applyRecords(
-      page.records.map(({ offset, value }) => ({ offset, record: parseTableRecord(value) })),
-    );
-    for (const { offset, value } of page.records) {
-      if (parseTableRecord(value).kind === 'snapshot') {
+    const records = page.records.map(({ offset, value }) => ({ offset, record: parseTableRecord(value) }));
+    this.fold.applyRecords(records);
+    for (const { offset, record } of records) {
+      if (record.kind === 'snapshot') {
         this.lastSnapshotOffset = offset;
         this.lastSnapshotAt = this.options.context.clock.readNow();
       }
--- a/packages/ownership/Ownership.ts
+++ b/packages/ownership/Ownership.ts
@@ -219,11 +219,6 @@
     return this.state.units.get(id)?.foreign.size ?? 0;
   }
 
-  /** Processes left out but not proved ended: each may still hold connections. */
-  readLeftOut(): readonly ProcessId[] {
-    return [...this.state.leftOut.keys()];
-  }
-
   /** Our units whose books are not complete yet. */
   readUnsettled(): readonly UnitId[] {
     return [...this.state.units].filter(([, unit]) => !unit.isSettled).map(([id]) => id);
--- a/packages/scheduler/Scheduler.ts
+++ b/packages/scheduler/Scheduler.ts
@@ -74,11 +74,6 @@
     return this.tasks.get(id);
   }
 
-  /** Tasks that have a place on a worker now. */
-  readTasks(): ReadonlyMap<RequestId, Task> {
-    return this.tasks;
-  }
-
   /** Tasks that have a place on one worker. */
   readWorkerTasks(worker: WorkerId): Iterable<RequestId> {
     return this.books.readTasks(worker);
--- a/packages/settings/readSettings.ts
+++ b/packages/settings/readSettings.ts
@@ -1,5 +1,12 @@
 import { readFileSync } from 'node:fs';
-import { findNodeAtLocation, parseTree, printParseErrorCode, type Node, type ParseError } from 'jsonc-parser';
+import {
+  findNodeAtLocation,
+  getNodeValue,
+  parseTree,
+  printParseErrorCode,
+  type Node,
+  type ParseError,
+} from 'jsonc-parser';
 import type { Result } from '../common/Result';
 import type { RowName } from '../common/RowName';
 import { toErrorText } from '../common/toErrorText';
@@ -10,7 +17,6 @@
 import type { Settings } from './Settings';
 import type { SettingsProblem } from './SettingsProblem';
 import { settingsSchema } from './settingsSchema';
-import { toPlainValue } from './toPlainValue';
 
 type Path = readonly PropertyKey[];
 
@@ -84,7 +90,7 @@
   if (root === undefined || syntaxErrors.length > 0) {
     return { ok: false, error: syntaxErrors.map((error) => createSyntaxProblem(text, error)) };
   }
-  const parsed = settingsSchema.safeParse(toPlainValue(root));
+  const parsed = settingsSchema.safeParse(getNodeValue(root));
   if (!parsed.success) {
     const problems = parsed.error.issues.map((issue) => {
       const unknownKey = issue.code === 'unrecognized_keys' ? issue.keys[0] : undefined;
