--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -66,7 +66,7 @@
     rules: { '@typescript-eslint/naming-convention': 'off' },
   },
   {
-    files: ['packages/**/*.ts', 'app/**/*.ts', 'dev/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts', 'app/**/*.ts', 'dev/**/*.ts'],
     plugins: { house: { rules: { oneExport, documentedExport } } },
     rules: { 'house/oneExport': 'error', 'house/documentedExport': 'error' },
   },
--- /dev/null
+++ b/packages/boxes/BoxServer.ts
@@ -0,0 +1,52 @@
+import type { FastifyInstance } from 'fastify';
+import { z } from 'zod';
+import { parseJson } from '../common/parseJson';
+import { toHostPort } from '../common/toHostPort';
+import { toId } from '../common/toId';
+import type { AdviceClient } from '../dispatch/AdviceClient';
+import { createBufferApp } from '../gateway/createBufferApp';
+import type { EndpointId } from '../jobs/EndpointId';
+
+interface BoxServerOptions {
+  /** Host and port for other entry boxes and for collectors of metrics. */
+  readonly address: string;
+  readonly advice: AdviceClient;
+  readonly formatMetrics: () => string;
+}
+
+const BODY_LIMIT_BYTES = 65_536;
+const questionSchema = z.object({
+  step: z.string(),
+  endpoints: z.array(z.string()),
+  timeoutMs: z.number().positive(),
+});
+
+/** What an entry box offers to other boxes: a turn at the advice service, and its metrics. */
+export class BoxServer {
+  private readonly app: FastifyInstance;
+
+  constructor(private readonly options: BoxServerOptions) {
+    this.app = createBufferApp(BODY_LIMIT_BYTES);
+    this.app.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.formatMetrics()));
+    this.app.post('/advice', async (request, reply) => {
+      const body = Buffer.isBuffer(request.body) ? request.body.toString('utf8') : '';
+      const question = questionSchema.safeParse(parseJson(body));
+      if (!question.success) {
+        return reply.code(400).send({ error: 'malformed question' });
+      }
+      const endpoints = question.data.endpoints.map((id) => toId<EndpointId>(id));
+      const { step, timeoutMs } = question.data;
+      const good = await options.advice.sendQuestion(step, endpoints, timeoutMs);
+      return good === undefined ? reply.code(503).send({}) : reply.send({ good: [...good] });
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.app.listen(toHostPort(this.options.address));
+  }
+
+  async stop(): Promise<void> {
+    this.app.server.closeAllConnections();
+    await this.app.close();
+  }
+}
--- a/packages/cli/commands.ts
+++ b/packages/cli/commands.ts
@@ -4,12 +4,14 @@
 import { entryCommand } from './entryCommand';
 import { explainCommand } from './explainCommand';
 import { replayCommand } from './replayCommand';
+import { serveCommand } from './serveCommand';
 import { statusCommand } from './statusCommand';
 import { tableCommand } from './tableCommand';
 import { timelineCommand } from './timelineCommand';
 
 /** All commands of the binary, in the order of the help. */
 export const commands: readonly Command[] = [
+  serveCommand,
   entryCommand,
   checkCommand,
   statusCommand,
--- /dev/null
+++ b/packages/dispatch/AdviceBook.ts
@@ -0,0 +1,71 @@
+import type { EndpointId } from '../jobs/EndpointId';
+
+interface Ticket {
+  readonly text: string;
+  /** Monotonic time after which it is not used any more. */
+  readonly usableUntil: number;
+}
+
+/** Time that a start takes from its choice to the endpoint, taken off a ticket's life. */
+const USE_MARGIN_MS = 250;
+
+/** What the advice service has said of one step: tickets, which run out, and refusals, which stand. */
+export class AdviceBook {
+  private readonly tickets = new Map<EndpointId, Ticket>();
+  private readonly refused = new Set<EndpointId>();
+  private isAsking = false;
+  private lastAskedAt = -Infinity;
+
+  /** The ticket for an endpoint, or undefined when there is none that holds long enough. */
+  readTicket(endpoint: EndpointId, now: number): string | undefined {
+    const ticket = this.tickets.get(endpoint);
+    return ticket !== undefined && ticket.usableUntil > now ? ticket.text : undefined;
+  }
+
+  isRefused(endpoint: EndpointId): boolean {
+    return this.refused.has(endpoint);
+  }
+
+  /** True when the endpoint was allowed before, whether or not its ticket still holds. */
+  hasBeenAllowed(endpoint: EndpointId): boolean {
+    return this.tickets.has(endpoint);
+  }
+
+  isBusy(): boolean {
+    return this.isAsking;
+  }
+
+  readLastAskedAt(): number {
+    return this.lastAskedAt;
+  }
+
+  recordQuestion(now: number): void {
+    this.isAsking = true;
+    this.lastAskedAt = now;
+  }
+
+  recordAnswer(
+    asked: readonly EndpointId[],
+    good: ReadonlyMap<EndpointId, string> | undefined,
+    now: number,
+    validityMs: number,
+  ): void {
+    this.isAsking = false;
+    if (good === undefined) {
+      return;
+    }
+    for (const endpoint of asked) {
+      const text = good.get(endpoint);
+      if (text === undefined) {
+        this.refused.add(endpoint);
+      } else {
+        this.tickets.set(endpoint, { text, usableUntil: now + validityMs - USE_MARGIN_MS });
+      }
+    }
+  }
+
+  /** Drops a ticket that an endpoint did not take. */
+  revokeTicket(endpoint: EndpointId): void {
+    this.tickets.delete(endpoint);
+  }
+}
--- /dev/null
+++ b/packages/dispatch/AdviceClient.ts
@@ -0,0 +1,12 @@
+import type { EndpointId } from '../jobs/EndpointId';
+
+/** Asks the advice service which of some endpoints may run a step. */
+export interface AdviceClient {
+  /** Gives the ticket of each endpoint that may; undefined when the service gave no answer. */
+  sendQuestion(
+    step: string,
+    endpoints: readonly EndpointId[],
+    timeoutMs: number,
+  ): Promise<ReadonlyMap<EndpointId, string> | undefined>;
+  stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/dispatch/DispatchEffect.ts
@@ -0,0 +1,28 @@
+import type { EndpointId } from '../jobs/EndpointId';
+import type { JobId } from '../jobs/JobId';
+import type { TaskName } from '../jobs/TaskName';
+import type { StartOrder } from './StartOrder';
+
+/** What the dispatcher wants done. */
+export type DispatchEffect =
+  /** Write the job's progress to the log; then call `Dispatcher.handleRecorded` with the starts that it carries. */
+  | { readonly kind: 'record'; readonly job: JobId }
+  /** Send a start, once the record that carries it is durable. */
+  | { readonly kind: 'start'; readonly job: JobId; readonly endpoint: EndpointId; readonly order: StartOrder }
+  | { readonly kind: 'stop'; readonly endpoint: EndpointId; readonly task: TaskName; readonly run: number }
+  | {
+      readonly kind: 'pace';
+      readonly endpoint: EndpointId;
+      readonly task: TaskName;
+      readonly run: number;
+      readonly percent: number;
+    }
+  | {
+      readonly kind: 'advise';
+      readonly step: string;
+      readonly endpoints: readonly EndpointId[];
+      readonly expectedMs: number;
+      readonly isUrgent: boolean;
+    }
+  /** A line for the log. */
+  | { readonly kind: 'tell'; readonly sentence: string; readonly fields: Readonly<Record<string, unknown>> };
--- /dev/null
+++ b/packages/dispatch/EndpointBook.ts
@@ -0,0 +1,121 @@
+import type { TaskDemand } from '../jobs/TaskDemand';
+import type { TaskName } from '../jobs/TaskName';
+import { demandSums } from './demandSums';
+import type { EndpointProfile } from './EndpointProfile';
+import type { PlacedRun } from './PlacedRun';
+
+/** Weight of the newest run in the failure rate. */
+const FAILURE_WEIGHT = 0.25;
+/** The failure rate halves in this time without runs, so that an endpoint is tried again. */
+const FAILURE_HALF_LIFE_MS = 6000;
+const SUSPECT_FAILURE_RATE = 0.4;
+
+/** The books of one endpoint: what it can hold, what may run there, and whether it is to be trusted. */
+export class EndpointBook {
+  private readonly runs = new Map<string, PlacedRun>();
+  private used: TaskDemand = demandSums.NOTHING;
+  private failureRate = 0;
+  private failureRateAt = 0;
+  /** True once the endpoint has answered this leader, so that no older leader's order can reach it any more. */
+  private settled = false;
+  /** Since when the endpoint has not answered; undefined while it does. */
+  private silentSince: number | undefined;
+  /** Monotonic time after which nothing that was ever leased there can run. */
+  private leasedUntil: number;
+
+  constructor(
+    private profile: EndpointProfile,
+    leasedUntil: number,
+  ) {
+    this.leasedUntil = leasedUntil;
+  }
+
+  readProfile(): EndpointProfile {
+    return this.profile;
+  }
+
+  applyProfile(profile: EndpointProfile): void {
+    this.profile = profile;
+  }
+
+  readRun(task: TaskName, run: number): PlacedRun | undefined {
+    return this.runs.get(`${task}#${run}`);
+  }
+
+  readRuns(): Iterable<PlacedRun> {
+    return this.runs.values();
+  }
+
+  readRunCount(): number {
+    return this.runs.size;
+  }
+
+  /** Takes room for a run. */
+  recordRun(run: PlacedRun): void {
+    this.runs.set(`${run.task}#${run.run}`, run);
+    this.used = demandSums.toSum(this.used, run.demand);
+  }
+
+  /** Frees the room of a run that is known to have ended. */
+  recordRunEnd(run: PlacedRun): void {
+    if (this.runs.delete(`${run.task}#${run.run}`)) {
+      this.used = demandSums.toDifference(this.used, run.demand);
+    }
+  }
+
+  readFree(): TaskDemand {
+    return demandSums.toDifference(this.profile.capacity, this.used);
+  }
+
+  hasRoom(demand: TaskDemand): boolean {
+    return demandSums.isWithin(demand, this.readFree());
+  }
+
+  /** True when new work may be started there. */
+  isUsable(): boolean {
+    return this.settled && this.silentSince === undefined && !this.profile.isDraining;
+  }
+
+  isSettled(): boolean {
+    return this.settled;
+  }
+
+  readSilentSince(): number | undefined {
+    return this.silentSince;
+  }
+
+  /** Records an answer to a look. */
+  recordAnswer(): void {
+    this.settled = true;
+    this.silentSince = undefined;
+  }
+
+  /** Records that a look had no answer. */
+  recordSilence(now: number): void {
+    this.silentSince ??= now;
+  }
+
+  /** Records a lease that was sent, whether or not it arrived. */
+  recordLease(until: number): void {
+    this.leasedUntil = Math.max(this.leasedUntil, until);
+  }
+
+  readLeasedUntil(): number {
+    return this.leasedUntil;
+  }
+
+  recordOutcome(isFailure: boolean, now: number): void {
+    const rate = this.readFailureRate(now);
+    this.failureRate = rate + FAILURE_WEIGHT * ((isFailure ? 1 : 0) - rate);
+    this.failureRateAt = now;
+  }
+
+  /** Recent share of runs that failed, decaying with time. */
+  readFailureRate(now: number): number {
+    return this.failureRate * 0.5 ** ((now - this.failureRateAt) / FAILURE_HALF_LIFE_MS);
+  }
+
+  isFailing(now: number): boolean {
+    return this.readFailureRate(now) >= SUSPECT_FAILURE_RATE;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/EndpointClient.ts
@@ -0,0 +1,24 @@
+import type { TaskName } from '../jobs/TaskName';
+import type { HoldAnswer } from './HoldAnswer';
+import type { OrderAnswer } from './OrderAnswer';
+import type { StartOrder } from './StartOrder';
+
+interface HoldRequest {
+  /** Ends up to this number are durable and may be forgotten. */
+  readonly lastSeen: number;
+  /** New lease from now on; undefined looks without renewing. */
+  readonly leaseMs: number | undefined;
+  /** The answer may wait this long for an end. */
+  readonly waitMs: number;
+  readonly timeoutMs: number;
+}
+
+/** What the product needs of one endpoint. Every call carries the caller's fencing token. */
+export interface EndpointClient {
+  sendStart(order: StartOrder, leaseMs: number, timeoutMs: number): Promise<OrderAnswer>;
+  sendStop(task: TaskName, run: number, timeoutMs: number): Promise<OrderAnswer>;
+  /** Sets the share of its speed at which a task works, 0 to 100. */
+  sendPace(task: TaskName, run: number, percent: number, timeoutMs: number): Promise<OrderAnswer>;
+  sendHold(request: HoldRequest): Promise<HoldAnswer>;
+  stop(): Promise<void>;
+}
--- /dev/null
+++ b/packages/dispatch/EndpointSession.ts
@@ -0,0 +1,117 @@
+import type { Clock } from '../common/Clock';
+import { startDelay } from '../common/startDelay';
+import { leaderTimings } from '../leadership/leaderTimings';
+import type { EndpointId } from '../jobs/EndpointId';
+import type { EndpointBook } from './EndpointBook';
+import type { EndpointClient } from './EndpointClient';
+import type { HoldAnswer } from './HoldAnswer';
+
+type Held = Extract<HoldAnswer, { kind: 'held' }>;
+
+interface EndpointSessionOptions {
+  readonly id: EndpointId;
+  readonly book: EndpointBook;
+  readonly client: EndpointClient;
+  readonly clock: Clock;
+  /** True while this leader may give leases. */
+  readonly isRenewing: () => boolean;
+  /** Takes an answer in; resolves once the ends in it are durable. Rejects when this leader is deposed. */
+  readonly handleHeld: (answer: Held, sentAt: number) => Promise<void>;
+  readonly handleSilence: (detail: string) => void;
+  readonly handleGone: () => void;
+  readonly handleFenced: () => void;
+}
+
+const LOOK_WAIT_MS = 1000;
+const ANSWER_TIMEOUT_MS = 700;
+const RETRY_DELAY_MS = 150;
+const MAX_RETRY_DELAY_MS = 600;
+
+/**
+ * Keeps one endpoint leased and watched: one long poll at a time, which answers as soon as a run ends.
+ * An end is acknowledged only once it is durable. An endpoint that does not answer is looked at without a new lease, so that
+ * the time by which all its work has ended stays known.
+ */
+export class EndpointSession {
+  private lastSeen = 0;
+  private isStopped = false;
+  private failures = 0;
+
+  constructor(private readonly options: EndpointSessionOptions) {}
+
+  /** Runs until `stop`, or until the endpoint's life is over. */
+  async start(): Promise<void> {
+    while (!this.isStopped) {
+      await this.sendLook();
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    void this.options.client.stop();
+  }
+
+  readClient(): EndpointClient {
+    return this.options.client;
+  }
+
+  private async sendLook(): Promise<void> {
+    const { client, clock, book, isRenewing } = this.options;
+    const isAnswering = book.isSettled() && book.readSilentSince() === undefined;
+    const leaseMs = isAnswering && isRenewing() ? leaderTimings.leaseMs : undefined;
+    const waitMs = isAnswering ? LOOK_WAIT_MS : 0;
+    const sentAt = clock.readNow();
+    if (leaseMs !== undefined) {
+      this.recordLease(sentAt);
+    }
+    const answer = await client.sendHold({
+      lastSeen: this.lastSeen,
+      leaseMs,
+      waitMs,
+      timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
+    });
+    if (!this.isStopped) {
+      await this.handleAnswer(answer, sentAt);
+    }
+  }
+
+  /** Notes a lease given at a time, whether or not it arrives. */
+  recordLease(sentAt: number): void {
+    const { leaseMs, clockDriftShare, marginMs } = leaderTimings;
+    this.options.book.recordLease(sentAt + leaseMs * (1 + clockDriftShare) + marginMs);
+  }
+
+  private async handleAnswer(answer: HoldAnswer, sentAt: number): Promise<void> {
+    switch (answer.kind) {
+      case 'held':
+        await this.handleHeld(answer, sentAt);
+        return;
+      case 'fenced':
+        this.isStopped = true;
+        this.options.handleFenced();
+        return;
+      case 'gone':
+        this.stop();
+        this.options.handleGone();
+        return;
+      case 'unanswered':
+        this.failures += 1;
+        this.options.handleSilence(answer.detail);
+        await startDelay(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * this.failures));
+        return;
+    }
+  }
+
+  private async handleHeld(answer: Held, sentAt: number): Promise<void> {
+    this.failures = 0;
+    try {
+      await this.options.handleHeld(answer, sentAt);
+    } catch {
+      this.isStopped = true;
+      return;
+    }
+    for (const { number } of answer.ended) {
+      this.lastSeen = Math.max(this.lastSeen, number);
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/LiveJob.ts
@@ -0,0 +1,73 @@
+import type { EndpointId } from '../jobs/EndpointId';
+import type { JobDefinition } from '../jobs/JobDefinition';
+import type { JobProgress } from '../jobs/JobProgress';
+import { AdviceBook } from './AdviceBook';
+
+/** Longest chain of estimated work through the steps, in milliseconds. */
+const measureChain = (definition: JobDefinition): number => {
+  const ends: number[] = [];
+  for (const step of definition.steps) {
+    const startsAt = Math.max(0, ...step.dependsOn.map((earlier) => ends[earlier] ?? 0));
+    ends.push(startsAt + (step.isLongRunning ? 0 : step.estimatedMs));
+  }
+  return Math.max(0, ...ends);
+};
+
+/** A job that has not ended, as the leader works on it. */
+export class LiveJob {
+  /** Endpoints on which runs of a step failed, by `TIME.STEP`. */
+  private readonly failedOn = new Map<string, Set<EndpointId>>();
+  private readonly advice = new Map<string, AdviceBook>();
+  private readonly chainMs: number;
+  isCancelled = false;
+
+  constructor(
+    readonly definition: JobDefinition,
+    readonly progress: JobProgress,
+  ) {
+    this.chainMs = measureChain(definition);
+  }
+
+  /** Wall clock time at which repetition `time` may start. */
+  readDueAtMs(time: number): number {
+    return this.definition.firstRunMs + time * this.definition.intervalMs;
+  }
+
+  /** Wall clock time by which repetition `time` should be complete. */
+  readObjectiveAtMs(time: number): number {
+    const { queue, acceptedAtMs } = this.definition;
+    const startsAt = Math.max(acceptedAtMs, this.readDueAtMs(time));
+    return startsAt + queue.targetLatencyMs + queue.stretch * this.chainMs;
+  }
+
+  readAdvice(time: number, step: number): AdviceBook {
+    const key = `${time}.${step}`;
+    const known = this.advice.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new AdviceBook();
+    this.advice.set(key, created);
+    return created;
+  }
+
+  hasFailedOn(time: number, step: number, endpoint: EndpointId): boolean {
+    return this.failedOn.get(`${time}.${step}`)?.has(endpoint) ?? false;
+  }
+
+  recordFailedOn(time: number, step: number, endpoint: EndpointId): void {
+    const key = `${time}.${step}`;
+    const endpoints = this.failedOn.get(key) ?? new Set();
+    endpoints.add(endpoint);
+    this.failedOn.set(key, endpoints);
+  }
+
+  /** Failed runs that count against the attempts of a task, or of its gang. */
+  readFailures(time: number, step: number, index: number): number {
+    const tasks = this.progress.readTasks(time, step);
+    if (this.definition.steps[step]?.isGang === true) {
+      return tasks.reduce((sum, task) => sum + task.failures, 0);
+    }
+    return tasks[index]?.failures ?? 0;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/PlacedRun.ts
@@ -0,0 +1,46 @@
+import type { JobId } from '../jobs/JobId';
+import type { TaskAddress } from '../jobs/TaskAddress';
+import type { TaskDemand } from '../jobs/TaskDemand';
+import type { TaskName } from '../jobs/TaskName';
+
+/**
+ * Where a run stands.
+ * - `recording`: chosen, not yet durable, no order sent.
+ * - `ordered`: the order is on its way.
+ * - `unconfirmed`: placed by an earlier leader; the endpoint has not been heard since.
+ * - `running`: the endpoint has confirmed it.
+ * - `stopping`: to be stopped, or its order had no answer and it must be proved not to run.
+ */
+type RunStage = 'recording' | 'ordered' | 'unconfirmed' | 'running' | 'stopping';
+
+/** One run that takes room on an endpoint. Owned and changed by its `EndpointBook` and the `Dispatcher`. */
+export interface PlacedRun {
+  readonly task: TaskName;
+  readonly job: JobId;
+  readonly address: TaskAddress;
+  readonly run: number;
+  /** Room it takes; fillers take no processor time. */
+  readonly demand: TaskDemand;
+  readonly isFiller: boolean;
+  /** A long-running task that serves users of its own. */
+  readonly isServing: boolean;
+  /** Bound for its tail latency in milliseconds; 0 for none. */
+  readonly targetMs: number;
+  readonly priority: number;
+  stage: RunStage;
+  /** Monotonic time of the placement. */
+  placedAt: number;
+  /** Monotonic time at which the endpoint's answer to the start came. */
+  confirmedAt: number;
+  /** Monotonic time from which the next repetition of the stop counts; undefined before the first check. */
+  stopSentAt: number | undefined;
+  /** Monotonic time at which the endpoint's answer to a stop came; undefined before. */
+  stopAnsweredAt: number | undefined;
+  percent: number;
+  /** Monotonic time at which `percent` last rose. */
+  progressedAt: number;
+  load: number;
+  checkpoint: string;
+  /** Share of its speed at which a filler may work, 0 to 100. */
+  pacePercent: number;
+}
--- /dev/null
+++ b/packages/dispatch/WaitingStep.ts
@@ -0,0 +1,13 @@
+import type { JobStep } from '../jobs/JobStep';
+import type { LiveJob } from './LiveJob';
+
+/** A step with tasks that may start now. */
+export interface WaitingStep {
+  readonly job: LiveJob;
+  readonly time: number;
+  readonly step: number;
+  readonly shape: JobStep;
+  /** Indexes of the tasks that wait. */
+  readonly indexes: readonly number[];
+  readonly objectiveAtMs: number;
+}
--- /dev/null
+++ b/packages/dispatch/createPlacedRun.ts
@@ -0,0 +1,35 @@
+import type { JobDefinition } from '../jobs/JobDefinition';
+import type { TaskAddress } from '../jobs/TaskAddress';
+import { toTaskName } from '../jobs/toTaskName';
+import type { PlacedRun } from './PlacedRun';
+
+/** Creates the book entry of a run that is about to be placed. */
+export const createPlacedRun = (
+  definition: JobDefinition,
+  address: TaskAddress,
+  run: number,
+  now: number,
+): PlacedRun => {
+  const shape = definition.steps[address.step]!;
+  return {
+    task: toTaskName(definition.id, address),
+    job: definition.id,
+    address,
+    run,
+    demand: shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand,
+    isFiller: shape.isFiller,
+    isServing: shape.isLongRunning && !shape.isFiller,
+    targetMs: shape.targetMs,
+    priority: definition.queue.priority,
+    stage: 'recording',
+    placedAt: now,
+    confirmedAt: now,
+    stopSentAt: undefined,
+    stopAnsweredAt: undefined,
+    percent: 0,
+    progressedAt: now,
+    load: 0,
+    checkpoint: '',
+    pacePercent: 100,
+  };
+};
--- /dev/null
+++ b/packages/dispatch/createStrangeRun.ts
@@ -0,0 +1,28 @@
+import { toId } from '../common/toId';
+import type { JobId } from '../jobs/JobId';
+import { demandSums } from './demandSums';
+import type { PlacedRun } from './PlacedRun';
+import type { RunningRow } from './RunningRow';
+
+/** Creates the book entry of a run whose job is not known: its room is not known either, but it is stopped at once. */
+export const createStrangeRun = (row: RunningRow, now: number): PlacedRun => ({
+  task: row.task,
+  job: toId<JobId>(''),
+  address: { time: 0, step: 0, index: 0 },
+  run: row.run,
+  demand: demandSums.NOTHING,
+  isFiller: false,
+  isServing: false,
+  targetMs: 0,
+  priority: 0,
+  stage: 'running',
+  placedAt: now,
+  confirmedAt: now,
+  stopSentAt: undefined,
+  stopAnsweredAt: undefined,
+  percent: row.percent,
+  progressedAt: now,
+  load: row.load,
+  checkpoint: row.checkpoint,
+  pacePercent: 100,
+});
--- /dev/null
+++ b/packages/dispatch/rankingRules.ts
@@ -0,0 +1,50 @@
+import type { EndpointBook } from './EndpointBook';
+import type { RankingRule } from './RankingRule';
+import type { WaitingStep } from './WaitingStep';
+
+/** Costs outweigh each other in this order; within one the tightest fit wins. */
+const FAILED_HERE_COST = 1000;
+const FAILING_COST = 500;
+const OTHER_RACK_COST = 100;
+const SERVING_NEIGHBOUR_COST = 50;
+
+const measureTrust = ({ job, time, step }: WaitingStep, book: EndpointBook, now: number): number => {
+  const failedHere = job.hasFailedOn(time, step, book.readProfile().id) ? FAILED_HERE_COST : 0;
+  return failedHere + (book.isFailing(now) ? FAILING_COST : 0);
+};
+
+const measureDataDistance = ({ shape }: WaitingStep, book: EndpointBook): number =>
+  shape.dataRack !== '' && !book.readProfile().labels.includes(shape.dataRack) ? OTHER_RACK_COST : 0;
+
+/** Share of the processors that stays free, 0 to 1. */
+const measureFreeShare = (book: EndpointBook): number => {
+  const { cpuMillis } = book.readProfile().capacity;
+  return cpuMillis === 0 ? 0 : book.readFree().cpuMillis / cpuMillis;
+};
+
+const measureShared = (step: WaitingStep, book: EndpointBook, now: number): number =>
+  measureTrust(step, book, now) + measureDataDistance(step, book);
+
+const measureServing = (book: EndpointBook): number => {
+  let count = 0;
+  for (const run of book.readRuns()) {
+    count += run.isServing ? 1 : 0;
+  }
+  return count;
+};
+
+/** Kinds of steps, and how endpoints are ranked for each. */
+export const rankingRules: Readonly<Record<'batch' | 'serving' | 'filler', RankingRule>> = {
+  batch: {
+    measureFit: (step, book, now) => measureShared(step, book, now) + measureFreeShare(book),
+  },
+  // Replicas are spread, so that one failure takes few of them.
+  serving: {
+    measureFit: (step, book, now) => measureShared(step, book, now) - measureFreeShare(book),
+  },
+  // Fillers disturb serving tasks, so they go where none are, and where most is left unused.
+  filler: {
+    measureFit: (step, book, now) =>
+      measureShared(step, book, now) + SERVING_NEIGHBOUR_COST * measureServing(book) - measureFreeShare(book),
+  },
+};
--- /dev/null
+++ b/packages/gateway/JobOutcome.ts
@@ -0,0 +1,5 @@
+/** `unavailable`: nothing was done, come back after `retryAfterMs`. `unknown`: it may have been done. */
+export type JobOutcome<Answer> =
+  | { readonly kind: 'answered'; readonly answer: Answer }
+  | { readonly kind: 'unavailable'; readonly retryAfterMs: number }
+  | { readonly kind: 'unknown' };
--- /dev/null
+++ b/packages/jobs/JobProgress.ts
@@ -0,0 +1,142 @@
+import { toId } from '../common/toId';
+import type { EndpointId } from './EndpointId';
+import type { JobDefinition } from './JobDefinition';
+import type { JobState } from './JobState';
+import type { RunOutcome } from './RunOutcome';
+import type { TaskAddress } from './TaskAddress';
+import type { TaskProgress } from './TaskProgress';
+
+const NOWHERE = toId<EndpointId>('');
+const UNTOUCHED: TaskProgress = { phase: 'waiting', run: 0, failures: 0, endpoint: NOWHERE, checkpoint: '' };
+
+/**
+ * Progress of one job: a task table [time][step][index] and the job's own end.
+ * Pure state: no clock, no sockets. Each change takes the run that it concerns, and changes of older runs are passed over,
+ * so that applying one twice or late is harmless.
+ */
+export class JobProgress {
+  private readonly tasks: TaskProgress[][][] = [];
+  /** Tasks that are not done, by [time][step]. */
+  private readonly open: number[][] = [];
+  private openTotal = 0;
+  private begun = false;
+  /** Wall clock of the job's end; 0 while it has none. */
+  private endedAtMs = 0;
+  private ending: 'completed' | 'failed' | 'cancelled' | undefined;
+
+  constructor(private readonly definition: JobDefinition) {
+    for (let time = 0; time < definition.times; time += 1) {
+      this.tasks.push(definition.steps.map((step) => Array<TaskProgress>(step.count).fill(UNTOUCHED)));
+      this.open.push(definition.steps.map((step) => step.count));
+    }
+    this.openTotal = definition.times * definition.steps.reduce((sum, step) => sum + step.count, 0);
+  }
+
+  readTask(address: TaskAddress): TaskProgress | undefined {
+    return this.tasks[address.time]?.[address.step]?.[address.index];
+  }
+
+  readTasks(time: number, step: number): readonly TaskProgress[] {
+    return this.tasks[time]?.[step] ?? [];
+  }
+
+  readState(): JobState {
+    return this.ending ?? (this.begun ? 'running' : 'queued');
+  }
+
+  readEndedAtMs(): number {
+    return this.endedAtMs;
+  }
+
+  /** True once a task has been placed. */
+  hasBegun(): boolean {
+    return this.begun;
+  }
+
+  isEnded(): boolean {
+    return this.ending !== undefined;
+  }
+
+  isStepDone(time: number, step: number): boolean {
+    return this.open[time]?.[step] === 0;
+  }
+
+  /** Tasks of a step that are not done. */
+  readOpenCount(time: number, step: number): number {
+    return this.open[time]?.[step] ?? 0;
+  }
+
+  /** True when every step that this one waits for is done. */
+  isStepReady(time: number, step: number): boolean {
+    return this.definition.steps[step]?.dependsOn.every((earlier) => this.isStepDone(time, earlier)) ?? false;
+  }
+
+  isAllDone(): boolean {
+    return this.openTotal === 0;
+  }
+
+  /** Records that a run was placed. */
+  recordPlaced(address: TaskAddress, run: number, endpoint: EndpointId): void {
+    const task = this.readTask(address);
+    if (task === undefined || task.phase === 'done' || run <= task.run) {
+      return;
+    }
+    this.begun = true;
+    this.writeTask(address, { ...task, phase: 'placed', run, endpoint });
+  }
+
+  /** Records how the newest run ended. Returns false when that run is not the newest, or has ended before. */
+  recordEnd(address: TaskAddress, run: number, outcome: RunOutcome, checkpoint: string): boolean {
+    const task = this.readTask(address);
+    if (task === undefined || task.phase !== 'placed' || task.run !== run) {
+      return false;
+    }
+    const kept = checkpoint === '' ? task.checkpoint : checkpoint;
+    if (outcome === 'done') {
+      this.writeTask(address, { ...task, phase: 'done', checkpoint: '' });
+      const steps = this.open[address.time]!;
+      steps[address.step] = steps[address.step]! - 1;
+      this.openTotal -= 1;
+      return true;
+    }
+    const failures = task.failures + (outcome === 'failed' ? 1 : 0);
+    this.writeTask(address, { ...task, phase: 'waiting', failures, checkpoint: kept });
+    return true;
+  }
+
+  /** Records a newer checkpoint of a task. */
+  recordCheckpoint(address: TaskAddress, checkpoint: string): void {
+    const task = this.readTask(address);
+    if (task !== undefined && task.phase !== 'done' && checkpoint !== '') {
+      this.writeTask(address, { ...task, checkpoint });
+    }
+  }
+
+  /** Counts runs that an endpoint knows of but this progress does not, so that the next run's number is above them. */
+  recordRunNumber(address: TaskAddress, run: number): void {
+    const task = this.readTask(address);
+    if (task !== undefined && task.phase === 'waiting' && run > task.run) {
+      this.writeTask(address, { ...task, run });
+    }
+  }
+
+  /** Sets the count of failed runs, as read from the log. */
+  recordFailures(address: TaskAddress, failures: number): void {
+    const task = this.readTask(address);
+    if (task !== undefined) {
+      this.writeTask(address, { ...task, failures });
+    }
+  }
+
+  /** Records the end of the job as a whole. The first end stands. */
+  recordJobEnd(ending: 'completed' | 'failed' | 'cancelled', atMs: number): void {
+    if (this.ending === undefined) {
+      this.ending = ending;
+      this.endedAtMs = atMs;
+    }
+  }
+
+  private writeTask(address: TaskAddress, task: TaskProgress): void {
+    this.tasks[address.time]![address.step]![address.index] = task;
+  }
+}
--- /dev/null
+++ b/packages/jobs/TaskPhase.ts
@@ -0,0 +1,2 @@
+/** `placed`: an endpoint may be running it. */
+export type TaskPhase = 'waiting' | 'placed' | 'done';
--- /dev/null
+++ b/packages/jobs/TaskProgress.ts
@@ -0,0 +1,15 @@
+import type { EndpointId } from './EndpointId';
+import type { TaskPhase } from './TaskPhase';
+
+/** Progress of one task. Changed only by `JobProgress`. */
+export interface TaskProgress {
+  readonly phase: TaskPhase;
+  /** Number of the newest run; 0 before the first. Never falls. */
+  readonly run: number;
+  /** Runs that ended in failure. */
+  readonly failures: number;
+  /** Where the newest run was placed; empty before the first. */
+  readonly endpoint: EndpointId;
+  /** Newest checkpoint; empty for none. */
+  readonly checkpoint: string;
+}
--- /dev/null
+++ b/packages/jobs/jobKeys.ts
@@ -0,0 +1,18 @@
+import type { JobId } from './JobId';
+
+const DEFINITION = 'j/';
+const CANCEL = 'c/';
+const PROGRESS = 'p/';
+
+const toIdOf = (prefix: string, key: string): JobId | undefined =>
+  key.startsWith(prefix) ? (key.slice(prefix.length) as JobId) : undefined;
+
+/** Keys of jobs in the log, and back. */
+export const jobKeys = {
+  toDefinitionKey: (id: JobId): string => `${DEFINITION}${id}`,
+  toCancelKey: (id: JobId): string => `${CANCEL}${id}`,
+  toProgressKey: (id: JobId): string => `${PROGRESS}${id}`,
+  parseDefinitionKey: (key: string) => toIdOf(DEFINITION, key),
+  parseCancelKey: (key: string) => toIdOf(CANCEL, key),
+  parseProgressKey: (key: string) => toIdOf(PROGRESS, key),
+} as const;
--- /dev/null
+++ b/packages/jobs/parseProgress.ts
@@ -0,0 +1,51 @@
+import { z } from 'zod';
+import { toId } from '../common/toId';
+import type { EndpointId } from './EndpointId';
+import type { JobDefinition } from './JobDefinition';
+import { JobProgress } from './JobProgress';
+
+const progressSchema = z.object({
+  ending: z.enum(['completed', 'failed', 'cancelled']).optional(),
+  endedAtMs: z.number(),
+  tasks: z.array(
+    z.tuple([
+      z.number(),
+      z.number(),
+      z.number(),
+      z.enum(['w', 'p', 'd']),
+      z.number(),
+      z.number(),
+      z.string(),
+      z.string(),
+    ]),
+  ),
+});
+
+/** Reads the log record of a job's progress; undefined when the text is none. */
+export const parseProgress = (definition: JobDefinition, text: string): JobProgress | undefined => {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+  const parsed = progressSchema.safeParse(value);
+  if (!parsed.success) {
+    return undefined;
+  }
+  const progress = new JobProgress(definition);
+  for (const [time, step, index, phase, run, failures, endpoint, checkpoint] of parsed.data.tasks) {
+    const address = { time, step, index };
+    progress.recordPlaced(address, run, toId<EndpointId>(endpoint));
+    if (phase !== 'p') {
+      progress.recordEnd(address, run, phase === 'd' ? 'done' : 'interrupted', checkpoint);
+    } else {
+      progress.recordCheckpoint(address, checkpoint);
+    }
+    progress.recordFailures(address, failures);
+  }
+  if (parsed.data.ending !== undefined) {
+    progress.recordJobEnd(parsed.data.ending, parsed.data.endedAtMs);
+  }
+  return progress;
+};
--- /dev/null
+++ b/packages/leadership/Leadership.ts
@@ -0,0 +1,168 @@
+import { z } from 'zod';
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+import { parseJson } from '../common/parseJson';
+import type { Random } from '../common/Random';
+import type { LogClient } from '../store/LogClient';
+import type { LogFollower } from '../store/LogFollower';
+import type { LogRecord } from '../store/LogRecord';
+import type { LeaderRecord } from './LeaderRecord';
+import { leaderKeys } from './leaderKeys';
+import { leaderTimings } from './leaderTimings';
+
+interface LeadershipOptions {
+  readonly client: LogClient;
+  readonly topic: string;
+  readonly follower: LogFollower;
+  readonly box: string;
+  readonly process: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** Called once this process leads. */
+  readonly handleElected: (epoch: number) => void;
+}
+
+const CLAIM_TIMEOUT_MS = 700;
+const FIRST_CLAIM_JITTER_MS = 150;
+const RESIGNED_JITTER_MS = 80;
+
+const recordSchema = z.object({
+  epoch: z.number(),
+  box: z.string(),
+  process: z.string(),
+  isResigned: z.boolean(),
+});
+
+type ClaimReason =
+  'no leader yet' | 'leader resigned' | 'an earlier process of this box led' | 'leader is silent';
+
+/**
+ * Decides which process leads. A claim is an append under the next epoch: the log refuses every later write of lower epochs,
+ * and of two claims with one epoch it keeps the first. Whoever reads its own claim back leads.
+ */
+export class Leadership {
+  private record: LeaderRecord | undefined;
+  /** Monotonic time of the newest sign of the leader. */
+  private signAt = -Infinity;
+  /** Since when the log has been read without a gap; undefined while it cannot be read. */
+  private readableSince: number | undefined;
+  private isClaiming = false;
+  private isLeading = false;
+  private isStopped = false;
+  private readonly silenceLimitMs: number;
+  private readonly shortJitter: number;
+
+  constructor(private readonly options: LeadershipOptions) {
+    this.silenceLimitMs = leaderTimings.silenceMs + options.random() * leaderTimings.claimJitterMs;
+    this.shortJitter = options.random();
+  }
+
+  readRecord(): LeaderRecord | undefined {
+    return this.record;
+  }
+
+  /** Folds records of the progress topic. Only leaders write there, so every record is a sign of the leader. */
+  foldRecords(records: readonly LogRecord[]): void {
+    this.signAt = this.options.clock.readNow();
+    for (const { key, value } of records) {
+      if (key !== leaderKeys.recordKey) {
+        continue;
+      }
+      const parsed = recordSchema.safeParse(parseJson(value));
+      if (parsed.success && parsed.data.epoch >= (this.record?.epoch ?? 0)) {
+        this.applyRecord(parsed.data);
+      }
+    }
+  }
+
+  /** Told when the log can be read again, or no longer: silence is counted only while it can. */
+  handleConnection(isConnected: boolean): void {
+    this.readableSince = isConnected ? this.options.clock.readNow() : undefined;
+  }
+
+  /** Claims when the leader is gone. */
+  applyTime(): void {
+    if (this.isStopped || this.isLeading || this.isClaiming) {
+      return;
+    }
+    const reason = this.readClaimReason();
+    if (reason !== undefined) {
+      this.isClaiming = true;
+      void this.sendClaim(reason).finally(() => {
+        this.isClaiming = false;
+      });
+    }
+  }
+
+  /** This process leads no more. */
+  handleDeposed(): void {
+    this.isLeading = false;
+    this.signAt = this.options.clock.readNow();
+  }
+
+  /** Claims no more. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Formats this process's record: written as a heartbeat, and with `isResigned` as the last write of a planned stop. */
+  formatRecord(epoch: number, isResigned: boolean): string {
+    const { box, process } = this.options;
+    const record: LeaderRecord = { epoch, box, process, isResigned };
+    return JSON.stringify(record);
+  }
+
+  private applyRecord(record: LeaderRecord): void {
+    const isNew = record.epoch !== this.record?.epoch;
+    this.record = record;
+    if (isNew) {
+      this.options.logger.info('Leader changed.', { epoch: record.epoch, leader: record.process });
+    }
+  }
+
+  private readClaimReason(): ClaimReason | undefined {
+    const { follower, clock, process, box } = this.options;
+    if (this.readableSince === undefined || !follower.isFollowing()) {
+      return undefined;
+    }
+    const now = clock.readNow();
+    const readableMs = now - this.readableSince;
+    if (this.record === undefined) {
+      return readableMs > this.shortJitter * FIRST_CLAIM_JITTER_MS ? 'no leader yet' : undefined;
+    }
+    if (this.record.isResigned) {
+      return now - this.signAt > this.shortJitter * RESIGNED_JITTER_MS ? 'leader resigned' : undefined;
+    }
+    if (this.record.box === box && this.record.process !== process) {
+      return 'an earlier process of this box led';
+    }
+    const silentMs = follower.readLastOkAt() - Math.max(this.signAt, this.readableSince);
+    return silentMs > this.silenceLimitMs ? 'leader is silent' : undefined;
+  }
+
+  private async sendClaim(reason: ClaimReason): Promise<void> {
+    const { client, topic, follower, logger, clock } = this.options;
+    const epoch = (this.record?.epoch ?? 0) + 1;
+    logger.info('Claiming leadership.', {
+      epoch,
+      reason,
+      silentMs: Math.round(clock.readNow() - this.signAt),
+    });
+    const answer = await client.append({
+      topic,
+      writes: [{ key: leaderKeys.recordKey, value: this.formatRecord(epoch, false) }],
+      writer: { producer: leaderKeys.producer, epoch, sequence: leaderKeys.claimSequence },
+      timeoutMs: CLAIM_TIMEOUT_MS,
+    });
+    // Without an answer the claim may still have landed: reading on shows it.
+    const target = answer.ok ? answer.value + 1 : (follower.readOffset() ?? 0) + 1;
+    await follower.startReadingTo(target, CLAIM_TIMEOUT_MS);
+    if (this.isStopped || this.record?.epoch !== epoch || this.record.process !== this.options.process) {
+      logger.info('Claim lost.', { epoch, leader: this.record?.process ?? '' });
+      return;
+    }
+    this.isLeading = true;
+    this.options.handleElected(epoch);
+  }
+}
--- /dev/null
+++ b/packages/serve/JobDesk.ts
@@ -0,0 +1,149 @@
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+import type { JobOutcome } from '../gateway/JobOutcome';
+import type { JobService } from '../gateway/JobService';
+import type { JobSubmission } from '../gateway/JobSubmission';
+import type { JobDefinition } from '../jobs/JobDefinition';
+import type { JobId } from '../jobs/JobId';
+import { jobKeys } from '../jobs/jobKeys';
+import type { JobQueue } from '../jobs/JobQueue';
+import type { JobReplica } from '../jobs/JobReplica';
+import type { JobState } from '../jobs/JobState';
+import type { LogFollower } from '../store/LogFollower';
+import type { LogWriter } from '../store/LogWriter';
+import type { ServeMetrics } from './ServeMetrics';
+
+interface JobDeskOptions {
+  readonly replica: JobReplica;
+  readonly writer: LogWriter;
+  readonly jobsFollower: LogFollower;
+  readonly progressFollower: LogFollower;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: ServeMetrics;
+  /** True while this process leads, so that its own memory is the newest. */
+  readonly isLeading: () => boolean;
+  /** A job or a cancel of this box is durable. */
+  readonly handleAccepted: (definition: JobDefinition) => void;
+  readonly handleCancelled: (id: JobId) => void;
+}
+
+const RETRY_AFTER_MS = 1000;
+/** Appends that have failed for so long make further ones fail at once. */
+const OUTAGE_MS = 400;
+/** Longest time for one append to be answered: what takes longer is better tried again through another box. */
+const WRITE_LIMIT_MS = 1300;
+const REFRESH_LIMIT_MS = 500;
+
+/** Callers' jobs: accepted once they are durable in the log, read from this box's replica of it. */
+export class JobDesk implements JobService {
+  constructor(private readonly options: JobDeskOptions) {}
+
+  async writeJob(
+    id: JobId,
+    queue: JobQueue,
+    submission: JobSubmission,
+    deadline: number,
+  ): Promise<JobOutcome<'accepted'>> {
+    const { replica, writer, clock, metrics } = this.options;
+    if (replica.readDefinition(id) !== undefined) {
+      this.recordDecision('Job was accepted before.', id, queue.name, {});
+      return { kind: 'answered', answer: 'accepted' };
+    }
+    if (this.isLogOut()) {
+      return this.createUnavailable(id, queue.name);
+    }
+    const startedAt = clock.readNow();
+    const definition: JobDefinition = {
+      id,
+      queue,
+      ...submission,
+      acceptedAtMs: Math.round(clock.readWall()),
+    };
+    const write = { key: jobKeys.toDefinitionKey(id), value: JSON.stringify(definition) };
+    const outcome = await writer.writeRecord(write, Math.min(deadline, startedAt + WRITE_LIMIT_MS));
+    const tookMs = Math.round(clock.readNow() - startedAt);
+    if (outcome === 'refused') {
+      return this.createUnavailable(id, queue.name);
+    }
+    if (outcome === 'unknown') {
+      metrics.recordCount('unknown');
+      this.recordDecision('The log did not answer: the job may be accepted.', id, queue.name, { tookMs });
+      return { kind: 'unknown' };
+    }
+    metrics.recordCount('accepted');
+    metrics.recordTime('acceptMs', clock.readNow() - startedAt);
+    this.recordDecision('Job accepted.', id, queue.name, { tookMs, priority: queue.priority });
+    this.options.handleAccepted(definition);
+    return { kind: 'answered', answer: 'accepted' };
+  }
+
+  async readJob(id: JobId, deadline: number): Promise<JobOutcome<JobState | 'absent'>> {
+    const { replica, clock, metrics } = this.options;
+    const startedAt = clock.readNow();
+    metrics.recordCount('reads');
+    const known = replica.readState(id);
+    if (known === undefined) {
+      const isFresh = await this.startRefresh(this.options.jobsFollower, deadline);
+      if (!isFresh && replica.readState(id) === undefined) {
+        return { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+      }
+    }
+    const isOpen = known === 'queued' || known === 'running' || known === undefined;
+    if (isOpen && !this.options.isLeading()) {
+      await this.startRefresh(this.options.progressFollower, deadline);
+    }
+    metrics.recordTime('readMs', clock.readNow() - startedAt);
+    return { kind: 'answered', answer: replica.readState(id) ?? 'absent' };
+  }
+
+  async writeCancel(id: JobId, deadline: number): Promise<JobOutcome<'cancelled' | 'absent'>> {
+    const { replica, writer, clock, metrics } = this.options;
+    const startedAt = clock.readNow();
+    if (replica.readDefinition(id) === undefined) {
+      const isFresh = await this.startRefresh(this.options.jobsFollower, deadline);
+      if (replica.readDefinition(id) === undefined) {
+        return isFresh
+          ? { kind: 'answered', answer: 'absent' }
+          : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+      }
+    }
+    const write = { key: jobKeys.toCancelKey(id), value: '1' };
+    const outcome = await writer.writeRecord(write, Math.min(deadline, startedAt + WRITE_LIMIT_MS));
+    const tookMs = Math.round(clock.readNow() - startedAt);
+    this.recordDecision('Cancel.', id, '', { outcome, tookMs });
+    if (outcome === 'written') {
+      metrics.recordCount('cancels');
+      this.options.handleCancelled(id);
+      return { kind: 'answered', answer: 'cancelled' };
+    }
+    return outcome === 'unknown'
+      ? { kind: 'unknown' }
+      : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  readPendingCount(queueName: string): number {
+    return this.options.replica.readPendingCount(queueName);
+  }
+
+  /** True when trying an append would only keep the caller waiting. */
+  private isLogOut(): boolean {
+    return this.options.writer.readFailingMs() > OUTAGE_MS && !this.options.jobsFollower.isFollowing();
+  }
+
+  private createUnavailable(id: JobId, queue: string): JobOutcome<never> {
+    const failingMs = Math.round(this.options.writer.readFailingMs());
+    this.options.metrics.recordCount('notTaken');
+    this.recordDecision('Job not taken: the log is out.', id, queue, { failingMs });
+    return { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+  }
+
+  private startRefresh(follower: LogFollower, deadline: number): Promise<boolean> {
+    const leftMs = deadline - this.options.clock.readNow();
+    return follower.startRefresh(Math.max(1, Math.min(REFRESH_LIMIT_MS, leftMs)));
+  }
+
+  private recordDecision(sentence: string, job: JobId, queue: string, fields: Record<string, unknown>): void {
+    this.options.logger.info(sentence, { job, ...(queue === '' ? {} : { queue }), ...fields });
+  }
+}
--- /dev/null
+++ b/packages/serve/ServeAdapter.ts
@@ -0,0 +1,33 @@
+import type { AdviceClient } from '../dispatch/AdviceClient';
+import type { EndpointClient } from '../dispatch/EndpointClient';
+import type { EndpointProfile } from '../dispatch/EndpointProfile';
+import type { JobService } from '../gateway/JobService';
+import type { QueueConfiguration } from '../gateway/QueueConfiguration';
+import type { QueueRouter } from '../gateway/QueueRouter';
+import type { LogClient } from '../store/LogClient';
+
+interface CallerServerInput {
+  readonly router: QueueRouter;
+  readonly jobs: JobService;
+  readonly isReady: () => boolean;
+  readonly isLeaving: () => boolean;
+}
+
+interface CallerServerParts {
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** Everything that depends on how a platform speaks. `platform/` implements it. */
+export interface ServeAdapter {
+  /** Topics of the log that the platform writes. */
+  readonly operatorTopic: string;
+  readonly configurationKey: string;
+  readonly endpointsTopic: string;
+  createLogClient(): LogClient;
+  createAdviceClient(): AdviceClient;
+  createEndpointClient(profile: EndpointProfile, fencingToken: number): EndpointClient;
+  createCallerServer(input: CallerServerInput): CallerServerParts;
+  parseConfiguration(text: string): QueueConfiguration | undefined;
+  parseEndpoint(id: string, text: string): EndpointProfile | undefined;
+}
--- /dev/null
+++ b/packages/serve/ServeMetrics.ts
@@ -0,0 +1,67 @@
+import { build, type Histogram } from 'hdr-histogram-js';
+
+const COUNTS = [
+  'accepted',
+  'notTaken',
+  'unknown',
+  'cancels',
+  'reads',
+  'starts',
+  'ends',
+  'stops',
+  'questions',
+  'unanswered',
+  'elections',
+] as const;
+const QUANTILES = [50, 90, 99, 99.9] as const;
+const MICROS_PER_MS = 1000;
+const MICROS_PER_SECOND = 1e6;
+
+type CountName = (typeof COUNTS)[number];
+type TimeName = 'acceptMs' | 'readMs' | 'startMs';
+
+const toMetricName = (name: string): string => name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
+
+/** Counters and latency histograms of one entry process. */
+export class ServeMetrics {
+  private readonly counts = new Map<CountName, number>(COUNTS.map((name) => [name, 0]));
+  private readonly times = new Map<TimeName, Histogram>();
+
+  recordCount(name: CountName): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  }
+
+  recordTime(name: TimeName, valueMs: number): void {
+    const known = this.times.get(name);
+    const histogram =
+      known ?? build({ useWebAssembly: false, bitBucketSize: 32, numberOfSignificantValueDigits: 2 });
+    if (known === undefined) {
+      this.times.set(name, histogram);
+    }
+    histogram.recordValue(Math.max(0, Math.round(valueMs * MICROS_PER_MS)));
+  }
+
+  /** Formats everything in the text form that collectors read. */
+  formatText(gauges: Readonly<Record<string, number>>): string {
+    const lines: string[] = [];
+    for (const [name, value] of this.counts) {
+      lines.push(`stairline_${toMetricName(name)}_total ${value}`);
+    }
+    for (const [name, histogram] of this.times) {
+      const metric = `stairline_${toMetricName(name).replace('_ms', '_seconds')}`;
+      for (const quantile of QUANTILES) {
+        const seconds = histogram.getValueAtPercentile(quantile) / MICROS_PER_SECOND;
+        lines.push(`${metric}{quantile="${quantile / 100}"} ${seconds}`);
+      }
+      lines.push(`${metric}_count ${histogram.totalCount}`);
+    }
+    for (const [name, value] of Object.entries(gauges)) {
+      lines.push(`stairline_${toMetricName(name)} ${value}`);
+    }
+    const memory = process.memoryUsage();
+    const cpu = process.cpuUsage();
+    lines.push(`stairline_resident_bytes ${memory.rss}`, `stairline_heap_bytes ${memory.heapUsed}`);
+    lines.push(`stairline_cpu_seconds_total ${(cpu.user + cpu.system) / MICROS_PER_SECOND}`);
+    return `${lines.join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/packages/serve/ServeProcess.ts
@@ -0,0 +1,326 @@
+import { BoxAdviceClient } from '../boxes/BoxAdviceClient';
+import { BoxDirectory } from '../boxes/BoxDirectory';
+import { BoxServer } from '../boxes/BoxServer';
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+import type { Random } from '../common/Random';
+import { startDelay } from '../common/startDelay';
+import type { AdviceClient } from '../dispatch/AdviceClient';
+import { LeaderDuty } from '../dispatch/LeaderDuty';
+import { QueueRouter } from '../gateway/QueueRouter';
+import type { JobDefinition } from '../jobs/JobDefinition';
+import type { JobId } from '../jobs/JobId';
+import { jobKeys } from '../jobs/jobKeys';
+import { JobReplica } from '../jobs/JobReplica';
+import { Leadership } from '../leadership/Leadership';
+import type { LogClient } from '../store/LogClient';
+import { LogFollower } from '../store/LogFollower';
+import type { LogRecord } from '../store/LogRecord';
+import { LogWriter } from '../store/LogWriter';
+import { JobDesk } from './JobDesk';
+import type { ServeAdapter } from './ServeAdapter';
+import { ServeMetrics } from './ServeMetrics';
+import type { ServeSettings } from './ServeSettings';
+
+interface ServeProcessOptions {
+  readonly settings: ServeSettings;
+  readonly adapter: ServeAdapter;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Unique for each start of the box. */
+  readonly process: string;
+  readonly createPartLogger: (part: string) => Logger;
+}
+
+/** Jobs and cancels, written by every box; and where each box can be called. */
+const JOBS_TOPIC = 'keyed.jobs';
+/** Progress of jobs and the leader's record, written by the leader alone. */
+const PROGRESS_TOPIC = 'keyed.progress';
+const FOLLOWER_PAUSE_MS = 350;
+const FOLLOWER_POLL_MS = 500;
+const LEADER_PAUSE_MS = 0;
+const LEADER_POLL_MS = 1000;
+const OPERATOR_POLL_MS = 2000;
+const TICK_MS = 50;
+const GATHER_MS = 2;
+/** The balancer notices within two of its questions, one a second. */
+const LEAVE_NOTICE_MS = 2600;
+/** A box whose log is out for so long sends callers elsewhere. */
+const LOG_OUT_MS = 900;
+const ANNOUNCE_LIMIT_MS = 20_000;
+const ANNOUNCE_AGAIN_MS = 1000;
+
+/** One entry process: makes the parts, joins them by their messages, starts and stops them in order. */
+export class ServeProcess {
+  private readonly log: LogClient;
+  private readonly logger: Logger;
+  private readonly replica = new JobReplica();
+  private readonly router = new QueueRouter();
+  private readonly directory = new BoxDirectory();
+  private readonly metrics = new ServeMetrics();
+  private readonly writer: LogWriter;
+  private readonly jobsFollower: LogFollower;
+  private readonly progressFollower: LogFollower;
+  private readonly operatorFollower: LogFollower;
+  private readonly leadership: Leadership;
+  private readonly advice: AdviceClient;
+  private readonly boxAdvice = new Map<string, BoxAdviceClient>();
+  private readonly boxServer: BoxServer;
+  private readonly callers: ReturnType<ServeAdapter['createCallerServer']>;
+  private duty: LeaderDuty | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private isStopping = false;
+
+  constructor(private readonly options: ServeProcessOptions) {
+    const { adapter, clock, settings, random } = options;
+    this.logger = options.createPartLogger('serve');
+    this.log = adapter.createLogClient();
+    this.advice = adapter.createAdviceClient();
+    this.writer = new LogWriter({
+      client: this.log,
+      topic: JOBS_TOPIC,
+      clock,
+      gatherMs: GATHER_MS,
+      maxBytes: settings.maxAppendBytes,
+    });
+    this.jobsFollower = this.createFollower(JOBS_TOPIC, FOLLOWER_PAUSE_MS, LEADER_POLL_MS, (records) =>
+      this.handleJobRecords(records),
+    );
+    this.progressFollower = this.createFollower(
+      PROGRESS_TOPIC,
+      FOLLOWER_PAUSE_MS,
+      FOLLOWER_POLL_MS,
+      (records) => {
+        this.replica.foldProgressRecords(records);
+        this.leadership.foldRecords(records);
+      },
+    );
+    this.operatorFollower = this.createFollower(adapter.operatorTopic, 0, OPERATOR_POLL_MS, (records) =>
+      this.handleOperatorRecords(records),
+    );
+    this.leadership = new Leadership({
+      client: this.log,
+      topic: PROGRESS_TOPIC,
+      follower: this.progressFollower,
+      box: settings.box,
+      process: options.process,
+      clock,
+      random,
+      logger: options.createPartLogger('leadership'),
+      handleElected: (epoch) => this.startLeading(epoch),
+    });
+    const jobs = this.createJobDesk();
+    this.callers = adapter.createCallerServer({
+      router: this.router,
+      jobs,
+      isReady: () => this.isReady(),
+      isLeaving: () => this.isStopping,
+    });
+    this.boxServer = new BoxServer({
+      address: settings.internal,
+      advice: this.advice,
+      formatMetrics: () => this.formatMetrics(),
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.boxServer.start();
+    await this.callers.start();
+    void this.jobsFollower.start();
+    void this.progressFollower.start();
+    void this.operatorFollower.start();
+    void this.startAnnouncing();
+    this.timer = setInterval(() => this.leadership.applyTime(), TICK_MS);
+    const { box, hall, front, log } = this.options.settings;
+    this.logger.info('Started.', { process: this.options.process, box, hall, front, log });
+  }
+
+  /** Stops by plan: hands leadership over, sends callers elsewhere, finishes what is under way. */
+  async stop(): Promise<void> {
+    if (this.isStopping) {
+      return;
+    }
+    this.isStopping = true;
+    this.logger.info('Stopping.', { isLeading: this.duty !== undefined });
+    this.leadership.stop();
+    const duty = this.duty;
+    this.duty = undefined;
+    await duty?.startResigning();
+    await startDelay(LEAVE_NOTICE_MS);
+    clearInterval(this.timer);
+    await this.callers.stop();
+    await this.boxServer.stop();
+    this.jobsFollower.stop();
+    this.progressFollower.stop();
+    this.operatorFollower.stop();
+    await this.log.stop();
+    this.logger.info('Stopped.');
+  }
+
+  /** The settings were read again. Addresses hold for the life of a process, so nothing changes. */
+  handleReload(): void {
+    this.logger.info('Settings read again.', { box: this.options.settings.box });
+  }
+
+  /** True while callers should be sent here. */
+  isReady(): boolean {
+    const { clock } = this.options;
+    const logAgeMs = clock.readNow() - this.jobsFollower.readLastOkAt();
+    const hasLog = this.jobsFollower.isFollowing() || logAgeMs < LOG_OUT_MS;
+    return !this.isStopping && hasLog && this.router.readConfiguration() !== undefined;
+  }
+
+  private createJobDesk(): JobDesk {
+    return new JobDesk({
+      replica: this.replica,
+      writer: this.writer,
+      jobsFollower: this.jobsFollower,
+      progressFollower: this.progressFollower,
+      clock: this.options.clock,
+      logger: this.options.createPartLogger('jobs'),
+      metrics: this.metrics,
+      isLeading: () => this.duty?.isActive() ?? false,
+      handleAccepted: (definition) => this.applyAccepted(definition),
+      handleCancelled: (id) => this.applyCancelled(id),
+    });
+  }
+
+  private createFollower(
+    topic: string,
+    pauseMs: number,
+    pollMs: number,
+    handleRecords: (records: readonly LogRecord[]) => void,
+  ): LogFollower {
+    return new LogFollower({
+      client: this.log,
+      topic,
+      clock: this.options.clock,
+      random: this.options.random,
+      pauseMs,
+      pollMs,
+      handleRecords,
+      handleConnection: (isConnected, detail) => {
+        this.logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
+        if (topic === PROGRESS_TOPIC) {
+          this.leadership.handleConnection(isConnected);
+        }
+      },
+    });
+  }
+
+  /** Writes where this box can be called, until the log has taken it. */
+  private async startAnnouncing(): Promise<void> {
+    const { clock, settings } = this.options;
+    const write = {
+      key: BoxDirectory.toKey(settings.box),
+      value: BoxDirectory.formatRecord(settings.internal),
+    };
+    while (!this.isStopping) {
+      const outcome = await this.writer.writeRecord(write, clock.readNow() + ANNOUNCE_LIMIT_MS);
+      if (outcome === 'written') {
+        return;
+      }
+      await startDelay(ANNOUNCE_AGAIN_MS);
+    }
+  }
+
+  private handleJobRecords(records: readonly LogRecord[]): void {
+    this.directory.foldRecords(records);
+    const { accepted, cancelled } = this.replica.foldJobRecords(records);
+    accepted.forEach((definition) => this.duty?.handleJob(definition));
+    cancelled.forEach((id) => this.duty?.handleCancel(id));
+  }
+
+  private handleOperatorRecords(records: readonly LogRecord[]): void {
+    for (const { key, value } of records) {
+      if (key !== this.options.adapter.configurationKey) {
+        continue;
+      }
+      const configuration = this.options.adapter.parseConfiguration(value);
+      if (configuration === undefined) {
+        this.logger.error('Configuration is malformed and left out.', { bytes: value.length });
+      } else if (this.router.applyConfiguration(configuration)) {
+        this.logger.info('Configuration in force.', {
+          version: configuration.version,
+          routes: configuration.routes.length,
+        });
+      }
+    }
+  }
+
+  private applyAccepted(definition: JobDefinition): void {
+    const key = jobKeys.toDefinitionKey(definition.id);
+    this.handleJobRecords([{ offset: 0, key, value: JSON.stringify(definition) }]);
+  }
+
+  private applyCancelled(id: JobId): void {
+    this.handleJobRecords([{ offset: 0, key: jobKeys.toCancelKey(id), value: '1' }]);
+  }
+
+  private startLeading(epoch: number): void {
+    const { adapter, clock, random, settings } = this.options;
+    if (this.isStopping) {
+      return;
+    }
+    this.metrics.recordCount('elections');
+    this.progressFollower.stop();
+    this.jobsFollower.applyPause(LEADER_PAUSE_MS);
+    this.duty = new LeaderDuty({
+      epoch,
+      client: this.log,
+      progressTopic: PROGRESS_TOPIC,
+      endpointsTopic: adapter.endpointsTopic,
+      maxAppendBytes: settings.maxAppendBytes,
+      replica: this.replica,
+      clock,
+      random,
+      logger: this.options.createPartLogger('leader'),
+      parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
+      createEndpointClient: (profile) => adapter.createEndpointClient(profile, epoch),
+      readAskers: () => this.readAskers(),
+      formatLeaderRecord: (isResigned) => this.leadership.formatRecord(epoch, isResigned),
+      handleDeposed: (detail) => this.handleDeposed(epoch, detail),
+      recordCount: (name) => this.metrics.recordCount(name),
+      recordTime: (name, valueMs) => this.metrics.recordTime(name, valueMs),
+    });
+    this.duty.start();
+  }
+
+  private handleDeposed(epoch: number, detail: string): void {
+    this.logger.info('Leading no more.', { epoch, detail });
+    this.duty = undefined;
+    this.jobsFollower.applyPause(FOLLOWER_PAUSE_MS);
+    this.leadership.handleDeposed();
+    void this.progressFollower.start();
+  }
+
+  /** This box first, then the others that have announced themselves. */
+  private readAskers(): { box: string; isOwn: boolean; client: AdviceClient }[] {
+    const own = { box: this.options.settings.box, isOwn: true, client: this.advice };
+    const others = this.directory
+      .readBoxes()
+      .filter(({ box }) => box !== own.box)
+      .map(({ box, address }) => ({ box, isOwn: false, client: this.readBoxAdvice(box, address) }));
+    return [own, ...others];
+  }
+
+  private readBoxAdvice(box: string, address: string): BoxAdviceClient {
+    const known = this.boxAdvice.get(box);
+    if (known?.address === address) {
+      return known;
+    }
+    void known?.stop();
+    const created = new BoxAdviceClient(address);
+    this.boxAdvice.set(box, created);
+    return created;
+  }
+
+  private formatMetrics(): string {
+    return this.metrics.formatText({
+      leading: this.duty === undefined ? 0 : 1,
+      liveJobs: this.duty?.readDispatcher().readJobCount() ?? 0,
+      configurationVersion: this.router.readConfiguration()?.version ?? 0,
+      logWriteFailingMs: Math.round(this.writer.readFailingMs()),
+    });
+  }
+}
--- /dev/null
+++ b/packages/serve/ServeSettings.ts
@@ -0,0 +1,19 @@
+/** What one entry process needs to know at its start. */
+export interface ServeSettings {
+  readonly box: string;
+  readonly hall: string;
+  /** Host and port for callers. */
+  readonly front: string;
+  /** Host and port for the balancer's question. */
+  readonly ready: string;
+  /** Host and port for other entry boxes and collectors of metrics. */
+  readonly internal: string;
+  /** Host and port of the platform's log. */
+  readonly log: string;
+  /** Host and port of the advice service; empty where there is none. */
+  readonly advice: string;
+  /** Largest append in bytes. */
+  readonly maxAppendBytes: number;
+  /** Time from SIGTERM to SIGKILL. */
+  readonly graceMs: number;
+}
--- /dev/null
+++ b/packages/store/ExclusiveWriter.ts
@@ -0,0 +1,150 @@
+import type { Clock } from '../common/Clock';
+import { startDelay } from '../common/startDelay';
+import type { LogClient } from './LogClient';
+import type { LogWrite } from './LogWrite';
+
+interface ExclusiveWriterOptions {
+  readonly client: LogClient;
+  readonly topic: string;
+  readonly clock: Clock;
+  readonly producer: string;
+  readonly epoch: number;
+  /** Number of the newest append that this writer has made in the epoch. */
+  readonly lastSequence: number;
+  /** Waits this long for more records before an append is sent. */
+  readonly gatherMs: number;
+  readonly maxBytes: number;
+  /** A newer writer holds the topic: nothing of this one lands any more. */
+  readonly handleFenced: (detail: string) => void;
+  /** An append was answered; the argument is when it was sent. */
+  readonly handleConfirmed: (sentAt: number) => void;
+  /** Appends fail, or work again. */
+  readonly handleConnection: (isConnected: boolean, detail: string) => void;
+}
+
+interface QueuedChange {
+  readonly handleWritten: () => void;
+}
+
+const FIRST_TIMEOUT_MS = 350;
+const MAX_TIMEOUT_MS = 1400;
+const RETRY_DELAY_MS = 60;
+const RECORD_OVERHEAD_BYTES = 5;
+
+/**
+ * Appends as the one writer of an epoch. Appends are numbered, so that one without an answer is repeated without doubling.
+ * Records are formatted when they are sent: a key that changed several times meanwhile is written once.
+ */
+export class ExclusiveWriter {
+  private readonly dirty = new Map<string, () => string>();
+  private queued: QueuedChange[] = [];
+  private sequence: number;
+  private isSending = false;
+  private isStopped = false;
+  private isConnected = true;
+
+  constructor(private readonly options: ExclusiveWriterOptions) {
+    this.sequence = options.lastSequence;
+  }
+
+  /**
+   * Queues the newest value of a key. `handleWritten` is called once it is durable, and never when it is not.
+   * `formatValue` is called when the append is made.
+   */
+  queueWrite(key: string, formatValue: () => string, handleWritten?: () => void): void {
+    if (this.isStopped) {
+      return;
+    }
+    this.dirty.set(key, formatValue);
+    if (handleWritten !== undefined) {
+      this.queued.push({ handleWritten });
+    }
+    if (!this.isSending) {
+      this.isSending = true;
+      void this.sendQueued();
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.dirty.clear();
+    this.queued = [];
+  }
+
+  /** Resolves once all that is queued is durable, or the time is over. */
+  async startFlush(timeoutMs: number): Promise<void> {
+    const until = this.options.clock.readNow() + timeoutMs;
+    while (this.isSending && this.options.clock.readNow() < until) {
+      await startDelay(5);
+    }
+  }
+
+  private async sendQueued(): Promise<void> {
+    await startDelay(this.options.gatherMs);
+    while (this.dirty.size > 0 && !this.isStopped) {
+      const writes = this.createBatch();
+      // Changes that did not fit wait for the next append, and so do the handlers: a handler's record may be among them.
+      const handlers = this.dirty.size === 0 ? this.queued.splice(0) : [];
+      const isWritten = await this.sendBatch(writes);
+      if (!isWritten) {
+        break;
+      }
+      handlers.forEach(({ handleWritten }) => handleWritten());
+    }
+    this.isSending = false;
+  }
+
+  private createBatch(): readonly LogWrite[] {
+    const writes: LogWrite[] = [];
+    let bytes = 0;
+    for (const [key, formatValue] of this.dirty) {
+      const value = formatValue();
+      bytes += Buffer.byteLength(key) + Buffer.byteLength(value) + RECORD_OVERHEAD_BYTES;
+      if (writes.length > 0 && bytes > this.options.maxBytes) {
+        break;
+      }
+      this.dirty.delete(key);
+      writes.push({ key, value });
+    }
+    return writes;
+  }
+
+  private async sendBatch(writes: readonly LogWrite[]): Promise<boolean> {
+    const { client, topic, clock, producer, epoch } = this.options;
+    this.sequence += 1;
+    let timeoutMs = FIRST_TIMEOUT_MS;
+    while (!this.isStopped) {
+      const sentAt = clock.readNow();
+      const writer = { producer, epoch, sequence: this.sequence };
+      const answer = await client.append({ topic, writes, writer, timeoutMs });
+      if (this.hasStopped()) {
+        return false;
+      }
+      if (answer.ok) {
+        this.recordConnection(true, '');
+        this.options.handleConfirmed(sentAt);
+        return true;
+      }
+      if (answer.error.kind === 'fenced') {
+        this.stop();
+        this.options.handleFenced(answer.error.detail);
+        return false;
+      }
+      this.recordConnection(false, answer.error.kind === 'forgotten' ? 'forgotten' : answer.error.detail);
+      timeoutMs = Math.min(MAX_TIMEOUT_MS, timeoutMs * 2);
+      await startDelay(RETRY_DELAY_MS);
+    }
+    return false;
+  }
+
+  private recordConnection(isConnected: boolean, detail: string): void {
+    if (this.isConnected !== isConnected) {
+      this.isConnected = isConnected;
+      this.options.handleConnection(isConnected, detail);
+    }
+  }
+
+  private hasStopped(): boolean {
+    return this.isStopped;
+  }
+}
--- /dev/null
+++ b/packages/store/LogWriter.ts
@@ -0,0 +1,126 @@
+import type { Clock } from '../common/Clock';
+import { startDelay } from '../common/startDelay';
+import type { LogClient } from './LogClient';
+import type { LogError } from './LogError';
+import type { LogWrite } from './LogWrite';
+
+interface LogWriterOptions {
+  readonly client: LogClient;
+  readonly topic: string;
+  readonly clock: Clock;
+  /** Waits this long for more records before an append is sent. */
+  readonly gatherMs: number;
+  /** Largest append in bytes. */
+  readonly maxBytes: number;
+}
+
+/** How a write ended: `unknown` may still land. */
+type WriteOutcome = 'written' | 'refused' | 'unknown';
+
+interface QueuedWrite {
+  readonly write: LogWrite;
+  readonly deadline: number;
+  readonly resolve: (outcome: WriteOutcome) => void;
+}
+
+const FIRST_TIMEOUT_MS = 350;
+const MAX_TIMEOUT_MS = 1400;
+const RETRY_DELAY_MS = 50;
+/** Bytes that a record takes beside its key and value. */
+const RECORD_OVERHEAD_BYTES = 5;
+
+/**
+ * Appends records of many callers with few calls: one append at a time, and all that came meanwhile goes into the next.
+ * The records must bear being appended twice, since an append without an answer is tried again.
+ */
+export class LogWriter {
+  private readonly queued: QueuedWrite[] = [];
+  private isSending = false;
+  private timeoutMs = FIRST_TIMEOUT_MS;
+  private failingSince: number | undefined;
+
+  constructor(private readonly options: LogWriterOptions) {}
+
+  /** Appends one record. Answers by the deadline, in monotonic milliseconds, at the latest. */
+  writeRecord(write: LogWrite, deadline: number): Promise<WriteOutcome> {
+    return new Promise((resolve) => {
+      this.queued.push({ write, deadline, resolve });
+      if (!this.isSending) {
+        this.isSending = true;
+        void this.sendQueued();
+      }
+    });
+  }
+
+  /** How long appends have failed, in milliseconds; 0 while the newest was answered. */
+  readFailingMs(): number {
+    return this.failingSince === undefined ? 0 : this.options.clock.readNow() - this.failingSince;
+  }
+
+  private async sendQueued(): Promise<void> {
+    await startDelay(this.options.gatherMs);
+    while (this.queued.length > 0) {
+      await this.sendBatch(this.createBatch());
+    }
+    this.isSending = false;
+  }
+
+  private createBatch(): readonly QueuedWrite[] {
+    let bytes = 0;
+    let count = 0;
+    for (const { write } of this.queued) {
+      bytes += Buffer.byteLength(write.key) + Buffer.byteLength(write.value) + RECORD_OVERHEAD_BYTES;
+      if (count > 0 && bytes > this.options.maxBytes) {
+        break;
+      }
+      count += 1;
+    }
+    return this.queued.splice(0, count);
+  }
+
+  /** Tries a batch until it is answered; writes whose deadline passes meanwhile are given up one by one. */
+  private async sendBatch(batch: readonly QueuedWrite[]): Promise<void> {
+    let open = batch;
+    let mayHaveLanded = false;
+    while (open.length > 0) {
+      const timeoutMs = Math.min(this.timeoutMs, this.readLongestLeft(open));
+      const answer = await this.options.client.append({
+        topic: this.options.topic,
+        writes: open.map(({ write }) => write),
+        timeoutMs,
+      });
+      if (answer.ok) {
+        this.recordSuccess();
+        open.forEach(({ resolve }) => resolve('written'));
+        return;
+      }
+      this.recordFailure(answer.error);
+      mayHaveLanded = mayHaveLanded || answer.error.kind === 'unknown';
+      const now = this.options.clock.readNow() + RETRY_DELAY_MS;
+      open
+        .filter(({ deadline }) => deadline <= now)
+        .forEach(({ resolve }) => resolve(mayHaveLanded ? 'unknown' : 'refused'));
+      open = open.filter(({ deadline }) => deadline > now);
+      if (open.length > 0) {
+        await startDelay(RETRY_DELAY_MS);
+      }
+    }
+  }
+
+  private readLongestLeft(open: readonly QueuedWrite[]): number {
+    const latest = Math.max(...open.map(({ deadline }) => deadline));
+    return Math.max(1, latest - this.options.clock.readNow());
+  }
+
+  private recordSuccess(): void {
+    this.failingSince = undefined;
+    this.timeoutMs = FIRST_TIMEOUT_MS;
+  }
+
+  private recordFailure(error: LogError): void {
+    this.failingSince ??= this.options.clock.readNow();
+    if (error.kind === 'unknown') {
+      this.timeoutMs = Math.min(MAX_TIMEOUT_MS, this.timeoutMs * 2);
+    }
+  }
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,5 +11,8 @@
   logLevel: 'warning',
 };
 
-await build({ ...shared, entryPoints: ['app/main.ts'], outfile: 'dist/stairline.cjs' });
-await build({ ...shared, entryPoints: ['dev/main.ts'], outfile: 'dist/dev.cjs' });
+const folder = process.argv[2] ?? 'dist';
+await build({ ...shared, entryPoints: ['app/main.ts'], outfile: `${folder}/stairline.cjs` });
+if (folder === 'dist') {
+  await build({ ...shared, entryPoints: ['dev/main.ts'], outfile: 'dist/dev.cjs' });
+}
