Take over only once all jobs have been read

Ruled out: ends missing in the endpoints' answers (the first answer after take-over lists them, jobs: 0).

--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
+import { startDelay } from '../common/startDelay';
 import type { EndpointId } from '../jobs/EndpointId';
 import { formatProgress } from '../jobs/formatProgress';
 import type { JobDefinition } from '../jobs/JobDefinition';
@@ -32,6 +33,8 @@
   readonly endpointsTopic: string;
   readonly maxAppendBytes: number;
   readonly replica: JobReplica;
+  /** Reads the jobs' topic on; true once everything written before the call is in the replica. */
+  readonly startJobsRefresh: () => Promise<boolean>;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
@@ -61,6 +64,8 @@
   private readonly desk: AdviceDesk;
   private readonly sessions = new Map<EndpointId, EndpointSession>();
   private readonly profiles = new Map<string, EndpointProfile>();
+  private hasReadEndpoints = false;
+  private hasReadJobs = false;
   private hasTakenOver = false;
   private isStopped = false;
   private isRoundQueued = false;
@@ -112,9 +117,13 @@
     });
   }
 
-  /** Begins: heartbeats at once, orders once the endpoints' records have been read. */
+  /**
+   * Begins: heartbeats at once; orders once the endpoints' records and all jobs have been read, since the end of a run is
+   * understood, and acknowledged, only with its job at hand.
+   */
   start(): void {
     void this.endpoints.start();
+    void this.startReadingJobs();
     this.timer = setInterval(() => this.applyTime(), TICK_MS);
   }
 
@@ -181,12 +190,21 @@
       }
       this.applyProfile(profile);
     }
-    if (!this.hasTakenOver) {
-      this.startTakeOver();
-    }
+    this.hasReadEndpoints = true;
+    this.startTakeOver();
     this.queueRound();
   }
 
+  private async startReadingJobs(): Promise<void> {
+    while (!this.isStopped && !this.hasReadJobs) {
+      this.hasReadJobs = await this.options.startJobsRefresh();
+      if (!this.hasReadJobs) {
+        await startDelay(TICK_MS);
+      }
+    }
+    this.startTakeOver();
+  }
+
   private applyProfile(profile: EndpointProfile): void {
     const known = this.profiles.get(profile.id);
     this.profiles.set(profile.id, profile);
@@ -202,6 +220,9 @@
 
   /** Takes in what earlier leaders left, then begins to look at the endpoints. */
   private startTakeOver(): void {
+    if (this.hasTakenOver || this.isStopped || !this.hasReadEndpoints || !this.hasReadJobs) {
+      return;
+    }
     const { replica, clock, logger, epoch } = this.options;
     this.hasTakenOver = true;
     for (const definition of replica.readDefinitions()) {
@@ -245,7 +266,11 @@
     const { clock } = this.options;
     const book = this.dispatcher.readBook(id);
     if (book !== undefined && (book.readSilentSince() !== undefined || !book.isSettled())) {
-      this.options.logger.info('Endpoint answers.', { endpoint: id, running: answer.running.length });
+      this.options.logger.info('Endpoint answers.', {
+        endpoint: id,
+        running: answer.running.length,
+        ended: answer.ended.length,
+      });
     }
     answer.ended.forEach(() => this.options.recordCount('ends'));
     const input = { endpoint: id, running: answer.running, ended: answer.ended, sentAt };
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -42,6 +42,7 @@
 const LEADER_POLL_MS = 1000;
 const OPERATOR_POLL_MS = 2000;
 const TICK_MS = 50;
+const TAKE_OVER_READ_MS = 1000;
 const GATHER_MS = 2;
 /** The balancer notices within two of its questions, one a second. */
 const LEAVE_NOTICE_MS = 2600;
@@ -272,6 +273,7 @@
       endpointsTopic: adapter.endpointsTopic,
       maxAppendBytes: settings.maxAppendBytes,
       replica: this.replica,
+      startJobsRefresh: () => this.jobsFollower.startRefresh(TAKE_OVER_READ_MS),
       clock,
       random,
       logger: this.options.createPartLogger('leader'),
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -159,7 +159,7 @@
   }
 
   private recordFailure(error: LogError): void {
-    this.sendFreshness(Infinity, false);
+    this.sendFreshness(this.options.clock.readNow(), false);
     if (this.isConnected) {
       this.isConnected = false;
       const detail = error.kind === 'forgotten' ? 'history gone' : error.detail;
