--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -21,14 +21,9 @@
   readonly handleConnection?: (isConnected: boolean, detail: string) => void;
 }
 
-interface RefreshWaiter {
-  readonly resolve: (isFresh: boolean) => void;
-  /** The first read that starts after this time answers the waiter. */
-  readonly askedAt: number;
-}
-
 /** Time for an answer beyond the wait that was asked for. */
 const CALL_TIMEOUT_MS = 1500;
+const FIRST_READ_POLL_MS = 20;
 const BACKOFF_BASE_MS = 60;
 const BACKOFF_MAX_MS = 600;
 
@@ -42,7 +37,9 @@
   private lastOkAt = -Infinity;
   private pauseEnd: AbortController | undefined;
   private pauseMs: number;
-  private readonly waiters: RefreshWaiter[] = [];
+  /** A read outside the loop, and the one that follows it for those who ask meanwhile. */
+  private refresh: Promise<boolean> | undefined;
+  private nextRefresh: Promise<boolean> | undefined;
   private readonly backoff: Backoff;
 
   constructor(private readonly options: LogFollowerOptions) {
@@ -60,13 +57,12 @@
     this.generation += 1;
     const { generation } = this;
     while (this.isCurrent(generation)) {
-      const askedAt = this.options.clock.readNow();
       const error = this.offset === undefined ? await this.readFirst() : await this.readNext(this.offset);
       if (!this.isCurrent(generation)) {
         break;
       }
       if (error === undefined) {
-        this.recordSuccess(askedAt);
+        this.recordSuccess();
         await this.startPause(this.pauseMs);
       } else if (error.kind === 'forgotten') {
         this.offset = undefined;
@@ -80,7 +76,6 @@
   stop(): void {
     this.isStopped = true;
     this.pauseEnd?.abort();
-    this.sendFreshness(Infinity, false);
   }
 
   /** Sets the pause between reads from now on. */
@@ -103,17 +98,43 @@
     return this.isConnected;
   }
 
-  /** Resolves to true once a read that was sent after this call has been handled; to false after the time limit. */
-  async startRefresh(timeoutMs: number): Promise<boolean> {
-    const answered = new Promise<boolean>((resolve) => {
-      this.waiters.push({ resolve, askedAt: this.options.clock.readNow() });
+  /** Resolves to true once a read that was sent after this call has been handled; to false when there was none in time. */
+  startRefresh(timeoutMs: number): Promise<boolean> {
+    if (this.refresh === undefined) {
+      this.refresh = this.readNow(timeoutMs).finally(() => {
+        this.refresh = undefined;
+      });
+      return this.refresh;
+    }
+    // The read under way may have been answered before this call: only the next one is sure to show what was there.
+    this.nextRefresh ??= this.refresh.then(() => {
+      this.nextRefresh = undefined;
+      return this.startRefresh(timeoutMs);
     });
-    this.pauseEnd?.abort();
-    const limit = new AbortController();
-    const timedOut = startDelay(timeoutMs, limit.signal).then(() => false);
-    const isFresh = await Promise.race([answered, timedOut]);
-    limit.abort();
-    return isFresh;
+    return this.nextRefresh;
+  }
+
+  /** Reads beside the loop, which may be in a long poll. */
+  private async readNow(timeoutMs: number): Promise<boolean> {
+    const { client, topic, clock } = this.options;
+    const until = clock.readNow() + timeoutMs;
+    while (clock.readNow() < until) {
+      const offset = this.offset;
+      if (offset === undefined) {
+        await startDelay(Math.min(FIRST_READ_POLL_MS, until - clock.readNow()));
+        continue;
+      }
+      const leftMs = until - clock.readNow();
+      const answer = await client.readRecords({ topic, fromOffset: offset, waitMs: 0, timeoutMs: leftMs });
+      if (!answer.ok) {
+        return false;
+      }
+      if (this.offset === offset) {
+        this.applyRecords(answer.value.records);
+        return true;
+      }
+    }
+    return false;
   }
 
   private async readFirst(): Promise<LogError | undefined> {
@@ -129,29 +150,30 @@
 
   private async readNext(offset: number): Promise<LogError | undefined> {
     const { client, topic } = this.options;
-    const waitMs = this.waiters.length > 0 ? 0 : this.options.pollMs;
+    const waitMs = this.options.pollMs;
     const timeoutMs = waitMs + CALL_TIMEOUT_MS;
     const answer = await client.readRecords({ topic, fromOffset: offset, waitMs, timeoutMs });
     if (!answer.ok) {
       return answer.error;
     }
-    if (this.offset !== offset) {
-      // A later start has read on meanwhile.
-      return undefined;
+    // Unless a refresh or a later start has read on meanwhile.
+    if (this.offset === offset) {
+      this.applyRecords(answer.value.records);
     }
-    const { records, endOffset } = answer.value;
-    this.offset =
-      records.length === 0 ? Math.max(offset, endOffset) : records[records.length - 1]!.offset + 1;
-    if (records.length > 0) {
+    return undefined;
+  }
+
+  private applyRecords(records: readonly LogRecord[]): void {
+    const last = records[records.length - 1];
+    if (last !== undefined) {
+      this.offset = last.offset + 1;
       this.options.handleRecords(records);
     }
-    return undefined;
   }
 
-  private recordSuccess(askedAt: number): void {
+  private recordSuccess(): void {
     this.lastOkAt = this.options.clock.readNow();
     this.backoff.recordSuccess();
-    this.sendFreshness(askedAt, true);
     if (!this.isConnected) {
       this.isConnected = true;
       this.options.handleConnection?.(true, '');
@@ -159,7 +181,6 @@
   }
 
   private recordFailure(error: LogError): void {
-    this.sendFreshness(this.options.clock.readNow(), false);
     if (this.isConnected) {
       this.isConnected = false;
       const detail = error.kind === 'forgotten' ? 'history gone' : error.detail;
@@ -167,16 +188,8 @@
     }
   }
 
-  private sendFreshness(readSentAt: number, isFresh: boolean): void {
-    const answered = this.waiters.filter((waiter) => waiter.askedAt <= readSentAt);
-    for (const waiter of answered) {
-      this.waiters.splice(this.waiters.indexOf(waiter), 1);
-      waiter.resolve(isFresh);
-    }
-  }
-
   private async startPause(ms: number): Promise<void> {
-    if (ms <= 0 || (this.waiters.length > 0 && this.isConnected)) {
+    if (ms <= 0) {
       return;
     }
     this.pauseEnd = new AbortController();
