--- /dev/null
+++ b/dev/cell/Cell.ts
@@ -0,0 +1,252 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { AdviceStandin } from '../../packages/standins/platform/AdviceStandin';
+import { ExecutorStandin } from '../../packages/standins/platform/ExecutorStandin';
+import { LogStandin } from '../../packages/standins/platform/LogStandin';
+import { RunWitness } from '../../packages/standins/platform/RunWitness';
+import { chooseFreePorts } from '../fleet/chooseFreePorts';
+import { ManagedProcess } from '../fleet/ManagedProcess';
+
+interface CellOptions {
+  readonly boxes: number;
+  readonly executors: number;
+  /** Tasks of one core that an executor has room for. */
+  readonly roomPerExecutor: number;
+}
+
+interface CellBox {
+  readonly name: string;
+  readonly front: string;
+  readonly ready: string;
+  readonly settingsFile: string;
+  process: ManagedProcess;
+}
+
+interface CellExecutor {
+  readonly id: string;
+  readonly address: string;
+  readonly standin: ExecutorStandin;
+}
+
+interface CellAnswer {
+  readonly status: number;
+  readonly body: { readonly state?: string; readonly pending?: number; readonly error?: string };
+  readonly retryAfter: number | undefined;
+  readonly tookMs: number;
+}
+
+const HOST = '127.0.0.1';
+const PROGRAM = 'dist/stairline.cjs';
+const SERVICE = 'service-a';
+const QUEUE_HOST = 'jobs.example';
+const CALL_TIMEOUT_MS = 8000;
+const POLL_MS = 40;
+const CORE_MILLIS = 1000;
+const MEMORY_PER_TASK_MB = 100;
+
+/** One cell on this machine: real entry processes, and stand-ins for log, endpoints and advice. */
+export class Cell {
+  readonly witness: RunWitness;
+  readonly boxes: CellBox[] = [];
+  readonly executors: CellExecutor[] = [];
+  private readonly folder = mkdtempSync(join(tmpdir(), 'stairline-cell-'));
+
+  private constructor(
+    private readonly options: CellOptions,
+    readonly log: LogStandin,
+    readonly advice: AdviceStandin,
+  ) {
+    this.witness = new RunWitness(options.roomPerExecutor);
+  }
+
+  /** Creates a cell, starts everything, and waits until a box takes callers. */
+  static async create(options: CellOptions): Promise<Cell> {
+    const ports = await chooseFreePorts(2 + options.boxes * 3 + options.executors);
+    const addresses = ports.map((port) => `${HOST}:${port}`);
+    const [logAddress, adviceAddress, ...others] = addresses as [string, string, ...string[]];
+    const cell = new Cell(options, new LogStandin(logAddress), new AdviceStandin(adviceAddress));
+    await cell.log.start();
+    await cell.advice.start();
+    cell.writeConfiguration(1);
+    for (let index = 0; index < options.executors; index += 1) {
+      await cell.startExecutor(`i-${index}`, others[options.boxes * 3 + index]!);
+    }
+    for (let index = 0; index < options.boxes; index += 1) {
+      cell.createBox(`box-${index}`, others.slice(index * 3, index * 3 + 3), logAddress, adviceAddress);
+    }
+    await Promise.all(cell.boxes.map((box) => cell.startReady(box)));
+    return cell;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.boxes.map(({ process }) => process.stop()));
+    await Promise.all(this.executors.map(({ standin }) => standin.stop()));
+    await this.advice.stop();
+    await this.log.stop();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  /** Writes a version of the configuration: queue `jobs`, and `advised`, which needs advice. */
+  writeConfiguration(version: number, extra: readonly string[] = []): void {
+    const route = (name: string): object => ({
+      name,
+      host: QUEUE_HOST,
+      'path-prefix': `/${name}/`,
+      'route-type': 'non_idempotent',
+      'timeout-ms': 3000,
+      'target-latency-ms': 250,
+      priority: name === 'urgent' ? 0 : 1,
+      service: SERVICE,
+      attempts: 2,
+      stretch: 1.5,
+    });
+    const advice = { 'decision-ms': 5, 'period-ms': 1, 'validity-ms': 2500 };
+    const routes = [...['jobs', 'urgent', ...extra].map(route), { ...route('advised'), advice }];
+    const configuration = { version, routes, services: [{ name: SERVICE }], limits: {} };
+    this.log.writeRecord('keyed.op', 'config', configuration);
+  }
+
+  async startExecutor(id: string, address: string): Promise<void> {
+    const standin = new ExecutorStandin({ id, address, witness: this.witness });
+    await standin.start();
+    this.executors.push({ id, address, standin });
+    this.writeExecutor(id, address, 'ready');
+  }
+
+  writeExecutor(id: string, address: string, state: 'ready' | 'draining'): void {
+    const { roomPerExecutor } = this.options;
+    this.log.writeRecord('keyed.servers', id, {
+      service: SERVICE,
+      address,
+      zone: 'hall-a',
+      version: 'v1',
+      slots: 8,
+      state,
+      'cold-remaining-ms': 0,
+      capacity: {
+        cpu: roomPerExecutor * CORE_MILLIS,
+        'mem-mb': roomPerExecutor * MEMORY_PER_TASK_MB,
+        gpu: 0,
+      },
+      labels: ['a', 'r1-1'],
+      'call-seq': 1,
+    });
+  }
+
+  /** Starts a box again under its name. */
+  startBox(box: CellBox): void {
+    box.process = this.createProcess(box.name, box.settingsFile);
+  }
+
+  /** Waits until the box takes callers. */
+  async startReady(box: CellBox): Promise<void> {
+    await this.startUntil(async () => {
+      const answer = await request(`http://${box.ready}/ready`).catch(() => undefined);
+      await answer?.body.dump();
+      return answer?.statusCode === 200;
+    });
+  }
+
+  /** The box that leads, by its own log. */
+  async startLeader(): Promise<CellBox> {
+    let leader: CellBox | undefined;
+    await this.startUntil(() => {
+      leader = this.boxes.find((box) => box.process.isAlive() && this.isLeading(box));
+      return Promise.resolve(leader !== undefined);
+    });
+    return leader!;
+  }
+
+  async sendJob(box: CellBox, id: string, body: unknown, queue = 'jobs'): Promise<CellAnswer> {
+    return this.sendCall(
+      box,
+      'POST',
+      `/${queue}/${id}`,
+      typeof body === 'string' ? body : JSON.stringify(body),
+    );
+  }
+
+  async readState(box: CellBox, id: string): Promise<CellAnswer> {
+    return this.sendCall(box, 'GET', `/jobs/${id}`);
+  }
+
+  async sendCall(
+    box: CellBox,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    body?: string,
+  ): Promise<CellAnswer> {
+    const startedAt = performance.now();
+    const answer = await request(`http://${box.front}${path}`, {
+      method,
+      headers: {
+        host: QUEUE_HOST,
+        'content-type': 'application/json',
+        'x-stairline-deadline-ms': '3000',
+      },
+      body: body ?? null,
+      headersTimeout: CALL_TIMEOUT_MS,
+    });
+    const text = await answer.body.text();
+    const retryAfter = answer.headers['retry-after'];
+    return {
+      status: answer.statusCode,
+      body: (text === '' ? {} : JSON.parse(text)) as CellAnswer['body'],
+      retryAfter: retryAfter === undefined ? undefined : Number(retryAfter),
+      tookMs: performance.now() - startedAt,
+    };
+  }
+
+  /** Waits until a job has a state, as a box shows it. */
+  async startState(box: CellBox, id: string, state: string, timeoutMs = 15_000): Promise<void> {
+    await this.startUntil(
+      async () => (await this.readState(box, id).catch(() => undefined))?.body.state === state,
+      timeoutMs,
+    );
+  }
+
+  /** Waits until something holds. */
+  async startUntil(isTrue: () => Promise<boolean>, timeoutMs = 15_000): Promise<void> {
+    const until = performance.now() + timeoutMs;
+    while (!(await isTrue())) {
+      if (performance.now() > until) {
+        throw new Error(`It did not come to hold in ${timeoutMs} ms.`);
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+  }
+
+  private isLeading(box: CellBox): boolean {
+    const output = box.process.readOutput();
+    return output.lastIndexOf('"Leading."') > output.lastIndexOf('"Leading no more."');
+  }
+
+  private createBox(name: string, addresses: readonly string[], log: string, advice: string): void {
+    const [front, ready, internal] = addresses as [string, string, string];
+    const port = Number(internal.split(':')[1]);
+    const settingsFile = join(this.folder, `${name}.json`);
+    const settings = {
+      'node-name': name,
+      zone: 'hall-a',
+      ip: HOST,
+      listen: { front, ready },
+      'internal-ports': [port, port],
+      advice,
+      platform: { address: log, call_bytes: 2_097_152 },
+      'a-field-of-later': true,
+    };
+    writeFileSync(settingsFile, JSON.stringify(settings));
+    const process = this.createProcess(name, settingsFile);
+    this.boxes.push({ name, front, ready, settingsFile, process });
+  }
+
+  private createProcess(name: string, settingsFile: string): ManagedProcess {
+    return new ManagedProcess({
+      name,
+      args: [PROGRAM, 'serve', '--settings', settingsFile],
+      logFile: join(this.folder, `${name}.log`),
+    });
+  }
+}
--- /dev/null
+++ b/packages/standins/platform/AdviceStandin.ts
@@ -0,0 +1,38 @@
+import { createServer, type Server } from 'node:http';
+import { readJsonBody } from '../readJsonBody';
+import { sendJson } from '../sendJson';
+import { startListening } from '../startListening';
+
+/** Stands in for the advice service: every endpoint but those refused may run every step. */
+export class AdviceStandin {
+  private server: Server | undefined;
+  private questionCount = 0;
+  private refused: readonly string[] = [];
+
+  constructor(private readonly address: string) {}
+
+  async start(): Promise<void> {
+    this.server = createServer((request, response) => {
+      void readJsonBody(request).then((body) => {
+        this.questionCount += 1;
+        const { step, workers } = body as { step: string; workers: readonly string[] };
+        const good = workers.filter((id) => !this.refused.includes(id)).map((id) => [id, `${step}-${id}`]);
+        sendJson(response, 200, { good });
+      });
+    });
+    await startListening(this.server, this.address);
+  }
+
+  async stop(): Promise<void> {
+    this.server?.closeAllConnections();
+    await new Promise((resolve) => this.server?.close(resolve));
+  }
+
+  applyRefused(endpoints: readonly string[]): void {
+    this.refused = endpoints;
+  }
+
+  readQuestionCount(): number {
+    return this.questionCount;
+  }
+}
--- /dev/null
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -0,0 +1,217 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { readJsonBody } from '../readJsonBody';
+import { sendJson } from '../sendJson';
+import { startListening } from '../startListening';
+import type { ExecutorFault } from './ExecutorFault';
+import type { ExecutorRun } from './ExecutorRun';
+import type { RunWitness } from './RunWitness';
+
+interface ExecutorStandinOptions {
+  readonly id: string;
+  readonly address: string;
+  readonly witness: RunWitness;
+}
+
+interface OrderWire {
+  readonly task: string;
+  readonly run: number;
+  readonly spec: string;
+  readonly 'expires-ms'?: number;
+  readonly 'fencing-token'?: number;
+  readonly 'last-seen'?: number;
+  readonly 'wait-ms'?: number;
+}
+
+type EndRow = [number: number, task: string, run: number, how: string, saved: string];
+type Handler = (body: OrderWire, response: ServerResponse) => Promise<void> | void;
+
+const LATE_START_MS = 1500;
+const LASTING = 'lasts';
+const HUNDRED = 100;
+
+/**
+ * Stands in for one endpoint that takes orders in the form of the platform's pages: it guards no capacity, obeys the highest
+ * fencing token, kills everything when its lease ends, and lists each end until it is acknowledged. How long a task runs
+ * stands in its spec, in milliseconds; `lasts` runs until it is stopped.
+ */
+export class ExecutorStandin {
+  private readonly runs = new Map<string, ExecutorRun>();
+  private readonly stopped = new Map<string, number>();
+  private ends: EndRow[] = [];
+  private endCount = 0;
+  private token = 0;
+  private expiresAt = Infinity;
+  private leaseTimer: NodeJS.Timeout | undefined;
+  private fault: ExecutorFault = 'none';
+  private server: Server | undefined;
+  private readonly waiters = new Set<() => void>();
+
+  private readonly handlers: Readonly<Record<string, Handler>> = {
+    '/run-start': (body, response) => this.handleStart(body, response),
+    '/run-stop': (body, response) => this.handleStop(body, response),
+    '/hold': (body, response) => this.handleHold(body, response),
+    '/pace': (_body, response) => this.sendAnswer(response, 200, {}),
+  };
+
+  constructor(private readonly options: ExecutorStandinOptions) {}
+
+  async start(): Promise<void> {
+    this.server = createServer((request, response) => {
+      this.handleRequest(request, response).catch(() => response.destroy());
+    });
+    await startListening(this.server, this.options.address);
+  }
+
+  async stop(): Promise<void> {
+    clearTimeout(this.leaseTimer);
+    for (const run of this.runs.values()) {
+      clearTimeout(run.timer);
+      this.options.witness.recordEnd(this.options.id, run.task, run.run, 'gone');
+    }
+    this.runs.clear();
+    this.server?.closeAllConnections();
+    await new Promise((resolve) => this.server?.close(resolve));
+  }
+
+  applyFault(fault: ExecutorFault): void {
+    this.fault = fault;
+  }
+
+  readRunCount(): number {
+    return this.runs.size;
+  }
+
+  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = (await readJsonBody(request)) as OrderWire;
+    if (this.fault === 'silent') {
+      return;
+    }
+    if (request.headers['x-stairline-expect-instance'] !== this.options.id) {
+      this.sendAnswer(response, 421, {});
+      return;
+    }
+    const token = body['fencing-token'] ?? 0;
+    if (token < this.token) {
+      this.sendAnswer(response, 409, { reason: 'fence' });
+      return;
+    }
+    this.token = token;
+    const handler = this.handlers[request.url ?? ''];
+    if (handler === undefined) {
+      this.sendAnswer(response, 404, {});
+      return;
+    }
+    await handler(body, response);
+  }
+
+  private handleStart(body: OrderWire, response: ServerResponse): void {
+    if (this.fault === 'lateStarts') {
+      setTimeout(() => this.startRun(body), LATE_START_MS);
+      return;
+    }
+    const reason = this.startRun(body);
+    this.sendAnswer(response, reason === undefined ? 200 : 409, reason === undefined ? {} : { reason });
+  }
+
+  /** Starts a run; gives the reason when it does not. */
+  private startRun(body: OrderWire): string | undefined {
+    const { task, run, spec } = body;
+    if ((body['fencing-token'] ?? 0) < this.token) {
+      return 'fence';
+    }
+    if ((this.stopped.get(task) ?? 0) >= run) {
+      return 'old';
+    }
+    if ((body['expires-ms'] ?? Infinity) <= this.readClock()) {
+      return 'late';
+    }
+    if (this.runs.has(task)) {
+      return undefined;
+    }
+    this.applyLease(body['expires-ms']);
+    const runMs = spec === LASTING || this.fault === 'hanging' ? Infinity : Number(spec);
+    const how = this.fault === 'failing' ? 'failed' : 'done';
+    const timer = runMs === Infinity ? undefined : setTimeout(() => this.recordEnd(task, how), runMs);
+    this.runs.set(task, { task, run, spec, startedAt: this.readClock(), runMs, timer });
+    this.options.witness.recordStart(this.options.id, task, run);
+    return undefined;
+  }
+
+  private handleStop(body: OrderWire, response: ServerResponse): void {
+    this.stopped.set(body.task, Math.max(this.stopped.get(body.task) ?? 0, body.run));
+    if (this.runs.get(body.task)?.run === body.run) {
+      this.recordEnd(body.task, 'stopped');
+    }
+    this.sendAnswer(response, 200, {});
+  }
+
+  private async handleHold(body: OrderWire, response: ServerResponse): Promise<void> {
+    const lastSeen = body['last-seen'] ?? 0;
+    this.ends = this.ends.filter((end) => end[0] > lastSeen);
+    this.applyLease(body['expires-ms']);
+    const waitMs = body['wait-ms'] ?? 0;
+    if (waitMs > 0 && this.ends.length === 0) {
+      await this.startWait(waitMs);
+    }
+    const running = [...this.runs.values()].map((run) => [run.task, run.run, '', this.readPercent(run), 0]);
+    this.sendAnswer(response, 200, { running, 'end-time': this.ends });
+  }
+
+  private readPercent(run: ExecutorRun): number {
+    return run.runMs === Infinity
+      ? HUNDRED
+      : Math.min(HUNDRED, Math.floor(((this.readClock() - run.startedAt) * HUNDRED) / run.runMs));
+  }
+
+  private startWait(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const handleEnd = (): void => {
+        clearTimeout(timer);
+        this.waiters.delete(handleEnd);
+        resolve();
+      };
+      const timer = setTimeout(handleEnd, waitMs);
+      this.waiters.add(handleEnd);
+    });
+  }
+
+  private applyLease(expiresMs: number | undefined): void {
+    if (expiresMs === undefined || (this.expiresAt !== Infinity && expiresMs <= this.expiresAt)) {
+      return;
+    }
+    this.expiresAt = expiresMs;
+    clearTimeout(this.leaseTimer);
+    this.leaseTimer = setTimeout(
+      () => {
+        for (const task of [...this.runs.keys()]) {
+          this.recordEnd(task, 'lapsed');
+        }
+      },
+      Math.max(0, expiresMs - this.readClock()),
+    );
+  }
+
+  private recordEnd(task: string, how: string): void {
+    const run = this.runs.get(task);
+    if (run === undefined) {
+      return;
+    }
+    clearTimeout(run.timer);
+    this.runs.delete(task);
+    this.stopped.set(task, Math.max(this.stopped.get(task) ?? 0, run.run));
+    this.endCount += 1;
+    this.ends.push([this.endCount, task, run.run, how, '']);
+    this.options.witness.recordEnd(this.options.id, task, run.run, how);
+    for (const handleEnd of [...this.waiters]) {
+      handleEnd();
+    }
+  }
+
+  private readClock(): number {
+    return Math.round(performance.now());
+  }
+
+  private sendAnswer(response: ServerResponse, status: number, fields: object): void {
+    sendJson(response, status, { 'clock-ms': this.readClock(), ...fields });
+  }
+}
--- /dev/null
+++ b/tests/serve/faults.test.ts
@@ -0,0 +1,135 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { Cell } from '../../dev/cell/Cell';
+
+const step = (count: number, fields: object = {}): object => ({ count, cpu: 1000, 'mem-mb': 100, ...fields });
+const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
+
+describe('faults around a job', () => {
+  let cell: Cell;
+
+  beforeEach(async () => {
+    cell = await Cell.create({ boxes: 3, executors: 4, roomPerExecutor: 3 });
+  });
+
+  afterEach(async () => {
+    expect(cell.witness.readProblems()).toEqual([]);
+    await cell.stop();
+  });
+
+  /** Submits jobs of two steps and gives their ids. */
+  const sendJobs = async (count: number, runMs: number): Promise<string[]> => {
+    const ids = Array.from({ length: count }, (_, index) => toJobId(index + 1));
+    const body = { spec: String(runMs), steps: [step(2), step(2, { 'depends-on': [0] })] };
+    const box = cell.boxes[0]!;
+    const answers = await Promise.all(ids.map((id) => cell.sendJob(box, id, body)));
+    expect(answers.every(({ status }) => status === 200)).toBe(true);
+    return ids;
+  };
+
+  const startAllCompleted = async (ids: readonly string[], timeoutMs = 25_000): Promise<void> => {
+    const box = cell.boxes.find(({ process }) => process.isAlive())!;
+    await Promise.all(ids.map((id) => cell.startState(box, id, 'completed', timeoutMs)));
+  };
+
+  it('keeps every accepted job when all processes are killed right after accepting and starting it', async () => {
+    const ids = await sendJobs(6, 300);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() > 4));
+    cell.boxes.forEach(({ process }) => process.sendSignal('SIGKILL'));
+    await Promise.all(cell.boxes.map(({ process }) => process.exit));
+    // Runs end while nobody looks: their ends must be understood by the next leader.
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    cell.boxes.forEach((box) => cell.startBox(box));
+    await startAllCompleted(ids);
+  });
+
+  it('goes on under another leader when the leader is killed', async () => {
+    const ids = await sendJobs(6, 400);
+    const leader = await cell.startLeader();
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() > 4));
+    leader.process.sendSignal('SIGKILL');
+    await leader.process.exit;
+    await startAllCompleted(ids);
+  });
+
+  it('lets a leader that was paused give no more orders once another leads', async () => {
+    const leader = await cell.startLeader();
+    const ids = await sendJobs(6, 600);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() > 4));
+    leader.process.sendSignal('SIGSTOP');
+    const others = cell.boxes.filter((box) => box !== leader);
+    await cell.startUntil(() =>
+      Promise.resolve(others.some(({ process }) => process.readOutput().includes('"Leading."'))),
+    );
+    leader.process.sendSignal('SIGCONT');
+    await startAllCompleted(ids);
+    await cell.startUntil(() => Promise.resolve(leader.process.readOutput().includes('"Leading no more."')));
+  });
+
+  it('hands leadership over without a gap when the leader is stopped by plan', async () => {
+    const leader = await cell.startLeader();
+    const ids = await sendJobs(4, 500);
+    leader.process.sendSignal('SIGTERM');
+    const stoppedAt = performance.now();
+    const others = cell.boxes.filter((box) => box !== leader);
+    await cell.startUntil(() =>
+      Promise.resolve(others.some(({ process }) => process.readOutput().includes('"Leading."'))),
+    );
+    expect(performance.now() - stoppedAt).toBeLessThan(1500);
+    expect(await leader.process.exit).toBe(0);
+    const survivor = others[0]!;
+    await Promise.all(ids.map((id) => cell.startState(survivor, id, 'completed')));
+  });
+
+  it('answers at once while the log is silent, with a time to come back, and goes on afterwards', async () => {
+    const box = cell.boxes[0]!;
+    const [long] = await sendJobs(1, 3000);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 2));
+    cell.log.applyFault('silent');
+    await cell.sendJob(box, toJobId(100), { spec: '20', steps: [step(1)] });
+    await new Promise((resolve) => setTimeout(resolve, 1500));
+    const callsBefore = cell.log.readCallCount();
+    const refused = await cell.sendJob(box, toJobId(101), { spec: '20', steps: [step(1)] });
+    expect(refused.status).toBe(503);
+    expect(refused.retryAfter).toBeGreaterThanOrEqual(1);
+    expect(refused.tookMs).toBeLessThan(200);
+    await new Promise((resolve) => setTimeout(resolve, 2000));
+    // Three boxes with three followers each, and the leader's writes and endpoints.
+    expect(cell.log.readCallCount() - callsBefore).toBeLessThan(60);
+    cell.log.applyFault('none');
+    await cell.startState(box, long!, 'completed');
+    expect(cell.witness.readStartCount(`${long!}.0.0.0`)).toBe(1);
+    await cell.startUntil(
+      async () => (await cell.sendJob(box, toJobId(101), { spec: '20', steps: [step(1)] })).status === 200,
+    );
+  });
+
+  it('never says refused of a job that may have been taken, when the answers of the log are lost', async () => {
+    const box = cell.boxes[0]!;
+    await cell.startLeader();
+    cell.log.applyFault('loseAnswers');
+    const answer = await cell.sendJob(box, toJobId(1), { spec: '20', steps: [step(1)] });
+    expect(answer.status).toBe(504);
+    cell.log.applyFault('none');
+    expect((await cell.sendJob(box, toJobId(1), { spec: '20', steps: [step(1)] })).status).toBe(200);
+    await startAllCompleted([toJobId(1)]);
+  });
+
+  it('never runs a task twice when starts get no answer and are carried out late', async () => {
+    cell.executors.slice(0, 2).forEach(({ standin }) => standin.applyFault('lateStarts'));
+    const ids = await sendJobs(4, 200);
+    await startAllCompleted(ids);
+    await new Promise((resolve) => setTimeout(resolve, 1800));
+  });
+
+  it('starts the work of a silent endpoint elsewhere only after its lease, and uses it again when it answers', async () => {
+    const ids = await sendJobs(5, 900);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() >= 6));
+    const silent = cell.executors.find(({ standin }) => standin.readRunCount() > 0)!;
+    silent.standin.applyFault('silent');
+    await startAllCompleted(ids);
+    silent.standin.applyFault('none');
+    const more = await cell.sendJob(cell.boxes[0]!, toJobId(50), { spec: '100', steps: [step(12)] });
+    expect(more.status).toBe(200);
+    await startAllCompleted([toJobId(50)]);
+  });
+});
