--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -192,6 +192,7 @@
         run.confirmedAt = now;
         return;
       case 'unanswered':
+        book.recordOutcome(true, now);
         this.sendStop(book, run);
         return;
       case 'gone':
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -29,8 +29,10 @@
 }
 
 const RETRY_AFTER_MS = 1000;
-/** Appends that have failed for so long make further ones fail at once. */
+/** Appends that have failed for so long, while reads fail too, make further ones fail at once. */
 const OUTAGE_MS = 400;
+/** The same while reads are answered: some answers may merely be lost. */
+const LONG_OUTAGE_MS = 1000;
 /** Longest time for one append to be answered: what takes longer is better tried again through another box. */
 const WRITE_LIMIT_MS = 1300;
 const REFRESH_LIMIT_MS = 500;
@@ -128,7 +130,8 @@
 
   /** True when trying an append would only keep the caller waiting. */
   private isLogOut(): boolean {
-    return this.options.writer.readFailingMs() > OUTAGE_MS && !this.options.jobsFollower.isFollowing();
+    const { writer, jobsFollower } = this.options;
+    return writer.readFailingMs() > (jobsFollower.isFollowing() ? LONG_OUTAGE_MS : OUTAGE_MS);
   }
 
   private createUnavailable(id: JobId, queue: string): JobOutcome<never> {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -16,6 +16,7 @@
 import type { LogClient } from '../store/LogClient';
 import { LogFollower } from '../store/LogFollower';
 import type { LogRecord } from '../store/LogRecord';
+import type { LogWrite } from '../store/LogWrite';
 import { LogWriter } from '../store/LogWriter';
 import { JobDesk } from './JobDesk';
 import type { ServeAdapter } from './ServeAdapter';
@@ -83,6 +84,8 @@
       clock,
       gatherMs: GATHER_MS,
       maxBytes: settings.maxAppendBytes,
+      random,
+      probe: this.createAnnouncement(),
     });
     this.jobsFollower = this.createFollower(JOBS_TOPIC, FOLLOWER_PAUSE_MS, LEADER_POLL_MS, (records) =>
       this.handleJobRecords(records),
@@ -209,13 +212,15 @@
     });
   }
 
+  private createAnnouncement(): LogWrite {
+    const { box, internal } = this.options.settings;
+    return { key: BoxDirectory.toKey(box), value: BoxDirectory.formatRecord(internal) };
+  }
+
   /** Writes where this box can be called, until the log has taken it. */
   private async startAnnouncing(): Promise<void> {
-    const { clock, settings } = this.options;
-    const write = {
-      key: BoxDirectory.toKey(settings.box),
-      value: BoxDirectory.formatRecord(settings.internal),
-    };
+    const { clock } = this.options;
+    const write = this.createAnnouncement();
     while (!this.isStopping) {
       const outcome = await this.writer.writeRecord(write, clock.readNow() + ANNOUNCE_LIMIT_MS);
       if (outcome === 'written') {
--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -39,6 +39,8 @@
   private readonly stopped = new Map<string, number>();
   private ends: EndRow[] = [];
   private endCount = 0;
+  /** Ends up to this number happened before a lease that has run out. */
+  private lapsedUpTo = 0;
   private token = 0;
   private expiresAt = Infinity;
   private leaseTimer: NodeJS.Timeout | undefined;
@@ -147,7 +149,7 @@
 
   private async handleHold(body: OrderWire, response: ServerResponse): Promise<void> {
     const lastSeen = body['last-seen'] ?? 0;
-    this.ends = this.ends.filter((end) => end[0] > lastSeen);
+    this.recordNoted(lastSeen);
     this.applyLease(body['expires-ms']);
     const waitMs = body['wait-ms'] ?? 0;
     if (waitMs > 0 && this.ends.length === 0) {
@@ -157,6 +159,15 @@
     this.sendAnswer(response, 200, { running, 'end-time': this.ends });
   }
 
+  private recordNoted(lastSeen: number): void {
+    for (const [number, task, run, how] of this.ends) {
+      if (number <= lastSeen && number > this.lapsedUpTo && how === 'done') {
+        this.options.witness.recordNoted(task, run);
+      }
+    }
+    this.ends = this.ends.filter((end) => end[0] > lastSeen);
+  }
+
   private readPercent(run: ExecutorRun): number {
     return run.runMs === Infinity
       ? HUNDRED
@@ -183,6 +194,7 @@
     clearTimeout(this.leaseTimer);
     this.leaseTimer = setTimeout(
       () => {
+        this.lapsedUpTo = this.endCount;
         for (const task of [...this.runs.keys()]) {
           this.recordEnd(task, 'lapsed');
         }
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -22,7 +22,7 @@
 }
 
 /** Time for an answer beyond the wait that was asked for. */
-const CALL_TIMEOUT_MS = 1500;
+const CALL_TIMEOUT_MS = 900;
 const FIRST_READ_POLL_MS = 20;
 const BACKOFF_BASE_MS = 60;
 const BACKOFF_MAX_MS = 600;
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../common/Clock';
+import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
 import type { LogClient } from './LogClient';
 import type { LogError } from './LogError';
@@ -12,6 +13,9 @@
   readonly gatherMs: number;
   /** Largest append in bytes. */
   readonly maxBytes: number;
+  readonly random: Random;
+  /** A record that may be written at any time, to try whether the log is back. */
+  readonly probe: LogWrite;
 }
 
 /** How a write ended: `unknown` may still land. */
@@ -26,6 +30,8 @@
 const FIRST_TIMEOUT_MS = 350;
 const MAX_TIMEOUT_MS = 1400;
 const RETRY_DELAY_MS = 50;
+const PROBE_PAUSE_MS = 300;
+const PROBE_LIMIT_MS = 700;
 /** Bytes that a record takes beside its key and value. */
 const RECORD_OVERHEAD_BYTES = 5;
 
@@ -38,6 +44,7 @@
   private isSending = false;
   private timeoutMs = FIRST_TIMEOUT_MS;
   private failingSince: number | undefined;
+  private isProbing = false;
 
   constructor(private readonly options: LogWriterOptions) {}
 
@@ -63,6 +70,20 @@
       await this.sendBatch(this.createBatch());
     }
     this.isSending = false;
+    if (this.failingSince !== undefined && !this.isProbing) {
+      void this.startProbing();
+    }
+  }
+
+  /** While appends fail, tries by itself whether the log is back, so that no caller has to. */
+  private async startProbing(): Promise<void> {
+    const { clock, probe } = this.options;
+    this.isProbing = true;
+    while (this.failingSince !== undefined) {
+      await startDelay(PROBE_PAUSE_MS * (1 + this.options.random()));
+      await this.writeRecord(probe, clock.readNow() + PROBE_LIMIT_MS);
+    }
+    this.isProbing = false;
   }
 
   private createBatch(): readonly QueuedWrite[] {
