--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -49,7 +49,7 @@
 };
 /** An endpoint gives at most so many ends in one answer; a full list may not be the whole. */
 const FULL_END_LIST = 500;
-const STOP_RETRY_MS = 400;
+const STOP_RETRY_MS = 250;
 
 /**
  * The leader's decisions, with no clock and no socket: messages come in with the time, and what is to be done comes out by
@@ -451,7 +451,7 @@
       case 'running':
         return run.confirmedAt < sentAt;
       case 'stopping':
-        return run.stopAnsweredAt !== undefined && run.stopAnsweredAt < sentAt;
+        return run.stopAnsweredAt !== undefined && run.stopAnsweredAt <= sentAt;
     }
   }
 
--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/EndpointSession.ts
@@ -22,10 +22,11 @@
   readonly handleFenced: () => void;
 }
 
-const LOOK_WAIT_MS = 1000;
-const ANSWER_TIMEOUT_MS = 700;
-const RETRY_DELAY_MS = 150;
-const MAX_RETRY_DELAY_MS = 600;
+/** Short, because an end is not heard of while the answer to a look is lost. */
+const LOOK_WAIT_MS = 400;
+const ANSWER_TIMEOUT_MS = 350;
+const RETRY_DELAY_MS = 100;
+const MAX_RETRY_DELAY_MS = 500;
 
 /**
  * Keeps one endpoint leased and watched: one long poll at a time, which answers as soon as a run ends.
@@ -35,10 +36,28 @@
 export class EndpointSession {
   private lastSeen = 0;
   private isStopped = false;
+  private isLookingExtra = false;
   private failures = 0;
 
   constructor(private readonly options: EndpointSessionOptions) {}
 
+  /** Looks once beside the loop, without a lease: for something that the look under way cannot show any more. */
+  async startExtraLook(): Promise<void> {
+    if (this.isStopped || this.isLookingExtra) {
+      return;
+    }
+    this.isLookingExtra = true;
+    const sentAt = this.options.clock.readNow();
+    const { client } = this.options;
+    const request = { lastSeen: this.lastSeen, leaseMs: undefined, waitMs: 0, timeoutMs: ANSWER_TIMEOUT_MS };
+    const answer = await client.sendHold(request);
+    this.isLookingExtra = false;
+    // Silence is the loop's to judge, and ends are the loop's to acknowledge.
+    if (!this.isStopped && answer.kind === 'held') {
+      await this.options.handleHeld(answer, sentAt).catch(() => undefined);
+    }
+  }
+
   /** Runs until `stop`, or until the endpoint's life is over. */
   async start(): Promise<void> {
     while (!this.isStopped) {
@@ -97,7 +116,7 @@
       case 'unanswered':
         this.failures += 1;
         this.options.handleSilence(answer.detail);
-        await startDelay(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * this.failures));
+        await startDelay(Math.min(MAX_RETRY_DELAY_MS, RETRY_DELAY_MS * (this.failures - 1)));
         return;
     }
   }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -52,8 +52,8 @@
 const ENDPOINTS_PAUSE_MS = 300;
 const ENDPOINTS_POLL_MS = 1000;
 const GATHER_MS = 3;
-const START_TIMEOUT_MS = 600;
-const STOP_TIMEOUT_MS = 500;
+const START_TIMEOUT_MS = 300;
+const STOP_TIMEOUT_MS = 250;
 const RESIGN_TIMEOUT_MS = 1500;
 
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
@@ -276,12 +276,11 @@
     const input = { endpoint: id, running: answer.running, ended: answer.ended, sentAt };
     this.dispatcher.handleLook(input, clock.readNow(), clock.readWall());
     this.dispatcher.placeWaiting(clock.readNow(), clock.readWall());
-    return new Promise((resolve) => {
-      const hasRecords = this.sendEffects(resolve);
-      if (!hasRecords) {
-        resolve();
-      }
-    });
+    this.sendEffects();
+    // Another look may have taken the same ends in already: they are durable only once its records are.
+    return answer.ended.length === 0
+      ? Promise.resolve()
+      : new Promise((resolve) => this.writer.queueBarrier(resolve));
   }
 
   private handleSilence(id: EndpointId, detail: string): void {
@@ -341,21 +340,17 @@
     });
   }
 
-  /** Carries out what the dispatcher wants. `handleRecorded` is called once all records among it are durable. */
-  private sendEffects(handleRecorded?: () => void): boolean {
-    const effects = this.dispatcher.readEffects();
-    const records = effects.filter((effect) => effect.kind === 'record');
-    const last = records[records.length - 1];
-    for (const effect of effects) {
-      this.sendEffect(effect, effect === last ? handleRecorded : undefined);
+  /** Carries out what the dispatcher wants. */
+  private sendEffects(): void {
+    for (const effect of this.dispatcher.readEffects()) {
+      this.sendEffect(effect);
     }
-    return records.length > 0;
   }
 
-  private sendEffect(effect: DispatchEffect, handleRecorded?: () => void): void {
+  private sendEffect(effect: DispatchEffect): void {
     switch (effect.kind) {
       case 'record':
-        this.writeProgress(effect.job, handleRecorded);
+        this.writeProgress(effect.job);
         return;
       case 'start':
         this.writeProgress(effect.job, () => void this.sendStart(effect));
@@ -427,6 +422,10 @@
       return;
     }
     this.dispatcher.handleStopAnswer(endpoint, task, run, answer, this.options.clock.readNow());
+    if (answer.kind === 'done' || answer.kind === 'rejected') {
+      // Only a look that is sent after the stop was answered can prove that the run is not there.
+      void this.sessions.get(endpoint)?.startExtraLook();
+    }
     this.queueRound();
   }
 
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -41,7 +41,8 @@
 const FOLLOWER_POLL_MS = 500;
 const LEADER_PAUSE_MS = 0;
 const LEADER_POLL_MS = 1000;
-const OPERATOR_POLL_MS = 2000;
+/** A silent log is noticed within this time and a call's, well before a version must be in force. */
+const OPERATOR_POLL_MS = 800;
 const TICK_MS = 50;
 const TAKE_OVER_READ_MS = 1000;
 const GATHER_MS = 2;
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -65,6 +65,15 @@
     }
   }
 
+  /** Calls the handler once everything queued so far is durable; at once when it is. */
+  queueBarrier(handleWritten: () => void): void {
+    if (this.isSending) {
+      this.queued.push({ handleWritten });
+    } else {
+      handleWritten();
+    }
+  }
+
   stop(): void {
     this.isStopped = true;
     this.dirty.clear();
@@ -92,6 +101,9 @@
       handlers.forEach(({ handleWritten }) => handleWritten());
     }
     this.isSending = false;
+    if (!this.isStopped) {
+      this.queued.splice(0).forEach(({ handleWritten }) => handleWritten());
+    }
   }
 
   private createBatch(): readonly LogWrite[] {
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -21,11 +21,12 @@
   readonly handleConnection?: (isConnected: boolean, detail: string) => void;
 }
 
-/** Time for an answer beyond the wait that was asked for. */
-const CALL_TIMEOUT_MS = 900;
+/** Time for an answer beyond the wait that was asked for; doubles with each call that had none. */
+const CALL_TIMEOUT_MS = 500;
+const MAX_CALL_TIMEOUT_MS = 1000;
 const FIRST_READ_POLL_MS = 20;
 const BACKOFF_BASE_MS = 60;
-const BACKOFF_MAX_MS = 600;
+const BACKOFF_MAX_MS = 400;
 
 /** Follows one topic of the log by long polls, from the newest record of each key on. */
 export class LogFollower {
@@ -37,6 +38,7 @@
   private lastOkAt = -Infinity;
   private pauseEnd: AbortController | undefined;
   private pauseMs: number;
+  private timeoutMs = CALL_TIMEOUT_MS;
   /** A read outside the loop, and the one that follows it for those who ask meanwhile. */
   private refresh: Promise<boolean> | undefined;
   private nextRefresh: Promise<boolean> | undefined;
@@ -139,7 +141,7 @@
 
   private async readFirst(): Promise<LogError | undefined> {
     const { client, topic } = this.options;
-    const answer = await client.readNewest(topic, CALL_TIMEOUT_MS);
+    const answer = await client.readNewest(topic, this.timeoutMs);
     if (!answer.ok) {
       return answer.error;
     }
@@ -150,8 +152,9 @@
 
   private async readNext(offset: number): Promise<LogError | undefined> {
     const { client, topic } = this.options;
-    const waitMs = this.options.pollMs;
-    const timeoutMs = waitMs + CALL_TIMEOUT_MS;
+    // After a failure no long poll, so that the return of the log is noticed soon.
+    const waitMs = this.isConnected ? this.options.pollMs : 0;
+    const timeoutMs = waitMs + this.timeoutMs;
     const answer = await client.readRecords({ topic, fromOffset: offset, waitMs, timeoutMs });
     if (!answer.ok) {
       return answer.error;
@@ -173,6 +176,7 @@
 
   private recordSuccess(): void {
     this.lastOkAt = this.options.clock.readNow();
+    this.timeoutMs = CALL_TIMEOUT_MS;
     this.backoff.recordSuccess();
     if (!this.isConnected) {
       this.isConnected = true;
@@ -181,6 +185,9 @@
   }
 
   private recordFailure(error: LogError): void {
+    if (error.kind === 'unknown') {
+      this.timeoutMs = Math.min(MAX_CALL_TIMEOUT_MS, this.timeoutMs * 2);
+    }
     if (this.isConnected) {
       this.isConnected = false;
       const detail = error.kind === 'forgotten' ? 'history gone' : error.detail;
