Hand leadership over when the log turns the leader away, and claim as soon as its process is seen to end

Ruled out: slow claims (50 to 100 ms from claim to leading). Tests in tests/serve/faults failed first.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -38,6 +38,8 @@
 }
 
 const HOST = '127.0.0.1';
+/** Callers, readiness, other boxes, and the box's own way to the log. */
+const BOX_PORTS = 4;
 const PROGRAM = 'dist/stairline.cjs';
 const SERVICE = 'service-a';
 const QUEUE_HOST = 'jobs.example';
@@ -63,18 +65,18 @@
 
   /** Creates a cell, starts everything, and waits until a box takes callers. */
   static async create(options: CellOptions): Promise<Cell> {
-    const ports = await chooseFreePorts(2 + options.boxes * 3 + options.executors);
+    const ports = await chooseFreePorts(1 + options.boxes * BOX_PORTS + options.executors);
     const addresses = ports.map((port) => `${HOST}:${port}`);
-    const [logAddress, adviceAddress, ...others] = addresses as [string, string, ...string[]];
-    const cell = new Cell(options, new LogStandin(logAddress), new AdviceStandin(adviceAddress));
-    await cell.log.start();
+    const [adviceAddress, ...others] = addresses as [string, ...string[]];
+    const cell = new Cell(options, new LogStandin(), new AdviceStandin(adviceAddress));
     await cell.advice.start();
     cell.writeConfiguration(1);
     for (let index = 0; index < options.executors; index += 1) {
-      await cell.startExecutor(`i-${index}`, others[options.boxes * 3 + index]!);
+      await cell.startExecutor(`i-${index}`, others[options.boxes * BOX_PORTS + index]!);
     }
     for (let index = 0; index < options.boxes; index += 1) {
-      cell.createBox(`box-${index}`, others.slice(index * 3, index * 3 + 3), logAddress, adviceAddress);
+      const boxAddresses = others.slice(index * BOX_PORTS, (index + 1) * BOX_PORTS);
+      await cell.startNewBox(`box-${index}`, boxAddresses, adviceAddress);
     }
     await Promise.all(cell.boxes.map((box) => cell.startReady(box)));
     return cell;
@@ -223,8 +225,9 @@
     return output.lastIndexOf('"Leading."') > output.lastIndexOf('"Leading no more."');
   }
 
-  private createBox(name: string, addresses: readonly string[], log: string, advice: string): void {
-    const [front, ready, internal] = addresses as [string, string, string];
+  private async startNewBox(name: string, addresses: readonly string[], advice: string): Promise<void> {
+    const [front, ready, internal, log] = addresses as [string, string, string, string];
+    await this.log.startDoor(name, log);
     const port = Number(internal.split(':')[1]);
     const settingsFile = join(this.folder, `${name}.json`);
     const settings = {
--- a/packages/boxes/BoxAdviceClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -8,10 +8,12 @@
   readonly good?: readonly (readonly [id: string, ticket: string])[];
 }
 
-const CONNECTIONS = 2;
+const CONNECTIONS = 3;
+const SHORT_CALL_MS = 200;
+const JSON_HEADERS = { 'content-type': 'application/json' } as const;
 
-/** Asks the advice service through another entry box, which has a turn of its own there. */
-export class BoxAdviceClient implements AdviceClient {
+/** Calls another entry box: for its turn at the advice service, and to hand leadership over. */
+export class BoxClient implements AdviceClient {
   private readonly caller: HttpCaller;
 
   constructor(readonly address: string) {
@@ -26,7 +28,7 @@
     const result = await this.caller.sendCall({
       method: 'POST',
       path: '/advice',
-      headers: { 'content-type': 'application/json' },
+      headers: JSON_HEADERS,
       body: JSON.stringify({ step, endpoints, timeoutMs }),
       timeoutMs,
     });
@@ -37,6 +39,24 @@
     return new Map((answer.good ?? []).map(([id, ticket]) => [toId<EndpointId>(id), ticket]));
   }
 
+  /** True when the box can use the log. */
+  async isLogUsable(): Promise<boolean> {
+    const result = await this.caller.sendCall({ method: 'GET', path: '/log', timeoutMs: SHORT_CALL_MS });
+    return result.kind === 'answered' && result.status === 200;
+  }
+
+  /** Tells the box that the leader of an epoch has stopped and that it should lead next. */
+  async sendHandOver(epoch: number): Promise<boolean> {
+    const result = await this.caller.sendCall({
+      method: 'POST',
+      path: '/hand-over',
+      headers: JSON_HEADERS,
+      body: JSON.stringify({ epoch }),
+      timeoutMs: SHORT_CALL_MS,
+    });
+    return result.kind === 'answered' && result.status === 200;
+  }
+
   async stop(): Promise<void> {
     await this.caller.stop();
   }
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -12,6 +12,10 @@
   readonly address: string;
   readonly advice: AdviceClient;
   readonly formatMetrics: () => string;
+  /** True while this box can use the log. */
+  readonly isLogUsable: () => boolean;
+  /** The leader of an epoch has stopped and asks this box to lead next. */
+  readonly handleHandOver: (epoch: number) => void;
 }
 
 const BODY_LIMIT_BYTES = 65_536;
@@ -21,13 +25,25 @@
   timeoutMs: z.number().positive(),
 });
 
-/** What an entry box offers to other boxes: a turn at the advice service, and its metrics. */
+const handOverSchema = z.object({ epoch: z.number() });
+
+/** What an entry box offers to other boxes: a turn at the advice service, its word on the log, and its metrics. */
 export class BoxServer {
   private readonly app: FastifyInstance;
 
   constructor(private readonly options: BoxServerOptions) {
     this.app = createBufferApp(BODY_LIMIT_BYTES);
     this.app.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.formatMetrics()));
+    this.app.get('/log', (_request, reply) => reply.code(options.isLogUsable() ? 200 : 503).send(''));
+    this.app.post('/hand-over', (request, reply) => {
+      const body = Buffer.isBuffer(request.body) ? request.body.toString('utf8') : '';
+      const handOver = handOverSchema.safeParse(parseJson(body));
+      if (!handOver.success) {
+        return reply.code(400).send({ error: 'malformed hand-over' });
+      }
+      options.handleHandOver(handOver.data.epoch);
+      return reply.send({});
+    });
     this.app.post('/advice', async (request, reply) => {
       const body = Buffer.isBuffer(request.body) ? request.body.toString('utf8') : '';
       const question = questionSchema.safeParse(parseJson(body));
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -167,6 +167,11 @@
     this.queueRound();
   }
 
+  /** How long the log has not taken this leader's writes, in milliseconds. */
+  readFailingMs(): number {
+    return this.writer.readFailingMs();
+  }
+
   readDispatcher(): Dispatcher {
     return this.dispatcher;
   }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -26,6 +26,7 @@
 const CLAIM_TIMEOUT_MS = 700;
 const FIRST_CLAIM_JITTER_MS = 150;
 const RESIGNED_JITTER_MS = 80;
+const ENDED_JITTER_MS = 250;
 
 const recordSchema = z.object({
   epoch: z.number(),
@@ -35,7 +36,12 @@
 });
 
 type ClaimReason =
-  'no leader yet' | 'leader resigned' | 'an earlier process of this box led' | 'leader is silent';
+  | 'the leader handed over'
+  | 'the leader process has ended'
+  | 'no leader yet'
+  | 'leader resigned'
+  | 'an earlier process of this box led'
+  | 'leader is silent';
 
 /**
  * Decides which process leads. A claim is an append under the next epoch: the log refuses every later write of lower epochs,
@@ -50,6 +56,9 @@
   private isClaiming = false;
   private isLeading = false;
   private isStopped = false;
+  /** Epoch whose leader has said, or shown, that it gives no more orders. */
+  private endedEpoch: number | undefined;
+  private endedReason: ClaimReason = 'the leader handed over';
   private readonly silenceLimitMs: number;
   private readonly shortJitter: number;
 
@@ -76,6 +85,21 @@
     }
   }
 
+  /** The leader of an epoch has stopped and asked this process to lead next. */
+  handleHandOver(epoch: number): void {
+    this.endedEpoch = epoch;
+    this.endedReason = 'the leader handed over';
+    this.applyTime();
+  }
+
+  /** The process that leads seems to have ended. */
+  handleLeaderEnded(process: string): void {
+    if (this.record?.process === process) {
+      this.endedEpoch = this.record.epoch;
+      this.endedReason = 'the leader process has ended';
+    }
+  }
+
   /** Told when the log can be read again, or no longer: silence is counted only while it can. */
   handleConnection(isConnected: boolean): void {
     this.readableSince = isConnected ? this.options.clock.readNow() : undefined;
@@ -131,6 +155,11 @@
     if (this.record === undefined) {
       return readableMs > this.shortJitter * FIRST_CLAIM_JITTER_MS ? 'no leader yet' : undefined;
     }
+    if (this.endedEpoch === this.record.epoch) {
+      // Those who see the process end see it together: a short random wait keeps their claims apart.
+      const waitMs = this.endedReason === 'the leader handed over' ? 0 : this.shortJitter * ENDED_JITTER_MS;
+      return now - this.signAt > waitMs ? this.endedReason : undefined;
+    }
     if (this.record.isResigned) {
       return now - this.signAt > this.shortJitter * RESIGNED_JITTER_MS ? 'leader resigned' : undefined;
     }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -1,4 +1,4 @@
-import { BoxAdviceClient } from '../boxes/BoxAdviceClient';
+import { BoxClient } from '../boxes/BoxClient';
 import { BoxDirectory } from '../boxes/BoxDirectory';
 import { BoxServer } from '../boxes/BoxServer';
 import type { Clock } from '../common/Clock';
@@ -12,6 +12,7 @@
 import type { JobId } from '../jobs/JobId';
 import { jobKeys } from '../jobs/jobKeys';
 import { JobReplica } from '../jobs/JobReplica';
+import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
 import type { LogClient } from '../store/LogClient';
 import { LogFollower } from '../store/LogFollower';
@@ -45,6 +46,10 @@
 const OPERATOR_POLL_MS = 800;
 const TICK_MS = 50;
 const TAKE_OVER_READ_MS = 1000;
+/** A leader whose writes have failed for so long looks for a box that the log serves. */
+const HAND_OVER_MS = 300;
+/** A box that has read the log so lately can use it. */
+const FRESH_LOG_MS = 1000;
 const GATHER_MS = 2;
 /** The balancer notices within two of its questions, one a second. */
 const LEAVE_NOTICE_MS = 2600;
@@ -67,7 +72,9 @@
   private readonly operatorFollower: LogFollower;
   private readonly leadership: Leadership;
   private readonly advice: AdviceClient;
-  private readonly boxAdvice = new Map<string, BoxAdviceClient>();
+  private readonly boxClients = new Map<string, BoxClient>();
+  private readonly watch: LeaderWatch;
+  private isHandingOver = false;
   private readonly boxServer: BoxServer;
   private readonly callers: ReturnType<ServeAdapter['createCallerServer']>;
   private duty: LeaderDuty | undefined;
@@ -114,6 +121,9 @@
       logger: options.createPartLogger('leadership'),
       handleElected: (epoch) => this.startLeading(epoch),
     });
+    this.watch = new LeaderWatch({
+      handleEnded: (process) => this.leadership.handleLeaderEnded(process),
+    });
     const jobs = this.createJobDesk();
     this.callers = adapter.createCallerServer({
       router: this.router,
@@ -125,6 +135,8 @@
       address: settings.internal,
       advice: this.advice,
       formatMetrics: () => this.formatMetrics(),
+      isLogUsable: () => this.isLogUsable(),
+      handleHandOver: (epoch) => this.leadership.handleHandOver(epoch),
     });
   }
 
@@ -135,7 +147,7 @@
     void this.progressFollower.start();
     void this.operatorFollower.start();
     void this.startAnnouncing();
-    this.timer = setInterval(() => this.leadership.applyTime(), TICK_MS);
+    this.timer = setInterval(() => this.applyTime(), TICK_MS);
     const { box, hall, front, log } = this.options.settings;
     this.logger.info('Started.', { process: this.options.process, box, hall, front, log });
   }
@@ -153,6 +165,7 @@
     await duty?.startResigning();
     await startDelay(LEAVE_NOTICE_MS);
     clearInterval(this.timer);
+    this.watch.applyLeader(undefined);
     await this.callers.stop();
     await this.boxServer.stop();
     this.jobsFollower.stop();
@@ -308,21 +321,63 @@
     const others = this.directory
       .readBoxes()
       .filter(({ box }) => box !== own.box)
-      .map(({ box, address }) => ({ box, isOwn: false, client: this.readBoxAdvice(box, address) }));
+      .map(({ box, address }) => ({ box, isOwn: false, client: this.readBoxClient(box, address) }));
     return [own, ...others];
   }
 
-  private readBoxAdvice(box: string, address: string): BoxAdviceClient {
-    const known = this.boxAdvice.get(box);
+  private readBoxClient(box: string, address: string): BoxClient {
+    const known = this.boxClients.get(box);
     if (known?.address === address) {
       return known;
     }
     void known?.stop();
-    const created = new BoxAdviceClient(address);
-    this.boxAdvice.set(box, created);
+    const created = new BoxClient(address);
+    this.boxClients.set(box, created);
     return created;
   }
 
+  private isLogUsable(): boolean {
+    const ageMs = this.options.clock.readNow() - this.progressFollower.readLastOkAt();
+    const isReading = this.progressFollower.isFollowing() && ageMs < FRESH_LOG_MS;
+    return isReading && this.writer.readFailingMs() === 0 && !this.isStopping;
+  }
+
+  private applyTime(): void {
+    this.leadership.applyTime();
+    const record = this.leadership.readRecord();
+    const leaderBox = this.directory.readBoxes().find(({ box }) => box === record?.box);
+    const isOther = record !== undefined && record.process !== this.options.process;
+    this.watch.applyLeader(
+      isOther && leaderBox !== undefined
+        ? { process: record.process, address: leaderBox.address }
+        : undefined,
+    );
+    if ((this.duty?.readFailingMs() ?? 0) > HAND_OVER_MS && !this.isHandingOver) {
+      this.isHandingOver = true;
+      void this.startHandOver().finally(() => {
+        this.isHandingOver = false;
+      });
+    }
+  }
+
+  /** A leader that the log does not serve hands over to a box that it does serve. All orders stop before the word is given. */
+  private async startHandOver(): Promise<void> {
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
+    const clients = this.directory
+      .readBoxes()
+      .filter(({ box }) => box !== this.options.settings.box)
+      .map(({ box, address }) => this.readBoxClient(box, address));
+    const usable = await Promise.all(clients.map((client) => client.isLogUsable()));
+    const next = clients[usable.indexOf(true)];
+    const duty = this.duty;
+    if (next === undefined || duty === undefined || duty.readFailingMs() === 0) {
+      return;
+    }
+    duty.stop();
+    this.handleDeposed(epoch, `the log does not serve this box; ${next.address} is asked to lead`);
+    await next.sendHandOver(epoch);
+  }
+
   private formatMetrics(): string {
     return this.metrics.formatText({
       leading: this.duty === undefined ? 0 : 1,
--- a/packages/standins/platform/LogStandin.ts
+++ b/packages/standins/platform/LogStandin.ts
@@ -4,7 +4,12 @@
 import { KeyedTopic } from './KeyedTopic';
 import type { LogFault } from './LogFault';
 
-type Handler = (url: URL, request: IncomingMessage, response: ServerResponse) => Promise<void>;
+type Handler = (
+  url: URL,
+  request: IncomingMessage,
+  response: ServerResponse,
+  isAnswerLost: boolean,
+) => Promise<void>;
 
 const PAGE_ITEMS = 500;
 const LENGTH_BYTES = 4;
@@ -12,32 +17,39 @@
 /** Stands in for the platform's log over HTTP: keyed topics of one partition, in the form of the platform's pages. */
 export class LogStandin {
   private readonly topics = new Map<string, KeyedTopic>();
-  private fault: LogFault = 'none';
-  private server: Server | undefined;
+  private readonly servers: Server[] = [];
+  private readonly faults = new Map<string, LogFault>();
   private callCount = 0;
 
   private readonly handlers: Readonly<Record<string, Handler>> = {
-    'POST /log-append': (url, request, response) => this.handleAppend(url, request, response),
+    'POST /log-append': (url, request, response, isAnswerLost) =>
+      this.handleAppend(url, request, response, isAnswerLost),
     'GET /log-read': (url, _request, response) => this.handleRead(url, response),
     'GET /log-newest': (url, _request, response) => this.handleNewest(url, response),
   };
 
-  constructor(private readonly address: string) {}
-
-  async start(): Promise<void> {
-    this.server = createServer((request, response) => {
-      this.handleRequest(request, response).catch(() => response.destroy());
+  /** Starts one way in: each box gets an address of its own, so that a fault can strike it alone. */
+  async startDoor(name: string, address: string): Promise<void> {
+    const server = createServer((request, response) => {
+      this.handleRequest(name, request, response).catch(() => response.destroy());
     });
-    await startListening(this.server, this.address);
+    this.servers.push(server);
+    this.faults.set(name, 'none');
+    await startListening(server, address);
   }
 
   async stop(): Promise<void> {
-    this.server?.closeAllConnections();
-    await new Promise((resolve) => this.server?.close(resolve));
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    }
   }
 
-  applyFault(fault: LogFault): void {
-    this.fault = fault;
+  /** Sets what goes wrong, behind one door or all. */
+  applyFault(fault: LogFault, door?: string): void {
+    for (const name of door === undefined ? [...this.faults.keys()] : [door]) {
+      this.faults.set(name, fault);
+    }
   }
 
   readCallCount(): number {
@@ -64,12 +76,17 @@
     this.readTopic(topic).append(Buffer.concat([frame, keyBytes, valueBytes]), undefined);
   }
 
-  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handleRequest(
+    door: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
     this.callCount += 1;
-    if (this.fault === 'silent') {
+    const fault = this.faults.get(door);
+    if (fault === 'silent') {
       return;
     }
-    if (this.fault === 'busy') {
+    if (fault === 'busy') {
       sendJson(response, 503, {});
       return;
     }
@@ -79,10 +96,15 @@
       sendJson(response, 404, {});
       return;
     }
-    await handler(url, request, response);
+    await handler(url, request, response, fault === 'loseAnswers');
   }
 
-  private async handleAppend(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handleAppend(
+    url: URL,
+    request: IncomingMessage,
+    response: ServerResponse,
+    isAnswerLost: boolean,
+  ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
       chunks.push(chunk as Buffer);
@@ -98,7 +120,7 @@
             sequence: Number(searchParams.get('call-seq')),
           };
     const answer = this.readTopic(searchParams.get('topic') ?? '').append(Buffer.concat(chunks), writer);
-    if (this.fault !== 'loseAnswers') {
+    if (!isAnswerLost) {
       sendJson(response, answer.status, answer.body);
     }
   }
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -41,7 +41,7 @@
   private sequence: number;
   private isSending = false;
   private isStopped = false;
-  private isConnected = true;
+  private failingSince: number | undefined;
 
   constructor(private readonly options: ExclusiveWriterOptions) {
     this.sequence = options.lastSequence;
@@ -65,6 +65,11 @@
     }
   }
 
+  /** How long appends have failed, in milliseconds; 0 while the newest was answered. */
+  readFailingMs(): number {
+    return this.failingSince === undefined ? 0 : this.options.clock.readNow() - this.failingSince;
+  }
+
   /** Calls the handler once everything queued so far is durable; at once when it is. */
   queueBarrier(handleWritten: () => void): void {
     if (this.isSending) {
@@ -150,8 +155,8 @@
   }
 
   private recordConnection(isConnected: boolean, detail: string): void {
-    if (this.isConnected !== isConnected) {
-      this.isConnected = isConnected;
+    if ((this.failingSince === undefined) !== isConnected) {
+      this.failingSince = isConnected ? undefined : this.options.clock.readNow();
       this.options.handleConnection(isConnected, detail);
     }
   }
--- a/tests/serve/faults.test.ts
+++ b/tests/serve/faults.test.ts
@@ -85,6 +85,35 @@
     await Promise.all(ids.map((id) => cell.startState(survivor, id, 'completed')));
   });
 
+  it('replaces a killed leader as soon as its process is seen to have ended', async () => {
+    const leader = await cell.startLeader();
+    // Time for the others to hear who leads.
+    await new Promise((resolve) => setTimeout(resolve, 1200));
+    leader.process.sendSignal('SIGKILL');
+    const killedAt = performance.now();
+    const others = cell.boxes.filter((box) => box !== leader);
+    await cell.startUntil(() =>
+      Promise.resolve(others.some(({ process }) => process.readOutput().includes('"Leading."'))),
+    );
+    expect(performance.now() - killedAt).toBeLessThan(1200);
+    expect(others.some(({ process }) => process.readOutput().includes('process has ended'))).toBe(true);
+  });
+
+  it('hands leadership to a box that the log serves when the log turns the leader away', async () => {
+    const leader = await cell.startLeader();
+    const ids = await sendJobs(3, 400);
+    await new Promise((resolve) => setTimeout(resolve, 1200));
+    cell.log.applyFault('busy', leader.name);
+    const turnedAwayAt = performance.now();
+    const others = cell.boxes.filter((box) => box !== leader);
+    await cell.startUntil(() =>
+      Promise.resolve(others.some(({ process }) => process.readOutput().includes('"Leading."'))),
+    );
+    expect(performance.now() - turnedAwayAt).toBeLessThan(1600);
+    expect(others.some(({ process }) => process.readOutput().includes('the leader handed over'))).toBe(true);
+    await Promise.all(ids.map((id) => cell.startState(others[0]!, id, 'completed')));
+  });
+
   it('answers at once while the log is silent, with a time to come back, and goes on afterwards', async () => {
     const box = cell.boxes[0]!;
     const [long] = await sendJobs(1, 3000);
