--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -18,6 +18,7 @@
 import type { PlacedRun } from './PlacedRun';
 import { createPlacedRun } from './createPlacedRun';
 import { createStrangeRun } from './createStrangeRun';
+import { RunMover } from './RunMover';
 import { StepPlacer } from './StepPlacer';
 import { readWaitingSteps } from './readWaitingSteps';
 import type { RunningRow } from './RunningRow';
@@ -61,9 +62,15 @@
   private effects: DispatchEffect[] = [];
   private readonly changed = new Set<JobId>();
   private readonly placer: StepPlacer;
+  private readonly mover: RunMover;
 
   constructor(private readonly options: DispatcherOptions) {
     this.placer = new StepPlacer(this.books, (effect) => this.effects.push(effect));
+    this.mover = new RunMover({
+      books: this.books,
+      jobs: this.jobs,
+      handleMove: (book, run, reason) => this.handleMove(book, run, reason),
+    });
   }
 
   /** Gives, once, everything to be done since the last call, records before the starts that need them. */
@@ -254,6 +261,15 @@
     return true;
   }
 
+  /** A start could not be sent at all. */
+  handleUnsent(effect: Extract<DispatchEffect, { kind: 'start' }>, now: number): void {
+    const book = this.books.get(effect.endpoint);
+    const run = book?.readRun(effect.order.task, effect.order.run);
+    if (book !== undefined && run !== undefined) {
+      this.recordRunEnd(book, run, 'interrupted', '', now);
+    }
+  }
+
   /** Lets time pass: leases run out, stops are repeated. */
   applyTime(now: number): void {
     for (const book of [...this.books.values()]) {
@@ -263,6 +279,7 @@
       }
       this.sendStopsAgain(book, now);
     }
+    this.mover.applyTime(now);
     this.checkGangs();
     this.applyRemovals();
   }
@@ -282,6 +299,20 @@
     }
   }
 
+  private handleMove(book: EndpointBook, run: PlacedRun, reason: string): void {
+    const { id } = book.readProfile();
+    this.jobs.get(run.job)?.recordFailedOn(run.address.time, run.address.step, id);
+    this.sendTell('Run is moved.', {
+      job: run.job,
+      task: run.task,
+      run: run.run,
+      endpoint: id,
+      reason,
+      percent: run.percent,
+    });
+    this.sendStop(book, run);
+  }
+
   private recordInherited(job: LiveJob, address: TaskAddress, task: TaskProgress, now: number): void {
     const { definition } = job;
     let book = this.books.get(task.endpoint);
@@ -313,6 +344,9 @@
     }
     const outcome = OUTCOMES[row.how];
     book.recordOutcome(outcome === 'failed', now);
+    if (outcome === 'done') {
+      this.mover.recordDone(book, run, now);
+    }
     this.recordRunEnd(book, run, outcome, row.checkpoint, now);
     const job = this.jobs.get(run.job);
     if (job !== undefined) {
@@ -396,11 +430,13 @@
       run.stage = 'running';
       run.confirmedAt = now;
     }
+    run.seenAt = now;
     if (row.percent > run.percent) {
       run.percent = row.percent;
       run.progressedAt = now;
     }
     run.load = row.load;
+    this.mover.recordRun(book, run, now);
     if (row.checkpoint !== '' && row.checkpoint !== run.checkpoint) {
       run.checkpoint = row.checkpoint;
       this.jobs.get(run.job)?.progress.recordCheckpoint(run.address, row.checkpoint);
--- a/packages/dispatch/EndpointBook.ts
+++ b/packages/dispatch/EndpointBook.ts
@@ -9,6 +9,12 @@
 /** The failure rate halves in this time without runs, so that an endpoint is tried again. */
 const FAILURE_HALF_LIFE_MS = 6000;
 const SUSPECT_FAILURE_RATE = 0.4;
+/** Weight of the newest comparison in the slowness, which falls back to 1 by half in the time below. */
+const SLOWNESS_WEIGHT = 0.3;
+const SLOWNESS_HALF_LIFE_MS = 4000;
+const SLOW_RATIO = 1.8;
+/** A single comparison counts at most so much. */
+const MAX_SLOWNESS = 8;
 
 /** The books of one endpoint: what it can hold, what may run there, and whether it is to be trusted. */
 export class EndpointBook {
@@ -16,6 +22,10 @@
   private used: TaskDemand = demandSums.NOTHING;
   private failureRate = 0;
   private failureRateAt = 0;
+  /** How much longer runs take there than their siblings elsewhere; 1 is usual. */
+  private slowness = 1;
+  private slownessAt = 0;
+  private drainingSince: number | undefined;
   /** True once the endpoint has answered this leader, so that no older leader's order can reach it any more. */
   private settled = false;
   /** Since when the endpoint has not answered; undefined while it does. */
@@ -115,6 +125,28 @@
     return this.failureRate * 0.5 ** ((now - this.failureRateAt) / FAILURE_HALF_LIFE_MS);
   }
 
+  /** Records how much longer a run takes than its siblings. */
+  recordSlowness(ratio: number, now: number): void {
+    const known = this.readSlowness(now);
+    this.slowness = known + SLOWNESS_WEIGHT * (Math.min(MAX_SLOWNESS, ratio) - known);
+    this.slownessAt = now;
+  }
+
+  readSlowness(now: number): number {
+    return 1 + (this.slowness - 1) * 0.5 ** ((now - this.slownessAt) / SLOWNESS_HALF_LIFE_MS);
+  }
+
+  /** True when work there fails or takes long of late. */
+  isDoubtful(now: number): boolean {
+    return this.isFailing(now) || this.readSlowness(now) > SLOW_RATIO;
+  }
+
+  /** Monotonic time until which a draining endpoint stays. */
+  readLeavesAt(now: number): number {
+    this.drainingSince ??= now;
+    return this.drainingSince + this.profile.remainingMs;
+  }
+
   isFailing(now: number): boolean {
     return this.readFailureRate(now) >= SUSPECT_FAILURE_RATE;
   }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -393,7 +393,11 @@
     const { clock, recordCount, recordTime, logger } = this.options;
     const { endpoint, order } = effect;
     const session = this.sessions.get(endpoint);
-    if (this.isStopped || session === undefined || !this.dispatcher.handleRecorded(effect, clock.readNow())) {
+    const isWanted = !this.isStopped && this.dispatcher.handleRecorded(effect, clock.readNow());
+    if (session === undefined || !isWanted) {
+      if (isWanted) {
+        this.dispatcher.handleUnsent(effect, clock.readNow());
+      }
       this.queueRound();
       return;
     }
--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/LiveJob.ts
@@ -2,6 +2,7 @@
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobProgress } from '../jobs/JobProgress';
 import { AdviceBook } from './AdviceBook';
+import { StepSpeeds } from './StepSpeeds';
 
 /** Longest chain of estimated work through the steps, in milliseconds. */
 const measureChain = (definition: JobDefinition): number => {
@@ -18,6 +19,7 @@
   /** Endpoints on which runs of a step failed, by `TIME.STEP`. */
   private readonly failedOn = new Map<string, Set<EndpointId>>();
   private readonly advice = new Map<string, AdviceBook>();
+  private readonly speeds = new Map<string, StepSpeeds>();
   private readonly chainMs: number;
   isCancelled = false;
 
@@ -51,6 +53,17 @@
     return created;
   }
 
+  readSpeeds(time: number, step: number): StepSpeeds {
+    const key = `${time}.${step}`;
+    const known = this.speeds.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new StepSpeeds();
+    this.speeds.set(key, created);
+    return created;
+  }
+
   hasFailedOn(time: number, step: number, endpoint: EndpointId): boolean {
     return this.failedOn.get(`${time}.${step}`)?.has(endpoint) ?? false;
   }
--- a/packages/dispatch/PlacedRun.ts
+++ b/packages/dispatch/PlacedRun.ts
@@ -27,6 +27,8 @@
   /** Bound for its tail latency in milliseconds; 0 for none. */
   readonly targetMs: number;
   readonly priority: number;
+  /** False when it continues from a checkpoint. */
+  readonly isFromStart: boolean;
   stage: RunStage;
   /** Monotonic time of the placement. */
   placedAt: number;
@@ -37,6 +39,8 @@
   /** Monotonic time at which the endpoint's answer to a stop came; undefined before. */
   stopAnsweredAt: number | undefined;
   percent: number;
+  /** Monotonic time of the newest look that listed it. */
+  seenAt: number;
   /** Monotonic time at which `percent` last rose. */
   progressedAt: number;
   load: number;
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -108,7 +108,9 @@
       const { time, step: number } = step;
       const previous = step.job.progress.readTask({ time, step: number, index });
       const run = step.shape.isGang ? runNumber : (previous?.run ?? 0) + 1;
-      book.recordRun(createPlacedRun(step.job.definition, { time, step: number, index }, run, now));
+      const isFromStart = (previous?.checkpoint ?? '') === '';
+      const address = { time, step: number, index };
+      book.recordRun(createPlacedRun(step.job.definition, address, run, now, isFromStart));
       reserveLeft -= step.shape.demand.cpuMillis;
       choices.push({ index, book, ticket: advice?.readTicket(book.readProfile().id, now) ?? '' });
     }
--- a/packages/dispatch/createPlacedRun.ts
+++ b/packages/dispatch/createPlacedRun.ts
@@ -9,6 +9,7 @@
   address: TaskAddress,
   run: number,
   now: number,
+  isFromStart = false,
 ): PlacedRun => {
   const shape = definition.steps[address.step]!;
   return {
@@ -21,12 +22,14 @@
     isServing: shape.isLongRunning && !shape.isFiller,
     targetMs: shape.targetMs,
     priority: definition.queue.priority,
+    isFromStart,
     stage: 'recording',
     placedAt: now,
     confirmedAt: now,
     stopSentAt: undefined,
     stopAnsweredAt: undefined,
     percent: 0,
+    seenAt: now,
     progressedAt: now,
     load: 0,
     checkpoint: '',
--- a/packages/dispatch/rankingRules.ts
+++ b/packages/dispatch/rankingRules.ts
@@ -4,13 +4,13 @@
 
 /** Costs outweigh each other in this order; within one the tightest fit wins. */
 const FAILED_HERE_COST = 1000;
-const FAILING_COST = 500;
+const DOUBTFUL_COST = 500;
 const OTHER_RACK_COST = 100;
 const SERVING_NEIGHBOUR_COST = 50;
 
 const measureTrust = ({ job, time, step }: WaitingStep, book: EndpointBook, now: number): number => {
   const failedHere = job.hasFailedOn(time, step, book.readProfile().id) ? FAILED_HERE_COST : 0;
-  return failedHere + (book.isFailing(now) ? FAILING_COST : 0);
+  return failedHere + (book.isDoubtful(now) ? DOUBTFUL_COST : 0);
 };
 
 const measureDataDistance = ({ shape }: WaitingStep, book: EndpointBook): number =>
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -35,6 +35,8 @@
 const LONG_OUTAGE_MS = 1000;
 /** Longest time for one append to be answered: what takes longer is better tried again through another box. */
 const WRITE_LIMIT_MS = 1300;
+/** Share of the caller's time that an append may take, so that another box can still be tried. */
+const WRITE_SHARE = 0.4;
 const REFRESH_LIMIT_MS = 500;
 
 /** Callers' jobs: accepted once they are durable in the log, read from this box's replica of it. */
@@ -63,7 +65,7 @@
       acceptedAtMs: Math.round(clock.readWall()),
     };
     const write = { key: jobKeys.toDefinitionKey(id), value: JSON.stringify(definition) };
-    const outcome = await writer.writeRecord(write, Math.min(deadline, startedAt + WRITE_LIMIT_MS));
+    const outcome = await writer.writeRecord(write, this.readWriteLimit(startedAt, deadline));
     const tookMs = Math.round(clock.readNow() - startedAt);
     if (outcome === 'refused') {
       return this.createUnavailable(id, queue.name);
@@ -111,7 +113,7 @@
       }
     }
     const write = { key: jobKeys.toCancelKey(id), value: '1' };
-    const outcome = await writer.writeRecord(write, Math.min(deadline, startedAt + WRITE_LIMIT_MS));
+    const outcome = await writer.writeRecord(write, this.readWriteLimit(startedAt, deadline));
     const tookMs = Math.round(clock.readNow() - startedAt);
     this.recordDecision('Cancel.', id, '', { outcome, tookMs });
     if (outcome === 'written') {
@@ -134,6 +136,10 @@
     return writer.readFailingMs() > (jobsFollower.isFollowing() ? LONG_OUTAGE_MS : OUTAGE_MS);
   }
 
+  private readWriteLimit(startedAt: number, deadline: number): number {
+    return startedAt + Math.min(WRITE_LIMIT_MS, (deadline - startedAt) * WRITE_SHARE);
+  }
+
   private createUnavailable(id: JobId, queue: string): JobOutcome<never> {
     const failingMs = Math.round(this.options.writer.readFailingMs());
     this.options.metrics.recordCount('notTaken');
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -162,7 +162,11 @@
     this.leadership.stop();
     const duty = this.duty;
     this.duty = undefined;
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
     await duty?.startResigning();
+    if (duty !== undefined) {
+      await this.sendHandOver(epoch);
+    }
     await startDelay(LEAVE_NOTICE_MS);
     clearInterval(this.timer);
     this.watch.applyLeader(undefined);
@@ -360,15 +364,31 @@
     }
   }
 
-  /** A leader that the log does not serve hands over to a box that it does serve. All orders stop before the word is given. */
-  private async startHandOver(): Promise<void> {
-    const epoch = this.leadership.readRecord()?.epoch ?? 0;
+  /** The first other box that says it can use the log. */
+  private async startChoosingNext(): Promise<BoxClient | undefined> {
     const clients = this.directory
       .readBoxes()
       .filter(({ box }) => box !== this.options.settings.box)
       .map(({ box, address }) => this.readBoxClient(box, address));
-    const usable = await Promise.all(clients.map((client) => client.isLogUsable()));
-    const next = clients[usable.indexOf(true)];
+    return new Promise((resolve) => {
+      const questions = clients.map(async (client) => {
+        if (await client.isLogUsable()) {
+          resolve(client);
+        }
+      });
+      void Promise.all(questions).then(() => resolve(undefined));
+    });
+  }
+
+  private async sendHandOver(epoch: number): Promise<void> {
+    const next = await this.startChoosingNext();
+    await next?.sendHandOver(epoch);
+  }
+
+  /** A leader that the log does not serve hands over to a box that it does serve. All orders stop before the word is given. */
+  private async startHandOver(): Promise<void> {
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
+    const next = await this.startChoosingNext();
     const duty = this.duty;
     if (next === undefined || duty === undefined || duty.readFailingMs() === 0) {
       return;
