--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -54,7 +54,7 @@
 const GATHER_MS = 3;
 const START_TIMEOUT_MS = 300;
 const STOP_TIMEOUT_MS = 250;
-const RESIGN_TIMEOUT_MS = 1500;
+const RESIGN_TIMEOUT_MS = 600;
 
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
 export class LeaderDuty {
@@ -148,8 +148,11 @@
     for (const session of this.sessions.values()) {
       session.stop();
     }
-    this.writer.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
-    await this.writer.startFlush(RESIGN_TIMEOUT_MS);
+    // Without the log the word cannot be written: the next leader is told directly, or sees this process end.
+    if (this.writer.readFailingMs() === 0) {
+      this.writer.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
+      await this.writer.startFlush(RESIGN_TIMEOUT_MS);
+    }
     this.stop();
   }
 
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -55,6 +55,9 @@
 const LEAVE_NOTICE_MS = 2600;
 /** A box whose log is out for so long sends callers elsewhere. */
 const LOG_OUT_MS = 900;
+/** Kept of the grace for the end of a planned stop. */
+const STOP_RESERVE_MS = 2000;
+const LEAVE_POLL_MS = 100;
 const ANNOUNCE_LIMIT_MS = 20_000;
 const ANNOUNCE_AGAIN_MS = 1000;
 
@@ -160,14 +163,9 @@
     this.isStopping = true;
     this.logger.info('Stopping.', { isLeading: this.duty !== undefined });
     this.leadership.stop();
-    const duty = this.duty;
-    this.duty = undefined;
-    const epoch = this.leadership.readRecord()?.epoch ?? 0;
-    await duty?.startResigning();
-    if (duty !== undefined) {
-      await this.sendHandOver(epoch);
-    }
-    await startDelay(LEAVE_NOTICE_MS);
+    const leaveAt = this.options.clock.readNow() + LEAVE_NOTICE_MS;
+    await this.startLeavingDuty();
+    await startDelay(Math.max(0, leaveAt - this.options.clock.readNow()));
     clearInterval(this.timer);
     this.watch.applyLeader(undefined);
     await this.callers.stop();
@@ -380,7 +378,26 @@
     });
   }
 
-  private async sendHandOver(epoch: number): Promise<void> {
+  /**
+   * Gives leadership up in a planned stop. While the log is out for every box nobody could take over, so this process goes on
+   * leading as long as its grace allows: what runs stays leased.
+   */
+  private async startLeavingDuty(): Promise<void> {
+    const { clock, settings } = this.options;
+    const until = clock.readNow() + settings.graceMs - STOP_RESERVE_MS;
+    while ((this.duty?.readFailingMs() ?? 0) > 0 && clock.readNow() < until) {
+      if ((await this.startChoosingNext()) !== undefined) {
+        break;
+      }
+      await startDelay(LEAVE_POLL_MS);
+    }
+    const duty = this.duty;
+    if (duty === undefined) {
+      return;
+    }
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
+    this.duty = undefined;
+    await duty.startResigning();
     const next = await this.startChoosingNext();
     await next?.sendHandOver(epoch);
   }
--- a/tests/serve/faults.test.ts
+++ b/tests/serve/faults.test.ts
@@ -114,6 +114,23 @@
     await Promise.all(ids.map((id) => cell.startState(others[0]!, id, 'completed')));
   });
 
+  it('keeps what runs leased when the leader is stopped by plan while the log is out for all', async () => {
+    const leader = await cell.startLeader();
+    const [long] = await sendJobs(1, 4500);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 2));
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    cell.log.applyFault('busy');
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    leader.process.sendSignal('SIGTERM');
+    await new Promise((resolve) => setTimeout(resolve, 2500));
+    cell.log.applyFault('none');
+    const survivor = cell.boxes.find((box) => box !== leader)!;
+    await cell.startState(survivor, long!, 'completed', 20_000);
+    // A lease that ran out in between would have made a second run necessary.
+    expect(cell.witness.readStartCount(`${long!}.0.0.0`)).toBe(1);
+    expect(cell.witness.readStartCount(`${long!}.0.0.1`)).toBe(1);
+  });
+
   it('answers at once while the log is silent, with a time to come back, and goes on afterwards', async () => {
     const box = cell.boxes[0]!;
     const [long] = await sendJobs(1, 3000);
