Send callers to another box at once when the log does not answer this one

Cause: callers with open connections to a box that the log turns away stayed there and were refused for the whole outage; and readiness noticed the loss late (1.5 s and more).

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -144,11 +144,14 @@
 
   /** Waits until the box takes callers. */
   async startReady(box: CellBox): Promise<void> {
-    await this.startUntil(async () => {
-      const answer = await request(`http://${box.ready}/ready`).catch(() => undefined);
-      await answer?.body.dump();
-      return answer?.statusCode === 200;
-    });
+    await this.startUntil(() => this.isTakingCallers(box));
+  }
+
+  /** What the box answers to the balancer. */
+  async isTakingCallers(box: CellBox): Promise<boolean> {
+    const answer = await request(`http://${box.ready}/ready`).catch(() => undefined);
+    await answer?.body.dump();
+    return answer?.statusCode === 200;
   }
 
   /** The box that leads, by its own log. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -53,8 +53,8 @@
 const GATHER_MS = 2;
 /** The balancer notices within two of its questions, one a second. */
 const LEAVE_NOTICE_MS = 2600;
-/** A box whose log is out for so long sends callers elsewhere. */
-const LOG_OUT_MS = 900;
+/** A leader whose writes have failed for so long sends callers elsewhere. */
+const LOG_OUT_MS = 600;
 /** Kept of the grace for the end of a planned stop. */
 const STOP_RESERVE_MS = 2000;
 const LEAVE_POLL_MS = 100;
@@ -185,10 +185,16 @@
 
   /** True while callers should be sent here. */
   isReady(): boolean {
-    const { clock } = this.options;
-    const logAgeMs = clock.readNow() - this.jobsFollower.readLastOkAt();
-    const hasLog = this.jobsFollower.isFollowing() || logAgeMs < LOG_OUT_MS;
-    return !this.isStopping && hasLog && this.router.readConfiguration() !== undefined;
+    return !this.isStopping && this.hasLog() && this.router.readConfiguration() !== undefined;
+  }
+
+  /** True while the log answers this box. Topics are read at different paces: whichever notices first counts. */
+  private hasLog(): boolean {
+    const isReading = this.jobsFollower.isFollowing() && this.operatorFollower.isFollowing();
+    if (this.duty !== undefined) {
+      return isReading && this.duty.readFailingMs() < LOG_OUT_MS;
+    }
+    return isReading && this.progressFollower.isFollowing();
   }
 
   private createJobDesk(): JobDesk {
--- a/tests/serve/faults.test.ts
+++ b/tests/serve/faults.test.ts
@@ -105,6 +105,7 @@
     await new Promise((resolve) => setTimeout(resolve, 1200));
     cell.log.applyFault('busy', leader.name);
     const turnedAwayAt = performance.now();
+    await cell.startUntil(async () => !(await cell.isTakingCallers(leader)), 3000);
     const others = cell.boxes.filter((box) => box !== leader);
     await cell.startUntil(() =>
       Promise.resolve(others.some(({ process }) => process.readOutput().includes('"Leading."'))),
