--- a/packages/cli/commands.ts
+++ b/packages/cli/commands.ts
@@ -2,6 +2,7 @@
 import type { Command } from './Command';
 import { endedCommand } from './endedCommand';
 import { entryCommand } from './entryCommand';
+import { explainJobCommand } from './explainJobCommand';
 import { explainCommand } from './explainCommand';
 import { replayCommand } from './replayCommand';
 import { serveCommand } from './serveCommand';
@@ -12,6 +13,7 @@
 /** All commands of the binary, in the order of the help. */
 export const commands: readonly Command[] = [
   serveCommand,
+  explainJobCommand,
   entryCommand,
   checkCommand,
   statusCommand,
--- /dev/null
+++ b/tests/serve/explain.test.ts
@@ -0,0 +1,111 @@
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { createDecisionLog } from '../../packages/common/createDecisionLog';
+import { readJobStory } from '../../packages/timeline/readJobStory';
+
+const JOB = '00000000000000a1';
+
+const toLine = (second: number, fields: object): string =>
+  JSON.stringify({ time: `2026-01-01T00:00:0${second}.000Z`, level: 'info', box: 'box-1', ...fields });
+
+const LINES = [
+  toLine(0, { part: 'leader', message: 'Endpoint does not answer.', endpoint: 'i-1' }),
+  toLine(1, { part: 'jobs', message: 'Job accepted.', job: JOB }),
+  toLine(2, { part: 'leader', message: 'Run placed.', job: JOB, task: `${JOB}.0.0.0`, endpoint: 'i-1' }),
+  toLine(3, { part: 'leader', message: 'Endpoint does not answer.', endpoint: 'i-1' }),
+  toLine(3, { part: 'leader', message: 'Endpoint does not answer.', endpoint: 'i-2' }),
+  toLine(4, { part: 'leadership', message: 'Leader changed.', epoch: 2 }),
+  `  5.0 box-1 ${toLine(5, { part: 'leader', message: 'Job ended.', job: JOB, ending: 'completed' })}`,
+  'not a line',
+];
+
+describe('explaining a job afterwards', () => {
+  let folder = '';
+
+  beforeAll(() => {
+    folder = mkdtempSync(join(tmpdir(), 'stairline-explain-'));
+    writeFileSync(join(folder, 'all.log'), LINES.join('\n'));
+  });
+
+  afterAll(() => {
+    rmSync(folder, { recursive: true, force: true });
+  });
+
+  it('tells its own lines, those of its endpoints and changes of leadership while it lived', () => {
+    const messages = readJobStory(LINES, JOB).map(({ message }) => message);
+    expect(messages).toEqual([
+      'Job accepted.',
+      'Run placed.',
+      'Endpoint does not answer.',
+      'Leader changed.',
+      'Job ended.',
+    ]);
+  });
+
+  it('does so from the command line, and says when nothing is known', () => {
+    const startCommand = (...args: string[]) =>
+      spawnSync(process.execPath, ['dist/stairline.cjs', 'explain-job', ...args], { encoding: 'utf8' });
+    const known = startCommand(JOB, join(folder, 'all.log'));
+    expect(known.status).toBe(0);
+    expect(known.stdout.split('\n')).toHaveLength(6);
+    expect(startCommand('00000000000000ff', join(folder, 'all.log')).status).toBe(1);
+    expect(startCommand(JOB).status).toBe(2);
+    expect(startCommand(JOB, join(folder, 'missing.log')).status).toBe(2);
+  });
+
+  it('bounds the volume of the log, counts what it leaves out, and keeps errors', () => {
+    const written: string[] = [];
+    let now = 0;
+    const logger = createDecisionLog({
+      box: 'box-1',
+      writeLine: (line) => written.push(line),
+      readBacklogBytes: () => 0,
+      readNow: () => now,
+      linesPerSecond: 10,
+    })('test');
+    Array.from({ length: 100 }).forEach(() => logger.info('Something.'));
+    expect(written).toHaveLength(40);
+    logger.error('Something worse.');
+    expect(JSON.parse(written[40]!)).toMatchObject({ message: 'Something worse.', leftOut: 60 });
+    now = 1000;
+    logger.info('Something.');
+    expect(written).toHaveLength(42);
+  });
+
+  it('writes nothing while its reader does not read', () => {
+    const written: string[] = [];
+    const logger = createDecisionLog({
+      box: 'box-1',
+      writeLine: (line) => written.push(line),
+      readBacklogBytes: () => 2_000_000,
+      readNow: () => 0,
+      linesPerSecond: 10,
+    })('test');
+    logger.info('Something.');
+    expect(written).toHaveLength(0);
+  });
+});
+
+describe('settings of the platform', () => {
+  it('end the start with one line for each problem when they are broken', () => {
+    const folder = mkdtempSync(join(tmpdir(), 'stairline-settings-'));
+    const file = join(folder, 'local.json');
+    const start = () =>
+      spawnSync(process.execPath, ['dist/stairline.cjs', 'serve', '--settings', file], { encoding: 'utf8' });
+    writeFileSync(file, '{');
+    expect(start()).toMatchObject({ status: 2 });
+    writeFileSync(
+      file,
+      JSON.stringify({ 'node-name': 'box-1', zone: 'hall-a', ip: '127.0.0.1', listen: {} }),
+    );
+    const broken = start();
+    expect(broken.status).toBe(2);
+    expect(broken.stderr).toContain('listen.front');
+    expect(broken.stderr).toContain('platform');
+    expect(broken.stderr).not.toContain('    at ');
+    rmSync(folder, { recursive: true, force: true });
+  });
+});
