Keep what an unlisted endpoint runs; split the sessions out of the leader's duty

Cause: a record that vanished was taken as a drain, so work on a sound endpoint would have been stopped (AVAIL). Found by reading; the new test in tests/dispatch failed first on the old code's rule (isDraining set by handleEndpointLeft).

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -136,7 +136,7 @@
   handleEndpointLeft(id: EndpointId): void {
     const book = this.books.get(id);
     if (book !== undefined) {
-      book.applyProfile({ ...book.readProfile(), isDraining: true });
+      book.recordUnlisted();
       this.ledger.checkEmptyBook(book);
     }
   }
--- a/packages/dispatch/EndpointBook.ts
+++ b/packages/dispatch/EndpointBook.ts
@@ -28,6 +28,7 @@
   private drainingSince: number | undefined;
   /** True once the endpoint has answered this leader, so that no older leader's order can reach it any more. */
   private settled = false;
+  private isListed = true;
   /** Since when the endpoint has not answered; undefined while it does. */
   private silentSince: number | undefined;
   /** Monotonic time after which nothing that was ever leased there can run. */
@@ -46,6 +47,12 @@
 
   applyProfile(profile: EndpointProfile): void {
     this.profile = profile;
+    this.isListed = true;
+  }
+
+  /** The endpoint's record has gone. What runs there may go on, since the record alone tells little. */
+  recordUnlisted(): void {
+    this.isListed = false;
   }
 
   readRun(task: TaskName, run: number): PlacedRun | undefined {
@@ -83,7 +90,7 @@
 
   /** True when new work may be started there. */
   isUsable(): boolean {
-    return this.settled && this.silentSince === undefined && !this.profile.isDraining;
+    return this.isListed && this.settled && this.silentSince === undefined && !this.profile.isDraining;
   }
 
   isSettled(): boolean {
--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/EndpointSession.ts
@@ -1,7 +1,6 @@
 import type { Clock } from '../common/Clock';
 import { startDelay } from '../common/startDelay';
 import { leaderTimings } from '../leadership/leaderTimings';
-import type { EndpointId } from '../jobs/EndpointId';
 import type { EndpointBook } from './EndpointBook';
 import type { EndpointClient } from './EndpointClient';
 import type { HoldAnswer } from './HoldAnswer';
@@ -9,7 +8,6 @@
 type Held = Extract<HoldAnswer, { kind: 'held' }>;
 
 interface EndpointSessionOptions {
-  readonly id: EndpointId;
   readonly book: EndpointBook;
   readonly client: EndpointClient;
   readonly clock: Clock;
--- /dev/null
+++ b/packages/dispatch/EndpointSessions.ts
@@ -0,0 +1,185 @@
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+import type { Random } from '../common/Random';
+import type { EndpointId } from '../jobs/EndpointId';
+import type { LogClient } from '../store/LogClient';
+import { LogFollower } from '../store/LogFollower';
+import type { LogRecord } from '../store/LogRecord';
+import type { Dispatcher } from './Dispatcher';
+import type { EndpointClient } from './EndpointClient';
+import type { EndpointProfile } from './EndpointProfile';
+import { EndpointSession } from './EndpointSession';
+import type { HoldAnswer } from './HoldAnswer';
+
+type Held = Extract<HoldAnswer, { kind: 'held' }>;
+
+interface EndpointSessionsOptions {
+  readonly client: LogClient;
+  /** Topic in which endpoints keep a record of themselves. */
+  readonly topic: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly dispatcher: Dispatcher;
+  readonly parseEndpoint: (id: string, text: string) => EndpointProfile | undefined;
+  readonly createEndpointClient: (profile: EndpointProfile) => EndpointClient;
+  /** True while this leader may give leases. */
+  readonly isRenewing: () => boolean;
+  /** The dispatcher has taken in what an endpoint answered; resolves once the ends in it are durable. */
+  readonly handleLooked: (endedCount: number) => Promise<void>;
+  readonly handleSilent: () => void;
+  /** Something has changed that may let work start. */
+  readonly handleChanged: () => void;
+  readonly handleFenced: (detail: string) => void;
+}
+
+const PAUSE_MS = 300;
+const POLL_MS = 1000;
+
+/** Knows the endpoints by their records, and keeps a session with each once the leader has taken over. */
+export class EndpointSessions {
+  private readonly profiles = new Map<string, EndpointProfile>();
+  private readonly sessions = new Map<EndpointId, EndpointSession>();
+  private readonly follower: LogFollower;
+  private isOpen = false;
+  private hasRead = false;
+
+  constructor(private readonly options: EndpointSessionsOptions) {
+    this.follower = new LogFollower({
+      client: options.client,
+      topic: options.topic,
+      clock: options.clock,
+      random: options.random,
+      pauseMs: PAUSE_MS,
+      pollMs: POLL_MS,
+      handleRecords: (records) => this.handleRecords(records),
+    });
+  }
+
+  /** Begins to read the endpoints' records. */
+  start(): void {
+    void this.follower.start();
+  }
+
+  /** Begins to look at the endpoints, those known and those to come. */
+  startSessions(): void {
+    this.isOpen = true;
+    for (const profile of this.profiles.values()) {
+      this.startSession(profile);
+    }
+  }
+
+  stop(): void {
+    this.isOpen = false;
+    this.follower.stop();
+    for (const session of this.sessions.values()) {
+      session.stop();
+    }
+  }
+
+  /** True once all records have been read. */
+  hasReadAll(): boolean {
+    return this.hasRead;
+  }
+
+  readCount(): number {
+    return this.profiles.size;
+  }
+
+  readSession(id: EndpointId): EndpointSession | undefined {
+    return this.sessions.get(id);
+  }
+
+  private handleRecords(records: readonly LogRecord[]): void {
+    for (const { key, value } of records) {
+      const profile = value === '' ? undefined : this.options.parseEndpoint(key, value);
+      if (profile === undefined) {
+        this.applyRemoval(key);
+      } else {
+        this.applyProfile(profile);
+      }
+    }
+    this.hasRead = true;
+    this.options.handleChanged();
+  }
+
+  private applyRemoval(key: string): void {
+    const known = this.profiles.get(key);
+    this.profiles.delete(key);
+    if (known !== undefined) {
+      this.options.logger.info('Endpoint left.', { endpoint: key });
+      this.options.dispatcher.handleEndpointLeft(known.id);
+    }
+  }
+
+  private applyProfile(profile: EndpointProfile): void {
+    const known = this.profiles.get(profile.id);
+    this.profiles.set(profile.id, profile);
+    this.options.dispatcher.handleEndpoint(profile);
+    if (known === undefined || known.isDraining !== profile.isDraining) {
+      const { id, service, isDraining, remainingMs } = profile;
+      this.options.logger.info('Endpoint seen.', { endpoint: id, service, isDraining, remainingMs });
+    }
+    if (this.isOpen) {
+      this.startSession(profile);
+    }
+  }
+
+  private startSession(profile: EndpointProfile): void {
+    const { clock, dispatcher, isRenewing, createEndpointClient, handleFenced } = this.options;
+    const book = dispatcher.readBook(profile.id);
+    if (this.sessions.has(profile.id) || book === undefined) {
+      return;
+    }
+    const session = new EndpointSession({
+      book,
+      client: createEndpointClient(profile),
+      clock,
+      isRenewing,
+      handleHeld: (answer, sentAt) => this.handleHeld(profile.id, answer, sentAt),
+      handleSilence: (detail) => this.handleSilence(profile.id, detail),
+      handleGone: () => this.handleGone(profile.id),
+      handleFenced: () => handleFenced(`endpoint ${profile.id} obeys a newer leader`),
+    });
+    this.sessions.set(profile.id, session);
+    void session.start();
+  }
+
+  private handleHeld(id: EndpointId, answer: Held, sentAt: number): Promise<void> {
+    const { clock, dispatcher, logger, handleLooked } = this.options;
+    const book = dispatcher.readBook(id);
+    if (book !== undefined && (book.readSilentSince() !== undefined || !book.isSettled())) {
+      logger.info('Endpoint answers.', {
+        endpoint: id,
+        running: answer.running.length,
+        ended: answer.ended.length,
+      });
+    }
+    const input = { endpoint: id, running: answer.running, ended: answer.ended, sentAt };
+    dispatcher.handleLook(input, clock.readNow(), clock.readWall());
+    return handleLooked(answer.ended.length);
+  }
+
+  private handleSilence(id: EndpointId, detail: string): void {
+    const { clock, dispatcher, logger, handleSilent } = this.options;
+    const book = dispatcher.readBook(id);
+    if (book !== undefined && book.readSilentSince() === undefined) {
+      logger.info('Endpoint does not answer.', { endpoint: id, detail });
+    }
+    handleSilent();
+    dispatcher.handleSilence(id, clock.readNow());
+    // One that has left and runs nothing any more needs no look.
+    if (book === undefined || (!this.profiles.has(id) && book.readRunCount() === 0)) {
+      this.sessions.get(id)?.stop();
+      this.sessions.delete(id);
+    }
+  }
+
+  private handleGone(id: EndpointId): void {
+    this.options.logger.info('Endpoint life is over.', { endpoint: id });
+    this.sessions.get(id)?.stop();
+    this.sessions.delete(id);
+    this.options.dispatcher.handleEndpointGone(id, this.options.clock.readNow());
+    this.options.handleChanged();
+  }
+}
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -2,7 +2,6 @@
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
-import type { EndpointId } from '../jobs/EndpointId';
 import { formatProgress } from '../jobs/formatProgress';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
@@ -12,19 +11,15 @@
 import { leaderTimings } from '../leadership/leaderTimings';
 import { ExclusiveWriter } from '../store/ExclusiveWriter';
 import type { LogClient } from '../store/LogClient';
-import { LogFollower } from '../store/LogFollower';
-import type { LogRecord } from '../store/LogRecord';
 import { AdviceDesk } from './AdviceDesk';
 import type { DispatchEffect } from './DispatchEffect';
 import { Dispatcher } from './Dispatcher';
 import type { EndpointClient } from './EndpointClient';
 import type { EndpointProfile } from './EndpointProfile';
-import { EndpointSession } from './EndpointSession';
-import type { HoldAnswer } from './HoldAnswer';
+import { EndpointSessions } from './EndpointSessions';
 import type { OrderAnswer } from './OrderAnswer';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
-type Held = Extract<HoldAnswer, { kind: 'held' }>;
 
 interface LeaderDutyOptions {
   readonly epoch: number;
@@ -49,8 +44,6 @@
 }
 
 const TICK_MS = 100;
-const ENDPOINTS_PAUSE_MS = 300;
-const ENDPOINTS_POLL_MS = 1000;
 const GATHER_MS = 3;
 const START_TIMEOUT_MS = 300;
 const STOP_TIMEOUT_MS = 250;
@@ -60,11 +53,8 @@
 export class LeaderDuty {
   private readonly dispatcher: Dispatcher;
   private readonly writer: ExclusiveWriter;
-  private readonly endpoints: LogFollower;
+  private readonly endpoints: EndpointSessions;
   private readonly desk: AdviceDesk;
-  private readonly sessions = new Map<EndpointId, EndpointSession>();
-  private readonly profiles = new Map<string, EndpointProfile>();
-  private hasReadEndpoints = false;
   private hasReadJobs = false;
   private hasTakenOver = false;
   private isStopped = false;
@@ -98,14 +88,23 @@
           detail,
         }),
     });
-    this.endpoints = new LogFollower({
+    this.endpoints = new EndpointSessions({
       client,
       topic: options.endpointsTopic,
       clock,
       random: options.random,
-      pauseMs: ENDPOINTS_PAUSE_MS,
-      pollMs: ENDPOINTS_POLL_MS,
-      handleRecords: (records) => this.handleEndpointRecords(records),
+      logger: options.logger,
+      dispatcher: this.dispatcher,
+      parseEndpoint: options.parseEndpoint,
+      createEndpointClient: options.createEndpointClient,
+      isRenewing: () => clock.readNow() - this.confirmedAt < unconfirmedMs,
+      handleLooked: (endedCount) => this.handleLooked(endedCount),
+      handleSilent: () => options.recordCount('unanswered'),
+      handleChanged: () => {
+        this.startTakeOver();
+        this.queueRound();
+      },
+      handleFenced: (detail) => this.handleDeposed(detail),
     });
     this.desk = new AdviceDesk({
       clock,
@@ -122,7 +121,7 @@
    * understood, and acknowledged, only with its job at hand.
    */
   start(): void {
-    void this.endpoints.start();
+    this.endpoints.start();
     void this.startReadingJobs();
     this.timer = setInterval(() => this.applyTime(), TICK_MS);
   }
@@ -134,9 +133,6 @@
     this.writer.stop();
     this.endpoints.stop();
     this.desk.stop();
-    for (const session of this.sessions.values()) {
-      session.stop();
-    }
   }
 
   /** Stops by plan: no more orders, then the word that another may lead. */
@@ -145,9 +141,6 @@
     clearInterval(this.timer);
     this.endpoints.stop();
     this.desk.stop();
-    for (const session of this.sessions.values()) {
-      session.stop();
-    }
     // Without the log the word cannot be written: the next leader is told directly, or sees this process end.
     if (this.writer.readFailingMs() === 0) {
       this.writer.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
@@ -184,25 +177,6 @@
     return this.hasTakenOver && !this.isStopped;
   }
 
-  private handleEndpointRecords(records: readonly LogRecord[]): void {
-    for (const { key, value } of records) {
-      const profile = value === '' ? undefined : this.options.parseEndpoint(key, value);
-      if (profile === undefined) {
-        const known = this.profiles.get(key);
-        this.profiles.delete(key);
-        if (known !== undefined) {
-          this.options.logger.info('Endpoint left.', { endpoint: key });
-          this.dispatcher.handleEndpointLeft(known.id);
-        }
-        continue;
-      }
-      this.applyProfile(profile);
-    }
-    this.hasReadEndpoints = true;
-    this.startTakeOver();
-    this.queueRound();
-  }
-
   private async startReadingJobs(): Promise<void> {
     while (!this.isStopped && !this.hasReadJobs) {
       this.hasReadJobs = await this.options.startJobsRefresh();
@@ -213,22 +187,9 @@
     this.startTakeOver();
   }
 
-  private applyProfile(profile: EndpointProfile): void {
-    const known = this.profiles.get(profile.id);
-    this.profiles.set(profile.id, profile);
-    this.dispatcher.handleEndpoint(profile);
-    if (known === undefined || known.isDraining !== profile.isDraining) {
-      const { id, service, isDraining, remainingMs } = profile;
-      this.options.logger.info('Endpoint seen.', { endpoint: id, service, isDraining, remainingMs });
-    }
-    if (this.hasTakenOver) {
-      this.startSession(profile);
-    }
-  }
-
   /** Takes in what earlier leaders left, then begins to look at the endpoints. */
   private startTakeOver(): void {
-    if (this.hasTakenOver || this.isStopped || !this.hasReadEndpoints || !this.hasReadJobs) {
+    if (this.hasTakenOver || this.isStopped || !this.endpoints.hasReadAll() || !this.hasReadJobs) {
       return;
     }
     const { replica, clock, logger, epoch } = this.options;
@@ -239,78 +200,22 @@
         this.dispatcher.handleCancel(definition.id, clock.readWall());
       }
     }
-    for (const profile of this.profiles.values()) {
-      this.startSession(profile);
-    }
+    this.endpoints.startSessions();
     logger.info('Leading.', {
       epoch,
       jobs: this.dispatcher.readJobCount(),
-      endpoints: this.profiles.size,
+      endpoints: this.endpoints.readCount(),
     });
   }
 
-  private startSession(profile: EndpointProfile): void {
-    const book = this.dispatcher.readBook(profile.id);
-    if (this.sessions.has(profile.id) || book === undefined) {
-      return;
-    }
-    const { clock } = this.options;
-    const session = new EndpointSession({
-      id: profile.id,
-      book,
-      client: this.options.createEndpointClient(profile),
-      clock,
-      isRenewing: () => clock.readNow() - this.confirmedAt < leaderTimings.unconfirmedMs,
-      handleHeld: (answer, sentAt) => this.handleHeld(profile.id, answer, sentAt),
-      handleSilence: (detail) => this.handleSilence(profile.id, detail),
-      handleGone: () => this.handleGone(profile.id),
-      handleFenced: () => this.handleDeposed(`endpoint ${profile.id} obeys a newer leader`),
-    });
-    this.sessions.set(profile.id, session);
-    void session.start();
-  }
-
-  private handleHeld(id: EndpointId, answer: Held, sentAt: number): Promise<void> {
-    const { clock } = this.options;
-    const book = this.dispatcher.readBook(id);
-    if (book !== undefined && (book.readSilentSince() !== undefined || !book.isSettled())) {
-      this.options.logger.info('Endpoint answers.', {
-        endpoint: id,
-        running: answer.running.length,
-        ended: answer.ended.length,
-      });
-    }
-    answer.ended.forEach(() => this.options.recordCount('ends'));
-    const input = { endpoint: id, running: answer.running, ended: answer.ended, sentAt };
-    this.dispatcher.handleLook(input, clock.readNow(), clock.readWall());
+  /** Places what the look freed room for; resolves once the ends in it are durable. */
+  private handleLooked(endedCount: number): Promise<void> {
+    const { clock, recordCount } = this.options;
+    Array.from({ length: endedCount }).forEach(() => recordCount('ends'));
     this.dispatcher.placeWaiting(clock.readNow(), clock.readWall());
     this.sendEffects();
     // Another look may have taken the same ends in already: they are durable only once its records are.
-    return answer.ended.length === 0
-      ? Promise.resolve()
-      : new Promise((resolve) => this.writer.queueBarrier(resolve));
-  }
-
-  private handleSilence(id: EndpointId, detail: string): void {
-    const { clock, logger, recordCount } = this.options;
-    const book = this.dispatcher.readBook(id);
-    if (book?.readSilentSince() === undefined) {
-      logger.info('Endpoint does not answer.', { endpoint: id, detail });
-    }
-    recordCount('unanswered');
-    this.dispatcher.handleSilence(id, clock.readNow());
-    if (book === undefined || (!this.profiles.has(id) && book.readRunCount() === 0)) {
-      this.sessions.get(id)?.stop();
-      this.sessions.delete(id);
-    }
-  }
-
-  private handleGone(id: EndpointId): void {
-    this.options.logger.info('Endpoint life is over.', { endpoint: id });
-    this.sessions.get(id)?.stop();
-    this.sessions.delete(id);
-    this.dispatcher.handleEndpointGone(id, this.options.clock.readNow());
-    this.queueRound();
+    return endedCount === 0 ? Promise.resolve() : new Promise((resolve) => this.writer.queueBarrier(resolve));
   }
 
   private handleDeposed(detail: string): void {
@@ -401,7 +306,7 @@
   private async sendStart(effect: StartEffect): Promise<void> {
     const { clock, recordCount, recordTime, logger } = this.options;
     const { endpoint, order } = effect;
-    const session = this.sessions.get(endpoint);
+    const session = this.endpoints.readSession(endpoint);
     const isWanted = !this.isStopped && this.dispatcher.handleRecorded(effect, clock.readNow());
     if (session === undefined || !isWanted) {
       if (isWanted) {
@@ -435,21 +340,24 @@
   private async sendStop(effect: Extract<DispatchEffect, { kind: 'stop' }>): Promise<void> {
     const { endpoint, task, run } = effect;
     this.options.recordCount('stops');
-    const answer = await this.sessions.get(endpoint)?.readClient().sendStop(task, run, STOP_TIMEOUT_MS);
+    const answer = await this.endpoints
+      .readSession(endpoint)
+      ?.readClient()
+      .sendStop(task, run, STOP_TIMEOUT_MS);
     if (answer === undefined || this.isFence(answer)) {
       return;
     }
     this.dispatcher.handleStopAnswer(endpoint, task, run, answer, this.options.clock.readNow());
     if (answer.kind === 'done' || answer.kind === 'rejected') {
       // Only a look that is sent after the stop was answered can prove that the run is not there.
-      void this.sessions.get(endpoint)?.startExtraLook();
+      void this.endpoints.readSession(endpoint)?.startExtraLook();
     }
     this.queueRound();
   }
 
   private async sendPace(effect: Extract<DispatchEffect, { kind: 'pace' }>): Promise<void> {
     const { endpoint, task, run, percent } = effect;
-    const client = this.sessions.get(endpoint)?.readClient();
+    const client = this.endpoints.readSession(endpoint)?.readClient();
     const answer = await client?.sendPace(task, run, percent, STOP_TIMEOUT_MS);
     if (answer !== undefined) {
       this.isFence(answer);
--- a/packages/dispatch/RunMover.ts
+++ b/packages/dispatch/RunMover.ts
@@ -77,7 +77,7 @@
     if (shape === undefined || shape.isGang || book.readSilentSince() !== undefined) {
       return undefined;
     }
-    if (book.readProfile().isDraining) {
+    if (book.readProfile().isDraining && book.readProfile().remainingMs > 0) {
       return this.isCutShort(book, run, shape, now) ? 'endpoint leaves' : undefined;
     }
     const isDone = (this.moveCounts.get(run.task) ?? 0) >= MAX_MOVES;
--- a/tests/dispatch.test.ts
+++ b/tests/dispatch.test.ts
@@ -436,6 +436,46 @@
   });
 });
 
+describe('endpoints that leave', () => {
+  /** A long-running task at work on the first of two endpoints. */
+  const createAtWork = () => {
+    const dispatcher = new Dispatcher({ readDefinition: () => undefined, unheardUntil: 0 });
+    const [first, second] = [createProfile(0), createProfile(1)];
+    const definition = createJob(1, [createStep({ count: 1, isLongRunning: true, missAllowed: 1 })]);
+    dispatcher.handleEndpoint(first);
+    dispatcher.handleLook({ endpoint: first.id, running: [], ended: [], sentAt: 0 }, 1, 1);
+    dispatcher.handleJob(definition, new JobProgress(definition), 1);
+    dispatcher.placeWaiting(2, 2);
+    const start = dispatcher.readEffects().find((effect) => effect.kind === 'start') as Extract<
+      DispatchEffect,
+      { kind: 'start' }
+    >;
+    dispatcher.handleRecorded(start, 3);
+    dispatcher.handleStartAnswer(first.id, start.order.task, 1, { kind: 'done' }, 4);
+    dispatcher.handleEndpoint(second);
+    dispatcher.handleLook({ endpoint: second.id, running: [], ended: [], sentAt: 5 }, 6, 6);
+    return { dispatcher, first, second };
+  };
+
+  const readStops = (dispatcher: Dispatcher) =>
+    dispatcher.readEffects().filter((effect) => effect.kind === 'stop');
+
+  it('keep what they run when only their record is gone, and get nothing new', () => {
+    const { dispatcher, first } = createAtWork();
+    dispatcher.handleEndpointLeft(first.id);
+    dispatcher.applyTime(1000);
+    expect(readStops(dispatcher)).toEqual([]);
+    expect(dispatcher.readBook(first.id)?.isUsable()).toBe(false);
+  });
+
+  it('have long-running work moved ahead when they say that they drain', () => {
+    const { dispatcher, first } = createAtWork();
+    dispatcher.handleEndpoint({ ...first, isDraining: true, remainingMs: 2000 });
+    dispatcher.applyTime(1000);
+    expect(readStops(dispatcher)).toHaveLength(1);
+  });
+});
+
 describe('stragglers', () => {
   const usual = { pace: 8, usualPace: 8, percent: 50, stalledMs: 0, moveMs: 300 };
 
