--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -57,6 +57,8 @@
         linesPerSecond: LOG_LINES_PER_SECOND,
       }),
     });
+    // A collector that goes away must not end the box: lines are then lost.
+    process.stdout.on('error', () => undefined);
     const stopped = handleSignals(serve);
     try {
       await serve.start();
--- a/tests/serve/explain.test.ts
+++ b/tests/serve/explain.test.ts
@@ -1,8 +1,9 @@
-import { spawnSync } from 'node:child_process';
+import { spawn, spawnSync } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { chooseFreePorts } from '../../dev/fleet/chooseFreePorts';
 import { createDecisionLog } from '../../packages/common/createDecisionLog';
 import { readJobStory } from '../../packages/timeline/readJobStory';
 
@@ -89,6 +90,38 @@
   });
 });
 
+describe('a box without advice service whose collector goes away', () => {
+  it('starts, and goes on without its log', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'stairline-collector-'));
+    const file = join(folder, 'local.json');
+    const ports = await chooseFreePorts(4);
+    const [front, ready, internal, log] = ports.map((port) => `127.0.0.1:${port}`);
+    const settings = {
+      'node-name': 'box-1',
+      zone: 'hall-a',
+      ip: '127.0.0.1',
+      listen: { front, ready },
+      'internal-ports': [Number(internal!.split(':')[1]), Number(internal!.split(':')[1])],
+      platform: { address: log },
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const box = spawn(process.execPath, ['dist/stairline.cjs', 'serve', '--settings', file]);
+    await new Promise((resolve, reject) => {
+      box.stdout.once('data', resolve);
+      box.once('exit', reject);
+    });
+    box.removeAllListeners('exit');
+    box.stdout.destroy();
+    for (let line = 0; line < 5; line += 1) {
+      box.kill('SIGHUP');
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    expect(box.exitCode).toBeNull();
+    box.kill('SIGKILL');
+    rmSync(folder, { recursive: true, force: true });
+  });
+});
+
 describe('settings of the platform', () => {
   it('end the start with one line for each problem when they are broken', () => {
     const folder = mkdtempSync(join(tmpdir(), 'stairline-settings-'));
