Let calls wait their turn, count their limits from the sending, and forgive pauses of the process

Cause: after an outage a backlog of starts went to few endpoints over few connections. Also: a box reads the log before it says that it can use it, so no leader hands over into an outage of all (18.7 to 25.1 s without one).

--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -12,8 +12,8 @@
   readonly address: string;
   readonly advice: AdviceClient;
   readonly formatMetrics: () => string;
-  /** True while this box can use the log. */
-  readonly isLogUsable: () => boolean;
+  /** Tries whether this box can use the log now. */
+  readonly isLogUsable: () => Promise<boolean>;
   /** The leader of an epoch has stopped and asks this box to lead next. */
   readonly handleHandOver: (epoch: number) => void;
 }
@@ -34,7 +34,9 @@
   constructor(private readonly options: BoxServerOptions) {
     this.app = createBufferApp(BODY_LIMIT_BYTES);
     this.app.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.formatMetrics()));
-    this.app.get('/log', (_request, reply) => reply.code(options.isLogUsable() ? 200 : 503).send(''));
+    this.app.get('/log', async (_request, reply) =>
+      reply.code((await options.isLogUsable()) ? 200 : 503).send(''),
+    );
     this.app.post('/hand-over', (request, reply) => {
       const body = Buffer.isBuffer(request.body) ? request.body.toString('utf8') : '';
       const handOver = handOverSchema.safeParse(parseJson(body));
--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -35,9 +35,36 @@
   return code ?? '';
 };
 
-/** Calls one address over kept connections, one call at a time on each. A call without an answer ends its connection. */
+/** A time limit that fires later than this was held up in this process: the answer may be waiting to be read. */
+const HELD_UP_MS = 20;
+
+/** Calls back after a time, and gives the process as long again whenever it was itself held up. */
+const startTimer = (ms: number, handleEnd: () => void): (() => void) => {
+  let timer: NodeJS.Timeout;
+  const startOnce = (waitMs: number): void => {
+    const dueAt = performance.now() + waitMs;
+    timer = setTimeout(() => {
+      const heldUpMs = performance.now() - dueAt;
+      if (heldUpMs > HELD_UP_MS) {
+        startOnce(Math.min(ms, heldUpMs));
+      } else {
+        handleEnd();
+      }
+    }, waitMs);
+  };
+  startOnce(ms);
+  return () => clearTimeout(timer);
+};
+
+/**
+ * Calls one address over kept connections, one call at a time on each. A call without an answer ends its connection.
+ * Calls beyond the number of connections wait their turn, and their time limit counts from then: a call that was never sent
+ * must not count as unanswered.
+ */
 export class HttpCaller {
   private pool: Pool;
+  private underWay = 0;
+  private readonly waiting: (() => void)[] = [];
 
   constructor(private readonly options: HttpCallerOptions) {
     this.pool = this.createPool();
@@ -45,8 +72,45 @@
 
   /** Makes a call. Never rejects. */
   async sendCall(call: HttpCall): Promise<HttpResult> {
+    await this.startTurn();
+    try {
+      return await this.sendNow(call);
+    } finally {
+      this.stopTurn();
+    }
+  }
+
+  /** Drops all connections; the next call opens a new one. */
+  startAnew(): void {
+    const old = this.pool;
+    this.pool = this.createPool();
+    void old.destroy();
+  }
+
+  async stop(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private startTurn(): Promise<void> {
+    if (this.underWay < this.options.connections) {
+      this.underWay += 1;
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => this.waiting.push(resolve));
+  }
+
+  private stopTurn(): void {
+    const next = this.waiting.shift();
+    if (next === undefined) {
+      this.underWay -= 1;
+    } else {
+      next();
+    }
+  }
+
+  private async sendNow(call: HttpCall): Promise<HttpResult> {
     const limit = new AbortController();
-    const timer = setTimeout(() => limit.abort(), call.timeoutMs);
+    const stopTimer = startTimer(call.timeoutMs, () => limit.abort());
     try {
       const response = await this.pool.request({
         method: call.method,
@@ -64,21 +128,10 @@
         : toErrorText(thrown);
       return { kind: isRefused ? 'refused' : 'unanswered', detail };
     } finally {
-      clearTimeout(timer);
+      stopTimer();
     }
   }
 
-  /** Drops all connections; the next call opens a new one. */
-  startAnew(): void {
-    const old = this.pool;
-    this.pool = this.createPool();
-    void old.destroy();
-  }
-
-  async stop(): Promise<void> {
-    await this.pool.destroy();
-  }
-
   private createPool(): Pool {
     return new Pool(`http://${this.options.address}`, {
       connections: this.options.connections,
--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/EndpointSession.ts
@@ -22,7 +22,7 @@
 
 /** Short, because an end is not heard of while the answer to a look is lost. */
 const LOOK_WAIT_MS = 400;
-const ANSWER_TIMEOUT_MS = 350;
+const ANSWER_TIMEOUT_MS = 600;
 const RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 500;
 
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -45,8 +45,8 @@
 
 const TICK_MS = 100;
 const GATHER_MS = 3;
-const START_TIMEOUT_MS = 300;
-const STOP_TIMEOUT_MS = 250;
+const START_TIMEOUT_MS = 500;
+const STOP_TIMEOUT_MS = 500;
 const RESIGN_TIMEOUT_MS = 600;
 
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
--- a/packages/dispatch/RunLedger.ts
+++ b/packages/dispatch/RunLedger.ts
@@ -12,7 +12,7 @@
   readonly sendEffect: (effect: DispatchEffect) => void;
 }
 
-const STOP_RETRY_MS = 250;
+const STOP_RETRY_MS = 600;
 
 /** Ends of runs and of jobs: frees room, carries ends into progress, and stops what should not run. */
 export class RunLedger {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -48,8 +48,8 @@
 const TAKE_OVER_READ_MS = 1000;
 /** A leader whose writes have failed for so long looks for a box that the log serves. */
 const HAND_OVER_MS = 300;
-/** A box that has read the log so lately can use it. */
-const FRESH_LOG_MS = 1000;
+/** Time for the read that shows whether a box can use the log; below the limit of the question itself. */
+const FRESH_LOG_MS = 150;
 const GATHER_MS = 2;
 /** The balancer notices within two of its questions, one a second. */
 const LEAVE_NOTICE_MS = 2600;
@@ -331,9 +331,9 @@
     return [own, ...others];
   }
 
-  private isLogUsable(): boolean {
-    const ageMs = this.options.clock.readNow() - this.progressFollower.readLastOkAt();
-    const isReading = this.progressFollower.isFollowing() && ageMs < FRESH_LOG_MS;
+  /** Reads now: what was read a moment ago says nothing about an outage that has just begun for all. */
+  private async isLogUsable(): Promise<boolean> {
+    const isReading = await this.progressFollower.startRefresh(FRESH_LOG_MS);
     return isReading && this.writer.readFailingMs() === 0 && !this.isStopping;
   }
 
--- /dev/null
+++ b/tests/serve/calls.test.ts
@@ -0,0 +1,67 @@
+import { createServer, type Server } from 'node:http';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { chooseFreePorts } from '../../dev/fleet/chooseFreePorts';
+import { HttpCaller } from '../../packages/common/HttpCaller';
+
+describe('calls to one address', () => {
+  let server: Server;
+  let address = '';
+  let connectionCount = 0;
+  let answerMs = 0;
+
+  beforeEach(async () => {
+    const [port] = await chooseFreePorts(1);
+    address = `127.0.0.1:${port!}`;
+    connectionCount = 0;
+    server = createServer((_request, response) => {
+      setTimeout(() => response.end('answer'), answerMs);
+    });
+    server.on('connection', () => {
+      connectionCount += 1;
+    });
+    await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
+  });
+
+  afterEach(async () => {
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  });
+
+  it('wait their turn beyond the number of connections, and their limit counts from the sending', async () => {
+    answerMs = 100;
+    const caller = new HttpCaller({ address, connections: 1 });
+    const call = { method: 'GET', path: '/', timeoutMs: 250 } as const;
+    const results = await Promise.all(Array.from({ length: 6 }, () => caller.sendCall(call)));
+    expect(results.map(({ kind }) => kind)).toEqual(Array.from({ length: 6 }, () => 'answered'));
+    expect(connectionCount).toBe(1);
+    await caller.stop();
+  });
+
+  it('are not given up for a pause of this very process', async () => {
+    answerMs = 10;
+    const caller = new HttpCaller({ address, connections: 1 });
+    const call = { method: 'GET', path: '/', timeoutMs: 100 } as const;
+    await caller.sendCall(call);
+    const result = caller.sendCall(call);
+    await new Promise((resolve) => setImmediate(resolve));
+    const until = performance.now() + 300;
+    while (performance.now() < until) {
+      // Nothing else gets a turn meanwhile.
+    }
+    expect((await result).kind).toBe('answered');
+    expect(connectionCount).toBe(1);
+    await caller.stop();
+  });
+
+  it('end without an answer after their limit, and say when nobody listens', async () => {
+    answerMs = 1000;
+    const caller = new HttpCaller({ address, connections: 1 });
+    const call = { method: 'GET', path: '/', timeoutMs: 100 } as const;
+    expect((await caller.sendCall(call)).kind).toBe('unanswered');
+    const [free] = await chooseFreePorts(1);
+    const nobody = new HttpCaller({ address: `127.0.0.1:${free!}`, connections: 1 });
+    expect((await nobody.sendCall(call)).kind).toBe('refused');
+    await caller.stop();
+    await nobody.stop();
+  });
+});
