Remove five methods that nothing calls; record a run's pace in one place

Behaviour stays: the methods had no caller, and RunMover's two recorders shared all but how the pace is reckoned.

--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -62,7 +62,7 @@
  * must not count as unanswered.
  */
 export class HttpCaller {
-  private pool: Pool;
+  private readonly pool: Pool;
   private underWay = 0;
   private readonly waiting: (() => void)[] = [];
 
@@ -80,13 +80,6 @@
     }
   }
 
-  /** Drops all connections; the next call opens a new one. */
-  startAnew(): void {
-    const old = this.pool;
-    this.pool = this.createPool();
-    void old.destroy();
-  }
-
   async stop(): Promise<void> {
     await this.pool.destroy();
   }
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -91,10 +91,6 @@
     return this.books.get(id);
   }
 
-  readBooks(): Iterable<EndpointBook> {
-    return this.books.values();
-  }
-
   /** Takes a job in. What its progress shows as placed may be running until its endpoint has been heard. */
   handleJob(definition: JobDefinition, progress: JobProgress, now: number): void {
     if (this.jobs.has(definition.id) || progress.isEnded()) {
--- a/packages/dispatch/RunMover.ts
+++ b/packages/dispatch/RunMover.ts
@@ -32,26 +32,22 @@
 
   /** Takes in what a look showed of a run. */
   recordRun(book: EndpointBook, run: PlacedRun, now: number): void {
-    const speeds = this.readJob(run)?.readSpeeds(run.address.time, run.address.step);
     const ageMs = now - run.confirmedAt;
-    if (speeds === undefined || ageMs < KNOWN_AFTER_MS || !this.isMeasurable(run)) {
-      return;
-    }
-    const pace = ageMs / Math.max(1, run.percent);
-    speeds.recordPace(run.address.index, pace);
-    const median = speeds.readMedian();
-    if (median !== undefined) {
-      book.recordSlowness(pace / median, now);
+    if (ageMs >= KNOWN_AFTER_MS) {
+      this.recordPace(book, run, ageMs / Math.max(1, run.percent), now);
     }
   }
 
   /** Takes in that a run was done. */
   recordDone(book: EndpointBook, run: PlacedRun, now: number): void {
+    this.recordPace(book, run, (now - run.confirmedAt) / WHOLE, now);
+  }
+
+  private recordPace(book: EndpointBook, run: PlacedRun, pace: number, now: number): void {
     const speeds = this.readJob(run)?.readSpeeds(run.address.time, run.address.step);
     if (speeds === undefined || !this.isMeasurable(run)) {
       return;
     }
-    const pace = (now - run.confirmedAt) / WHOLE;
     speeds.recordPace(run.address.index, pace);
     const median = speeds.readMedian();
     if (median !== undefined) {
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -48,11 +48,6 @@
     return this.endedAtMs;
   }
 
-  /** True once a task has been placed. */
-  hasBegun(): boolean {
-    return this.begun;
-  }
-
   isEnded(): boolean {
     return this.ending !== undefined;
   }
@@ -118,14 +113,6 @@
     }
   }
 
-  /** Counts runs that an endpoint knows of but this progress does not, so that the next run's number is above them. */
-  recordRunNumber(address: TaskAddress, run: number): void {
-    const task = this.readTask(address);
-    if (task !== undefined && task.phase === 'waiting' && run > task.run) {
-      this.writeTask(address, { ...task, run });
-    }
-  }
-
   /** Sets the count of failed runs, as read from the log. */
   recordFailures(address: TaskAddress, failures: number): void {
     const task = this.readTask(address);
--- a/packages/standins/platform/RunWitness.ts
+++ b/packages/standins/platform/RunWitness.ts
@@ -71,10 +71,6 @@
     return [...this.startCounts.values()].reduce((sum, count) => sum + count, 0);
   }
 
-  readDoneCount(): number {
-    return this.doneRuns.size;
-  }
-
   private checkNoted(key: string): void {
     const start = this.startsAfterDone.get(key);
     if (start !== undefined && this.notedRuns.has(key)) {
