A backlog no longer keeps a leader from its heartbeats

Each of the 245 first looks of a new leader ran a whole round of placement, and the desk that spreads questions to the advice service went through all boxes for each waiting question whenever one was asked or answered. Change: looks only record, rounds are joined and rest twice their own length; a round asks no more questions than there are turns, in the order of placement, and no queue of questions is kept; eligible endpoints, demands that found no room and what waits of a job are worked out once. Ruled out: making the 490 pools of connections (46 ms).

--- a/packages/dispatch/AdviceQuestions.ts
+++ b/packages/dispatch/AdviceQuestions.ts
@@ -1,6 +1,7 @@
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobStep } from '../jobs/JobStep';
 import { toTaskName } from '../jobs/toTaskName';
+import type { AdviceTurns } from './AdviceTurns';
 import type { DispatchEffect } from './DispatchEffect';
 import type { EndpointBook } from './EndpointBook';
 import type { LiveJob } from './LiveJob';
@@ -13,18 +14,29 @@
 const ASK_AGAIN_MS = 120;
 /** A question for a later step is sent so long before it is expected to be ready, beyond the question's own time. */
 const EARLY_MARGIN_MS = 150;
-const MOST_URGENT = 0;
+/** Questions longer than this are long ones. */
+const LONG_QUESTION_MS = 150;
 /** Percent below which a run's speed is not known. */
 const KNOWN_SPEED_PERCENT = 5;
 
 /** Decides when to ask the advice service, and about which endpoints. */
 export class AdviceQuestions {
+  private turns: AdviceTurns = { all: 0, long: 0 };
+
   constructor(
     private readonly books: ReadonlyMap<EndpointId, EndpointBook>,
     private readonly room: RoomView,
     private readonly sendEffect: (effect: Extract<DispatchEffect, { kind: 'advise' }>) => void,
   ) {}
 
+  /**
+   * Sets how many questions this round may ask. What finds no turn is asked in a later round if it still has to be, in the order
+   * of placement: a queue of questions would grow old, and be worked through although its steps had been served.
+   */
+  startRound(turns: AdviceTurns): void {
+    this.turns = turns;
+  }
+
   /** Asks about endpoints for the tasks of a step that found none. */
   sendQuestion(step: WaitingStep, eligible: readonly EndpointBook[], missing: number, now: number): void {
     const { advice } = step.job.definition.queue;
@@ -32,25 +44,34 @@
     if (advice === undefined || book.isBusy() || now - book.readLastAskedAt() < ASK_AGAIN_MS) {
       return;
     }
+    const isLong = advice.decisionMs + advice.perEndpointMs * MAX_NAMED > LONG_QUESTION_MS;
+    if (!this.hasTurn(isLong)) {
+      return;
+    }
     const named = this.chooseNamed(step, eligible, missing, now);
     if (named.length === 0) {
       return;
     }
     book.recordQuestion(now);
+    this.turns = { all: this.turns.all - 1, long: this.turns.long - (isLong ? 1 : 0) };
     this.sendEffect({
       kind: 'advise',
       step: `${step.job.definition.id}.${step.time}.${step.step}`,
       endpoints: named,
       expectedMs: advice.decisionMs + advice.perEndpointMs * named.length,
-      isUrgent: step.job.definition.queue.priority === MOST_URGENT,
+      isLong,
     });
   }
 
+  private hasTurn(isLong: boolean): boolean {
+    return this.turns.all > 0 && (!isLong || this.turns.long > 0);
+  }
+
   /** Asks for advice on steps that are about to become ready. */
   sendEarlyQuestions(job: LiveJob, now: number, wallMs: number): void {
     const { definition, progress } = job;
     const { advice } = definition.queue;
-    if (advice === undefined || progress.isEnded() || definition.steps.length === 1) {
+    if (advice === undefined || progress.isEnded() || definition.steps.length === 1 || this.turns.all === 0) {
       return;
     }
     for (let time = 0; time < definition.times && job.readDueAtMs(time) <= wallMs; time += 1) {
@@ -78,7 +99,7 @@
   ): readonly EndpointId[] {
     const advice = step.job.readAdvice(step.time, step.step);
     const { shape } = step;
-    const demand = shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand;
+    const demand = this.room.toCountedDemand(shape);
     const open = eligible.filter((book) => {
       const { id } = book.readProfile();
       const isOpen = !advice.isRefused(id) && advice.readTicket(id, now) === undefined;
@@ -92,7 +113,7 @@
     if (known.reduce((sum, book) => sum + this.readFitCount(book, shape), 0) >= missing) {
       return known.slice(0, MAX_NAMED).map(toIdOf);
     }
-    const byRoom = [...open].sort((left, right) => right.readFree().cpuMillis - left.readFree().cpuMillis);
+    const byRoom = [...open].sort((left, right) => right.readFreeCpuMillis() - left.readFreeCpuMillis());
     return byRoom.slice(0, MAX_NAMED).map(toIdOf);
   }
 
--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -22,7 +22,7 @@
       readonly step: string;
       readonly endpoints: readonly EndpointId[];
       readonly expectedMs: number;
-      readonly isUrgent: boolean;
+      readonly isLong: boolean;
     }
   /** A line for the log. */
   | { readonly kind: 'tell'; readonly sentence: string; readonly fields: Readonly<Record<string, unknown>> };
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -14,6 +14,7 @@
 import type { PlacedRun } from './PlacedRun';
 import { createPlacedRun } from './createPlacedRun';
 import { AdviceQuestions } from './AdviceQuestions';
+import type { AdviceTurns } from './AdviceTurns';
 import { GangWatch } from './GangWatch';
 import type { LookAnswer } from './LookAnswer';
 import { LookReader } from './LookReader';
@@ -21,8 +22,8 @@
 import { RunLedger } from './RunLedger';
 import { RunMover } from './RunMover';
 import { StepPlacer } from './StepPlacer';
-import { readWaitingSteps } from './readWaitingSteps';
 import { toPlacementOrder } from './toPlacementOrder';
+import type { WaitingStep } from './WaitingStep';
 
 interface DispatcherOptions {
   /** Definition of any job, also of one that has ended. */
@@ -31,6 +32,8 @@
   readonly unheardUntil: number;
 }
 
+const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
+
 /**
  * The leader's decisions, with no clock and no socket: messages come in with the time, and what is to be done comes out by
  * `readEffects`. Room is taken when a run is chosen and freed only when its end is known.
@@ -48,6 +51,9 @@
   private readonly gangs: GangWatch;
   /** True when something has happened since the last round that may let work start. */
   private hasNews = false;
+  /** True when early questions are due: they go with time, not with each message. */
+  private hasTimePassed = false;
+  private readonly room: RoomView;
 
   constructor(private readonly options: DispatcherOptions) {
     const sendEffect = (effect: DispatchEffect): void => void this.effects.push(effect);
@@ -55,9 +61,9 @@
       handleChanged: (job) => this.changed.add(job),
       sendEffect,
     });
-    const room = new RoomView(this.books);
-    this.questions = new AdviceQuestions(this.books, room, sendEffect);
-    this.placer = new StepPlacer(room, this.questions, sendEffect);
+    this.room = new RoomView(this.books);
+    this.questions = new AdviceQuestions(this.books, this.room, sendEffect);
+    this.placer = new StepPlacer(this.room, this.questions, sendEffect);
     this.mover = new RunMover({
       books: this.books,
       jobs: this.jobs,
@@ -271,6 +277,7 @@
   /** Lets time pass: leases run out, stops are repeated, repetitions fall due. */
   applyTime(now: number): void {
     this.hasNews = true;
+    this.hasTimePassed = true;
     for (const book of [...this.books.values()]) {
       const isUnheard = book.readSilentSince() !== undefined || !book.isSettled();
       if (isUnheard && now > book.readLeasedUntil()) {
@@ -284,19 +291,31 @@
   }
 
   /** Starts what can start, if anything has happened since the last call. */
-  placeWaiting(now: number, wallMs: number): void {
+  placeWaiting(now: number, wallMs: number, turns = UNLIMITED_TURNS): void {
     if (!this.hasNews) {
       return;
     }
     this.hasNews = false;
-    const waiting = [...this.jobs.values()]
-      .filter((job) => !job.progress.isEnded())
-      .flatMap((job) => readWaitingSteps(job, wallMs));
+    this.room.startRound();
+    this.questions.startRound(turns);
+    const waiting: WaitingStep[] = [];
+    for (const job of this.jobs.values()) {
+      if (!job.progress.isEnded()) {
+        waiting.push(...job.readWaiting(wallMs));
+      }
+    }
     for (const step of toPlacementOrder(waiting, wallMs)) {
       if (this.placer.placeStep(step, now)) {
         this.changed.add(step.job.definition.id);
       }
     }
+    if (this.hasTimePassed) {
+      this.hasTimePassed = false;
+      this.sendEarlyQuestions(now, wallMs);
+    }
+  }
+
+  private sendEarlyQuestions(now: number, wallMs: number): void {
     for (const job of this.jobs.values()) {
       this.questions.sendEarlyQuestions(job, now, wallMs);
     }
--- a/packages/dispatch/EndpointBook.ts
+++ b/packages/dispatch/EndpointBook.ts
@@ -84,8 +84,17 @@
     return demandSums.toDifference(this.profile.capacity, this.used);
   }
 
+  readFreeCpuMillis(): number {
+    return this.profile.capacity.cpuMillis - this.used.cpuMillis;
+  }
+
   hasRoom(demand: TaskDemand): boolean {
-    return demandSums.isWithin(demand, this.readFree());
+    const { capacity } = this.profile;
+    return (
+      demand.cpuMillis <= capacity.cpuMillis - this.used.cpuMillis &&
+      demand.memoryMb <= capacity.memoryMb - this.used.memoryMb &&
+      demand.accelerators <= capacity.accelerators - this.used.accelerators
+    );
   }
 
   /** True when new work may be started there. */
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -18,6 +18,7 @@
 import type { EndpointProfile } from './EndpointProfile';
 import { EndpointSessions } from './EndpointSessions';
 import type { OrderAnswer } from './OrderAnswer';
+import { RoundPacer } from './RoundPacer';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
@@ -58,7 +59,7 @@
   private hasReadJobs = false;
   private hasTakenOver = false;
   private isStopped = false;
-  private isRoundQueued = false;
+  private readonly rounds: RoundPacer;
   private confirmedAt: number;
   private timer: NodeJS.Timeout | undefined;
 
@@ -70,6 +71,7 @@
       unheardUntil: clock.readNow() + unconfirmedMs + leaseMs * (1 + clockDriftShare) + marginMs,
       readDefinition: (id) => replica.readDefinition(id),
     });
+    this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.writer = new ExclusiveWriter({
       client,
       topic: options.progressTopic,
@@ -208,12 +210,11 @@
     });
   }
 
-  /** Places what the look freed room for; resolves once the ends in it are durable. */
+  /** Records what the look has shown; resolves once the ends in it are durable. */
   private handleLooked(endedCount: number): Promise<void> {
-    const { clock, recordCount } = this.options;
-    Array.from({ length: endedCount }).forEach(() => recordCount('ends'));
-    this.dispatcher.placeWaiting(clock.readNow(), clock.readWall());
+    Array.from({ length: endedCount }).forEach(() => this.options.recordCount('ends'));
     this.sendEffects();
+    this.queueRound();
     // Another look may have taken the same ends in already: they are durable only once its records are.
     return endedCount === 0 ? Promise.resolve() : new Promise((resolve) => this.writer.queueBarrier(resolve));
   }
@@ -237,20 +238,18 @@
     }
   }
 
-  /** Places and sends once, after all messages of this turn have been taken in. */
   private queueRound(): void {
-    if (this.isRoundQueued || this.isStopped) {
-      return;
+    if (!this.isStopped) {
+      this.rounds.queueRound();
+    }
+  }
+
+  private applyRound(): void {
+    if (this.isActive()) {
+      const { clock } = this.options;
+      this.dispatcher.placeWaiting(clock.readNow(), clock.readWall(), this.desk.readFreeTurns());
+      this.sendEffects();
     }
-    this.isRoundQueued = true;
-    setImmediate(() => {
-      this.isRoundQueued = false;
-      if (this.isActive()) {
-        const { clock } = this.options;
-        this.dispatcher.placeWaiting(clock.readNow(), clock.readWall());
-        this.sendEffects();
-      }
-    });
   }
 
   /** Carries out what the dispatcher wants. */
@@ -276,7 +275,7 @@
         return;
       case 'advise':
         this.options.recordCount('questions');
-        this.desk.queueQuestion(effect);
+        void this.desk.sendQuestion(effect);
         return;
       case 'tell':
         this.options.logger.info(effect.sentence, effect.fields);
--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/LiveJob.ts
@@ -3,6 +3,17 @@
 import type { JobProgress } from '../jobs/JobProgress';
 import { AdviceBook } from './AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
+import { readWaitingSteps } from './readWaitingSteps';
+import type { WaitingStep } from './WaitingStep';
+
+/** What waits, and for how long that holds. */
+interface KnownWaiting {
+  readonly steps: readonly WaitingStep[];
+  readonly version: number;
+  /** Wall clock times between which no repetition falls due. */
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
 
 /** Longest chain of estimated work through the steps, in milliseconds. */
 const measureChain = (definition: JobDefinition): number => {
@@ -21,6 +32,7 @@
   private readonly advice = new Map<string, AdviceBook>();
   private readonly speeds = new Map<string, StepSpeeds>();
   private readonly chainMs: number;
+  private waiting: KnownWaiting | undefined;
   isCancelled = false;
 
   constructor(
@@ -42,6 +54,18 @@
     return startsAt + queue.targetLatencyMs + queue.stretch * this.chainMs;
   }
 
+  /** Steps with tasks to start at a wall clock time. Worked out anew only when something has changed. */
+  readWaiting(wallMs: number): readonly WaitingStep[] {
+    const version = this.progress.readVersion();
+    const known = this.waiting;
+    if (known?.version === version && wallMs >= known.fromMs && wallMs < known.untilMs) {
+      return known.steps;
+    }
+    const steps = readWaitingSteps(this, wallMs);
+    this.waiting = { steps, version, fromMs: wallMs, untilMs: this.readNextDueAtMs(wallMs) };
+    return steps;
+  }
+
   readAdvice(time: number, step: number): AdviceBook {
     const key = `${time}.${step}`;
     const known = this.advice.get(key);
@@ -75,6 +99,16 @@
     this.failedOn.set(key, endpoints);
   }
 
+  private readNextDueAtMs(wallMs: number): number {
+    for (let time = 0; time < this.definition.times; time += 1) {
+      const dueAtMs = this.readDueAtMs(time);
+      if (dueAtMs > wallMs) {
+        return dueAtMs;
+      }
+    }
+    return Infinity;
+  }
+
   /** Failed runs that count against the attempts of a task, or of its gang. */
   readFailures(time: number, step: number, index: number): number {
     const tasks = this.progress.readTasks(time, step);
--- a/packages/dispatch/RoomView.ts
+++ b/packages/dispatch/RoomView.ts
@@ -1,4 +1,8 @@
 import type { EndpointId } from '../jobs/EndpointId';
+import type { JobStep } from '../jobs/JobStep';
+import type { ServiceName } from '../jobs/ServiceName';
+import type { TaskDemand } from '../jobs/TaskDemand';
+import { demandSums } from './demandSums';
 import type { EndpointBook } from './EndpointBook';
 import type { WaitingStep } from './WaitingStep';
 
@@ -6,18 +10,44 @@
 const RESERVED_SHARE = 0.08;
 const MOST_URGENT = 0;
 
-/** What the books say of room for a step. Changes nothing. */
+/** What the books say of room for a step. Changes no books; what it has worked out holds for one round of placement. */
 export class RoomView {
+  /** Usable endpoints, by service and required label. */
+  private readonly eligible = new Map<string, readonly EndpointBook[]>();
+  /** Demands for which no endpoint had room, by service and required label. Within a round room only shrinks. */
+  private readonly unmet = new Map<string, TaskDemand[]>();
+
   constructor(private readonly books: ReadonlyMap<EndpointId, EndpointBook>) {}
 
+  /** Forgets what was worked out before. */
+  startRound(): void {
+    this.eligible.clear();
+    this.unmet.clear();
+  }
+
+  /** Room that a task of the step takes: a filler takes no processor time that is kept for others. */
+  toCountedDemand(shape: JobStep): TaskDemand {
+    return shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand;
+  }
+
   /** Usable endpoints of the step's service with the label that it needs. */
   readEligible({ job, shape }: WaitingStep): readonly EndpointBook[] {
-    const { service } = job.definition.queue;
-    return [...this.books.values()].filter((book) => {
-      const profile = book.readProfile();
-      const hasLabel = shape.requiredLabel === '' || profile.labels.includes(shape.requiredLabel);
-      return profile.service === service && hasLabel && book.isUsable();
-    });
+    return this.readUsable(job.definition.queue.service, shape.requiredLabel);
+  }
+
+  /** True when some endpoint has room for one task of the step. */
+  hasAnyRoom({ job, shape }: WaitingStep, eligible: readonly EndpointBook[]): boolean {
+    const demand = this.toCountedDemand(shape);
+    const key = this.toKey(job.definition.queue.service, shape.requiredLabel);
+    const unmet = this.unmet.get(key) ?? [];
+    if (unmet.some((smaller) => demandSums.isWithin(smaller, demand))) {
+      return false;
+    }
+    if (eligible.some((book) => book.hasRoom(demand))) {
+      return true;
+    }
+    this.unmet.set(key, [...unmet, demand]);
+    return false;
   }
 
   /** True when the endpoint holds as many tasks of the step as it may. */
@@ -43,12 +73,29 @@
     const { service } = step.job.definition.queue;
     let free = 0;
     let capacity = 0;
-    for (const book of this.books.values()) {
-      if (book.readProfile().service === service && book.isUsable()) {
-        free += book.readFree().cpuMillis;
-        capacity += book.readProfile().capacity.cpuMillis;
-      }
+    for (const book of this.readUsable(service, '')) {
+      free += book.readFreeCpuMillis();
+      capacity += book.readProfile().capacity.cpuMillis;
     }
     return free - capacity * RESERVED_SHARE;
   }
+
+  private readUsable(service: ServiceName, label: string): readonly EndpointBook[] {
+    const key = this.toKey(service, label);
+    const known = this.eligible.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const books = [...this.books.values()].filter((book) => {
+      const profile = book.readProfile();
+      const hasLabel = label === '' || profile.labels.includes(label);
+      return profile.service === service && hasLabel && book.isUsable();
+    });
+    this.eligible.set(key, books);
+    return books;
+  }
+
+  private toKey(service: ServiceName, label: string): string {
+    return `${service} ${label}`;
+  }
 }
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -27,6 +27,9 @@
   /** Places what can be placed of a step; returns whether anything was. */
   placeStep(step: WaitingStep, now: number): boolean {
     const eligible = this.room.readEligible(step);
+    if (!this.room.hasAnyRoom(step, eligible)) {
+      return false;
+    }
     const choices = this.chooseEndpoints(step, eligible, now);
     const isWhole = choices.length === step.indexes.length;
     if (step.shape.isGang && !isWhole) {
@@ -79,7 +82,7 @@
     now: number,
   ): EndpointBook | undefined {
     const { shape } = step;
-    const demand = shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand;
+    const demand = this.room.toCountedDemand(shape);
     const rules = rankingRules[shape.isFiller ? 'filler' : shape.isLongRunning ? 'serving' : 'batch'];
     let best: EndpointBook | undefined;
     let bestFit = Infinity;
@@ -110,6 +113,7 @@
     const run = book.readRun(task, this.readNextRun(step));
     if (run !== undefined) {
       book.recordRunEnd(run);
+      this.room.startRound();
     }
   }
 
--- a/packages/dispatch/rankingRules.ts
+++ b/packages/dispatch/rankingRules.ts
@@ -19,7 +19,7 @@
 /** Share of the processors that stays free, 0 to 1. */
 const measureFreeShare = (book: EndpointBook): number => {
   const { cpuMillis } = book.readProfile().capacity;
-  return cpuMillis === 0 ? 0 : book.readFree().cpuMillis / cpuMillis;
+  return cpuMillis === 0 ? 0 : book.readFreeCpuMillis() / cpuMillis;
 };
 
 const measureShared = (step: WaitingStep, book: EndpointBook, now: number): number =>
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -23,6 +23,8 @@
   /** Wall clock of the job's end; 0 while it has none. */
   private endedAtMs = 0;
   private ending: 'completed' | 'failed' | 'cancelled' | undefined;
+  /** Rises with each change of a task. */
+  private version = 0;
 
   constructor(private readonly definition: JobDefinition) {
     for (let time = 0; time < definition.times; time += 1) {
@@ -40,6 +42,11 @@
     return this.tasks[time]?.[step] ?? [];
   }
 
+  /** A number that rises with each change of a task. */
+  readVersion(): number {
+    return this.version;
+  }
+
   readState(): JobState {
     return this.ending ?? (this.begun ? 'running' : 'queued');
   }
@@ -137,6 +144,7 @@
   }
 
   private writeTask(address: TaskAddress, task: TaskProgress): void {
+    this.version += 1;
     this.tasks[address.time]![address.step]![address.index] = task;
   }
 }
