Endpoints whose records lapsed while the log was away stay in use for two seconds; the log's return changes no leader

The leader took them as gone at once, and on the return of the log for all it handed over to a box that noticed some milliseconds earlier.

--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -35,12 +35,18 @@
 
 const PAUSE_MS = 300;
 const POLL_MS = 1000;
+/** Records that lapsed while the log was away are back within this time of its return, if their endpoints live. */
+const RELISTING_MS = 2000;
 
 /** Knows the endpoints by their records, and keeps a session with each once the leader has taken over. */
 export class EndpointSessions {
   private readonly profiles = new Map<string, EndpointProfile>();
   private readonly sessions = new Map<EndpointId, EndpointSession>();
   private readonly follower: LogFollower;
+  /** Records that went while the log was away, and may come back. */
+  private readonly lapsed = new Set<string>();
+  /** Monotonic time of the log's newest return. */
+  private returnedAt = -Infinity;
   private isOpen = false;
   private hasRead = false;
 
@@ -53,6 +59,7 @@
       pauseMs: PAUSE_MS,
       pollMs: POLL_MS,
       handleRecords: (records) => this.handleRecords(records),
+      handleConnection: (isConnected, detail) => this.handleConnection(isConnected, detail),
     });
   }
 
@@ -94,7 +101,7 @@
     for (const { key, value } of records) {
       const profile = value === '' ? undefined : this.options.parseEndpoint(key, value);
       if (profile === undefined) {
-        this.applyRemoval(key);
+        this.handleRemoval(key);
       } else {
         this.applyProfile(profile);
       }
@@ -103,6 +110,39 @@
     this.options.handleChanged();
   }
 
+  private handleConnection(isConnected: boolean, detail: string): void {
+    const { logger, topic } = this.options;
+    logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
+    if (isConnected) {
+      this.returnedAt = this.options.clock.readNow();
+      setTimeout(() => this.applyLapsed(), RELISTING_MS);
+    }
+  }
+
+  /** Takes the endpoints whose records have not come back as gone. */
+  private applyLapsed(): void {
+    const isReturning = this.isLogReturning();
+    for (const key of isReturning ? [] : [...this.lapsed]) {
+      this.lapsed.delete(key);
+      this.applyRemoval(key);
+    }
+  }
+
+  /** True until the log has answered long enough for records that lapsed meanwhile to be back. */
+  private isLogReturning(): boolean {
+    const answeredMs = this.options.clock.readNow() - this.returnedAt;
+    return !this.follower.isFollowing() || answeredMs < RELISTING_MS;
+  }
+
+  private handleRemoval(key: string): void {
+    if (this.profiles.has(key) && this.isLogReturning()) {
+      this.options.logger.info('Endpoint record lapsed while the log was away.', { endpoint: key });
+      this.lapsed.add(key);
+    } else {
+      this.applyRemoval(key);
+    }
+  }
+
   private applyRemoval(key: string): void {
     const known = this.profiles.get(key);
     this.profiles.delete(key);
@@ -115,6 +155,7 @@
   private applyProfile(profile: EndpointProfile): void {
     const known = this.profiles.get(profile.id);
     this.profiles.set(profile.id, profile);
+    this.lapsed.delete(profile.id);
     this.options.dispatcher.handleEndpoint(profile);
     if (known === undefined || known.isDraining !== profile.isDraining) {
       const { id, service, isDraining, remainingMs } = profile;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -48,6 +48,8 @@
 const TAKE_OVER_READ_MS = 1000;
 /** A leader whose writes have failed for so long looks for a box that the log serves. */
 const HAND_OVER_MS = 300;
+/** A leader that can read, but whose writes have failed for so long, hands over all the same. */
+const WRITES_LOST_MS = 2000;
 /** Time for the read that shows whether a box can use the log; below the limit of the question itself. */
 const FRESH_LOG_MS = 150;
 const GATHER_MS = 2;
@@ -382,11 +384,18 @@
   /** A leader that the log does not serve hands over to a box that it does serve. All orders stop before the word is given. */
   private async startHandOver(): Promise<void> {
     const epoch = this.leadership.readRecord()?.epoch ?? 0;
-    const next = await this.boxes.startChoosingLogUser();
+    const [next, canRead] = await Promise.all([
+      this.boxes.startChoosingLogUser(),
+      this.jobsFollower.startRefresh(FRESH_LOG_MS),
+    ]);
     const duty = this.duty;
     if (next === undefined || duty === undefined || duty.readFailingMs() === 0) {
       return;
     }
+    // When the log comes back for all, another box may notice some milliseconds before this one's next write.
+    if (canRead && duty.readFailingMs() < WRITES_LOST_MS) {
+      return;
+    }
     duty.stop();
     this.handleDeposed(epoch, `the log does not serve this box; ${next.address} is asked to lead`);
     await next.sendHandOver(epoch);
--- a/tests/serve/faults.test.ts
+++ b/tests/serve/faults.test.ts
@@ -7,6 +7,7 @@
   'mem-mb': 100,
   ...fields,
 });
+const LASTING_JOB = { spec: 'lasts', steps: [createStep(1, { 'long-running': true })] };
 const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
 
 describe('faults around a job', () => {
@@ -174,6 +175,29 @@
     await new Promise((resolve) => setTimeout(resolve, 1800));
   });
 
+  it('goes on using an endpoint whose record lapsed while the log was away, for as long as it may take to be back', async () => {
+    const leader = await cell.startLeader();
+    cell.log.applyFault('silent');
+    await cell.startUntil(() =>
+      Promise.resolve(/cannot be read.*keyed\.servers/.test(leader.process.readOutput())),
+    );
+    cell.executors.forEach(({ id }) => cell.log.writeRecord('keyed.servers', id, ''));
+    // The log shows its return before the endpoints do.
+    cell.log.applyFault('none');
+    const box = cell.boxes[0]!;
+    await cell.startUntil(async () => (await cell.sendJob(box, toJobId(1), LASTING_JOB)).status === 200);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 1), 1500);
+    // The return of the log for all is no reason to change the leader.
+    expect(await cell.startLeader()).toBe(leader);
+    // None has come back: they are taken as gone, and get nothing new.
+    await new Promise((resolve) => setTimeout(resolve, 2500));
+    await cell.sendJob(box, toJobId(2), LASTING_JOB);
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    expect(cell.witness.readTotalStarts()).toBe(1);
+    cell.executors.forEach(({ id, address }) => cell.writeExecutor(id, address, 'ready'));
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 2));
+  });
+
   it('starts the work of a silent endpoint elsewhere only after its lease, and uses it again when it answers', async () => {
     const ids = await sendJobs(5, 900);
     await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() >= 6));
