States of jobs in a topic of their own; a log that is back is used at once

Change: the leader writes each job's state, a few bytes, to keyed.states, which all follow; the progress is read by a new leader only, after an empty append of its epoch has shut the earlier one out. Cause 2: after an outage each follower and writer waited for its own last call to time out, up to 1.4 s after the log was back. Change: the first answer of the log makes the others try again. tests/serve/faults 'lapsed' failed before and passes.

--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -31,6 +31,8 @@
   /** Something has changed that may let work start. */
   readonly handleChanged: () => void;
   readonly handleFenced: (detail: string) => void;
+  /** The log has answered after it had not. */
+  readonly handleLogBack: () => void;
 }
 
 const PAUSE_MS = 300;
@@ -84,6 +86,11 @@
     }
   }
 
+  /** Reads the records at once if their last read failed. */
+  startAgain(): void {
+    this.follower.startAgain();
+  }
+
   /** True once all records have been read. */
   hasReadAll(): boolean {
     return this.hasRead;
@@ -116,6 +123,7 @@
     if (isConnected) {
       this.returnedAt = this.options.clock.readNow();
       setTimeout(() => this.applyLapsed(), RELISTING_MS);
+      this.options.handleLogBack();
     }
   }
 
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -7,6 +7,7 @@
 import type { JobId } from '../jobs/JobId';
 import { jobKeys } from '../jobs/jobKeys';
 import type { JobReplica } from '../jobs/JobReplica';
+import type { JobState } from '../jobs/JobState';
 import { leaderKeys } from '../leadership/leaderKeys';
 import { leaderTimings } from '../leadership/leaderTimings';
 import { ExclusiveWriter } from '../store/ExclusiveWriter';
@@ -18,6 +19,7 @@
 import type { EndpointProfile } from './EndpointProfile';
 import { EndpointSessions } from './EndpointSessions';
 import type { OrderAnswer } from './OrderAnswer';
+import { ProgressInheritance } from './ProgressInheritance';
 import { RoundPacer } from './RoundPacer';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -25,6 +27,9 @@
 interface LeaderDutyOptions {
   readonly epoch: number;
   readonly client: LogClient;
+  /** Topic of the states of jobs and of the leader's record, which every box follows. */
+  readonly statesTopic: string;
+  /** Topic of the progress of jobs, which only a new leader reads. */
   readonly progressTopic: string;
   readonly endpointsTopic: string;
   readonly maxAppendBytes: number;
@@ -40,6 +45,8 @@
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** A newer leader has been seen: this duty gives no more orders. */
   readonly handleDeposed: (detail: string) => void;
+  /** The log has answered after it had not. */
+  readonly handleLogBack: () => void;
   readonly recordCount: (name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered') => void;
   readonly recordTime: (name: 'startMs', valueMs: number) => void;
 }
@@ -53,7 +60,11 @@
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
 export class LeaderDuty {
   private readonly dispatcher: Dispatcher;
+  /** Writes progress: nothing starts, and no end is acknowledged, before it is durable here. */
   private readonly writer: ExclusiveWriter;
+  /** Writes states, each after the progress that it follows from. */
+  private readonly stateWriter: ExclusiveWriter;
+  private readonly inheritance: ProgressInheritance;
   private readonly endpoints: EndpointSessions;
   private readonly desk: AdviceDesk;
   private hasReadJobs = false;
@@ -72,23 +83,13 @@
       readDefinition: (id) => replica.readDefinition(id),
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
-    this.writer = new ExclusiveWriter({
+    this.writer = this.createWriter(options.progressTopic);
+    this.stateWriter = this.createWriter(options.statesTopic);
+    this.inheritance = new ProgressInheritance({
       client,
       topic: options.progressTopic,
-      clock,
-      producer: leaderKeys.producer,
       epoch,
-      lastSequence: leaderKeys.claimSequence,
-      gatherMs: GATHER_MS,
-      maxBytes: options.maxAppendBytes,
       handleFenced: (detail) => this.handleDeposed(`the log refused a write: ${detail}`),
-      handleConfirmed: (sentAt) => {
-        this.confirmedAt = sentAt;
-      },
-      handleConnection: (isConnected, detail) =>
-        options.logger.info(isConnected ? 'The log takes writes again.' : 'The log takes no writes.', {
-          detail,
-        }),
     });
     this.endpoints = new EndpointSessions({
       client,
@@ -107,6 +108,7 @@
         this.queueRound();
       },
       handleFenced: (detail) => this.handleDeposed(detail),
+      handleLogBack: options.handleLogBack,
     });
     this.desk = new AdviceDesk({
       clock,
@@ -118,6 +120,31 @@
     });
   }
 
+  private createWriter(topic: string): ExclusiveWriter {
+    const { client, clock, epoch, logger, handleLogBack } = this.options;
+    return new ExclusiveWriter({
+      client,
+      topic,
+      clock,
+      producer: leaderKeys.producer,
+      epoch,
+      lastSequence: leaderKeys.claimSequence,
+      gatherMs: GATHER_MS,
+      maxBytes: this.options.maxAppendBytes,
+      handleFenced: (detail) => this.handleDeposed(`the log refused a write: ${detail}`),
+      handleConfirmed: (sentAt) => {
+        this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+      },
+      handleConnection: (isConnected, detail) => {
+        const sentence = isConnected ? 'The log takes writes again.' : 'The log takes no writes.';
+        logger.info(sentence, { topic, detail });
+        if (isConnected) {
+          handleLogBack();
+        }
+      },
+    });
+  }
+
   /**
    * Begins: heartbeats at once; orders once the endpoints' records and all jobs have been read, since the end of a run is
    * understood, and acknowledged, only with its job at hand.
@@ -132,7 +159,9 @@
   stop(): void {
     this.isStopped = true;
     clearInterval(this.timer);
+    this.inheritance.stop();
     this.writer.stop();
+    this.stateWriter.stop();
     this.endpoints.stop();
     this.desk.stop();
   }
@@ -144,9 +173,10 @@
     this.endpoints.stop();
     this.desk.stop();
     // Without the log the word cannot be written: the next leader is told directly, or sees this process end.
-    if (this.writer.readFailingMs() === 0) {
-      this.writer.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
+    if (this.readFailingMs() === 0) {
       await this.writer.startFlush(RESIGN_TIMEOUT_MS);
+      this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
+      await this.stateWriter.startFlush(RESIGN_TIMEOUT_MS);
     }
     this.stop();
   }
@@ -154,8 +184,7 @@
   /** A job was accepted, by any box. */
   handleJob(definition: JobDefinition): void {
     if (this.hasTakenOver) {
-      const progress = this.options.replica.readProgress(definition);
-      this.dispatcher.handleJob(definition, progress, this.options.clock.readNow());
+      this.applyJob(definition);
       this.queueRound();
     }
   }
@@ -167,7 +196,14 @@
 
   /** How long the log has not taken this leader's writes, in milliseconds. */
   readFailingMs(): number {
-    return this.writer.readFailingMs();
+    return Math.max(this.writer.readFailingMs(), this.stateWriter.readFailingMs());
+  }
+
+  /** The log has answered this box: calls that wait for an answer since it went out are made again. */
+  startAgain(): void {
+    this.writer.startAgain();
+    this.stateWriter.startAgain();
+    this.endpoints.startAgain();
   }
 
   readDispatcher(): Dispatcher {
@@ -180,6 +216,8 @@
   }
 
   private async startReadingJobs(): Promise<void> {
+    // Jobs are read after earlier leaders have been shut out: each job that one of them began is then among them.
+    await this.inheritance.start();
     while (!this.isStopped && !this.hasReadJobs) {
       this.hasReadJobs = await this.options.startJobsRefresh();
       if (!this.hasReadJobs) {
@@ -197,7 +235,7 @@
     const { replica, clock, logger, epoch } = this.options;
     this.hasTakenOver = true;
     for (const definition of replica.readDefinitions()) {
-      this.dispatcher.handleJob(definition, replica.readProgress(definition), clock.readNow());
+      this.applyJob(definition);
       if (replica.isCancelled(definition.id)) {
         this.dispatcher.handleCancel(definition.id, clock.readWall());
       }
@@ -210,6 +248,15 @@
     });
   }
 
+  /** Takes a job in as earlier leaders left it, and writes its state where they did not come to it. */
+  private applyJob(definition: JobDefinition): void {
+    const progress = this.inheritance.readProgress(definition);
+    this.dispatcher.handleJob(definition, progress, this.options.clock.readNow());
+    if (progress.readState() !== 'queued') {
+      this.writeState(definition.id, progress.readState());
+    }
+  }
+
   /** Records what the look has shown; resolves once the ends in it are durable. */
   private handleLooked(endedCount: number): Promise<void> {
     Array.from({ length: endedCount }).forEach(() => this.options.recordCount('ends'));
@@ -230,7 +277,7 @@
     const { clock, formatLeaderRecord } = this.options;
     const now = clock.readNow();
     if (now - this.confirmedAt >= leaderTimings.heartbeatMs) {
-      this.writer.queueWrite(leaderKeys.recordKey, () => formatLeaderRecord(false));
+      this.stateWriter.queueWrite(leaderKeys.recordKey, () => formatLeaderRecord(false));
     }
     if (this.hasTakenOver) {
       this.dispatcher.applyTime(now);
@@ -288,20 +335,31 @@
     if (job === undefined) {
       return;
     }
-    let written = '';
+    let writtenState: JobState | undefined;
     const formatValue = (): string => {
-      written = formatProgress(job.definition, job.progress);
-      return written;
+      writtenState = job.progress.readState();
+      return formatProgress(job.definition, job.progress);
     };
     this.writer.queueWrite(jobKeys.toProgressKey(id), formatValue, () => {
       // Of several changes in one append only the last was formatted; the others are part of it.
-      if (written !== '') {
-        this.options.replica.applyProgress(id, written);
+      if (writtenState !== undefined) {
+        this.writeState(id, writtenState);
       }
       handleWritten?.();
     });
   }
 
+  private writeState(id: JobId, state: JobState): void {
+    const { replica } = this.options;
+    if (replica.readWrittenState(id) !== state) {
+      this.stateWriter.queueWrite(
+        jobKeys.toStateKey(id),
+        () => state,
+        () => replica.applyState(id, state),
+      );
+    }
+  }
+
   private async sendStart(effect: StartEffect): Promise<void> {
     const { clock, recordCount, recordTime, logger } = this.options;
     const { endpoint, order } = effect;
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -3,21 +3,20 @@
 import type { JobDefinition } from './JobDefinition';
 import type { JobId } from './JobId';
 import { jobKeys } from './jobKeys';
-import { JobProgress } from './JobProgress';
+import { jobStates } from './jobStates';
 import type { JobState } from './JobState';
-import { parseProgress } from './parseProgress';
 
 interface ReplicaChange {
   readonly accepted: readonly JobDefinition[];
   readonly cancelled: readonly JobId[];
 }
 
-/** All jobs as the log shows them: accepted definitions, cancels, and the newest progress of each. */
+/** All jobs as the log shows them: accepted definitions, cancels, and the newest state of each. */
 export class JobReplica {
   private readonly definitions = new Map<JobId, JobDefinition>();
   private readonly cancelled = new Set<JobId>();
-  /** Progress is parsed when it is asked for: most boxes never do. */
-  private readonly progressTexts = new Map<JobId, string>();
+  /** States that leaders have written; a job without one is queued. */
+  private readonly states = new Map<JobId, JobState>();
 
   /** Folds records of the jobs' topic; tells what is new. Folding a record twice is harmless. */
   foldJobRecords(records: readonly LogRecord[]): ReplicaChange {
@@ -38,24 +37,30 @@
     return { accepted, cancelled };
   }
 
-  /** Folds records of the progress topic; keys of others are passed over. */
-  foldProgressRecords(records: readonly LogRecord[]): void {
+  /** Folds records of the states' topic; keys of others are passed over. */
+  foldStateRecords(records: readonly LogRecord[]): void {
     for (const { key, value } of records) {
-      const id = jobKeys.parseProgressKey(key);
+      const id = jobKeys.parseStateKey(key);
+      const state = jobStates.parseState(value);
       if (id === undefined) {
         continue;
       }
-      if (value === '') {
-        this.progressTexts.delete(id);
+      if (state === undefined) {
+        this.states.delete(id);
       } else {
-        this.progressTexts.set(id, value);
+        this.states.set(id, state);
       }
     }
   }
 
-  /** Takes newer progress from the process itself, as it would come from the log. */
-  applyProgress(id: JobId, text: string): void {
-    this.progressTexts.set(id, text);
+  /** Takes a newer state from the process itself, as it would come from the log. */
+  applyState(id: JobId, state: JobState): void {
+    this.states.set(id, state);
+  }
+
+  /** The state that leaders have written. */
+  readWrittenState(id: JobId): JobState {
+    return this.states.get(id) ?? 'queued';
   }
 
   readDefinition(id: JobId): JobDefinition | undefined {
@@ -70,20 +75,12 @@
     return this.cancelled.has(id);
   }
 
-  /** The newest progress known; that of an untouched job when there is none. */
-  readProgress(definition: JobDefinition): JobProgress {
-    const text = this.progressTexts.get(definition.id);
-    const parsed = text === undefined ? undefined : parseProgress(definition, text);
-    return parsed ?? new JobProgress(definition);
-  }
-
   /** State for callers; undefined for an unknown job. */
   readState(id: JobId): JobState | undefined {
-    const definition = this.definitions.get(id);
-    if (definition === undefined) {
+    if (!this.definitions.has(id)) {
       return undefined;
     }
-    const state = this.readProgress(definition).readState();
+    const state = this.readWrittenState(id);
     const isEnded = state === 'completed' || state === 'failed';
     return this.cancelled.has(id) && !isEnded ? 'cancelled' : state;
   }
@@ -92,7 +89,7 @@
   readPendingCount(queueName: string): number {
     let count = 0;
     for (const definition of this.definitions.values()) {
-      const isPending = !this.progressTexts.has(definition.id) && !this.cancelled.has(definition.id);
+      const isPending = !this.states.has(definition.id) && !this.cancelled.has(definition.id);
       if (definition.queue.name === queueName && isPending) {
         count += 1;
       }
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -17,7 +17,7 @@
   readonly replica: JobReplica;
   readonly writer: LogWriter;
   readonly jobsFollower: LogFollower;
-  readonly progressFollower: LogFollower;
+  readonly statesFollower: LogFollower;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: ServeMetrics;
@@ -95,7 +95,7 @@
     }
     const isOpen = known === 'queued' || known === 'running' || known === undefined;
     if (isOpen && !this.options.isLeading()) {
-      await this.startRefresh(this.options.progressFollower, deadline);
+      await this.startRefresh(this.options.statesFollower, deadline);
     }
     metrics.recordTime('readMs', clock.readNow() - startedAt);
     return { kind: 'answered', answer: replica.readState(id) ?? 'absent' };
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -36,7 +36,9 @@
 
 /** Jobs and cancels, written by every box; and where each box can be called. */
 const JOBS_TOPIC = 'keyed.jobs';
-/** Progress of jobs and the leader's record, written by the leader alone. */
+/** States of jobs and the leader's record, written by the leader alone and followed by every box. */
+const STATES_TOPIC = 'keyed.states';
+/** Progress of jobs, written by the leader alone and read by the next one. */
 const PROGRESS_TOPIC = 'keyed.progress';
 const FOLLOWER_PAUSE_MS = 350;
 const FOLLOWER_POLL_MS = 500;
@@ -73,7 +75,7 @@
   private readonly metrics = new ServeMetrics();
   private readonly writer: LogWriter;
   private readonly jobsFollower: LogFollower;
-  private readonly progressFollower: LogFollower;
+  private readonly statesFollower: LogFollower;
   private readonly operatorFollower: LogFollower;
   private readonly leadership: Leadership;
   private readonly advice: AdviceClient;
@@ -103,12 +105,12 @@
     this.jobsFollower = this.createFollower(JOBS_TOPIC, FOLLOWER_PAUSE_MS, LEADER_POLL_MS, (records) =>
       this.handleJobRecords(records),
     );
-    this.progressFollower = this.createFollower(
-      PROGRESS_TOPIC,
+    this.statesFollower = this.createFollower(
+      STATES_TOPIC,
       FOLLOWER_PAUSE_MS,
       FOLLOWER_POLL_MS,
       (records) => {
-        this.replica.foldProgressRecords(records);
+        this.replica.foldStateRecords(records);
         this.leadership.foldRecords(records);
       },
     );
@@ -117,8 +119,8 @@
     );
     this.leadership = new Leadership({
       client: this.log,
-      topic: PROGRESS_TOPIC,
-      follower: this.progressFollower,
+      topic: STATES_TOPIC,
+      follower: this.statesFollower,
       box: settings.box,
       process: options.process,
       clock,
@@ -150,7 +152,7 @@
     await this.boxServer.start();
     await this.callers.start();
     void this.jobsFollower.start();
-    void this.progressFollower.start();
+    void this.statesFollower.start();
     void this.operatorFollower.start();
     void this.startAnnouncing();
     this.timer = setInterval(() => this.applyTime(), TICK_MS);
@@ -174,7 +176,7 @@
     await this.callers.stop();
     await this.boxServer.stop();
     this.jobsFollower.stop();
-    this.progressFollower.stop();
+    this.statesFollower.stop();
     this.operatorFollower.stop();
     await this.log.stop();
     this.logger.info('Stopped.');
@@ -196,7 +198,7 @@
     if (this.duty !== undefined) {
       return isReading && this.duty.readFailingMs() < LOG_OUT_MS;
     }
-    return isReading && this.progressFollower.isFollowing();
+    return isReading && this.statesFollower.isFollowing();
   }
 
   private createJobDesk(): JobDesk {
@@ -204,7 +206,7 @@
       replica: this.replica,
       writer: this.writer,
       jobsFollower: this.jobsFollower,
-      progressFollower: this.progressFollower,
+      statesFollower: this.statesFollower,
       clock: this.options.clock,
       logger: this.options.createPartLogger('jobs'),
       metrics: this.metrics,
@@ -230,13 +232,25 @@
       handleRecords,
       handleConnection: (isConnected, detail) => {
         this.logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
-        if (topic === PROGRESS_TOPIC) {
+        if (topic === STATES_TOPIC) {
           this.leadership.handleConnection(isConnected);
         }
+        if (isConnected) {
+          this.handleLogBack();
+        }
       },
     });
   }
 
+  /** One answer of the log shows that it is back: whatever still waits for an older call is tried again at once. */
+  private handleLogBack(): void {
+    this.jobsFollower.startAgain();
+    this.statesFollower.startAgain();
+    this.operatorFollower.startAgain();
+    this.writer.startAgain();
+    this.duty?.startAgain();
+  }
+
   private createAnnouncement(): LogWrite {
     const { box, internal } = this.options.settings;
     return { key: BoxDirectory.toKey(box), value: BoxDirectory.formatRecord(internal) };
@@ -294,11 +308,12 @@
       return;
     }
     this.metrics.recordCount('elections');
-    this.progressFollower.stop();
+    this.statesFollower.stop();
     this.jobsFollower.applyPause(LEADER_PAUSE_MS);
     this.duty = new LeaderDuty({
       epoch,
       client: this.log,
+      statesTopic: STATES_TOPIC,
       progressTopic: PROGRESS_TOPIC,
       endpointsTopic: adapter.endpointsTopic,
       maxAppendBytes: settings.maxAppendBytes,
@@ -312,6 +327,7 @@
       readAskers: () => this.readAskers(),
       formatLeaderRecord: (isResigned) => this.leadership.formatRecord(epoch, isResigned),
       handleDeposed: (detail) => this.handleDeposed(epoch, detail),
+      handleLogBack: () => this.handleLogBack(),
       recordCount: (name) => this.metrics.recordCount(name),
       recordTime: (name, valueMs) => this.metrics.recordTime(name, valueMs),
     });
@@ -323,7 +339,7 @@
     this.duty = undefined;
     this.jobsFollower.applyPause(FOLLOWER_PAUSE_MS);
     this.leadership.handleDeposed();
-    void this.progressFollower.start();
+    void this.statesFollower.start();
   }
 
   /** This box first, then the others that have announced themselves. */
@@ -335,7 +351,7 @@
 
   /** Reads now: what was read a moment ago says nothing about an outage that has just begun for all. */
   private async isLogUsable(): Promise<boolean> {
-    const isReading = await this.progressFollower.startRefresh(FRESH_LOG_MS);
+    const isReading = await this.statesFollower.startRefresh(FRESH_LOG_MS);
     return isReading && this.writer.readFailingMs() === 0 && !this.isStopping;
   }
 
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../common/Clock';
 import { startDelay } from '../common/startDelay';
+import { Interruption } from './Interruption';
 import type { LogClient } from './LogClient';
 import type { LogWrite } from './LogWrite';
 
@@ -42,6 +43,7 @@
   private isSending = false;
   private isStopped = false;
   private failingSince: number | undefined;
+  private readonly interruption = new Interruption();
 
   constructor(private readonly options: ExclusiveWriterOptions) {
     this.sequence = options.lastSequence;
@@ -79,6 +81,13 @@
     }
   }
 
+  /** Sends the append under way once more if it has had no answer yet: the log is known to answer again. */
+  startAgain(): void {
+    if (this.failingSince !== undefined) {
+      this.interruption.stopWait();
+    }
+  }
+
   stop(): void {
     this.isStopped = true;
     this.dirty.clear();
@@ -133,10 +142,13 @@
     while (!this.isStopped) {
       const sentAt = clock.readNow();
       const writer = { producer, epoch, sequence: this.sequence };
-      const answer = await client.append({ topic, writes, writer, timeoutMs });
+      const answer = await this.interruption.startWait(client.append({ topic, writes, writer, timeoutMs }));
       if (this.hasStopped()) {
         return false;
       }
+      if (answer === undefined) {
+        continue;
+      }
       if (answer.ok) {
         this.recordConnection(true, '');
         this.options.handleConfirmed(sentAt);
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../common/Clock';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
+import { Interruption } from './Interruption';
 import type { LogClient } from './LogClient';
 import type { LogError } from './LogError';
 import type { LogRecord } from './LogRecord';
@@ -35,6 +36,8 @@
   /** Rises with each start, so that the loop of an earlier one ends even when its read returns late. */
   private generation = 0;
   private isConnected = false;
+  private isFailing = false;
+  private readonly interruption = new Interruption();
   private lastOkAt = -Infinity;
   private pauseEnd: AbortController | undefined;
   private pauseMs: number;
@@ -59,11 +62,15 @@
     this.generation += 1;
     const { generation } = this;
     while (this.isCurrent(generation)) {
-      const error = this.offset === undefined ? await this.readFirst() : await this.readNext(this.offset);
+      const read = this.offset === undefined ? this.readFirst() : this.readNext(this.offset);
+      const error = await this.interruption.startWait(read.then((failure) => failure ?? 'done'));
       if (!this.isCurrent(generation)) {
         break;
       }
       if (error === undefined) {
+        continue;
+      }
+      if (error === 'done') {
         this.recordSuccess();
         await this.startPause(this.pauseMs);
       } else if (error.kind === 'forgotten') {
@@ -80,6 +87,14 @@
     this.pauseEnd?.abort();
   }
 
+  /** Reads at once if the last read failed: the log is known to answer again. */
+  startAgain(): void {
+    if (this.isFailing) {
+      this.interruption.stopWait();
+      this.pauseEnd?.abort();
+    }
+  }
+
   /** Sets the pause between reads from now on. */
   applyPause(pauseMs: number): void {
     this.pauseMs = pauseMs;
@@ -145,8 +160,11 @@
     if (!answer.ok) {
       return answer.error;
     }
-    this.offset = answer.value.endOffset;
-    this.options.handleRecords(answer.value.records);
+    // Unless a later read was quicker.
+    if (this.offset === undefined) {
+      this.offset = answer.value.endOffset;
+      this.options.handleRecords(answer.value.records);
+    }
     return undefined;
   }
 
@@ -177,6 +195,7 @@
   private recordSuccess(): void {
     this.lastOkAt = this.options.clock.readNow();
     this.timeoutMs = CALL_TIMEOUT_MS;
+    this.isFailing = false;
     this.backoff.recordSuccess();
     if (!this.isConnected) {
       this.isConnected = true;
@@ -185,6 +204,7 @@
   }
 
   private recordFailure(error: LogError): void {
+    this.isFailing = true;
     if (error.kind === 'unknown') {
       this.timeoutMs = Math.min(MAX_CALL_TIMEOUT_MS, this.timeoutMs * 2);
     }
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../common/Clock';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
+import { Interruption } from './Interruption';
 import type { LogClient } from './LogClient';
 import type { LogError } from './LogError';
 import type { LogWrite } from './LogWrite';
@@ -45,6 +46,7 @@
   private timeoutMs = FIRST_TIMEOUT_MS;
   private failingSince: number | undefined;
   private isProbing = false;
+  private readonly interruption = new Interruption();
 
   constructor(private readonly options: LogWriterOptions) {}
 
@@ -64,6 +66,13 @@
     return this.failingSince === undefined ? 0 : this.options.clock.readNow() - this.failingSince;
   }
 
+  /** Sends the append under way once more if it has had no answer yet: the log is known to answer again. */
+  startAgain(): void {
+    if (this.failingSince !== undefined) {
+      this.interruption.stopWait();
+    }
+  }
+
   private async sendQueued(): Promise<void> {
     await startDelay(this.options.gatherMs);
     while (this.queued.length > 0) {
@@ -105,11 +114,13 @@
     let mayHaveLanded = false;
     while (open.length > 0) {
       const timeoutMs = Math.min(this.timeoutMs, this.readLongestLeft(open));
-      const answer = await this.options.client.append({
-        topic: this.options.topic,
-        writes: open.map(({ write }) => write),
-        timeoutMs,
-      });
+      const { client, topic } = this.options;
+      const writes = open.map(({ write }) => write);
+      const answer = await this.interruption.startWait(client.append({ topic, writes, timeoutMs }));
+      if (answer === undefined) {
+        mayHaveLanded = true;
+        continue;
+      }
       if (answer.ok) {
         this.recordSuccess();
         open.forEach(({ resolve }) => resolve('written'));
