A leader shows itself whatever it writes, and the strongest box leads

Change: boxes announce their cores; a weaker one waits 350 ms longer before it claims, a weak leader hands over to a stronger box after two seconds, and so does a leader that the log turns away.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -14,6 +14,8 @@
   readonly executors: number;
   /** Tasks of one core that an executor has room for. */
   readonly roomPerExecutor: number;
+  /** So many of the first boxes have four cores; the others have one. */
+  readonly strongBoxes?: number;
 }
 
 interface CellBox {
@@ -45,6 +47,7 @@
 const QUEUE_HOST = 'jobs.example';
 const CALL_TIMEOUT_MS = 8000;
 const POLL_MS = 40;
+const STRONG_CORES = 4;
 const CORE_MILLIS = 1000;
 const MEMORY_PER_TASK_MB = 100;
 
@@ -233,8 +236,10 @@
     await this.log.startDoor(name, log);
     const port = Number(internal.split(':')[1]);
     const settingsFile = join(this.folder, `${name}.json`);
+    const isStrong = this.boxes.length < (this.options.strongBoxes ?? 0);
     const settings = {
       'node-name': name,
+      limits: { 'cpu-share': isStrong ? STRONG_CORES : 1 },
       zone: 'hall-a',
       ip: HOST,
       listen: { front, ready },
--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -7,22 +7,32 @@
 
   constructor(
     private readonly directory: BoxDirectory,
-    private readonly ownBox: string,
+    private readonly own: { readonly box: string; readonly cores: number },
   ) {}
 
   /** A client of each other box. */
   readOthers(): readonly { readonly box: string; readonly client: BoxClient }[] {
     return this.directory
       .readBoxes()
-      .filter(({ box }) => box !== this.ownBox)
+      .filter(({ box }) => box !== this.own.box)
       .map(({ box, address }) => ({ box, client: this.readClient(box, address) }));
   }
 
-  /** The first other box that says it can use the log; undefined when none does. */
+  /** A box that says it can use the log: of the stronger ones if there is any, else of all others; undefined when none does. */
   async startChoosingLogUser(): Promise<BoxClient | undefined> {
-    const others = this.readOthers();
+    return (await this.startChoosingStronger()) ?? this.startChoosing(this.readOthers());
+  }
+
+  /** A box that is stronger than this one and says it can use the log; undefined when none does. */
+  startChoosingStronger(): Promise<BoxClient | undefined> {
+    const stronger = new Set(this.directory.readStronger(this.own.cores).map(({ box }) => box));
+    return this.startChoosing(this.readOthers().filter(({ box }) => stronger.has(box)));
+  }
+
+  /** The first of some boxes that says it can use the log. */
+  private startChoosing(boxes: readonly { readonly client: BoxClient }[]): Promise<BoxClient | undefined> {
     return new Promise((resolve) => {
-      const questions = others.map(async ({ client }) => {
+      const questions = boxes.map(async ({ client }) => {
         if (await client.isLogUsable()) {
           resolve(client);
         }
--- a/packages/boxes/BoxDirectory.ts
+++ b/packages/boxes/BoxDirectory.ts
@@ -3,25 +3,29 @@
 import type { LogRecord } from '../store/LogRecord';
 
 const KEY_PREFIX = 'b/';
-const addressSchema = z.object({ address: z.string() });
+const recordSchema = z.object({ address: z.string(), cores: z.number() });
+/** A box with so many times the cores of another is the stronger one. */
+const STRONGER_RATIO = 1.5;
 
 interface KnownBox {
   readonly box: string;
   /** Host and port for calls between boxes. */
   readonly address: string;
+  /** Processor cores that it may use. */
+  readonly cores: number;
 }
 
 /** The entry boxes that have announced themselves in the log. Some may be gone. */
 export class BoxDirectory {
-  private readonly addresses = new Map<string, string>();
+  private readonly boxes = new Map<string, KnownBox>();
 
   /** Key under which a box announces itself. */
   static toKey(box: string): string {
     return `${KEY_PREFIX}${box}`;
   }
 
-  static formatRecord(address: string): string {
-    return JSON.stringify({ address });
+  static formatRecord(address: string, cores: number): string {
+    return JSON.stringify({ address, cores });
   }
 
   foldRecords(records: readonly LogRecord[]): void {
@@ -30,16 +34,21 @@
         continue;
       }
       const box = key.slice(KEY_PREFIX.length);
-      const parsed = addressSchema.safeParse(parseJson(value));
+      const parsed = recordSchema.safeParse(parseJson(value));
       if (parsed.success) {
-        this.addresses.set(box, parsed.data.address);
+        this.boxes.set(box, { box, ...parsed.data });
       } else {
-        this.addresses.delete(box);
+        this.boxes.delete(box);
       }
     }
   }
 
   readBoxes(): readonly KnownBox[] {
-    return [...this.addresses].map(([box, address]) => ({ box, address }));
+    return [...this.boxes.values()];
+  }
+
+  /** Boxes with so much more processor that they should lead rather than one with `cores`. */
+  readStronger(cores: number): readonly KnownBox[] {
+    return this.readBoxes().filter((box) => box.cores >= cores * STRONGER_RATIO);
   }
 }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -71,7 +71,10 @@
   private hasTakenOver = false;
   private isStopped = false;
   private readonly rounds: RoundPacer;
+  /** When the newest write that the log has answered was sent, on either topic. */
   private confirmedAt: number;
+  /** The same on the topic that the other boxes follow. */
+  private shownAt = -Infinity;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: LeaderDutyOptions) {
@@ -83,8 +86,11 @@
       readDefinition: (id) => replica.readDefinition(id),
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
-    this.writer = this.createWriter(options.progressTopic);
-    this.stateWriter = this.createWriter(options.statesTopic);
+    this.writer = this.createWriter(options.progressTopic, (sentAt) => this.recordConfirmed(sentAt));
+    this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => {
+      this.shownAt = sentAt;
+      this.recordConfirmed(sentAt);
+    });
     this.inheritance = new ProgressInheritance({
       client,
       topic: options.progressTopic,
@@ -120,7 +126,11 @@
     });
   }
 
-  private createWriter(topic: string): ExclusiveWriter {
+  private recordConfirmed(sentAt: number): void {
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+  }
+
+  private createWriter(topic: string, handleConfirmed: (sentAt: number) => void): ExclusiveWriter {
     const { client, clock, epoch, logger, handleLogBack } = this.options;
     return new ExclusiveWriter({
       client,
@@ -132,9 +142,7 @@
       gatherMs: GATHER_MS,
       maxBytes: this.options.maxAppendBytes,
       handleFenced: (detail) => this.handleDeposed(`the log refused a write: ${detail}`),
-      handleConfirmed: (sentAt) => {
-        this.confirmedAt = Math.max(this.confirmedAt, sentAt);
-      },
+      handleConfirmed,
       handleConnection: (isConnected, detail) => {
         const sentence = isConnected ? 'The log takes writes again.' : 'The log takes no writes.';
         logger.info(sentence, { topic, detail });
@@ -276,7 +284,7 @@
   private applyTime(): void {
     const { clock, formatLeaderRecord } = this.options;
     const now = clock.readNow();
-    if (now - this.confirmedAt >= leaderTimings.heartbeatMs) {
+    if (now - this.shownAt >= leaderTimings.heartbeatMs) {
       this.stateWriter.queueWrite(leaderKeys.recordKey, () => formatLeaderRecord(false));
     }
     if (this.hasTakenOver) {
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -19,6 +19,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** True when boxes are known that should lead rather than this one. */
+  readonly isOutranked: () => boolean;
   /** Called once this process leads. */
   readonly handleElected: (epoch: number) => void;
 }
@@ -27,6 +29,8 @@
 const FIRST_CLAIM_JITTER_MS = 150;
 const RESIGNED_JITTER_MS = 80;
 const ENDED_JITTER_MS = 250;
+/** A box that knows of stronger ones leaves them so long to claim first. */
+const OUTRANKED_WAIT_MS = 350;
 
 const recordSchema = z.object({
   epoch: z.number(),
@@ -150,15 +154,17 @@
     if (this.readableSince === undefined || !follower.isFollowing()) {
       return undefined;
     }
-    const now = clock.readNow();
+    const now = clock.readNow() - (this.options.isOutranked() ? OUTRANKED_WAIT_MS : 0);
     const readableMs = now - this.readableSince;
     if (this.record === undefined) {
       return readableMs > this.shortJitter * FIRST_CLAIM_JITTER_MS ? 'no leader yet' : undefined;
     }
     if (this.endedEpoch === this.record.epoch) {
       // Those who see the process end see it together: a short random wait keeps their claims apart.
-      const waitMs = this.endedReason === 'the leader handed over' ? 0 : this.shortJitter * ENDED_JITTER_MS;
-      return now - this.signAt > waitMs ? this.endedReason : undefined;
+      if (this.endedReason === 'the leader handed over') {
+        return this.endedReason;
+      }
+      return now - this.signAt > this.shortJitter * ENDED_JITTER_MS ? this.endedReason : undefined;
     }
     if (this.record.isResigned) {
       return now - this.signAt > this.shortJitter * RESIGNED_JITTER_MS ? 'leader resigned' : undefined;
@@ -167,7 +173,8 @@
       return 'an earlier process of this box led';
     }
     const silentMs = follower.readLastOkAt() - Math.max(this.signAt, this.readableSince);
-    return silentMs > this.silenceLimitMs ? 'leader is silent' : undefined;
+    const limitMs = this.silenceLimitMs + (this.options.isOutranked() ? OUTRANKED_WAIT_MS : 0);
+    return silentMs > limitMs ? 'leader is silent' : undefined;
   }
 
   private async sendClaim(reason: ClaimReason): Promise<void> {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -1,3 +1,4 @@
+import type { BoxClient } from '../boxes/BoxClient';
 import { BoxClients } from '../boxes/BoxClients';
 import { BoxDirectory } from '../boxes/BoxDirectory';
 import { BoxServer } from '../boxes/BoxServer';
@@ -52,6 +53,8 @@
 const HAND_OVER_MS = 300;
 /** A leader that can read, but whose writes have failed for so long, hands over all the same. */
 const WRITES_LOST_MS = 2000;
+/** A leader on a weak box looks for a stronger one after so long, and again after as long. */
+const SETTLED_MS = 2000;
 /** Time for the read that shows whether a box can use the log; below the limit of the question itself. */
 const FRESH_LOG_MS = 150;
 const GATHER_MS = 2;
@@ -82,6 +85,7 @@
   private readonly boxes: BoxClients;
   private readonly watch: LeaderWatch;
   private isHandingOver = false;
+  private leadingSince = 0;
   private readonly boxServer: BoxServer;
   private readonly callers: ReturnType<ServeAdapter['createCallerServer']>;
   private duty: LeaderDuty | undefined;
@@ -126,9 +130,10 @@
       clock,
       random,
       logger: options.createPartLogger('leadership'),
+      isOutranked: () => this.directory.readStronger(settings.cores).length > 0,
       handleElected: (epoch) => this.startLeading(epoch),
     });
-    this.boxes = new BoxClients(this.directory, settings.box);
+    this.boxes = new BoxClients(this.directory, settings);
     this.watch = new LeaderWatch({
       handleEnded: (process) => this.leadership.handleLeaderEnded(process),
     });
@@ -252,8 +257,8 @@
   }
 
   private createAnnouncement(): LogWrite {
-    const { box, internal } = this.options.settings;
-    return { key: BoxDirectory.toKey(box), value: BoxDirectory.formatRecord(internal) };
+    const { box, internal, cores } = this.options.settings;
+    return { key: BoxDirectory.toKey(box), value: BoxDirectory.formatRecord(internal, cores) };
   }
 
   /** Writes where this box can be called, until the log has taken it. */
@@ -308,6 +313,7 @@
       return;
     }
     this.metrics.recordCount('elections');
+    this.leadingSince = clock.readNow();
     this.statesFollower.stop();
     this.jobsFollower.applyPause(LEADER_PAUSE_MS);
     this.duty = new LeaderDuty({
@@ -365,12 +371,37 @@
         ? { process: record.process, address: leaderBox.address }
         : undefined,
     );
-    if ((this.duty?.readFailingMs() ?? 0) > HAND_OVER_MS && !this.isHandingOver) {
-      this.isHandingOver = true;
-      void this.startHandOver().finally(() => {
-        this.isHandingOver = false;
-      });
+    this.checkLeading();
+  }
+
+  /** Gives leadership up where another box would lead better. */
+  private checkLeading(): void {
+    const { clock, settings } = this.options;
+    if (this.duty === undefined || this.isHandingOver || this.isStopping) {
+      return;
+    }
+    const isFailing = this.duty.readFailingMs() > HAND_OVER_MS;
+    const isOutranked =
+      clock.readNow() - this.leadingSince > SETTLED_MS &&
+      this.directory.readStronger(settings.cores).length > 0;
+    if (!isFailing && !isOutranked) {
+      return;
+    }
+    this.isHandingOver = true;
+    void (isFailing ? this.startHandOver() : this.startYielding()).finally(() => {
+      this.isHandingOver = false;
+    });
+  }
+
+  /** A leader on a weak box hands over to a stronger one, which can do more of the same work in time. */
+  private async startYielding(): Promise<void> {
+    this.leadingSince = this.options.clock.readNow();
+    const next = await this.boxes.startChoosingStronger();
+    const duty = this.duty;
+    if (next === undefined || duty === undefined || duty.readFailingMs() > 0) {
+      return;
     }
+    await this.startHandingTo(next, duty, 'a stronger box is asked to lead');
   }
 
   /**
@@ -399,7 +430,6 @@
 
   /** A leader that the log does not serve hands over to a box that it does serve. All orders stop before the word is given. */
   private async startHandOver(): Promise<void> {
-    const epoch = this.leadership.readRecord()?.epoch ?? 0;
     const [next, canRead] = await Promise.all([
       this.boxes.startChoosingLogUser(),
       this.jobsFollower.startRefresh(FRESH_LOG_MS),
@@ -412,8 +442,13 @@
     if (canRead && duty.readFailingMs() < WRITES_LOST_MS) {
       return;
     }
+    await this.startHandingTo(next, duty, 'the log does not serve this box');
+  }
+
+  private async startHandingTo(next: BoxClient, duty: LeaderDuty, reason: string): Promise<void> {
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
     duty.stop();
-    this.handleDeposed(epoch, `the log does not serve this box; ${next.address} is asked to lead`);
+    this.handleDeposed(epoch, `${reason}; ${next.address} is asked to lead`);
     await next.sendHandOver(epoch);
   }
 
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -2,6 +2,8 @@
 export interface ServeSettings {
   readonly box: string;
   readonly hall: string;
+  /** Processor cores that the box may use; the box with most should lead. */
+  readonly cores: number;
   /** Host and port for callers. */
   readonly front: string;
   /** Host and port for the balancer's question. */
--- /dev/null
+++ b/tests/serve/leading.test.ts
@@ -0,0 +1,42 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { Cell } from '../../dev/cell/Cell';
+
+const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
+
+describe('leading', () => {
+  let cell: Cell;
+
+  afterEach(async () => {
+    expect(cell.witness.readProblems()).toEqual([]);
+    await cell.stop();
+  });
+
+  const startLeaderIs = (name: string): Promise<void> =>
+    cell.startUntil(async () => (await cell.startLeader()).name === name);
+
+  it('falls to a stronger box, goes on with a weak one when that ends, and returns to it', async () => {
+    cell = await Cell.create({ boxes: 3, executors: 2, roomPerExecutor: 2, strongBoxes: 1 });
+    const strong = cell.boxes[0]!;
+    await startLeaderIs(strong.name);
+    strong.process.sendSignal('SIGKILL');
+    await strong.process.exit;
+    await cell.startUntil(async () => (await cell.startLeader()).name !== strong.name);
+    const body = JSON.stringify({ spec: '100', steps: [{ count: 2, cpu: 1000, 'mem-mb': 100 }] });
+    expect((await cell.sendJob(cell.boxes[1]!, toJobId(1), body)).status).toBe(200);
+    await cell.startState(cell.boxes[1]!, toJobId(1), 'completed');
+    cell.startBox(strong);
+    await cell.startReady(strong);
+    await startLeaderIs(strong.name);
+  });
+
+  it('shows signs of itself while only the progress of a long job changes', async () => {
+    cell = await Cell.create({ boxes: 3, executors: 4, roomPerExecutor: 3 });
+    await cell.startLeader();
+    const body = JSON.stringify({ spec: '60', steps: [{ count: 700, cpu: 1000, 'mem-mb': 100 }] });
+    const box = cell.boxes[0]!;
+    expect((await cell.sendJob(box, toJobId(1), body)).status).toBe(200);
+    await cell.startState(box, toJobId(1), 'completed', 40_000);
+    const claims = cell.boxes.filter(({ process }) => process.readOutput().includes('leader is silent'));
+    expect(claims).toEqual([]);
+  });
+});
