--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -10,13 +10,6 @@
   /** Send a start, once the record that carries it is durable. */
   | { readonly kind: 'start'; readonly job: JobId; readonly endpoint: EndpointId; readonly order: StartOrder }
   | { readonly kind: 'stop'; readonly endpoint: EndpointId; readonly task: TaskName; readonly run: number }
-  | {
-      readonly kind: 'pace';
-      readonly endpoint: EndpointId;
-      readonly task: TaskName;
-      readonly run: number;
-      readonly percent: number;
-    }
   | {
       readonly kind: 'advise';
       readonly step: string;
--- a/packages/dispatch/EndpointClient.ts
+++ b/packages/dispatch/EndpointClient.ts
@@ -17,8 +17,6 @@
 export interface EndpointClient {
   sendStart(order: StartOrder, leaseMs: number, timeoutMs: number): Promise<OrderAnswer>;
   sendStop(task: TaskName, run: number, timeoutMs: number): Promise<OrderAnswer>;
-  /** Sets the share of its speed at which a task works, 0 to 100. */
-  sendPace(task: TaskName, run: number, percent: number, timeoutMs: number): Promise<OrderAnswer>;
   sendHold(request: HoldRequest): Promise<HoldAnswer>;
   stop(): Promise<void>;
 }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -325,9 +325,6 @@
       case 'stop':
         void this.sendStop(effect);
         return;
-      case 'pace':
-        void this.sendPace(effect);
-        return;
       case 'advise':
         this.options.recordCount('questions');
         void this.desk.sendQuestion(effect);
@@ -420,15 +417,6 @@
     this.queueRound();
   }
 
-  private async sendPace(effect: Extract<DispatchEffect, { kind: 'pace' }>): Promise<void> {
-    const { endpoint, task, run, percent } = effect;
-    const client = this.endpoints.readSession(endpoint)?.readClient();
-    const answer = await client?.sendPace(task, run, percent, STOP_TIMEOUT_MS);
-    if (answer !== undefined) {
-      this.isFence(answer);
-    }
-  }
-
   /** True when the endpoint obeys a newer leader; then this duty is over. */
   private isFence(answer: OrderAnswer): boolean {
     const isFenced = answer.kind === 'rejected' && answer.reason === 'fence';
--- a/packages/dispatch/LookReader.ts
+++ b/packages/dispatch/LookReader.ts
@@ -80,7 +80,6 @@
       run.percent = row.percent;
       run.progressedAt = now;
     }
-    run.load = row.load;
     this.options.mover.recordRun(book, run, now);
     if (row.checkpoint !== '' && row.checkpoint !== run.checkpoint) {
       run.checkpoint = row.checkpoint;
--- a/packages/dispatch/PlacedRun.ts
+++ b/packages/dispatch/PlacedRun.ts
@@ -24,8 +24,6 @@
   readonly isFiller: boolean;
   /** A long-running task that serves users of its own. */
   readonly isServing: boolean;
-  /** Bound for its tail latency in milliseconds; 0 for none. */
-  readonly targetMs: number;
   readonly priority: number;
   /** False when it continues from a checkpoint. */
   readonly isFromStart: boolean;
@@ -43,8 +41,5 @@
   seenAt: number;
   /** Monotonic time at which `percent` last rose. */
   progressedAt: number;
-  load: number;
   checkpoint: string;
-  /** Share of its speed at which a filler may work, 0 to 100. */
-  pacePercent: number;
 }
--- a/packages/dispatch/createPlacedRun.ts
+++ b/packages/dispatch/createPlacedRun.ts
@@ -20,7 +20,6 @@
     demand: shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand,
     isFiller: shape.isFiller,
     isServing: shape.isLongRunning && !shape.isFiller,
-    targetMs: shape.targetMs,
     priority: definition.queue.priority,
     isFromStart,
     stage: 'recording',
@@ -31,8 +30,6 @@
     percent: 0,
     seenAt: now,
     progressedAt: now,
-    load: 0,
     checkpoint: '',
-    pacePercent: 100,
   };
 };
--- a/packages/dispatch/createStrangeRun.ts
+++ b/packages/dispatch/createStrangeRun.ts
@@ -13,7 +13,6 @@
   demand: demandSums.NOTHING,
   isFiller: false,
   isServing: false,
-  targetMs: 0,
   priority: 0,
   isFromStart: false,
   stage: 'running',
@@ -24,7 +23,5 @@
   percent: row.percent,
   seenAt: now,
   progressedAt: now,
-  load: row.load,
   checkpoint: row.checkpoint,
-  pacePercent: 100,
 });
--- /dev/null
+++ b/packages/serve/LeaderHandOver.ts
@@ -0,0 +1,126 @@
+import type { BoxClient } from '../boxes/BoxClient';
+import type { BoxClients } from '../boxes/BoxClients';
+import type { BoxDirectory } from '../boxes/BoxDirectory';
+import type { Clock } from '../common/Clock';
+import { startDelay } from '../common/startDelay';
+import type { LeaderDuty } from '../dispatch/LeaderDuty';
+import type { ServeSettings } from './ServeSettings';
+
+interface LeaderHandOverOptions {
+  readonly settings: ServeSettings;
+  readonly clock: Clock;
+  readonly boxes: BoxClients;
+  readonly directory: BoxDirectory;
+  /** The duty of this process; undefined while it does not lead. */
+  readonly readDuty: () => LeaderDuty | undefined;
+  readonly readEpoch: () => number;
+  /** Reads the log now; false when it does not answer this box at once. */
+  readonly startLogRead: () => Promise<boolean>;
+  /** This process leads no more, and will not again, since it stops. */
+  readonly handleLeft: () => void;
+  /** This process leads no more. */
+  readonly handleDeposed: (epoch: number, detail: string) => void;
+}
+
+/** A leader whose writes have failed for so long looks for a box that the log serves. */
+const FAILING_MS = 300;
+/** A leader that can read, but whose writes have failed for so long, hands over all the same. */
+const WRITES_LOST_MS = 2000;
+/** A leader on a weak box looks for a stronger one after so long, and again after as long. */
+const SETTLED_MS = 2000;
+/** Kept of the grace for the end of a planned stop. */
+const STOP_RESERVE_MS = 2000;
+const LEAVE_POLL_MS = 100;
+
+/** Gives leadership up where another box would lead better, and at a planned stop. All orders stop before the word is given. */
+export class LeaderHandOver {
+  private isHandingOver = false;
+  private leadingSince = 0;
+
+  constructor(private readonly options: LeaderHandOverOptions) {}
+
+  recordElected(): void {
+    this.leadingSince = this.options.clock.readNow();
+  }
+
+  /** Looks whether another box would lead better. */
+  applyTime(): void {
+    const { clock, settings, directory, readDuty } = this.options;
+    const duty = readDuty();
+    if (duty === undefined || this.isHandingOver) {
+      return;
+    }
+    if (duty.readFailingMs() > FAILING_MS) {
+      this.startOnce(() => this.startLeavingToServed());
+      return;
+    }
+    const isSettled = clock.readNow() - this.leadingSince > SETTLED_MS;
+    if (isSettled && directory.readStronger(settings.cores).length > 0) {
+      this.startOnce(() => this.startLeavingToStronger());
+    }
+  }
+
+  /**
+   * Gives leadership up in a planned stop. While the log is out for every box nobody could take over, so this process goes on
+   * leading as long as its grace allows: what runs stays leased.
+   */
+  async startLeaving(): Promise<void> {
+    const { clock, settings, boxes, readDuty, readEpoch, handleLeft } = this.options;
+    this.isHandingOver = true;
+    const until = clock.readNow() + settings.graceMs - STOP_RESERVE_MS;
+    while ((readDuty()?.readFailingMs() ?? 0) > 0 && clock.readNow() < until) {
+      if ((await boxes.startChoosingLogUser()) !== undefined) {
+        break;
+      }
+      await startDelay(LEAVE_POLL_MS);
+    }
+    const duty = readDuty();
+    if (duty === undefined) {
+      return;
+    }
+    const epoch = readEpoch();
+    handleLeft();
+    await duty.startResigning();
+    const next = await boxes.startChoosingLogUser();
+    await next?.sendHandOver(epoch);
+  }
+
+  private startOnce(attempt: () => Promise<void>): void {
+    this.isHandingOver = true;
+    void attempt().finally(() => {
+      this.isHandingOver = false;
+    });
+  }
+
+  /** A leader on a weak box hands over to a stronger one, which can do more of the same work in time. */
+  private async startLeavingToStronger(): Promise<void> {
+    this.leadingSince = this.options.clock.readNow();
+    const next = await this.options.boxes.startChoosingStronger();
+    const duty = this.options.readDuty();
+    if (next !== undefined && duty?.readFailingMs() === 0) {
+      await this.startLeavingTo(next, duty, 'a stronger box is asked to lead');
+    }
+  }
+
+  /** A leader that the log does not serve hands over to a box that it does serve. */
+  private async startLeavingToServed(): Promise<void> {
+    const { boxes, startLogRead, readDuty } = this.options;
+    const [next, canRead] = await Promise.all([boxes.startChoosingLogUser(), startLogRead()]);
+    const duty = readDuty();
+    if (next === undefined || duty === undefined || duty.readFailingMs() === 0) {
+      return;
+    }
+    // When the log comes back for all, another box may notice some milliseconds before this one's next write.
+    if (canRead && duty.readFailingMs() < WRITES_LOST_MS) {
+      return;
+    }
+    await this.startLeavingTo(next, duty, 'the log does not serve this box');
+  }
+
+  private async startLeavingTo(next: BoxClient, duty: LeaderDuty, reason: string): Promise<void> {
+    const epoch = this.options.readEpoch();
+    duty.stop();
+    this.options.handleDeposed(epoch, `${reason}; ${next.address} is asked to lead`);
+    await next.sendHandOver(epoch);
+  }
+}
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -1,4 +1,3 @@
-import type { BoxClient } from '../boxes/BoxClient';
 import { BoxClients } from '../boxes/BoxClients';
 import { BoxDirectory } from '../boxes/BoxDirectory';
 import { BoxServer } from '../boxes/BoxServer';
@@ -21,6 +20,7 @@
 import type { LogWrite } from '../store/LogWrite';
 import { LogWriter } from '../store/LogWriter';
 import { JobDesk } from './JobDesk';
+import { LeaderHandOver } from './LeaderHandOver';
 import type { ServeAdapter } from './ServeAdapter';
 import { ServeMetrics } from './ServeMetrics';
 import type { ServeSettings } from './ServeSettings';
@@ -49,12 +49,6 @@
 const OPERATOR_POLL_MS = 800;
 const TICK_MS = 50;
 const TAKE_OVER_READ_MS = 1000;
-/** A leader whose writes have failed for so long looks for a box that the log serves. */
-const HAND_OVER_MS = 300;
-/** A leader that can read, but whose writes have failed for so long, hands over all the same. */
-const WRITES_LOST_MS = 2000;
-/** A leader on a weak box looks for a stronger one after so long, and again after as long. */
-const SETTLED_MS = 2000;
 /** Time for the read that shows whether a box can use the log; below the limit of the question itself. */
 const FRESH_LOG_MS = 150;
 const GATHER_MS = 2;
@@ -62,9 +56,6 @@
 const LEAVE_NOTICE_MS = 2600;
 /** A leader whose writes have failed for so long sends callers elsewhere. */
 const LOG_OUT_MS = 600;
-/** Kept of the grace for the end of a planned stop. */
-const STOP_RESERVE_MS = 2000;
-const LEAVE_POLL_MS = 100;
 const ANNOUNCE_LIMIT_MS = 20_000;
 const ANNOUNCE_AGAIN_MS = 1000;
 
@@ -84,8 +75,7 @@
   private readonly advice: AdviceClient;
   private readonly boxes: BoxClients;
   private readonly watch: LeaderWatch;
-  private isHandingOver = false;
-  private leadingSince = 0;
+  private readonly handOver: LeaderHandOver;
   private readonly boxServer: BoxServer;
   private readonly callers: ReturnType<ServeAdapter['createCallerServer']>;
   private duty: LeaderDuty | undefined;
@@ -134,6 +124,7 @@
       handleElected: (epoch) => this.startLeading(epoch),
     });
     this.boxes = new BoxClients(this.directory, settings);
+    this.handOver = this.createHandOver();
     this.watch = new LeaderWatch({
       handleEnded: (process) => this.leadership.handleLeaderEnded(process),
     });
@@ -174,7 +165,7 @@
     this.logger.info('Stopping.', { isLeading: this.duty !== undefined });
     this.leadership.stop();
     const leaveAt = this.options.clock.readNow() + LEAVE_NOTICE_MS;
-    await this.startLeavingDuty();
+    await this.handOver.startLeaving();
     await startDelay(Math.max(0, leaveAt - this.options.clock.readNow()));
     clearInterval(this.timer);
     this.watch.applyLeader(undefined);
@@ -221,6 +212,23 @@
     });
   }
 
+  private createHandOver(): LeaderHandOver {
+    const { clock, settings } = this.options;
+    return new LeaderHandOver({
+      settings,
+      clock,
+      boxes: this.boxes,
+      directory: this.directory,
+      readDuty: () => this.duty,
+      readEpoch: () => this.leadership.readRecord()?.epoch ?? 0,
+      startLogRead: () => this.jobsFollower.startRefresh(FRESH_LOG_MS),
+      handleLeft: () => {
+        this.duty = undefined;
+      },
+      handleDeposed: (epoch, detail) => this.handleDeposed(epoch, detail),
+    });
+  }
+
   private createFollower(
     topic: string,
     pauseMs: number,
@@ -313,7 +321,7 @@
       return;
     }
     this.metrics.recordCount('elections');
-    this.leadingSince = clock.readNow();
+    this.handOver.recordElected();
     this.statesFollower.stop();
     this.jobsFollower.applyPause(LEADER_PAUSE_MS);
     this.duty = new LeaderDuty({
@@ -371,85 +379,7 @@
         ? { process: record.process, address: leaderBox.address }
         : undefined,
     );
-    this.checkLeading();
-  }
-
-  /** Gives leadership up where another box would lead better. */
-  private checkLeading(): void {
-    const { clock, settings } = this.options;
-    if (this.duty === undefined || this.isHandingOver || this.isStopping) {
-      return;
-    }
-    const isFailing = this.duty.readFailingMs() > HAND_OVER_MS;
-    const isOutranked =
-      clock.readNow() - this.leadingSince > SETTLED_MS &&
-      this.directory.readStronger(settings.cores).length > 0;
-    if (!isFailing && !isOutranked) {
-      return;
-    }
-    this.isHandingOver = true;
-    void (isFailing ? this.startHandOver() : this.startYielding()).finally(() => {
-      this.isHandingOver = false;
-    });
-  }
-
-  /** A leader on a weak box hands over to a stronger one, which can do more of the same work in time. */
-  private async startYielding(): Promise<void> {
-    this.leadingSince = this.options.clock.readNow();
-    const next = await this.boxes.startChoosingStronger();
-    const duty = this.duty;
-    if (next === undefined || duty === undefined || duty.readFailingMs() > 0) {
-      return;
-    }
-    await this.startHandingTo(next, duty, 'a stronger box is asked to lead');
-  }
-
-  /**
-   * Gives leadership up in a planned stop. While the log is out for every box nobody could take over, so this process goes on
-   * leading as long as its grace allows: what runs stays leased.
-   */
-  private async startLeavingDuty(): Promise<void> {
-    const { clock, settings } = this.options;
-    const until = clock.readNow() + settings.graceMs - STOP_RESERVE_MS;
-    while ((this.duty?.readFailingMs() ?? 0) > 0 && clock.readNow() < until) {
-      if ((await this.boxes.startChoosingLogUser()) !== undefined) {
-        break;
-      }
-      await startDelay(LEAVE_POLL_MS);
-    }
-    const duty = this.duty;
-    if (duty === undefined) {
-      return;
-    }
-    const epoch = this.leadership.readRecord()?.epoch ?? 0;
-    this.duty = undefined;
-    await duty.startResigning();
-    const next = await this.boxes.startChoosingLogUser();
-    await next?.sendHandOver(epoch);
-  }
-
-  /** A leader that the log does not serve hands over to a box that it does serve. All orders stop before the word is given. */
-  private async startHandOver(): Promise<void> {
-    const [next, canRead] = await Promise.all([
-      this.boxes.startChoosingLogUser(),
-      this.jobsFollower.startRefresh(FRESH_LOG_MS),
-    ]);
-    const duty = this.duty;
-    if (next === undefined || duty === undefined || duty.readFailingMs() === 0) {
-      return;
-    }
-    // When the log comes back for all, another box may notice some milliseconds before this one's next write.
-    if (canRead && duty.readFailingMs() < WRITES_LOST_MS) {
-      return;
-    }
-    await this.startHandingTo(next, duty, 'the log does not serve this box');
-  }
-
-  private async startHandingTo(next: BoxClient, duty: LeaderDuty, reason: string): Promise<void> {
-    const epoch = this.leadership.readRecord()?.epoch ?? 0;
-    duty.stop();
-    this.handleDeposed(epoch, `${reason}; ${next.address} is asked to lead`);
-    await next.sendHandOver(epoch);
+    this.handOver.applyTime();
   }
 
   private formatMetrics(): string {
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../common/Clock';
 import { startDelay } from '../common/startDelay';
+import { appendRules } from './appendRules';
 import { Interruption } from './Interruption';
 import type { LogClient } from './LogClient';
 import type { LogWrite } from './LogWrite';
@@ -27,10 +28,7 @@
   readonly handleWritten: () => void;
 }
 
-const FIRST_TIMEOUT_MS = 350;
-const MAX_TIMEOUT_MS = 1400;
 const RETRY_DELAY_MS = 60;
-const RECORD_OVERHEAD_BYTES = 5;
 
 /**
  * Appends as the one writer of an epoch. Appends are numbered, so that one without an answer is repeated without doubling.
@@ -124,13 +122,13 @@
     const writes: LogWrite[] = [];
     let bytes = 0;
     for (const [key, formatValue] of this.dirty) {
-      const value = formatValue();
-      bytes += Buffer.byteLength(key) + Buffer.byteLength(value) + RECORD_OVERHEAD_BYTES;
+      const write = { key, value: formatValue() };
+      bytes += appendRules.measureBytes(write);
       if (writes.length > 0 && bytes > this.options.maxBytes) {
         break;
       }
       this.dirty.delete(key);
-      writes.push({ key, value });
+      writes.push(write);
     }
     return writes;
   }
@@ -138,7 +136,7 @@
   private async sendBatch(writes: readonly LogWrite[]): Promise<boolean> {
     const { client, topic, clock, producer, epoch } = this.options;
     this.sequence += 1;
-    let timeoutMs = FIRST_TIMEOUT_MS;
+    let timeoutMs: number = appendRules.firstTimeoutMs;
     while (!this.isStopped) {
       const sentAt = clock.readNow();
       const writer = { producer, epoch, sequence: this.sequence };
@@ -160,7 +158,7 @@
         return false;
       }
       this.recordConnection(false, answer.error.kind === 'forgotten' ? 'forgotten' : answer.error.detail);
-      timeoutMs = Math.min(MAX_TIMEOUT_MS, timeoutMs * 2);
+      timeoutMs = Math.min(appendRules.maxTimeoutMs, timeoutMs * 2);
       await startDelay(RETRY_DELAY_MS);
     }
     return false;
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../common/Clock';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
+import { appendRules } from './appendRules';
 import { Interruption } from './Interruption';
 import type { LogClient } from './LogClient';
 import type { LogError } from './LogError';
@@ -28,13 +29,9 @@
   readonly resolve: (outcome: WriteOutcome) => void;
 }
 
-const FIRST_TIMEOUT_MS = 350;
-const MAX_TIMEOUT_MS = 1400;
 const RETRY_DELAY_MS = 50;
 const PROBE_PAUSE_MS = 300;
 const PROBE_LIMIT_MS = 700;
-/** Bytes that a record takes beside its key and value. */
-const RECORD_OVERHEAD_BYTES = 5;
 
 /**
  * Appends records of many callers with few calls: one append at a time, and all that came meanwhile goes into the next.
@@ -43,7 +40,7 @@
 export class LogWriter {
   private readonly queued: QueuedWrite[] = [];
   private isSending = false;
-  private timeoutMs = FIRST_TIMEOUT_MS;
+  private timeoutMs: number = appendRules.firstTimeoutMs;
   private failingSince: number | undefined;
   private isProbing = false;
   private readonly interruption = new Interruption();
@@ -99,7 +96,7 @@
     let bytes = 0;
     let count = 0;
     for (const { write } of this.queued) {
-      bytes += Buffer.byteLength(write.key) + Buffer.byteLength(write.value) + RECORD_OVERHEAD_BYTES;
+      bytes += appendRules.measureBytes(write);
       if (count > 0 && bytes > this.options.maxBytes) {
         break;
       }
@@ -146,13 +143,13 @@
 
   private recordSuccess(): void {
     this.failingSince = undefined;
-    this.timeoutMs = FIRST_TIMEOUT_MS;
+    this.timeoutMs = appendRules.firstTimeoutMs;
   }
 
   private recordFailure(error: LogError): void {
     this.failingSince ??= this.options.clock.readNow();
     if (error.kind === 'unknown') {
-      this.timeoutMs = Math.min(MAX_TIMEOUT_MS, this.timeoutMs * 2);
+      this.timeoutMs = Math.min(appendRules.maxTimeoutMs, this.timeoutMs * 2);
     }
   }
 }
