--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -21,6 +21,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: ServeMetrics;
+  /** True while all topics can be read. */
+  readonly isReading: () => boolean;
   /** True while this process leads, so that its own memory is the newest. */
   readonly isLeading: () => boolean;
   /** A job or a cancel of this box is durable. */
@@ -132,8 +134,8 @@
 
   /** True when trying an append would only keep the caller waiting. */
   private isLogOut(): boolean {
-    const { writer, jobsFollower } = this.options;
-    return writer.readFailingMs() > (jobsFollower.isFollowing() ? LONG_OUTAGE_MS : OUTAGE_MS);
+    const { writer, isReading } = this.options;
+    return writer.readFailingMs() > (isReading() ? LONG_OUTAGE_MS : OUTAGE_MS);
   }
 
   private readWriteLimit(startedAt: number, deadline: number): number {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -42,6 +42,8 @@
 /** Progress of jobs, written by the leader alone and read by the next one. */
 const PROGRESS_TOPIC = 'keyed.progress';
 const FOLLOWER_PAUSE_MS = 350;
+/** Other boxes read accepted jobs with less haste: whoever is asked for an unknown one reads on at once. */
+const JOBS_PAUSE_MS = 1000;
 const FOLLOWER_POLL_MS = 500;
 const LEADER_PAUSE_MS = 0;
 const LEADER_POLL_MS = 1000;
@@ -96,7 +98,7 @@
       random,
       probe: this.createAnnouncement(),
     });
-    this.jobsFollower = this.createFollower(JOBS_TOPIC, FOLLOWER_PAUSE_MS, LEADER_POLL_MS, (records) =>
+    this.jobsFollower = this.createFollower(JOBS_TOPIC, JOBS_PAUSE_MS, LEADER_POLL_MS, (records) =>
       this.handleJobRecords(records),
     );
     this.statesFollower = this.createFollower(
@@ -190,11 +192,13 @@
 
   /** True while the log answers this box. Topics are read at different paces: whichever notices first counts. */
   private hasLog(): boolean {
-    const isReading = this.jobsFollower.isFollowing() && this.operatorFollower.isFollowing();
-    if (this.duty !== undefined) {
-      return isReading && this.duty.readFailingMs() < LOG_OUT_MS;
-    }
-    return isReading && this.statesFollower.isFollowing();
+    return this.isReading() && (this.duty?.readFailingMs() ?? 0) < LOG_OUT_MS;
+  }
+
+  /** True while all topics can be read. A leader does not follow the states: it writes them. */
+  private isReading(): boolean {
+    const isFollowingStates = this.duty !== undefined || this.statesFollower.isFollowing();
+    return isFollowingStates && this.jobsFollower.isFollowing() && this.operatorFollower.isFollowing();
   }
 
   private createJobDesk(): JobDesk {
@@ -206,6 +210,7 @@
       clock: this.options.clock,
       logger: this.options.createPartLogger('jobs'),
       metrics: this.metrics,
+      isReading: () => this.isReading(),
       isLeading: () => this.duty?.isActive() ?? false,
       handleAccepted: (definition) => this.applyAccepted(definition),
       handleCancelled: (id) => this.applyCancelled(id),
@@ -351,7 +356,7 @@
   private handleDeposed(epoch: number, detail: string): void {
     this.logger.info('Leading no more.', { epoch, detail });
     this.duty = undefined;
-    this.jobsFollower.applyPause(FOLLOWER_PAUSE_MS);
+    this.jobsFollower.applyPause(JOBS_PAUSE_MS);
     this.leadership.handleDeposed();
     void this.statesFollower.start();
   }
