--- a/packages/standins/platform/LogStandin.ts
+++ b/packages/standins/platform/LogStandin.ts
@@ -19,6 +19,8 @@
   private readonly topics = new Map<string, KeyedTopic>();
   private readonly servers: Server[] = [];
   private readonly faults = new Map<string, LogFault>();
+  /** Reads that wait for a record, by door. */
+  private readonly waiting = new Map<ServerResponse, string>();
   private callCount = 0;
 
   private readonly handlers: Readonly<Record<string, Handler>> = {
@@ -45,11 +47,16 @@
     }
   }
 
-  /** Sets what goes wrong, behind one door or all. */
+  /** Sets what goes wrong, behind one door or all. Silence also takes the answers of reads that wait at that time. */
   applyFault(fault: LogFault, door?: string): void {
     for (const name of door === undefined ? [...this.faults.keys()] : [door]) {
       this.faults.set(name, fault);
     }
+    for (const [response, name] of fault === 'silent' ? [...this.waiting] : []) {
+      if (door === undefined || door === name) {
+        this.waiting.delete(response);
+      }
+    }
   }
 
   readCallCount(): number {
@@ -96,7 +103,9 @@
       sendJson(response, 404, {});
       return;
     }
+    this.waiting.set(response, door);
     await handler(url, request, response, fault === 'loseAnswers');
+    this.waiting.delete(response);
   }
 
   private async handleAppend(
@@ -131,6 +140,9 @@
     const waitMs = Number(url.searchParams.get('wait-ms') ?? 0);
     if (topic.readEnd() <= from && waitMs > 0) {
       await topic.startWait(waitMs);
+      if (!this.waiting.has(response)) {
+        return;
+      }
     }
     const frames = topic.readFrames(from);
     if (frames === undefined) {
--- a/tests/serve/faults.test.ts
+++ b/tests/serve/faults.test.ts
@@ -157,6 +157,20 @@
     );
   });
 
+  it('takes a configuration that is written right after a silence of the log into force within two seconds', async () => {
+    // Every box begins to wait for the next version just before the silence, which takes the answer.
+    cell.writeConfiguration(2);
+    await new Promise((resolve) => setTimeout(resolve, 80));
+    cell.log.applyFault('silent');
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    cell.log.applyFault('none');
+    cell.writeConfiguration(3, ['added']);
+    await cell.startUntil(async () => {
+      const answers = await Promise.all(cell.boxes.map((box) => cell.sendCall(box, 'GET', '/added/')));
+      return answers.every(({ status }) => status === 200);
+    }, 2000);
+  });
+
   it('never says refused of a job that may have been taken, when the answers of the log are lost', async () => {
     const box = cell.boxes[0]!;
     await cell.startLeader();
