--- a/dev/bench/benchSections.ts
+++ b/dev/bench/benchSections.ts
@@ -1,6 +1,7 @@
 import type { BenchSection } from './BenchSection';
 import { controlSection } from './controlSection';
 import { decisionSection } from './decisionSection';
+import { leaderSection } from './leaderSection';
 import { memorySection } from './memorySection';
 import { outageSection } from './outageSection';
 import { overloadSection } from './overloadSection';
@@ -9,6 +10,7 @@
 /** All sections, in the order of the report. */
 export const benchSections: readonly BenchSection[] = [
   decisionSection,
+  leaderSection,
   policySection,
   overloadSection,
   memorySection,
--- a/dev/fleet/ManagedProcess.ts
+++ b/dev/fleet/ManagedProcess.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, type WriteStream } from 'node:fs';
+import { createWriteStream, readFileSync, type WriteStream } from 'node:fs';
 
 interface ManagedProcessOptions {
   readonly name: string;
@@ -8,6 +8,7 @@
 }
 
 const START_LIMIT_MS = 30_000;
+const CLOCK_TICKS_PER_SECOND = 100;
 
 /** One child process of a test or demo. It is signalled by its own id only. */
 export class ManagedProcess {
@@ -37,6 +38,14 @@
     return this.child.exitCode === null && this.child.signalCode === null;
   }
 
+  /** Processor time that it has used so far, in seconds, as the kernel counts it. */
+  readCpuSeconds(): number {
+    const stat = readFileSync(`/proc/${this.child.pid}/stat`, 'utf8');
+    // After the name in brackets, which may hold blanks: user and system time stand at places 12 and 13 from there.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
+  }
+
   sendSignal(signal: NodeJS.Signals): void {
     this.child.kill(signal);
   }
