--- a/packages/entry/PeerController.ts
+++ b/packages/entry/PeerController.ts
@@ -215,6 +215,7 @@
     peer.isAsking = true;
     const { context, ownership } = this.options;
     const askedAt = context.clock.readNow();
+    const known = ownership.readKnown(peer.address.box);
     const isSameHall = peer.address.hall === context.hall;
     const message = this.createMessage();
     const sent = isSameHall
@@ -223,25 +224,25 @@
     const answer = await peer.client.sendHeartbeat(sent);
     peer.isAsking = false;
     if (!answer.ok) {
-      this.handleError(peer, answer.error);
+      this.handleError(peer, answer.error, known);
       return;
     }
-    this.applyMessage(answer.value);
+    this.applyMessage(answer.value, known);
     if (isSameHall && answer.value.ownership !== undefined) {
       ownership.handleAnswer(answer.value.ownership, askedAt, context.clock.readNow());
       this.options.handleRights();
     }
   }
 
-  private handleError(peer: Peer, error: PeerError): void {
+  private handleError(peer: Peer, error: PeerError, known: readonly ProcessId[]): void {
     peer.isTaking = false;
     peer.room.clear();
     if (error.kind === 'refusing') {
-      this.recordEnds(peer.address.box, undefined);
+      this.recordEnds(peer.address.box, undefined, known);
     }
   }
 
-  private applyMessage(message: PeerMessage): void {
+  private applyMessage(message: PeerMessage, known?: readonly ProcessId[]): void {
     this.options.context.hybridClock.applyStamp(message.stamp);
     const peer = this.peers.find((other) => other.address.box === message.box);
     if (peer === undefined) {
@@ -250,7 +251,7 @@
     if (peer.process !== message.process) {
       this.recordPeerStart(peer, message.process);
     }
-    this.recordEnds(peer.address.box, message.process);
+    this.recordEnds(peer.address.box, message.process, known);
     peer.room = new Map(Object.entries(message.room).map(([row, room]) => [toId<RowName>(row), room]));
     peer.isTaking = message.isTaking;
     peer.tableOffset = message.tableOffset;
@@ -267,9 +268,9 @@
   }
 
   /** Proof of end: at the box's address another process answers, or nobody does. */
-  private recordEnds(box: BoxId, alive: ProcessId | undefined): void {
+  private recordEnds(box: BoxId, alive: ProcessId | undefined, known?: readonly ProcessId[]): void {
     const { context, ownership } = this.options;
-    for (const process of ownership.recordAlive(box, alive, context.clock.readNow())) {
+    for (const process of ownership.recordAlive(box, alive, context.clock.readNow(), known)) {
       context.timeline.recordEvent({ part: 'peers', kind: 'end proved', detail: { process } });
       this.logger.warn('Process has ended.', { process });
       this.options.handleRights();
--- a/packages/ownership/Ownership.ts
+++ b/packages/ownership/Ownership.ts
@@ -131,13 +131,24 @@
     this.applyTime(now);
   }
 
+  /** The processes of a box that this one knows of and that are not proved to have ended. */
+  readKnown(box: BoxId): readonly ProcessId[] {
+    const known = [...(this.state.view?.members ?? []), ...this.state.leftOut.keys()];
+    return known.filter((other) => toBox(other) === box && !this.isEnded(other));
+  }
+
   /**
-   * Records that on a box no process but `alive` (none when undefined) is alive: its port refuses, or that one answers.
+   * Records that on a box no process but `alive` (none when undefined) was alive: its port refused, or that one answered.
+   * `known` are the processes known when the question was asked: one that started since is none of those that the answer is about.
    * Returns the processes whose end this proves.
    */
-  recordAlive(box: BoxId, alive: ProcessId | undefined, now: number): readonly ProcessId[] {
-    const known = [...(this.state.view?.members ?? []), ...this.state.leftOut.keys()];
-    const ended = known.filter((other) => toBox(other) === box && other !== alive && !this.isEnded(other));
+  recordAlive(
+    box: BoxId,
+    alive: ProcessId | undefined,
+    now: number,
+    known = this.readKnown(box),
+  ): readonly ProcessId[] {
+    const ended = known.filter((other) => other !== alive && !this.isEnded(other));
     for (const process of ended) {
       this.recordEnd(process, now);
     }
--- a/tests/ownership.test.ts
+++ b/tests/ownership.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import type { BoxId } from '../packages/common/BoxId';
 import type { ProcessId } from '../packages/common/ProcessId';
 import { toId } from '../packages/common/toId';
 import type { UnitId } from '../packages/common/UnitId';
@@ -197,6 +198,22 @@
     expect(fresh.readView()?.id).toBe('won');
   });
 
+  it('takes no process as ended by a refusal that was asked for before it was known', () => {
+    const hall = createHall(['x#1', 'j#1']);
+    hall.startHall(['x#1', 'j#1']);
+    const asking = hall.readProcess('x#1');
+    const box = toId<BoxId>('j');
+    const known = asking.readKnown(box);
+    // The connection is refused now; the answer is handled when the next start of the box has joined.
+    hall.startProcess('j#2');
+    hall.handleRead('j#2');
+    hall.appendProposal('j#2');
+    hall.handleRead('x#1');
+    expect(asking.readKnown(box)).toContain('j#2');
+    expect(asking.recordAlive(box, undefined, hall.now, known)).toEqual(['j#1']);
+    expect(asking.isEnded(toId<ProcessId>('j#2'))).toBe(false);
+  });
+
   it('takes no evidence from a question, whose age nobody knows', () => {
     const hall = createHall(['a#1', 'b#1']);
     hall.startHall(['a#1', 'b#1']);
