--- a/dev/bench/leaderSection.ts
+++ b/dev/bench/leaderSection.ts
@@ -1,6 +1,7 @@
 import { formatColumns } from '../../packages/cli/formatColumns';
 import { startDelay } from '../../packages/common/startDelay';
 import { Cell } from '../cell/Cell';
+import { toJobIdText } from '../cell/toJobIdText';
 import type { BenchSection } from './BenchSection';
 
 interface LeaderCase {
@@ -24,8 +25,6 @@
 const TASK_MS = 800;
 const TASKS = 10;
 
-const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
-
 const createBody = (): string => {
   const step = { count: TASKS, cpu: 1000, 'mem-mb': 100, 'estimated-ms': TASK_MS };
   return JSON.stringify({ spec: String(TASK_MS), steps: [step, { ...step, 'depends-on': [0] }] });
@@ -41,7 +40,7 @@
     const body = createBody();
     const count = (one.jobsPerSecond * MEASURE_MS) / 1000;
     for (let number = 1; number <= count; number += 1) {
-      void cell.sendJob(front, toJobId(number), body, 'advised').catch(() => undefined);
+      void cell.sendJob(front, toJobIdText(number), body, 'advised').catch(() => undefined);
       await startDelay(1000 / one.jobsPerSecond);
     }
     const seconds = MEASURE_MS / 1000;
--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -5,6 +5,7 @@
 import type { ExecutorFault } from './ExecutorFault';
 import type { ExecutorRun } from './ExecutorRun';
 import type { RunWitness } from './RunWitness';
+import { Waiters } from './Waiters';
 
 interface ExecutorStandinOptions {
   readonly id: string;
@@ -46,7 +47,7 @@
   private leaseTimer: NodeJS.Timeout | undefined;
   private fault: ExecutorFault = 'none';
   private server: Server | undefined;
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = new Waiters();
 
   private readonly handlers: Readonly<Record<string, Handler>> = {
     '/run-start': (body, response) => this.handleStart(body, response),
@@ -153,7 +154,7 @@
     this.applyLease(body['expires-ms']);
     const waitMs = body['wait-ms'] ?? 0;
     if (waitMs > 0 && this.ends.length === 0) {
-      await this.startWait(waitMs);
+      await this.waiters.startWait(waitMs);
     }
     const running = [...this.runs.values()].map((run) => [run.task, run.run, '', this.readPercent(run), 0]);
     this.sendAnswer(response, 200, { running, 'end-time': this.ends });
@@ -174,18 +175,6 @@
       : Math.min(HUNDRED, Math.floor(((this.readClock() - run.startedAt) * HUNDRED) / run.runMs));
   }
 
-  private startWait(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const handleEnd = (): void => {
-        clearTimeout(timer);
-        this.waiters.delete(handleEnd);
-        resolve();
-      };
-      const timer = setTimeout(handleEnd, waitMs);
-      this.waiters.add(handleEnd);
-    });
-  }
-
   private applyLease(expiresMs: number | undefined): void {
     if (expiresMs === undefined || (this.expiresAt !== Infinity && expiresMs <= this.expiresAt)) {
       return;
@@ -214,9 +203,7 @@
     this.endCount += 1;
     this.ends.push([this.endCount, task, run.run, how, '']);
     this.options.witness.recordEnd(this.options.id, task, run.run, how);
-    for (const handleEnd of [...this.waiters]) {
-      handleEnd();
-    }
+    this.waiters.stopAll();
   }
 
   private readClock(): number {
--- a/packages/standins/platform/KeyedTopic.ts
+++ b/packages/standins/platform/KeyedTopic.ts
@@ -1,3 +1,5 @@
+import { Waiters } from './Waiters';
+
 interface StoredRecord {
   readonly key: string;
   readonly value: Buffer;
@@ -28,7 +30,7 @@
   private readonly records: StoredRecord[] = [];
   private readonly newest = new Map<string, number>();
   private readonly producers = new Map<string, ProducerState>();
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = new Waiters();
   private firstKept = 0;
 
   append(frames: Buffer, writer: AppendWriter | undefined): AppendAnswer {
@@ -51,7 +53,7 @@
     if (writer !== undefined && state !== undefined) {
       this.recordAnswer(state, writer, answer);
     }
-    this.handleAppended();
+    this.waiters.stopAll();
     return { status: 200, body: answer };
   }
 
@@ -84,15 +86,7 @@
 
   /** Resolves at the next append, or after a time. */
   startWait(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const handleEnd = (): void => {
-        clearTimeout(timer);
-        this.waiters.delete(handleEnd);
-        resolve();
-      };
-      const timer = setTimeout(handleEnd, waitMs);
-      this.waiters.add(handleEnd);
-    });
+    return this.waiters.startWait(waitMs);
   }
 
   /** Forgets the history; the newest record of each key stays. */
@@ -137,10 +131,4 @@
       position = end;
     }
   }
-
-  private handleAppended(): void {
-    for (const handleEnd of [...this.waiters]) {
-      handleEnd();
-    }
-  }
 }
--- a/tests/serve/backlog.test.ts
+++ b/tests/serve/backlog.test.ts
@@ -1,5 +1,6 @@
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 import { Cell } from '../../dev/cell/Cell';
+import { toJobIdText } from '../../dev/cell/toJobIdText';
 
 const EXECUTORS = 120;
 const JOBS = 900;
@@ -8,8 +9,6 @@
 /** A leader that is missed for 1.3 to 1.7 s is replaced: several of these must pass without that. */
 const WATCHED_MS = 5000;
 
-const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
-
 describe('a backlog of many jobs that need advice', () => {
   let cell: Cell;
 
@@ -34,7 +33,7 @@
     const front = cell.boxes.find((box) => box !== leader)!;
     const body = { spec: String(TASK_MS), steps: [{ count: 4, cpu: 1000, 'mem-mb': 100 }] };
     for (let sent = 0; sent < JOBS; sent += JOBS_AT_ONCE) {
-      const ids = Array.from({ length: JOBS_AT_ONCE }, (_, index) => toJobId(sent + index + 1));
+      const ids = Array.from({ length: JOBS_AT_ONCE }, (_, index) => toJobIdText(sent + index + 1));
       const answers = await Promise.all(
         ids.map((id) => cell.sendJob(front, id, JSON.stringify(body), 'advised')),
       );
--- a/tests/serve/faults.test.ts
+++ b/tests/serve/faults.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { Cell } from '../../dev/cell/Cell';
+import { toJobIdText } from '../../dev/cell/toJobIdText';
 
 const createStep = (count: number, fields: object = {}): object => ({
   count,
@@ -8,7 +9,6 @@
   ...fields,
 });
 const LASTING_JOB = { spec: 'lasts', steps: [createStep(1, { 'long-running': true })] };
-const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
 
 describe('faults around a job', () => {
   let cell: Cell;
@@ -24,7 +24,7 @@
 
   /** Submits jobs of two steps and gives their ids. */
   const sendJobs = async (count: number, runMs: number): Promise<string[]> => {
-    const ids = Array.from({ length: count }, (_, index) => toJobId(index + 1));
+    const ids = Array.from({ length: count }, (_, index) => toJobIdText(index + 1));
     const body = { spec: String(runMs), steps: [createStep(2), createStep(2, { 'depends-on': [0] })] };
     const box = cell.boxes[0]!;
     const answers = await Promise.all(ids.map((id) => cell.sendJob(box, id, body)));
@@ -138,10 +138,10 @@
     const [long] = await sendJobs(1, 3000);
     await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 2));
     cell.log.applyFault('silent');
-    await cell.sendJob(box, toJobId(100), { spec: '20', steps: [createStep(1)] });
+    await cell.sendJob(box, toJobIdText(100), { spec: '20', steps: [createStep(1)] });
     await new Promise((resolve) => setTimeout(resolve, 1500));
     const callsBefore = cell.log.readCallCount();
-    const refused = await cell.sendJob(box, toJobId(101), { spec: '20', steps: [createStep(1)] });
+    const refused = await cell.sendJob(box, toJobIdText(101), { spec: '20', steps: [createStep(1)] });
     expect(refused.status).toBe(503);
     expect(refused.retryAfter).toBeGreaterThanOrEqual(1);
     expect(refused.tookMs).toBeLessThan(200);
@@ -153,7 +153,7 @@
     expect(cell.witness.readStartCount(`${long!}.0.0.0`)).toBe(1);
     await cell.startUntil(
       async () =>
-        (await cell.sendJob(box, toJobId(101), { spec: '20', steps: [createStep(1)] })).status === 200,
+        (await cell.sendJob(box, toJobIdText(101), { spec: '20', steps: [createStep(1)] })).status === 200,
     );
   });
 
@@ -175,11 +175,13 @@
     const box = cell.boxes[0]!;
     await cell.startLeader();
     cell.log.applyFault('loseAnswers');
-    const answer = await cell.sendJob(box, toJobId(1), { spec: '20', steps: [createStep(1)] });
+    const answer = await cell.sendJob(box, toJobIdText(1), { spec: '20', steps: [createStep(1)] });
     expect(answer.status).toBe(504);
     cell.log.applyFault('none');
-    expect((await cell.sendJob(box, toJobId(1), { spec: '20', steps: [createStep(1)] })).status).toBe(200);
-    await startAllCompleted([toJobId(1)]);
+    expect((await cell.sendJob(box, toJobIdText(1), { spec: '20', steps: [createStep(1)] })).status).toBe(
+      200,
+    );
+    await startAllCompleted([toJobIdText(1)]);
   });
 
   it('never runs a task twice when starts get no answer and are carried out late', async () => {
@@ -199,13 +201,13 @@
     // The log shows its return before the endpoints do.
     cell.log.applyFault('none');
     const box = cell.boxes[0]!;
-    await cell.startUntil(async () => (await cell.sendJob(box, toJobId(1), LASTING_JOB)).status === 200);
+    await cell.startUntil(async () => (await cell.sendJob(box, toJobIdText(1), LASTING_JOB)).status === 200);
     await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 1), 1500);
     // The return of the log for all is no reason to change the leader.
     expect(await cell.startLeader()).toBe(leader);
     // None has come back: they are taken as gone, and get nothing new.
     await new Promise((resolve) => setTimeout(resolve, 2500));
-    await cell.sendJob(box, toJobId(2), LASTING_JOB);
+    await cell.sendJob(box, toJobIdText(2), LASTING_JOB);
     await new Promise((resolve) => setTimeout(resolve, 500));
     expect(cell.witness.readTotalStarts()).toBe(1);
     cell.executors.forEach(({ id, address }) => cell.writeExecutor(id, address, 'ready'));
@@ -219,8 +221,11 @@
     silent.standin.applyFault('silent');
     await startAllCompleted(ids);
     silent.standin.applyFault('none');
-    const more = await cell.sendJob(cell.boxes[0]!, toJobId(50), { spec: '100', steps: [createStep(12)] });
+    const more = await cell.sendJob(cell.boxes[0]!, toJobIdText(50), {
+      spec: '100',
+      steps: [createStep(12)],
+    });
     expect(more.status).toBe(200);
-    await startAllCompleted([toJobId(50)]);
+    await startAllCompleted([toJobIdText(50)]);
   });
 });
--- a/tests/serve/leading.test.ts
+++ b/tests/serve/leading.test.ts
@@ -1,7 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { Cell } from '../../dev/cell/Cell';
-
-const toJobId = (number: number): string => number.toString(16).padStart(16, '0');
+import { toJobIdText } from '../../dev/cell/toJobIdText';
 
 describe('leading', () => {
   let cell: Cell;
@@ -22,8 +21,8 @@
     await strong.process.exit;
     await cell.startUntil(async () => (await cell.startLeader()).name !== strong.name);
     const body = JSON.stringify({ spec: '100', steps: [{ count: 2, cpu: 1000, 'mem-mb': 100 }] });
-    expect((await cell.sendJob(cell.boxes[1]!, toJobId(1), body)).status).toBe(200);
-    await cell.startState(cell.boxes[1]!, toJobId(1), 'completed');
+    expect((await cell.sendJob(cell.boxes[1]!, toJobIdText(1), body)).status).toBe(200);
+    await cell.startState(cell.boxes[1]!, toJobIdText(1), 'completed');
     cell.startBox(strong);
     await cell.startReady(strong);
     await startLeaderIs(strong.name);
@@ -34,8 +33,8 @@
     await cell.startLeader();
     const body = JSON.stringify({ spec: '60', steps: [{ count: 700, cpu: 1000, 'mem-mb': 100 }] });
     const box = cell.boxes[0]!;
-    expect((await cell.sendJob(box, toJobId(1), body)).status).toBe(200);
-    await cell.startState(box, toJobId(1), 'completed', 40_000);
+    expect((await cell.sendJob(box, toJobIdText(1), body)).status).toBe(200);
+    await cell.startState(box, toJobIdText(1), 'completed', 40_000);
     const claims = cell.boxes.filter(({ process }) => process.readOutput().includes('leader is silent'));
     expect(claims).toEqual([]);
   });
