Simplify what the leader does: one place for writes, for news of freed room, for JSON calls

What is learnt of a step stands in one map instead of three. - Clearing the room view while a gang is given back did nothing but work; boxes that can ask were listed twice a round; the timer for lapsed records outlived its leader.

--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -1,16 +1,10 @@
 import { HttpCaller } from '../common/HttpCaller';
-import { parseJson } from '../common/parseJson';
-import { toId } from '../common/toId';
 import type { AdviceClient } from '../dispatch/AdviceClient';
+import { toTickets } from '../dispatch/toTickets';
 import type { EndpointId } from '../jobs/EndpointId';
 
-interface GoodAnswer {
-  readonly good?: readonly (readonly [id: string, ticket: string])[];
-}
-
 const CONNECTIONS = 3;
 const SHORT_CALL_MS = 200;
-const JSON_HEADERS = { 'content-type': 'application/json' } as const;
 
 /** Calls another entry box: for its turn at the advice service, and to hand leadership over. */
 export class BoxClient implements AdviceClient {
@@ -25,18 +19,8 @@
     endpoints: readonly EndpointId[],
     timeoutMs: number,
   ): Promise<ReadonlyMap<EndpointId, string> | undefined> {
-    const result = await this.caller.sendCall({
-      method: 'POST',
-      path: '/advice',
-      headers: JSON_HEADERS,
-      body: JSON.stringify({ step, endpoints, timeoutMs }),
-      timeoutMs,
-    });
-    if (result.kind !== 'answered' || result.status !== 200) {
-      return undefined;
-    }
-    const answer = (parseJson(result.body.toString('utf8')) ?? {}) as GoodAnswer;
-    return new Map((answer.good ?? []).map(([id, ticket]) => [toId<EndpointId>(id), ticket]));
+    const answer = await this.caller.sendJson('/advice', { step, endpoints, timeoutMs }, timeoutMs);
+    return toTickets(answer);
   }
 
   /** True when the box can use the log. */
@@ -47,14 +31,7 @@
 
   /** Tells the box that the leader of an epoch has stopped and that it should lead next. */
   async sendHandOver(epoch: number): Promise<boolean> {
-    const result = await this.caller.sendCall({
-      method: 'POST',
-      path: '/hand-over',
-      headers: JSON_HEADERS,
-      body: JSON.stringify({ epoch }),
-      timeoutMs: SHORT_CALL_MS,
-    });
-    return result.kind === 'answered' && result.status === 200;
+    return (await this.caller.sendJson('/hand-over', { epoch }, SHORT_CALL_MS)) !== undefined;
   }
 
   async stop(): Promise<void> {
--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -1,6 +1,7 @@
 import { Pool } from 'undici';
 import { HttpExchange } from './HttpExchange';
 import type { HttpResult } from './HttpResult';
+import { parseJson } from './parseJson';
 
 interface HttpCallerOptions {
   /** Host and port. */
@@ -43,6 +44,15 @@
     }
   }
 
+  /** Posts a value as JSON; gives what a 200 answers, or undefined for any other end. Never rejects. */
+  async sendJson(path: string, value: object, timeoutMs: number): Promise<unknown> {
+    const headers = { 'content-type': 'application/json' };
+    const body = JSON.stringify(value);
+    const result = await this.sendCall({ method: 'POST', path, headers, body, timeoutMs });
+    const isGood = result.kind === 'answered' && result.status === 200;
+    return isGood ? (parseJson(result.body.toString('utf8')) ?? {}) : undefined;
+  }
+
   async stop(): Promise<void> {
     await this.pool.destroy();
   }
--- a/packages/dispatch/AdviceDesk.ts
+++ b/packages/dispatch/AdviceDesk.ts
@@ -39,15 +39,16 @@
 
   /** How many questions could be asked now. */
   readFreeTurns(): AdviceTurns {
-    const free = this.readFree();
-    const others = free.filter(({ isOwn }) => !isOwn);
+    const askers = this.options.readAskers();
+    const free = askers.filter((asker) => this.isFree(asker));
     // With no other box at hand the leader's own has to do for long questions too.
-    return { all: free.length, long: this.hasOthers() ? others.length : free.length };
+    const hasOthers = askers.some(({ box, isOwn }) => !isOwn && !this.isAvoided(box));
+    return { all: free.length, long: hasOthers ? free.filter(({ isOwn }) => !isOwn).length : free.length };
   }
 
   /** Asks a question for which there is a turn. */
   async sendQuestion(question: Question): Promise<void> {
-    const free = this.readFree();
+    const free = this.options.readAskers().filter((asker) => this.isFree(asker));
     const asker = question.isLong ? free[free.length - 1] : free[0];
     if (asker === undefined) {
       this.options.handleAnswer(question, undefined);
@@ -72,16 +73,9 @@
     this.isStopped = true;
   }
 
-  /** The boxes that have no question under way, this one first. */
-  private readFree(): readonly AdviceAsker[] {
-    return this.options.readAskers().filter(({ box }) => {
-      const load = this.loads.get(box);
-      return load === undefined || (!load.isBusy && !this.isAvoided(box));
-    });
-  }
-
-  private hasOthers(): boolean {
-    return this.options.readAskers().some(({ box, isOwn }) => !isOwn && !this.isAvoided(box));
+  /** True when the box has no question under way. */
+  private isFree({ box }: AdviceAsker): boolean {
+    return this.loads.get(box)?.isBusy !== true && !this.isAvoided(box);
   }
 
   private isAvoided(box: string): boolean {
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -58,6 +58,9 @@
   constructor(private readonly options: DispatcherOptions) {
     const sendEffect = (effect: DispatchEffect): void => void this.effects.push(effect);
     this.ledger = new RunLedger(this.books, this.jobs, {
+      handleFreed: () => {
+        this.hasNews = true;
+      },
       handleChanged: (job) => this.changed.add(job),
       sendEffect,
     });
@@ -157,7 +160,6 @@
       this.ledger.recordRunEnd(book, run, 'interrupted', run.checkpoint, now);
     }
     this.books.delete(id);
-    this.hasNews = true;
   }
 
   /** The endpoint did not answer a look. */
@@ -171,13 +173,9 @@
     if (book === undefined) {
       return;
     }
-    const wasUsable = book.isUsable();
-    const runsBefore = book.readRunCount();
-    this.looks.handleLook(book, answer, now, wallMs);
     // Most looks show nothing but that all goes on: then no round is worth its time.
-    if (answer.ended.length > 0 || !wasUsable || book.readRunCount() < runsBefore) {
-      this.hasNews = true;
-    }
+    this.hasNews ||= !book.isUsable();
+    this.looks.handleLook(book, answer, now, wallMs);
   }
 
   handleStartAnswer(
@@ -193,7 +191,6 @@
     if (book === undefined || run === undefined || run.stage !== 'ordered') {
       return;
     }
-    this.hasNews ||= answer.kind !== 'done';
     switch (answer.kind) {
       case 'done':
         run.stage = 'running';
@@ -257,7 +254,6 @@
     const job = this.jobs.get(run.job);
     if (job === undefined || job.progress.isEnded() || !book.isUsable()) {
       this.ledger.recordRunEnd(book, run, 'interrupted', '', now);
-      this.hasNews = true;
       return false;
     }
     run.stage = 'ordered';
@@ -270,7 +266,6 @@
     const run = book?.readRun(effect.order.task, effect.order.run);
     if (book !== undefined && run !== undefined) {
       this.ledger.recordRunEnd(book, run, 'interrupted', '', now);
-      this.hasNews = true;
     }
   }
 
--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -49,6 +49,7 @@
   private readonly lapsed = new Set<string>();
   /** Monotonic time of the log's newest return. */
   private returnedAt = -Infinity;
+  private lapseTimer: NodeJS.Timeout | undefined;
   private isOpen = false;
   private hasRead = false;
 
@@ -80,6 +81,7 @@
 
   stop(): void {
     this.isOpen = false;
+    clearTimeout(this.lapseTimer);
     this.follower.stop();
     for (const session of this.sessions.values()) {
       session.stop();
@@ -122,7 +124,8 @@
     logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
     if (isConnected) {
       this.returnedAt = this.options.clock.readNow();
-      setTimeout(() => this.applyLapsed(), RELISTING_MS);
+      clearTimeout(this.lapseTimer);
+      this.lapseTimer = setTimeout(() => this.applyLapsed(), RELISTING_MS);
       this.options.handleLogBack();
     }
   }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -2,15 +2,10 @@
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
-import { formatProgress } from '../jobs/formatProgress';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
-import { jobKeys } from '../jobs/jobKeys';
 import type { JobReplica } from '../jobs/JobReplica';
-import type { JobState } from '../jobs/JobState';
-import { leaderKeys } from '../leadership/leaderKeys';
 import { leaderTimings } from '../leadership/leaderTimings';
-import { ExclusiveWriter } from '../store/ExclusiveWriter';
 import type { LogClient } from '../store/LogClient';
 import { AdviceDesk } from './AdviceDesk';
 import type { DispatchEffect } from './DispatchEffect';
@@ -18,6 +13,7 @@
 import type { EndpointClient } from './EndpointClient';
 import type { EndpointProfile } from './EndpointProfile';
 import { EndpointSessions } from './EndpointSessions';
+import { LeaderJournal } from './LeaderJournal';
 import type { OrderAnswer } from './OrderAnswer';
 import { ProgressInheritance } from './ProgressInheritance';
 import { RoundPacer } from './RoundPacer';
@@ -47,23 +43,21 @@
   readonly handleDeposed: (detail: string) => void;
   /** The log has answered after it had not. */
   readonly handleLogBack: () => void;
-  readonly recordCount: (name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered') => void;
+  readonly recordCount: (
+    name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered',
+    amount?: number,
+  ) => void;
   readonly recordTime: (name: 'startMs', valueMs: number) => void;
 }
 
 const TICK_MS = 100;
-const GATHER_MS = 3;
 const START_TIMEOUT_MS = 500;
 const STOP_TIMEOUT_MS = 500;
-const RESIGN_TIMEOUT_MS = 600;
 
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
 export class LeaderDuty {
   private readonly dispatcher: Dispatcher;
-  /** Writes progress: nothing starts, and no end is acknowledged, before it is durable here. */
-  private readonly writer: ExclusiveWriter;
-  /** Writes states, each after the progress that it follows from. */
-  private readonly stateWriter: ExclusiveWriter;
+  private readonly journal: LeaderJournal;
   private readonly inheritance: ProgressInheritance;
   private readonly endpoints: EndpointSessions;
   private readonly desk: AdviceDesk;
@@ -71,25 +65,19 @@
   private hasTakenOver = false;
   private isStopped = false;
   private readonly rounds: RoundPacer;
-  /** When the newest write that the log has answered was sent, on either topic. */
-  private confirmedAt: number;
-  /** The same on the topic that the other boxes follow. */
-  private shownAt = -Infinity;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: LeaderDutyOptions) {
     const { clock, client, epoch, replica } = options;
-    this.confirmedAt = clock.readNow();
     const { unconfirmedMs, leaseMs, clockDriftShare, marginMs } = leaderTimings;
     this.dispatcher = new Dispatcher({
       unheardUntil: clock.readNow() + unconfirmedMs + leaseMs * (1 + clockDriftShare) + marginMs,
       readDefinition: (id) => replica.readDefinition(id),
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
-    this.writer = this.createWriter(options.progressTopic, (sentAt) => this.recordConfirmed(sentAt));
-    this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => {
-      this.shownAt = sentAt;
-      this.recordConfirmed(sentAt);
+    this.journal = new LeaderJournal({
+      ...options,
+      handleFenced: (detail) => this.handleDeposed(`the log refused a write: ${detail}`),
     });
     this.inheritance = new ProgressInheritance({
       client,
@@ -106,7 +94,7 @@
       dispatcher: this.dispatcher,
       parseEndpoint: options.parseEndpoint,
       createEndpointClient: options.createEndpointClient,
-      isRenewing: () => clock.readNow() - this.confirmedAt < unconfirmedMs,
+      isRenewing: () => clock.readNow() - this.journal.readConfirmedAt() < unconfirmedMs,
       handleLooked: (endedCount) => this.handleLooked(endedCount),
       handleSilent: () => options.recordCount('unanswered'),
       handleChanged: () => {
@@ -126,33 +114,6 @@
     });
   }
 
-  private recordConfirmed(sentAt: number): void {
-    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
-  }
-
-  private createWriter(topic: string, handleConfirmed: (sentAt: number) => void): ExclusiveWriter {
-    const { client, clock, epoch, logger, handleLogBack } = this.options;
-    return new ExclusiveWriter({
-      client,
-      topic,
-      clock,
-      producer: leaderKeys.producer,
-      epoch,
-      lastSequence: leaderKeys.claimSequence,
-      gatherMs: GATHER_MS,
-      maxBytes: this.options.maxAppendBytes,
-      handleFenced: (detail) => this.handleDeposed(`the log refused a write: ${detail}`),
-      handleConfirmed,
-      handleConnection: (isConnected, detail) => {
-        const sentence = isConnected ? 'The log takes writes again.' : 'The log takes no writes.';
-        logger.info(sentence, { topic, detail });
-        if (isConnected) {
-          handleLogBack();
-        }
-      },
-    });
-  }
-
   /**
    * Begins: heartbeats at once; orders once the endpoints' records and all jobs have been read, since the end of a run is
    * understood, and acknowledged, only with its job at hand.
@@ -168,8 +129,7 @@
     this.isStopped = true;
     clearInterval(this.timer);
     this.inheritance.stop();
-    this.writer.stop();
-    this.stateWriter.stop();
+    this.journal.stop();
     this.endpoints.stop();
     this.desk.stop();
   }
@@ -182,9 +142,7 @@
     this.desk.stop();
     // Without the log the word cannot be written: the next leader is told directly, or sees this process end.
     if (this.readFailingMs() === 0) {
-      await this.writer.startFlush(RESIGN_TIMEOUT_MS);
-      this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
-      await this.stateWriter.startFlush(RESIGN_TIMEOUT_MS);
+      await this.journal.startResigning();
     }
     this.stop();
   }
@@ -204,13 +162,12 @@
 
   /** How long the log has not taken this leader's writes, in milliseconds. */
   readFailingMs(): number {
-    return Math.max(this.writer.readFailingMs(), this.stateWriter.readFailingMs());
+    return this.journal.readFailingMs();
   }
 
   /** The log has answered this box: calls that wait for an answer since it went out are made again. */
   startAgain(): void {
-    this.writer.startAgain();
-    this.stateWriter.startAgain();
+    this.journal.startAgain();
     this.endpoints.startAgain();
   }
 
@@ -261,17 +218,17 @@
     const progress = this.inheritance.readProgress(definition);
     this.dispatcher.handleJob(definition, progress, this.options.clock.readNow());
     if (progress.readState() !== 'queued') {
-      this.writeState(definition.id, progress.readState());
+      this.journal.queueState(definition.id, progress.readState());
     }
   }
 
   /** Records what the look has shown; resolves once the ends in it are durable. */
   private handleLooked(endedCount: number): Promise<void> {
-    Array.from({ length: endedCount }).forEach(() => this.options.recordCount('ends'));
+    this.options.recordCount('ends', endedCount);
     this.sendEffects();
     this.queueRound();
     // Another look may have taken the same ends in already: they are durable only once its records are.
-    return endedCount === 0 ? Promise.resolve() : new Promise((resolve) => this.writer.queueBarrier(resolve));
+    return endedCount === 0 ? Promise.resolve() : this.journal.startFlush();
   }
 
   private handleDeposed(detail: string): void {
@@ -282,11 +239,8 @@
   }
 
   private applyTime(): void {
-    const { clock, formatLeaderRecord } = this.options;
-    const now = clock.readNow();
-    if (now - this.shownAt >= leaderTimings.heartbeatMs) {
-      this.stateWriter.queueWrite(leaderKeys.recordKey, () => formatLeaderRecord(false));
-    }
+    const now = this.options.clock.readNow();
+    this.journal.applyTime(now);
     if (this.hasTakenOver) {
       this.dispatcher.applyTime(now);
       this.queueRound();
@@ -317,10 +271,10 @@
   private sendEffect(effect: DispatchEffect): void {
     switch (effect.kind) {
       case 'record':
-        this.writeProgress(effect.job);
+        this.queueProgress(effect.job);
         return;
       case 'start':
-        this.writeProgress(effect.job, () => void this.sendStart(effect));
+        this.queueProgress(effect.job, () => void this.sendStart(effect));
         return;
       case 'stop':
         void this.sendStop(effect);
@@ -335,33 +289,10 @@
     }
   }
 
-  private writeProgress(id: JobId, handleWritten?: () => void): void {
+  private queueProgress(id: JobId, handleWritten?: () => void): void {
     const job = this.dispatcher.readJob(id);
-    if (job === undefined) {
-      return;
-    }
-    let writtenState: JobState | undefined;
-    const formatValue = (): string => {
-      writtenState = job.progress.readState();
-      return formatProgress(job.definition, job.progress);
-    };
-    this.writer.queueWrite(jobKeys.toProgressKey(id), formatValue, () => {
-      // Of several changes in one append only the last was formatted; the others are part of it.
-      if (writtenState !== undefined) {
-        this.writeState(id, writtenState);
-      }
-      handleWritten?.();
-    });
-  }
-
-  private writeState(id: JobId, state: JobState): void {
-    const { replica } = this.options;
-    if (replica.readWrittenState(id) !== state) {
-      this.stateWriter.queueWrite(
-        jobKeys.toStateKey(id),
-        () => state,
-        () => replica.applyState(id, state),
-      );
+    if (job !== undefined) {
+      this.journal.queueProgress(job.definition, job.progress, handleWritten);
     }
   }
 
--- /dev/null
+++ b/packages/dispatch/LeaderJournal.ts
@@ -0,0 +1,148 @@
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+import { formatProgress } from '../jobs/formatProgress';
+import type { JobDefinition } from '../jobs/JobDefinition';
+import type { JobId } from '../jobs/JobId';
+import { jobKeys } from '../jobs/jobKeys';
+import type { JobProgress } from '../jobs/JobProgress';
+import type { JobReplica } from '../jobs/JobReplica';
+import type { JobState } from '../jobs/JobState';
+import { leaderKeys } from '../leadership/leaderKeys';
+import { leaderTimings } from '../leadership/leaderTimings';
+import { ExclusiveWriter } from '../store/ExclusiveWriter';
+import type { LogClient } from '../store/LogClient';
+
+interface LeaderJournalOptions {
+  readonly epoch: number;
+  readonly client: LogClient;
+  /** Topic of the states of jobs and of the leader's record, which every box follows. */
+  readonly statesTopic: string;
+  /** Topic of the progress of jobs, which only a new leader reads. */
+  readonly progressTopic: string;
+  readonly maxAppendBytes: number;
+  readonly replica: JobReplica;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly formatLeaderRecord: (isResigned: boolean) => string;
+  /** A newer leader has been seen. */
+  readonly handleFenced: (detail: string) => void;
+  /** The log has answered after it had not. */
+  readonly handleLogBack: () => void;
+}
+
+const GATHER_MS = 3;
+const RESIGN_TIMEOUT_MS = 600;
+
+/** Everything that a leader writes to the log: progress first, then the states that follow from it, and signs of itself. */
+export class LeaderJournal {
+  /** Nothing starts, and no end is acknowledged, before it is durable here. */
+  private readonly progressWriter: ExclusiveWriter;
+  private readonly stateWriter: ExclusiveWriter;
+  private confirmedAt: number;
+  /** When the newest answered write to the topic that the other boxes follow was sent. */
+  private shownAt = -Infinity;
+
+  constructor(private readonly options: LeaderJournalOptions) {
+    this.confirmedAt = options.clock.readNow();
+    this.progressWriter = this.createWriter(options.progressTopic, (sentAt) => this.recordConfirmed(sentAt));
+    this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => {
+      this.shownAt = sentAt;
+      this.recordConfirmed(sentAt);
+    });
+  }
+
+  /** Monotonic time at which the newest write that the log has answered was sent, on either topic. */
+  readConfirmedAt(): number {
+    return this.confirmedAt;
+  }
+
+  /** How long the log has not taken writes, in milliseconds. */
+  readFailingMs(): number {
+    return Math.max(this.progressWriter.readFailingMs(), this.stateWriter.readFailingMs());
+  }
+
+  /** Writes the progress of a job as it is when the append is made, then its state. */
+  queueProgress(definition: JobDefinition, progress: JobProgress, handleWritten?: () => void): void {
+    let writtenState: JobState | undefined;
+    const formatValue = (): string => {
+      writtenState = progress.readState();
+      return formatProgress(definition, progress);
+    };
+    this.progressWriter.queueWrite(jobKeys.toProgressKey(definition.id), formatValue, () => {
+      // Of several changes in one append only the last was formatted; the others are part of it.
+      if (writtenState !== undefined) {
+        this.queueState(definition.id, writtenState);
+      }
+      handleWritten?.();
+    });
+  }
+
+  /** Writes the state of a job whose progress is durable, unless it stands there. */
+  queueState(id: JobId, state: JobState): void {
+    const { replica } = this.options;
+    if (replica.readWrittenState(id) !== state) {
+      this.stateWriter.queueWrite(
+        jobKeys.toStateKey(id),
+        () => state,
+        () => replica.applyState(id, state),
+      );
+    }
+  }
+
+  /** Resolves once all progress queued so far is durable. */
+  startFlush(): Promise<void> {
+    return new Promise((resolve) => this.progressWriter.queueBarrier(resolve));
+  }
+
+  /** Shows the other boxes that this leader is there, when nothing else has of late. */
+  applyTime(now: number): void {
+    if (now - this.shownAt >= leaderTimings.heartbeatMs) {
+      this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(false));
+    }
+  }
+
+  /** Writes what is queued, then the word that another may lead. */
+  async startResigning(): Promise<void> {
+    await this.progressWriter.startFlush(RESIGN_TIMEOUT_MS);
+    this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(true));
+    await this.stateWriter.startFlush(RESIGN_TIMEOUT_MS);
+  }
+
+  /** The log is known to answer again: appends that wait for an answer since it went out are made once more. */
+  startAgain(): void {
+    this.progressWriter.startAgain();
+    this.stateWriter.startAgain();
+  }
+
+  stop(): void {
+    this.progressWriter.stop();
+    this.stateWriter.stop();
+  }
+
+  private recordConfirmed(sentAt: number): void {
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
+  }
+
+  private createWriter(topic: string, handleConfirmed: (sentAt: number) => void): ExclusiveWriter {
+    const { client, clock, epoch, logger, maxAppendBytes, handleFenced, handleLogBack } = this.options;
+    return new ExclusiveWriter({
+      client,
+      topic,
+      clock,
+      producer: leaderKeys.producer,
+      epoch,
+      lastSequence: leaderKeys.claimSequence,
+      gatherMs: GATHER_MS,
+      maxBytes: maxAppendBytes,
+      handleFenced,
+      handleConfirmed,
+      handleConnection: (isConnected, detail) => {
+        const sentence = isConnected ? 'The log takes writes again.' : 'The log takes no writes.';
+        logger.info(sentence, { topic, detail });
+        if (isConnected) {
+          handleLogBack();
+        }
+      },
+    });
+  }
+}
--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/LiveJob.ts
@@ -6,6 +6,14 @@
 import { readWaitingSteps } from './readWaitingSteps';
 import type { WaitingStep } from './WaitingStep';
 
+/** What the leader has learnt of one step. */
+interface StepMemory {
+  readonly advice: AdviceBook;
+  readonly speeds: StepSpeeds;
+  /** Endpoints on which runs of the step failed. */
+  readonly failedOn: Set<EndpointId>;
+}
+
 /** What waits, and for how long that holds. */
 interface KnownWaiting {
   readonly steps: readonly WaitingStep[];
@@ -27,10 +35,8 @@
 
 /** A job that has not ended, as the leader works on it. */
 export class LiveJob {
-  /** Endpoints on which runs of a step failed, by `TIME.STEP`. */
-  private readonly failedOn = new Map<string, Set<EndpointId>>();
-  private readonly advice = new Map<string, AdviceBook>();
-  private readonly speeds = new Map<string, StepSpeeds>();
+  /** By `TIME.STEP`. */
+  private readonly stepMemories = new Map<string, StepMemory>();
   private readonly chainMs: number;
   private waiting: KnownWaiting | undefined;
   isCancelled = false;
@@ -67,36 +73,30 @@
   }
 
   readAdvice(time: number, step: number): AdviceBook {
-    const key = `${time}.${step}`;
-    const known = this.advice.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    const created = new AdviceBook();
-    this.advice.set(key, created);
-    return created;
+    return this.readStepMemory(time, step).advice;
   }
 
   readSpeeds(time: number, step: number): StepSpeeds {
-    const key = `${time}.${step}`;
-    const known = this.speeds.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    const created = new StepSpeeds();
-    this.speeds.set(key, created);
-    return created;
+    return this.readStepMemory(time, step).speeds;
   }
 
   hasFailedOn(time: number, step: number, endpoint: EndpointId): boolean {
-    return this.failedOn.get(`${time}.${step}`)?.has(endpoint) ?? false;
+    return this.readStepMemory(time, step).failedOn.has(endpoint);
   }
 
   recordFailedOn(time: number, step: number, endpoint: EndpointId): void {
+    this.readStepMemory(time, step).failedOn.add(endpoint);
+  }
+
+  private readStepMemory(time: number, step: number): StepMemory {
     const key = `${time}.${step}`;
-    const endpoints = this.failedOn.get(key) ?? new Set();
-    endpoints.add(endpoint);
-    this.failedOn.set(key, endpoints);
+    const known = this.stepMemories.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = { advice: new AdviceBook(), speeds: new StepSpeeds(), failedOn: new Set<EndpointId>() };
+    this.stepMemories.set(key, created);
+    return created;
   }
 
   private readNextDueAtMs(wallMs: number): number {
--- a/packages/dispatch/RunLedger.ts
+++ b/packages/dispatch/RunLedger.ts
@@ -7,6 +7,8 @@
 import type { PlacedRun } from './PlacedRun';
 
 interface LedgerSinks {
+  /** Room has become free. */
+  readonly handleFreed: () => void;
   /** The progress of a job has changed and must be recorded. */
   readonly handleChanged: (job: JobId) => void;
   readonly sendEffect: (effect: DispatchEffect) => void;
@@ -31,6 +33,7 @@
     now: number,
   ): void {
     book.recordRunEnd(run);
+    this.sinks.handleFreed();
     const job = this.jobs.get(run.job);
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -113,7 +113,6 @@
     const run = book.readRun(task, this.readNextRun(step));
     if (run !== undefined) {
       book.recordRunEnd(run);
-      this.room.startRound();
     }
   }
 
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -37,6 +37,24 @@
     return { accepted, cancelled };
   }
 
+  /** Takes in a job that is durable. Returns false when it was known. */
+  recordDefinition(definition: JobDefinition): boolean {
+    if (this.definitions.has(definition.id)) {
+      return false;
+    }
+    this.definitions.set(definition.id, definition);
+    return true;
+  }
+
+  /** Takes in a cancel that is durable. Returns false when it was known. */
+  recordCancel(id: JobId): boolean {
+    if (this.cancelled.has(id)) {
+      return false;
+    }
+    this.cancelled.add(id);
+    return true;
+  }
+
   /** Folds records of the states' topic; keys of others are passed over. */
   foldStateRecords(records: readonly LogRecord[]): void {
     for (const { key, value } of records) {
@@ -107,18 +125,10 @@
       return undefined;
     }
     const parsed = definitionSchema.safeParse(JSON.parse(value));
-    if (!parsed.success) {
-      return undefined;
-    }
-    this.definitions.set(id, parsed.data);
-    return parsed.data;
+    return parsed.success && this.recordDefinition(parsed.data) ? parsed.data : undefined;
   }
 
   private foldCancel(id: JobId, value: string): boolean {
-    if (value === '' || this.cancelled.has(id)) {
-      return false;
-    }
-    this.cancelled.add(id);
-    return true;
+    return value !== '' && this.recordCancel(id);
   }
 }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -154,27 +154,28 @@
     if (this.readableSince === undefined || !follower.isFollowing()) {
       return undefined;
     }
-    const now = clock.readNow() - (this.options.isOutranked() ? OUTRANKED_WAIT_MS : 0);
-    const readableMs = now - this.readableSince;
+    const now = clock.readNow();
+    const patienceMs = this.options.isOutranked() ? OUTRANKED_WAIT_MS : 0;
+    const signAgeMs = now - this.signAt;
     if (this.record === undefined) {
-      return readableMs > this.shortJitter * FIRST_CLAIM_JITTER_MS ? 'no leader yet' : undefined;
+      const readableMs = now - this.readableSince;
+      return readableMs > this.shortJitter * FIRST_CLAIM_JITTER_MS + patienceMs ? 'no leader yet' : undefined;
     }
     if (this.endedEpoch === this.record.epoch) {
-      // Those who see the process end see it together: a short random wait keeps their claims apart.
       if (this.endedReason === 'the leader handed over') {
         return this.endedReason;
       }
-      return now - this.signAt > this.shortJitter * ENDED_JITTER_MS ? this.endedReason : undefined;
+      // Those who see the process end see it together: a short random wait keeps their claims apart.
+      return signAgeMs > this.shortJitter * ENDED_JITTER_MS + patienceMs ? this.endedReason : undefined;
     }
     if (this.record.isResigned) {
-      return now - this.signAt > this.shortJitter * RESIGNED_JITTER_MS ? 'leader resigned' : undefined;
+      return signAgeMs > this.shortJitter * RESIGNED_JITTER_MS + patienceMs ? 'leader resigned' : undefined;
     }
     if (this.record.box === box && this.record.process !== process) {
       return 'an earlier process of this box led';
     }
     const silentMs = follower.readLastOkAt() - Math.max(this.signAt, this.readableSince);
-    const limitMs = this.silenceLimitMs + (this.options.isOutranked() ? OUTRANKED_WAIT_MS : 0);
-    return silentMs > limitMs ? 'leader is silent' : undefined;
+    return silentMs > this.silenceLimitMs + patienceMs ? 'leader is silent' : undefined;
   }
 
   private async sendClaim(reason: ClaimReason): Promise<void> {
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -27,8 +27,8 @@
   private readonly counts = new Map<CountName, number>(COUNTS.map((name) => [name, 0]));
   private readonly times = new Map<TimeName, Histogram>();
 
-  recordCount(name: CountName): void {
-    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  recordCount(name: CountName, amount = 1): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + amount);
   }
 
   recordTime(name: TimeName, valueMs: number): void {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -10,7 +10,6 @@
 import { QueueRouter } from '../gateway/QueueRouter';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
-import { jobKeys } from '../jobs/jobKeys';
 import { JobReplica } from '../jobs/JobReplica';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
@@ -312,12 +311,15 @@
   }
 
   private applyAccepted(definition: JobDefinition): void {
-    const key = jobKeys.toDefinitionKey(definition.id);
-    this.handleJobRecords([{ offset: 0, key, value: JSON.stringify(definition) }]);
+    if (this.replica.recordDefinition(definition)) {
+      this.duty?.handleJob(definition);
+    }
   }
 
   private applyCancelled(id: JobId): void {
-    this.handleJobRecords([{ offset: 0, key: jobKeys.toCancelKey(id), value: '1' }]);
+    if (this.replica.recordCancel(id)) {
+      this.duty?.handleCancel(id);
+    }
   }
 
   private startLeading(epoch: number): void {
@@ -347,7 +349,7 @@
       formatLeaderRecord: (isResigned) => this.leadership.formatRecord(epoch, isResigned),
       handleDeposed: (detail) => this.handleDeposed(epoch, detail),
       handleLogBack: () => this.handleLogBack(),
-      recordCount: (name) => this.metrics.recordCount(name),
+      recordCount: (name, amount) => this.metrics.recordCount(name, amount),
       recordTime: (name, valueMs) => this.metrics.recordTime(name, valueMs),
     });
     this.duty.start();
