--- a/tests/failures/platform.test.ts
+++ b/tests/failures/platform.test.ts
@@ -72,11 +72,15 @@
       operator: 'anna',
       basedOn: -1,
     });
+    // The log is slow, so both edits are on their way to it before either box hears of the other: one that came later would be
+    // refused by its own box already.
+    await fleet.sendFaults({ delayMs: 300 });
     const answers = await Promise.all([
       fleet.sendOperator<EditReply>(left, '/table/edits', createBody(2)),
       fleet.sendOperator<EditReply>(right, '/table/edits', createBody(3)),
     ]);
     expect(answers.map((answer) => answer.edit?.decision).sort()).toEqual(['accepted', 'refused']);
+    await fleet.sendFaults({ delayMs: 0 });
     const [first, second] = await readWeights();
     expect(first).toBe(second);
   });
