A first read of a topic ends for want of bytes, keeps the pages that came, and takes the configuration first

Cause: a whole first read was bounded by 0.5 to 1 s, three topics at once over the box's link, and each try began anew: with a configuration of 2,000 routes on 7 Mbit/s it never ended, and nothing was logged. Time limits of calls now bound silence; a topic is read page by page by NewestReader and goes on after a failure; topics are read in the order configuration, states, jobs; a box takes callers once it knows the configuration and the log answers; what it does not know yet is asked of the leader, or answered 503; a first read that fails is logged and shows in the metrics.

--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -1,12 +1,19 @@
+import { z } from 'zod';
 import { HttpCaller } from '../common/HttpCaller';
 import type { AdviceClient } from '../dispatch/AdviceClient';
 import { toTickets } from '../dispatch/toTickets';
 import type { EndpointId } from '../jobs/EndpointId';
+import type { JobId } from '../jobs/JobId';
+import type { JobState } from '../jobs/JobState';
 
 const CONNECTIONS = 3;
 const SHORT_CALL_MS = 200;
 
-/** Calls another entry box: for its turn at the advice service, and to hand leadership over. */
+const stateAnswerSchema = z.object({
+  state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled', 'absent']),
+});
+
+/** Calls another entry box: for its turn at the advice service, for what a leader knows, and to hand leadership over. */
 export class BoxClient implements AdviceClient {
   private readonly caller: HttpCaller;
 
@@ -23,6 +30,12 @@
     return toTickets(answer);
   }
 
+  /** The state of a job as the box knows it while it leads; undefined when it does not answer. */
+  async sendStateQuestion(id: JobId, timeoutMs: number): Promise<JobState | 'absent' | undefined> {
+    const answer = await this.caller.sendJson('/job-state', { id, timeoutMs }, timeoutMs);
+    return stateAnswerSchema.safeParse(answer).data?.state;
+  }
+
   /** True when the box can use the log. */
   async isLogUsable(): Promise<boolean> {
     const result = await this.caller.sendCall({ method: 'GET', path: '/log', timeoutMs: SHORT_CALL_MS });
--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -18,6 +18,12 @@
       .map(({ box, address }) => ({ box, client: this.readClient(box, address) }));
   }
 
+  /** A client of a box by its name; undefined when it has not announced itself. */
+  readClientOf(name: string): BoxClient | undefined {
+    const known = this.directory.readBoxes().find(({ box }) => box === name);
+    return known === undefined ? undefined : this.readClient(known.box, known.address);
+  }
+
   /** A box that says it can use the log: of the stronger ones if there is any, else of all others; undefined when none does. */
   async startChoosingLogUser(): Promise<BoxClient | undefined> {
     return (await this.startChoosingStronger()) ?? this.startChoosing(this.readOthers());
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -1,4 +1,4 @@
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 import { parseJson } from '../common/parseJson';
 import { toHostPort } from '../common/toHostPort';
@@ -6,6 +6,8 @@
 import type { AdviceClient } from '../dispatch/AdviceClient';
 import { createBufferApp } from '../gateway/createBufferApp';
 import type { EndpointId } from '../jobs/EndpointId';
+import type { JobId } from '../jobs/JobId';
+import type { JobState } from '../jobs/JobState';
 
 interface BoxServerOptions {
   /** Host and port for other entry boxes and for collectors of metrics. */
@@ -14,6 +16,8 @@
   readonly formatMetrics: () => string;
   /** Tries whether this box can use the log now. */
   readonly isLogUsable: () => Promise<boolean>;
+  /** The state of a job while this box leads; undefined when it does not, or cannot tell in time. */
+  readonly readLeaderState: (id: JobId, timeoutMs: number) => Promise<JobState | 'absent' | undefined>;
   /** The leader of an epoch has stopped and asks this box to lead next. */
   readonly handleHandOver: (epoch: number) => void;
 }
@@ -25,9 +29,13 @@
   timeoutMs: z.number().positive(),
 });
 
+const stateQuestionSchema = z.object({ id: z.string(), timeoutMs: z.number().positive() });
 const handOverSchema = z.object({ epoch: z.number() });
 
-/** What an entry box offers to other boxes: a turn at the advice service, its word on the log, and its metrics. */
+const readBody = ({ body }: FastifyRequest): unknown =>
+  parseJson(Buffer.isBuffer(body) ? body.toString('utf8') : '');
+
+/** What an entry box offers to other boxes: a turn at the advice service, its word on the log and on jobs, and its metrics. */
 export class BoxServer {
   private readonly app: FastifyInstance;
 
@@ -37,9 +45,17 @@
     this.app.get('/log', async (_request, reply) =>
       reply.code((await options.isLogUsable()) ? 200 : 503).send(''),
     );
+    this.app.post('/job-state', async (request, reply) => {
+      const question = stateQuestionSchema.safeParse(readBody(request));
+      if (!question.success) {
+        return reply.code(400).send({ error: 'malformed question' });
+      }
+      const { id, timeoutMs } = question.data;
+      const state = await options.readLeaderState(toId<JobId>(id), timeoutMs);
+      return state === undefined ? reply.code(503).send({}) : reply.send({ state });
+    });
     this.app.post('/hand-over', (request, reply) => {
-      const body = Buffer.isBuffer(request.body) ? request.body.toString('utf8') : '';
-      const handOver = handOverSchema.safeParse(parseJson(body));
+      const handOver = handOverSchema.safeParse(readBody(request));
       if (!handOver.success) {
         return reply.code(400).send({ error: 'malformed hand-over' });
       }
@@ -47,8 +63,7 @@
       return reply.send({});
     });
     this.app.post('/advice', async (request, reply) => {
-      const body = Buffer.isBuffer(request.body) ? request.body.toString('utf8') : '';
-      const question = questionSchema.safeParse(parseJson(body));
+      const question = questionSchema.safeParse(readBody(request));
       if (!question.success) {
         return reply.code(400).send({ error: 'malformed question' });
       }
--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -15,6 +15,7 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | Buffer;
+  /** Longest silence: until the answer begins, and between its pieces. A long answer on a slow link takes its time. */
   readonly timeoutMs: number;
 }
 
--- a/packages/common/HttpExchange.ts
+++ b/packages/common/HttpExchange.ts
@@ -23,8 +23,11 @@
   private status = 0;
   private readonly chunks: Buffer[] = [];
   private isEnded = false;
+  /** Monotonic time of the newest sign of the answer. */
+  private heardAt = performance.now();
 
   constructor(
+    /** Longest silence before the answer and between its pieces. */
     private readonly timeoutMs: number,
     private readonly handleResult: (result: HttpResult) => void,
   ) {
@@ -42,9 +45,11 @@
       },
       onResponseStart: (_controller, status) => {
         this.status = status;
+        this.heardAt = performance.now();
       },
       onResponseData: (_controller, chunk) => {
         this.chunks.push(chunk);
+        this.heardAt = performance.now();
       },
       onResponseEnd: () =>
         this.recordResult({ kind: 'answered', status: this.status, body: Buffer.concat(this.chunks) }),
@@ -64,6 +69,11 @@
         this.startTimer(Math.min(this.timeoutMs, heldUpMs));
         return;
       }
+      const quietMs = performance.now() - this.heardAt;
+      if (quietMs < this.timeoutMs) {
+        this.startTimer(this.timeoutMs - quietMs);
+        return;
+      }
       this.recordResult({ kind: 'unanswered', detail: `no answer in ${Math.round(this.timeoutMs)} ms` });
       this.stopCall();
     }, waitMs);
--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -51,7 +51,6 @@
   private returnedAt = -Infinity;
   private lapseTimer: NodeJS.Timeout | undefined;
   private isOpen = false;
-  private hasRead = false;
 
   constructor(private readonly options: EndpointSessionsOptions) {
     this.follower = new LogFollower({
@@ -95,7 +94,7 @@
 
   /** True once all records have been read. */
   hasReadAll(): boolean {
-    return this.hasRead;
+    return this.follower.readOffset() !== undefined;
   }
 
   readCount(): number {
@@ -115,7 +114,6 @@
         this.applyProfile(profile);
       }
     }
-    this.hasRead = true;
     this.options.handleChanged();
   }
 
--- a/packages/dispatch/ProgressInheritance.ts
+++ b/packages/dispatch/ProgressInheritance.ts
@@ -6,6 +6,7 @@
 import { parseProgress } from '../jobs/parseProgress';
 import { leaderKeys } from '../leadership/leaderKeys';
 import type { LogClient } from '../store/LogClient';
+import { NewestReader } from '../store/NewestReader';
 
 interface ProgressInheritanceOptions {
   readonly client: LogClient;
@@ -25,14 +26,17 @@
  */
 export class ProgressInheritance {
   private readonly texts = new Map<JobId, string>();
+  private readonly reader: NewestReader;
   private isStopped = false;
 
-  constructor(private readonly options: ProgressInheritanceOptions) {}
+  constructor(private readonly options: ProgressInheritanceOptions) {
+    this.reader = new NewestReader(options.client, options.topic);
+  }
 
   /** Shuts earlier leaders out of the topic, then reads it whole. Resolves once that is done, or stopped. */
   async start(): Promise<void> {
     await this.startUntilDone(() => this.sendFence());
-    await this.startUntilDone(() => this.readAll());
+    await this.startUntilDone(() => this.readOn());
   }
 
   stop(): void {
@@ -66,18 +70,23 @@
     return answer.ok;
   }
 
-  private async readAll(): Promise<boolean> {
-    const { client, topic } = this.options;
-    const answer = await client.readNewest(topic, CALL_TIMEOUT_MS);
-    if (!answer.ok) {
-      return false;
-    }
-    for (const { key, value } of answer.value.records) {
-      const id = jobKeys.parseProgressKey(key);
-      if (id !== undefined) {
-        this.texts.set(id, value);
+  /** Reads pages until one fails; true once all have been read. */
+  private async readOn(): Promise<boolean> {
+    while (!this.isStopped) {
+      const page = await this.reader.readPage(CALL_TIMEOUT_MS);
+      if (!page.ok) {
+        return false;
+      }
+      for (const { key, value } of page.value.records) {
+        const id = jobKeys.parseProgressKey(key);
+        if (id !== undefined) {
+          this.texts.set(id, value);
+        }
+      }
+      if (page.value.endOffset !== undefined) {
+        return true;
       }
     }
-    return true;
+    return false;
   }
 }
--- a/packages/gateway/JobService.ts
+++ b/packages/gateway/JobService.ts
@@ -14,6 +14,6 @@
   ): Promise<JobOutcome<'accepted'>>;
   readJob(id: JobId, deadline: number): Promise<JobOutcome<JobState | 'absent'>>;
   writeCancel(id: JobId, deadline: number): Promise<JobOutcome<'cancelled' | 'absent'>>;
-  /** Accepted jobs of a queue none of whose tasks has begun. */
-  readPendingCount(queueName: string): number;
+  /** Accepted jobs of a queue none of whose tasks has begun; unavailable while not all jobs are known here. */
+  readPendingCount(queueName: string): JobOutcome<number>;
 }
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -85,6 +85,10 @@
     return this.definitions.get(id);
   }
 
+  readJobCount(): number {
+    return this.definitions.size;
+  }
+
   readDefinitions(): Iterable<JobDefinition> {
     return this.definitions.values();
   }
--- a/packages/jobs/definitionSchema.ts
+++ b/packages/jobs/definitionSchema.ts
@@ -6,23 +6,27 @@
 
 const whole = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
 
+const flag = z.boolean().default(false);
+const text = z.string().default('');
+
+/** `formatDefinition` leaves out what is 0, false or empty. */
 const stepSchema = z.object({
   count: whole,
   demand: z.object({ cpuMillis: whole, memoryMb: whole, accelerators: whole }),
-  estimatedMs: z.number(),
-  dependsOn: z.array(whole),
-  isGang: z.boolean(),
-  isSameRack: z.boolean(),
-  requiredLabel: z.string(),
-  dataRack: z.string(),
-  maxPerEndpoint: whole,
-  allowsDuplicates: z.boolean(),
-  isLongRunning: z.boolean(),
-  isCheckpointing: z.boolean(),
-  image: z.string(),
-  targetMs: z.number(),
-  isFiller: z.boolean(),
-  missAllowed: whole,
+  estimatedMs: z.number().default(0),
+  dependsOn: z.array(whole).default([]),
+  isGang: flag,
+  isSameRack: flag,
+  requiredLabel: text,
+  dataRack: text,
+  maxPerEndpoint: whole.default(0),
+  allowsDuplicates: flag,
+  isLongRunning: flag,
+  isCheckpointing: flag,
+  image: text,
+  targetMs: z.number().default(0),
+  isFiller: flag,
+  missAllowed: whole.default(0),
 });
 
 const adviceSchema = z.object({
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -4,6 +4,7 @@
 import type { JobService } from '../gateway/JobService';
 import type { JobSubmission } from '../gateway/JobSubmission';
 import type { JobDefinition } from '../jobs/JobDefinition';
+import { formatDefinition } from '../jobs/formatDefinition';
 import type { JobId } from '../jobs/JobId';
 import { jobKeys } from '../jobs/jobKeys';
 import type { JobQueue } from '../jobs/JobQueue';
@@ -25,6 +26,8 @@
   readonly isReading: () => boolean;
   /** True while this process leads, so that its own memory is the newest. */
   readonly isLeading: () => boolean;
+  /** Asks the leading box for a job's state; undefined when it gives none in time. */
+  readonly startAskingLeader: (id: JobId, timeoutMs: number) => Promise<JobState | 'absent' | undefined>;
   /** A job or a cancel of this box is durable. */
   readonly handleAccepted: (definition: JobDefinition) => void;
   readonly handleCancelled: (id: JobId) => void;
@@ -39,7 +42,9 @@
 const WRITE_LIMIT_MS = 1300;
 /** Share of the caller's time that an append may take, so that another box can still be tried. */
 const WRITE_SHARE = 0.4;
-const REFRESH_LIMIT_MS = 500;
+/** Longest read on a caller's behalf, of the log or from the leader. */
+const REFRESH_LIMIT_MS = 400;
+const ABSENT = { kind: 'answered', answer: 'absent' } as const;
 
 /** Callers' jobs: accepted once they are durable in the log, read from this box's replica of it. */
 export class JobDesk implements JobService {
@@ -66,7 +71,7 @@
       ...submission,
       acceptedAtMs: Math.round(clock.readWall()),
     };
-    const write = { key: jobKeys.toDefinitionKey(id), value: JSON.stringify(definition) };
+    const write = { key: jobKeys.toDefinitionKey(id), value: formatDefinition(definition) };
     const outcome = await writer.writeRecord(write, this.readWriteLimit(startedAt, deadline));
     const tookMs = Math.round(clock.readNow() - startedAt);
     if (outcome === 'refused') {
@@ -92,7 +97,7 @@
     if (known === undefined) {
       const isFresh = await this.startRefresh(this.options.jobsFollower, deadline);
       if (!isFresh && replica.readState(id) === undefined) {
-        return { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+        return this.readFromLeader(id, deadline);
       }
     }
     const isOpen = known === 'queued' || known === 'running' || known === undefined;
@@ -109,9 +114,10 @@
     if (replica.readDefinition(id) === undefined) {
       const isFresh = await this.startRefresh(this.options.jobsFollower, deadline);
       if (replica.readDefinition(id) === undefined) {
-        return isFresh
-          ? { kind: 'answered', answer: 'absent' }
-          : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
+        const found = isFresh ? ABSENT : await this.readFromLeader(id, deadline);
+        if (found.kind !== 'answered' || found.answer === 'absent') {
+          return found.kind === 'answered' ? ABSENT : found;
+        }
       }
     }
     const write = { key: jobKeys.toCancelKey(id), value: '1' };
@@ -128,8 +134,19 @@
       : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
   }
 
-  readPendingCount(queueName: string): number {
-    return this.options.replica.readPendingCount(queueName);
+  readPendingCount(queueName: string): JobOutcome<number> {
+    const { replica, jobsFollower } = this.options;
+    return jobsFollower.readOffset() === undefined
+      ? { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS }
+      : { kind: 'answered', answer: replica.readPendingCount(queueName) };
+  }
+
+  /** What the leader knows of a job that this box cannot read about in the log. */
+  private async readFromLeader(id: JobId, deadline: number): Promise<JobOutcome<JobState | 'absent'>> {
+    const answer = await this.options.startAskingLeader(id, this.readRefreshLimit(deadline));
+    return answer === undefined
+      ? { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS }
+      : { kind: 'answered', answer };
   }
 
   /** True when trying an append would only keep the caller waiting. */
@@ -150,8 +167,12 @@
   }
 
   private startRefresh(follower: LogFollower, deadline: number): Promise<boolean> {
+    return follower.startRefresh(this.readRefreshLimit(deadline));
+  }
+
+  private readRefreshLimit(deadline: number): number {
     const leftMs = deadline - this.options.clock.readNow();
-    return follower.startRefresh(Math.max(1, Math.min(REFRESH_LIMIT_MS, leftMs)));
+    return Math.max(1, Math.min(REFRESH_LIMIT_MS, leftMs));
   }
 
   private recordDecision(sentence: string, job: JobId, queue: string, fields: Record<string, unknown>): void {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -11,6 +11,7 @@
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
+import type { JobState } from '../jobs/JobState';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
 import type { LogClient } from '../store/LogClient';
@@ -79,6 +80,9 @@
   private readonly handOver: LeaderHandOver;
   private readonly boxServer: BoxServer;
   private readonly callers: ReturnType<ServeAdapter['createCallerServer']>;
+  private readonly jobs: JobDesk;
+  /** Topics that are not read yet, in the order in which a box needs them: a narrow link carries one at a time sooner. */
+  private readonly unread: LogFollower[];
   private duty: LeaderDuty | undefined;
   private timer: NodeJS.Timeout | undefined;
   private isStopping = false;
@@ -129,10 +133,11 @@
     this.watch = new LeaderWatch({
       handleEnded: (process) => this.leadership.handleLeaderEnded(process),
     });
-    const jobs = this.createJobDesk();
+    this.jobs = this.createJobDesk();
+    this.unread = [this.operatorFollower, this.statesFollower, this.jobsFollower];
     this.callers = adapter.createCallerServer({
       router: this.router,
-      jobs,
+      jobs: this.jobs,
       isReady: () => this.isReady(),
       isLeaving: () => this.isStopping,
     });
@@ -141,6 +146,7 @@
       advice: this.advice,
       formatMetrics: () => this.formatMetrics(),
       isLogUsable: () => this.isLogUsable(),
+      readLeaderState: (id, timeoutMs) => this.readLeaderState(id, timeoutMs),
       handleHandOver: (epoch) => this.leadership.handleHandOver(epoch),
     });
   }
@@ -148,9 +154,7 @@
   async start(): Promise<void> {
     await this.boxServer.start();
     await this.callers.start();
-    void this.jobsFollower.start();
-    void this.statesFollower.start();
-    void this.operatorFollower.start();
+    this.startNextTopic();
     void this.startAnnouncing();
     this.timer = setInterval(() => this.applyTime(), TICK_MS);
     const { box, hall, front, log } = this.options.settings;
@@ -194,10 +198,35 @@
     return this.isReading() && (this.duty?.readFailingMs() ?? 0) < LOG_OUT_MS;
   }
 
-  /** True while all topics can be read. A leader does not follow the states: it writes them. */
+  /**
+   * True while reads of all topics are answered. A leader does not follow the states: it writes them. Jobs may still be coming
+   * in: a box can take new ones before it knows the others.
+   */
   private isReading(): boolean {
     const isFollowingStates = this.duty !== undefined || this.statesFollower.isFollowing();
-    return isFollowingStates && this.jobsFollower.isFollowing() && this.operatorFollower.isFollowing();
+    return isFollowingStates && this.jobsFollower.isAnswered() && this.operatorFollower.isFollowing();
+  }
+
+  /** Begins to read the next topic; called again once that one has been read whole. */
+  private startNextTopic(): void {
+    void this.unread.shift()?.start();
+  }
+
+  /** The state of a job for another box, while this one leads. */
+  private async readLeaderState(id: JobId, timeoutMs: number): Promise<JobState | 'absent' | undefined> {
+    if (this.duty?.isActive() !== true) {
+      return undefined;
+    }
+    const outcome = await this.jobs.readJob(id, this.options.clock.readNow() + timeoutMs);
+    return outcome.kind === 'answered' ? outcome.answer : undefined;
+  }
+
+  private async startAskingLeader(id: JobId, timeoutMs: number): Promise<JobState | 'absent' | undefined> {
+    const leader = this.leadership.readRecord()?.box;
+    if (leader === undefined || leader === this.options.settings.box) {
+      return undefined;
+    }
+    return this.boxes.readClientOf(leader)?.sendStateQuestion(id, timeoutMs);
   }
 
   private createJobDesk(): JobDesk {
@@ -211,6 +240,7 @@
       metrics: this.metrics,
       isReading: () => this.isReading(),
       isLeading: () => this.duty?.isActive() ?? false,
+      startAskingLeader: (id, timeoutMs) => this.startAskingLeader(id, timeoutMs),
       handleAccepted: (definition) => this.applyAccepted(definition),
       handleCancelled: (id) => this.applyCancelled(id),
     });
@@ -253,6 +283,7 @@
           this.leadership.handleConnection(isConnected);
         }
         if (isConnected) {
+          this.startNextTopic();
           this.handleLogBack();
         }
       },
@@ -395,6 +426,10 @@
       liveJobs: this.duty?.readDispatcher().readJobCount() ?? 0,
       configurationVersion: this.router.readConfiguration()?.version ?? 0,
       logWriteFailingMs: Math.round(this.writer.readFailingMs()),
+      readingOperatorTopic: Number(this.operatorFollower.isFollowing()),
+      readingStatesTopic: Number(this.statesFollower.isFollowing()),
+      readingJobsTopic: Number(this.jobsFollower.isFollowing()),
+      knownJobs: this.replica.readJobCount(),
     });
   }
 }
--- a/packages/standins/platform/LogStandin.ts
+++ b/packages/standins/platform/LogStandin.ts
@@ -3,13 +3,18 @@
 import { startListening } from '../startListening';
 import { KeyedTopic } from './KeyedTopic';
 import type { LogFault } from './LogFault';
+import { NarrowLink } from './NarrowLink';
 
-type Handler = (
-  url: URL,
-  request: IncomingMessage,
-  response: ServerResponse,
-  isAnswerLost: boolean,
-) => Promise<void>;
+interface LogCall {
+  readonly url: URL;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly isAnswerLost: boolean;
+  /** The link of the box that calls. */
+  readonly link: NarrowLink;
+}
+
+type Handler = (call: LogCall) => Promise<void>;
 
 const PAGE_ITEMS = 500;
 const LENGTH_BYTES = 4;
@@ -19,15 +24,15 @@
   private readonly topics = new Map<string, KeyedTopic>();
   private readonly servers: Server[] = [];
   private readonly faults = new Map<string, LogFault>();
+  private readonly links = new Map<string, NarrowLink>();
   /** Reads that wait for a record, by door. */
   private readonly waiting = new Map<ServerResponse, string>();
   private callCount = 0;
 
   private readonly handlers: Readonly<Record<string, Handler>> = {
-    'POST /log-append': (url, request, response, isAnswerLost) =>
-      this.handleAppend(url, request, response, isAnswerLost),
-    'GET /log-read': (url, _request, response) => this.handleRead(url, response),
-    'GET /log-newest': (url, _request, response) => this.handleNewest(url, response),
+    'POST /log-append': (call) => this.handleAppend(call),
+    'GET /log-read': (call) => this.handleRead(call),
+    'GET /log-newest': (call) => this.handleNewest(call),
   };
 
   /** Starts one way in: each box gets an address of its own, so that a fault can strike it alone. */
@@ -37,6 +42,7 @@
     });
     this.servers.push(server);
     this.faults.set(name, 'none');
+    this.links.set(name, new NarrowLink());
     await startListening(server, address);
   }
 
@@ -59,6 +65,11 @@
     }
   }
 
+  /** Sets the rate of each box's link in megabits a second; Infinity for no limit. */
+  applyLinkRate(megabits: number): void {
+    this.links.forEach((link) => link.applyRate(megabits));
+  }
+
   readCallCount(): number {
     return this.callCount;
   }
@@ -104,19 +115,16 @@
       return;
     }
     this.waiting.set(response, door);
-    await handler(url, request, response, fault === 'loseAnswers');
+    const link = this.links.get(door) ?? new NarrowLink();
+    await handler({ url, request, response, isAnswerLost: fault === 'loseAnswers', link });
     this.waiting.delete(response);
   }
 
-  private async handleAppend(
-    url: URL,
-    request: IncomingMessage,
-    response: ServerResponse,
-    isAnswerLost: boolean,
-  ): Promise<void> {
+  private async handleAppend({ url, request, response, isAnswerLost, link }: LogCall): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
       chunks.push(chunk as Buffer);
+      await link.startPassing((chunk as Buffer).length);
     }
     const { searchParams } = url;
     const producer = searchParams.get('producer');
@@ -134,7 +142,7 @@
     }
   }
 
-  private async handleRead(url: URL, response: ServerResponse): Promise<void> {
+  private async handleRead({ url, response, link }: LogCall): Promise<void> {
     const topic = this.readTopic(url.searchParams.get('topic') ?? '');
     const from = Number(url.searchParams.get('from-rev'));
     const waitMs = Number(url.searchParams.get('wait-ms') ?? 0);
@@ -149,11 +157,10 @@
       sendJson(response, 410, { first: topic.readFirstKept() });
       return;
     }
-    response.writeHead(200, { 'content-length': frames.length });
-    response.end(frames);
+    await link.sendAnswer(response, frames, 'application/octet-stream');
   }
 
-  private handleNewest(url: URL, response: ServerResponse): Promise<void> {
+  private async handleNewest({ url, response, link }: LogCall): Promise<void> {
     const topic = this.readTopic(url.searchParams.get('topic') ?? '');
     const all = topic.readNewest(url.searchParams.get('depends-on') ?? '');
     const items = all.slice(0, PAGE_ITEMS).map(({ key, value, offset }) => ({
@@ -161,7 +168,7 @@
       value: value.toString('base64'),
       offset,
     }));
-    sendJson(response, 200, { items, more: all.length > items.length, end: topic.readEnd() });
-    return Promise.resolve();
+    const answer = { items, more: all.length > items.length, end: topic.readEnd() };
+    await link.sendAnswer(response, Buffer.from(JSON.stringify(answer)), 'application/json');
   }
 }
--- a/packages/store/LogClient.ts
+++ b/packages/store/LogClient.ts
@@ -17,9 +17,24 @@
   readonly fromOffset: number;
   /** How long the answer may wait for a record. */
   readonly waitMs: number;
+  /** Longest silence of the log, `waitMs` included. */
   readonly timeoutMs: number;
 }
 
+interface NewestRequest {
+  readonly topic: string;
+  /** The page begins after this key; undefined for the first page. */
+  readonly afterKey: string | undefined;
+  /** Longest silence of the log. */
+  readonly timeoutMs: number;
+}
+
+/** One page of the newest records by key, in the order of the keys. */
+interface NewestPage extends ReadAnswer {
+  /** True when keys after these remain. */
+  readonly hasMore: boolean;
+}
+
 /** What a read of the log gave. */
 interface ReadAnswer {
   readonly records: readonly LogRecord[];
@@ -33,8 +48,8 @@
   append(request: AppendRequest): Promise<Result<number, LogError>>;
   /** Reads records from an offset on. */
   readRecords(request: ReadRequest): Promise<Result<ReadAnswer, LogError>>;
-  /** Reads the newest record of every key, and the offset from which `readRecords` goes on. */
-  readNewest(topic: string, timeoutMs: number): Promise<Result<ReadAnswer, LogError>>;
+  /** Reads the newest record of some keys. Pages are no snapshot; `NewestReader` reads a topic whole. */
+  readNewestPage(request: NewestRequest): Promise<Result<NewestPage, LogError>>;
   /** Closes all connections. */
   stop(): Promise<void>;
 }
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -1,11 +1,13 @@
 import { Backoff } from '../common/Backoff';
 import type { Clock } from '../common/Clock';
 import type { Random } from '../common/Random';
+import { startBounded } from '../common/startBounded';
 import { startDelay } from '../common/startDelay';
 import { Interruption } from './Interruption';
 import type { LogClient } from './LogClient';
 import type { LogError } from './LogError';
 import type { LogRecord } from './LogRecord';
+import { NewestReader } from './NewestReader';
 
 interface LogFollowerOptions {
   readonly client: LogClient;
@@ -18,14 +20,14 @@
   readonly pollMs: number;
   /** Takes records in order. After a gap in the log's history the newest of each key come again, so it must be idempotent. */
   readonly handleRecords: (records: readonly LogRecord[]) => void;
-  /** Told when the topic can be read again, or no longer. */
+  /** Told when the whole topic has been read, when reads fail, the first ones too, and when they are answered again. */
   readonly handleConnection?: (isConnected: boolean, detail: string) => void;
 }
 
-/** Time for an answer beyond the wait that was asked for; doubles with each call that had none. */
+/** Silence beyond the wait that was asked for before a call is given up; doubles with each call that had no answer. */
 const CALL_TIMEOUT_MS = 500;
 const MAX_CALL_TIMEOUT_MS = 1000;
-const FIRST_READ_POLL_MS = 20;
+const READ_AGAIN_MS = 20;
 const BACKOFF_BASE_MS = 60;
 const BACKOFF_MAX_MS = 400;
 
@@ -37,6 +39,8 @@
   private generation = 0;
   private isConnected = false;
   private isFailing = false;
+  private hasAnswered = false;
+  private newest: NewestReader;
   private readonly interruption = new Interruption();
   private lastOkAt = -Infinity;
   private pauseEnd: AbortController | undefined;
@@ -49,6 +53,7 @@
 
   constructor(private readonly options: LogFollowerOptions) {
     this.pauseMs = options.pauseMs;
+    this.newest = new NewestReader(options.client, options.topic);
     this.backoff = new Backoff({
       baseMs: BACKOFF_BASE_MS,
       maxMs: BACKOFF_MAX_MS,
@@ -75,6 +80,7 @@
         await this.startPause(this.pauseMs);
       } else if (error.kind === 'forgotten') {
         this.offset = undefined;
+        this.newest = new NewestReader(this.options.client, this.options.topic);
       } else {
         this.recordFailure(error);
         await this.startPause(this.backoff.chooseDelay());
@@ -111,12 +117,25 @@
     return this.lastOkAt;
   }
 
+  /** True while the whole topic is known and reads are answered. */
   isFollowing(): boolean {
     return this.isConnected;
   }
 
-  /** Resolves to true once a read that was sent after this call has been handled; to false when there was none in time. */
+  /** True while reads are answered, also before the whole topic is known. */
+  isAnswered(): boolean {
+    return this.hasAnswered && !this.isFailing;
+  }
+
+  /**
+   * Resolves to true once a read that was sent after this call has been handled; to false when there was none in time, and at
+   * once while the topic has not been read whole.
+   */
   startRefresh(timeoutMs: number): Promise<boolean> {
+    return startBounded(this.queueRefresh(timeoutMs), timeoutMs, false);
+  }
+
+  private queueRefresh(timeoutMs: number): Promise<boolean> {
     if (this.refresh === undefined) {
       this.refresh = this.readNow(timeoutMs).finally(() => {
         this.refresh = undefined;
@@ -126,23 +145,17 @@
     // The read under way may have been answered before this call: only the next one is sure to show what was there.
     this.nextRefresh ??= this.refresh.then(() => {
       this.nextRefresh = undefined;
-      return this.startRefresh(timeoutMs);
+      return this.queueRefresh(timeoutMs);
     });
     return this.nextRefresh;
   }
 
   /** Reads beside the loop, which may be in a long poll. */
   private async readNow(timeoutMs: number): Promise<boolean> {
-    const { client, topic, clock } = this.options;
-    const until = clock.readNow() + timeoutMs;
-    while (clock.readNow() < until) {
-      const offset = this.offset;
-      if (offset === undefined) {
-        await startDelay(Math.min(FIRST_READ_POLL_MS, until - clock.readNow()));
-        continue;
-      }
-      const leftMs = until - clock.readNow();
-      const answer = await client.readRecords({ topic, fromOffset: offset, waitMs: 0, timeoutMs: leftMs });
+    const { client, topic } = this.options;
+    while (this.offset !== undefined) {
+      const { offset } = this;
+      const answer = await client.readRecords({ topic, fromOffset: offset, waitMs: 0, timeoutMs });
       if (!answer.ok) {
         return false;
       }
@@ -154,16 +167,17 @@
     return false;
   }
 
+  /** Reads pages of the newest records until all have come or one fails; the next try goes on after those that came. */
   private async readFirst(): Promise<LogError | undefined> {
-    const { client, topic } = this.options;
-    const answer = await client.readNewest(topic, this.timeoutMs);
-    if (!answer.ok) {
-      return answer.error;
-    }
-    // Unless a later read was quicker.
-    if (this.offset === undefined) {
-      this.offset = answer.value.endOffset;
-      this.options.handleRecords(answer.value.records);
+    while (this.offset === undefined && !this.isStopped) {
+      const page = await this.newest.readPage(this.timeoutMs);
+      if (!page.ok) {
+        return page.error;
+      }
+      this.recordAnswered();
+      // Unless a later read was quicker.
+      this.offset ??= page.value.endOffset;
+      this.options.handleRecords(page.value.records);
     }
     return undefined;
   }
@@ -193,22 +207,28 @@
   }
 
   private recordSuccess(): void {
-    this.lastOkAt = this.options.clock.readNow();
-    this.timeoutMs = CALL_TIMEOUT_MS;
-    this.isFailing = false;
-    this.backoff.recordSuccess();
+    this.recordAnswered();
     if (!this.isConnected) {
       this.isConnected = true;
       this.options.handleConnection?.(true, '');
     }
   }
 
+  private recordAnswered(): void {
+    this.lastOkAt = this.options.clock.readNow();
+    this.timeoutMs = CALL_TIMEOUT_MS;
+    this.hasAnswered = true;
+    this.isFailing = false;
+    this.backoff.recordSuccess();
+  }
+
   private recordFailure(error: LogError): void {
+    const isNew = !this.isFailing;
     this.isFailing = true;
     if (error.kind === 'unknown') {
       this.timeoutMs = Math.min(MAX_CALL_TIMEOUT_MS, this.timeoutMs * 2);
     }
-    if (this.isConnected) {
+    if (isNew) {
       this.isConnected = false;
       const detail = error.kind === 'forgotten' ? 'history gone' : error.detail;
       this.options.handleConnection?.(false, detail);
@@ -232,7 +252,9 @@
       if (leftMs <= 0 || this.isStopped) {
         return false;
       }
-      await this.startRefresh(leftMs);
+      if (!(await this.startRefresh(leftMs))) {
+        await startDelay(READ_AGAIN_MS);
+      }
     }
     return true;
   }
