Looks and stops that had no answer wait longer the next time: a slow endpoint is heard in the end

Cause, by reading: with looks given up after 300 ms and stops after the usual answer's time, an endpoint that answers, but slowly, would never have been heard, and its task never freed. Looks double their limit up to 1.2 s; a stop is repeated after 200 ms, then every 600 ms with 500 ms for the answer.

--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -9,7 +9,14 @@
   | { readonly kind: 'record'; readonly job: JobId }
   /** Send a start, once the record that carries it is durable. */
   | { readonly kind: 'start'; readonly job: JobId; readonly endpoint: EndpointId; readonly order: StartOrder }
-  | { readonly kind: 'stop'; readonly endpoint: EndpointId; readonly task: TaskName; readonly run: number }
+  | {
+      readonly kind: 'stop';
+      readonly endpoint: EndpointId;
+      readonly task: TaskName;
+      readonly run: number;
+      /** The stop was sent before and had no answer. */
+      readonly isRepeated: boolean;
+    }
   | {
       readonly kind: 'advise';
       readonly step: string;
--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/EndpointSession.ts
@@ -26,6 +26,8 @@
 const IDLE_LOOK_WAIT_MS = 1000;
 /** Beyond the wait. A look that is given up too soon costs another; one given up late, all that is placed there meanwhile. */
 const ANSWER_TIMEOUT_MS = 300;
+/** The time limit doubles with each look without an answer, up to this: an endpoint may be slow and yet work. */
+const MAX_ANSWER_TIMEOUT_MS = 1200;
 const RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 500;
 
@@ -89,7 +91,7 @@
       lastSeen: this.lastSeen,
       leaseMs,
       waitMs,
-      timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
+      timeoutMs: waitMs + Math.min(MAX_ANSWER_TIMEOUT_MS, ANSWER_TIMEOUT_MS * 2 ** this.failures),
     });
     if (!this.isStopped) {
       await this.handleAnswer(answer, sentAt);
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -52,6 +52,8 @@
 }
 
 const TICK_MS = 100;
+/** Time for the answer to a stop that had none before: the endpoint may be slow, and only an answer frees the task. */
+const REPEATED_STOP_TIMEOUT_MS = 500;
 
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
 export class LeaderDuty {
@@ -335,12 +337,10 @@
   }
 
   private async sendStop(effect: Extract<DispatchEffect, { kind: 'stop' }>): Promise<void> {
-    const { endpoint, task, run } = effect;
+    const { endpoint, task, run, isRepeated } = effect;
+    const timeoutMs = isRepeated ? REPEATED_STOP_TIMEOUT_MS : this.orderTimeout.readTimeoutMs();
     this.options.recordCount('stops');
-    const answer = await this.endpoints
-      .readSession(endpoint)
-      ?.readClient()
-      .sendStop(task, run, this.orderTimeout.readTimeoutMs());
+    const answer = await this.endpoints.readSession(endpoint)?.readClient().sendStop(task, run, timeoutMs);
     if (answer === undefined || this.isFence(answer)) {
       return;
     }
--- a/packages/dispatch/PlacedRun.ts
+++ b/packages/dispatch/PlacedRun.ts
@@ -34,6 +34,8 @@
   confirmedAt: number;
   /** Monotonic time from which the next repetition of the stop counts; undefined before the first check. */
   stopSentAt: number | undefined;
+  /** The stop was sent again. */
+  isStopRepeated: boolean;
   /** Monotonic time at which the endpoint's answer to a stop came; undefined before. */
   stopAnsweredAt: number | undefined;
   percent: number;
--- a/packages/dispatch/RunLedger.ts
+++ b/packages/dispatch/RunLedger.ts
@@ -15,7 +15,9 @@
 }
 
 /** A stop without an answer is sent again after so long: beyond the usual time limit of one, and its task waits for it. */
-const STOP_RETRY_MS = 200;
+const FIRST_STOP_RETRY_MS = 200;
+/** Between later ones, beyond the longer time limit that these have: the endpoint may be slow. */
+const STOP_RETRY_MS = 600;
 
 /** Ends of runs and of jobs: frees room, carries ends into progress, and stops what should not run. */
 export class RunLedger {
@@ -95,6 +97,7 @@
     run.stage = 'stopping';
     run.stopAnsweredAt = undefined;
     run.stopSentAt = undefined;
+    run.isStopRepeated = false;
     this.sendStopOrder(book, run);
   }
 
@@ -104,15 +107,18 @@
         continue;
       }
       run.stopSentAt ??= now;
-      if (now - run.stopSentAt >= STOP_RETRY_MS) {
+      const retryMs = run.isStopRepeated ? STOP_RETRY_MS : FIRST_STOP_RETRY_MS;
+      if (now - run.stopSentAt >= retryMs) {
         run.stopSentAt = now;
+        run.isStopRepeated = true;
         this.sendStopOrder(book, run);
       }
     }
   }
 
   private sendStopOrder(book: EndpointBook, run: PlacedRun): void {
-    this.sinks.sendEffect({ kind: 'stop', endpoint: book.readProfile().id, task: run.task, run: run.run });
+    const { task, run: number, isStopRepeated: isRepeated } = run;
+    this.sinks.sendEffect({ kind: 'stop', endpoint: book.readProfile().id, task, run: number, isRepeated });
   }
 
   checkEmptyBook(book: EndpointBook): void {
--- a/packages/dispatch/createPlacedRun.ts
+++ b/packages/dispatch/createPlacedRun.ts
@@ -26,6 +26,7 @@
     placedAt: now,
     confirmedAt: now,
     stopSentAt: undefined,
+    isStopRepeated: false,
     stopAnsweredAt: undefined,
     percent: 0,
     seenAt: now,
--- a/packages/dispatch/createStrangeRun.ts
+++ b/packages/dispatch/createStrangeRun.ts
@@ -19,6 +19,7 @@
   placedAt: now,
   confirmedAt: now,
   stopSentAt: undefined,
+  isStopRepeated: false,
   stopAnsweredAt: undefined,
   percent: row.percent,
   seenAt: now,
--- a/tests/makingRoom.test.ts
+++ b/tests/makingRoom.test.ts
@@ -284,3 +284,19 @@
     expect(cell.startRound().starts.map((start) => start.endpoint)).toEqual([endpoint]);
   });
 });
+
+describe('a stop without an answer', () => {
+  it('is repeated soon, then less often, since the endpoint may be slow to answer', () => {
+    const cell = new SmallCell();
+    const definition = createJob(1, URGENT, {});
+    cell.sendJob(definition);
+    cell.startRound();
+    cell.dispatcher.handleCancel(definition.id, 0);
+    const repeats: boolean[][] = [];
+    for (let round = 0; round < 10; round += 1) {
+      repeats.push(cell.startRound().stops.map(({ isRepeated }) => isRepeated));
+    }
+    // Rounds are 100 ms apart; the first look at the time is the round after the stop.
+    expect(repeats).toEqual([[false], [], [true], [], [], [], [], [], [true], []]);
+  });
+});
