Callers' writes that were never sent into a silent log are refused; records that lapsed are taken as gone also when the timer fires early

Cause of the first: once a batch had been given up without an answer, the writes that had waited behind it were sent into the same silence and ended as unknown (504), which a caller of work that must not be repeated can't try again. The leader's log shows job 2 placed 2.15 s after the topic's return and no 'Endpoint left.': the timer of 2 s fires up to some milliseconds early by the clock, found the time not yet over, and was not set again, so endpoints that are gone stayed in use until the next outage. An old fault of ours. Test: lapsedRecords, with a clock that runs behind the timers, fails before.

--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -122,16 +122,28 @@
     logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
     if (isConnected) {
       this.returnedAt = this.options.clock.readNow();
-      clearTimeout(this.lapseTimer);
-      this.lapseTimer = setTimeout(() => this.applyLapsed(), RELISTING_MS);
+      this.startLapseTimer(RELISTING_MS);
       this.options.handleLogBack();
     }
   }
 
-  /** Takes the endpoints whose records have not come back as gone. */
+  private startLapseTimer(waitMs: number): void {
+    clearTimeout(this.lapseTimer);
+    this.lapseTimer = setTimeout(() => this.applyLapsed(), waitMs);
+  }
+
+  /** Takes the endpoints whose records have not come back as gone. While the log is away again, its next return decides. */
   private applyLapsed(): void {
-    const isReturning = this.isLogReturning();
-    for (const key of isReturning ? [] : [...this.lapsed]) {
+    if (!this.follower.isFollowing()) {
+      return;
+    }
+    const leftMs = this.returnedAt + RELISTING_MS - this.options.clock.readNow();
+    if (leftMs > 0) {
+      // Timers may fire early by the clock, when the process was busy as it set them.
+      this.startLapseTimer(leftMs);
+      return;
+    }
+    for (const key of [...this.lapsed]) {
       this.lapsed.delete(key);
       this.applyRemoval(key);
     }
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -73,7 +73,11 @@
   private async sendQueued(): Promise<void> {
     await startDelay(this.options.gatherMs);
     while (this.queued.length > 0) {
-      await this.sendBatch(this.createBatch());
+      const isAnswered = await this.sendBatch(this.createBatch());
+      if (!isAnswered) {
+        // Nothing of these has been sent, so that they certainly do not land: better than to send them into the same silence.
+        this.queued.splice(0).forEach(({ resolve }) => resolve('refused'));
+      }
     }
     this.isSending = false;
     if (this.failingSince !== undefined && !this.isProbing) {
@@ -105,8 +109,11 @@
     return this.queued.splice(0, count);
   }
 
-  /** Tries a batch until it is answered; writes whose deadline passes meanwhile are given up one by one. */
-  private async sendBatch(batch: readonly QueuedWrite[]): Promise<void> {
+  /**
+   * Tries a batch until it is answered; writes whose deadline passes meanwhile are given up one by one. False when all were given
+   * up.
+   */
+  private async sendBatch(batch: readonly QueuedWrite[]): Promise<boolean> {
     let open = batch;
     let mayHaveLanded = false;
     while (open.length > 0) {
@@ -121,7 +128,7 @@
       if (answer.ok) {
         this.recordSuccess();
         open.forEach(({ resolve }) => resolve('written'));
-        return;
+        return true;
       }
       this.recordFailure(answer.error);
       mayHaveLanded = mayHaveLanded || answer.error.kind === 'unknown';
@@ -134,6 +141,7 @@
         await startDelay(RETRY_DELAY_MS);
       }
     }
+    return false;
   }
 
   private readLongestLeft(open: readonly QueuedWrite[]): number {
--- /dev/null
+++ b/tests/lapsedRecords.test.ts
@@ -0,0 +1,82 @@
+import { describe, expect, it } from 'vitest';
+import { toId } from '../packages/common/toId';
+import { Dispatcher } from '../packages/dispatch/Dispatcher';
+import type { EndpointClient } from '../packages/dispatch/EndpointClient';
+import { EndpointSessions } from '../packages/dispatch/EndpointSessions';
+import type { EndpointId } from '../packages/jobs/EndpointId';
+import type { ServiceName } from '../packages/jobs/ServiceName';
+import type { LogClient } from '../packages/store/LogClient';
+
+const ENDPOINT = toId<EndpointId>('i-0');
+/** Timers fire a little early by the clock, as they do when a process was busy as it set them. */
+const CLOCK_SHARE = 0.99;
+const RELISTING_MS = 2000;
+const POLL_MS = 20;
+
+const noEndpoint: EndpointClient = {
+  sendStart: () => Promise.resolve({ kind: 'unhealthy' }),
+  sendStop: () => Promise.resolve({ kind: 'unhealthy' }),
+  sendHold: () => new Promise(() => undefined),
+  stop: () => Promise.resolve(),
+};
+
+/** A log that gives one endpoint's record, fails once, and then says that the record has gone. */
+const createLog = (): LogClient => {
+  let reads = 0;
+  return {
+    append: () => Promise.reject(new Error('not used')),
+    readNewestPage: () =>
+      Promise.resolve({
+        ok: true,
+        value: { records: [{ offset: 0, key: ENDPOINT, value: 'here' }], endOffset: 1, hasMore: false },
+      }),
+    readRecords: async () => {
+      reads += 1;
+      if (reads === 1) {
+        return { ok: false, error: { kind: 'unknown', detail: 'no answer' } };
+      }
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+      const records = reads === 2 ? [{ offset: 1, key: ENDPOINT, value: '' }] : [];
+      return { ok: true, value: { records, endOffset: 2 } };
+    },
+    stop: () => Promise.resolve(),
+  };
+};
+
+describe('a record that lapsed while the log was away', () => {
+  it('is taken as gone when it has not come back, also where the timer fires early by the clock', async () => {
+    const messages: string[] = [];
+    const record = (message: string): void => void messages.push(message);
+    const dispatcher = new Dispatcher({ readDefinition: () => undefined, unheardUntil: 0 });
+    const sessions = new EndpointSessions({
+      client: createLog(),
+      topic: 'keyed.servers',
+      clock: { readNow: () => performance.now() * CLOCK_SHARE, readWall: () => Date.now() },
+      random: () => 0.5,
+      logger: { info: record, warn: record, error: record },
+      dispatcher,
+      parseEndpoint: (id) => ({
+        id: toId<EndpointId>(id),
+        service: toId<ServiceName>('service-a'),
+        address: '10.0.0.1:80',
+        hall: 'hall-a',
+        capacity: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 },
+        labels: [],
+        isDraining: false,
+        remainingMs: 0,
+      }),
+      createEndpointClient: () => noEndpoint,
+      isRenewing: () => true,
+      handleLooked: () => Promise.resolve(),
+      handleSilent: () => undefined,
+      handleChanged: () => undefined,
+      handleFenced: () => undefined,
+      handleLogBack: () => undefined,
+    });
+    sessions.start();
+    await new Promise((resolve) => setTimeout(resolve, RELISTING_MS * 1.5));
+    sessions.stop();
+    expect(messages).toContain('Endpoint record lapsed while the log was away.');
+    expect(messages).toContain('Endpoint left.');
+  });
+});
