--- a/packages/dispatch/AdviceQuestions.ts
+++ b/packages/dispatch/AdviceQuestions.ts
@@ -7,6 +7,7 @@
 import type { LiveJob } from './LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import type { RoomView } from './RoomView';
+import { toStepName } from './toStepName';
 import type { WaitingStep } from './WaitingStep';
 
 /** Endpoints named in one question; so many are counted in a job's objective. */
@@ -57,7 +58,7 @@
     this.turns = { all: this.turns.all - 1, long: this.turns.long - (isLong ? 1 : 0) };
     this.sendEffect({
       kind: 'advise',
-      step: `${step.job.definition.id}.${step.time}.${step.step}`,
+      step: toStepName(step),
       endpoints: named.map((endpoint) => endpoint.readProfile().id),
       expectedMs: advice.decisionMs + advice.perEndpointMs * named.length,
       isLong,
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -26,6 +26,7 @@
 import { RunMover } from './RunMover';
 import { RunOrders } from './RunOrders';
 import { StepPlacer } from './StepPlacer';
+import { toStepName } from './toStepName';
 import { toPlacementOrder } from './toPlacementOrder';
 import type { WaitingStep } from './WaitingStep';
 
@@ -319,7 +320,7 @@
       endpoint: book.readProfile().id,
       percent: run.percent,
       priority: run.priority,
-      for: `${step.job.definition.id}.${step.time}.${step.step}`,
+      for: toStepName(step),
     });
     this.ledger.sendStop(book, run);
   }
--- a/packages/dispatch/RoomReservations.ts
+++ b/packages/dispatch/RoomReservations.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from '../jobs/EndpointId';
+import { toStepName } from './toStepName';
 import type { WaitingStep } from './WaitingStep';
 
 interface Reservation {
@@ -9,8 +10,6 @@
   readonly until: number;
 }
 
-const toKey = ({ job, time, step }: WaitingStep): string => `${job.definition.id}.${time}.${step}`;
-
 /** Endpoints on which room is being made for one step: what is no more urgent keeps off until it has been used, or time is over. */
 export class RoomReservations {
   private readonly reservations = new Map<EndpointId, Reservation>();
@@ -22,12 +21,12 @@
   /** Keeps an endpoint for a step. */
   recordReservation(endpoint: EndpointId, step: WaitingStep, until: number): void {
     const { priority } = step.job.definition.queue;
-    this.reservations.set(endpoint, { holder: toKey(step), priority, until });
+    this.reservations.set(endpoint, { holder: toStepName(step), priority, until });
   }
 
   /** Gives up all that is kept for a step. */
   revokeFor(step: WaitingStep): void {
-    const holder = toKey(step);
+    const holder = toStepName(step);
     for (const [endpoint, reservation] of this.reservations) {
       if (reservation.holder === holder) {
         this.reservations.delete(endpoint);
@@ -37,7 +36,7 @@
 
   /** True when room is being made for the step. */
   hasFor(step: WaitingStep): boolean {
-    const holder = toKey(step);
+    const holder = toStepName(step);
     return [...this.reservations.values()].some((reservation) => reservation.holder === holder);
   }
 
@@ -46,7 +45,7 @@
     const reservation = this.reservations.get(endpoint);
     return (
       reservation !== undefined &&
-      reservation.holder !== toKey(step) &&
+      reservation.holder !== toStepName(step) &&
       reservation.priority <= step.job.definition.queue.priority
     );
   }
--- a/packages/dispatch/RunOrders.ts
+++ b/packages/dispatch/RunOrders.ts
@@ -24,12 +24,12 @@
 
   /** Tells whether a start whose record is durable should still be sent; if not, its room is free again. */
   handleRecorded(effect: StartEffect, now: number): boolean {
-    const { books, jobs, ledger } = this.options;
-    const book = books.get(effect.endpoint);
-    const run = book?.readRun(effect.order.task, effect.order.run);
-    if (book === undefined || run === undefined || run.stage !== 'recording') {
+    const { jobs, ledger } = this.options;
+    const placed = this.readPlaced(effect.endpoint, effect.order.task, effect.order.run);
+    if (placed === undefined || placed.run.stage !== 'recording') {
       return false;
     }
+    const { book, run } = placed;
     const job = jobs.get(run.job);
     if (job === undefined || job.progress.isEnded() || !book.isUsable()) {
       ledger.recordRunEnd(book, run, 'interrupted', '', now);
@@ -41,10 +41,9 @@
 
   /** A start could not be sent at all. */
   handleUnsent(effect: StartEffect, now: number): void {
-    const book = this.options.books.get(effect.endpoint);
-    const run = book?.readRun(effect.order.task, effect.order.run);
-    if (book !== undefined && run !== undefined) {
-      this.options.ledger.recordRunEnd(book, run, 'interrupted', '', now);
+    const placed = this.readPlaced(effect.endpoint, effect.order.task, effect.order.run);
+    if (placed !== undefined) {
+      this.options.ledger.recordRunEnd(placed.book, placed.run, 'interrupted', '', now);
     }
   }
 
@@ -55,11 +54,10 @@
     answer: OrderAnswer,
     now: number,
   ): void {
-    const book = this.options.books.get(id);
-    const run = book?.readRun(task, runNumber);
+    const placed = this.readPlaced(id, task, runNumber);
     // A look or a stop may have overtaken the answer: then it tells nothing new.
-    if (book !== undefined && run !== undefined && run.stage === 'ordered') {
-      this.applyStartAnswer(book, run, answer, now);
+    if (placed !== undefined && placed.run.stage === 'ordered') {
+      this.applyStartAnswer(placed.book, placed.run, answer, now);
     }
   }
 
@@ -70,7 +68,7 @@
     answer: OrderAnswer,
     now: number,
   ): void {
-    const run = this.options.books.get(id)?.readRun(task, runNumber);
+    const run = this.readPlaced(id, task, runNumber)?.run;
     if (answer.kind === 'gone') {
       this.options.handleGone(id, now);
     } else if (run !== undefined && (answer.kind === 'done' || answer.kind === 'rejected')) {
@@ -78,6 +76,16 @@
     }
   }
 
+  private readPlaced(
+    id: EndpointId,
+    task: TaskName,
+    runNumber: number,
+  ): { readonly book: EndpointBook; readonly run: PlacedRun } | undefined {
+    const book = this.options.books.get(id);
+    const run = book?.readRun(task, runNumber);
+    return book === undefined || run === undefined ? undefined : { book, run };
+  }
+
   private applyStartAnswer(book: EndpointBook, run: PlacedRun, answer: OrderAnswer, now: number): void {
     const { jobs, ledger, handleGone } = this.options;
     const { id } = book.readProfile();
