A read that went into an outage of the log is made again at the log's return

Cause: startAgain reached only followers whose read had already failed. A long poll that was sent before the outage and had not run into its limit yet was waited for up to 1.5 s after the return; a leader learnt of new jobs only then. Now a read is made again when a call that was sent later has been answered. Ruled out: appends, which run into their limit after 350 ms and are made again then.

--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -31,8 +31,8 @@
   /** Something has changed that may let work start. */
   readonly handleChanged: () => void;
   readonly handleFenced: (detail: string) => void;
-  /** The log has answered after it had not. */
-  readonly handleLogBack: () => void;
+  /** The log has answered, after it had not, a call that was sent at a monotonic time. */
+  readonly handleLogBack: (answeredSentAt: number) => void;
 }
 
 const PAUSE_MS = 300;
@@ -61,7 +61,7 @@
       pauseMs: PAUSE_MS,
       pollMs: POLL_MS,
       handleRecords: (records) => this.handleRecords(records),
-      handleConnection: (isConnected, detail) => this.handleConnection(isConnected, detail),
+      handleConnection: (isConnected, detail, sentAt) => this.handleConnection(isConnected, detail, sentAt),
     });
   }
 
@@ -87,9 +87,9 @@
     }
   }
 
-  /** Reads the records at once if their last read failed. */
-  startAgain(): void {
-    this.follower.startAgain();
+  /** The log answers again: reads the records anew where the read under way may have gone into the outage. */
+  startAgain(answeredSentAt: number): void {
+    this.follower.startAgain(answeredSentAt);
   }
 
   /** True once all records have been read. */
@@ -117,13 +117,13 @@
     this.options.handleChanged();
   }
 
-  private handleConnection(isConnected: boolean, detail: string): void {
+  private handleConnection(isConnected: boolean, detail: string, sentAt: number): void {
     const { logger, topic } = this.options;
     logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
     if (isConnected) {
       this.returnedAt = this.options.clock.readNow();
       this.startLapseTimer(RELISTING_MS);
-      this.options.handleLogBack();
+      this.options.handleLogBack(sentAt);
     }
   }
 
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -42,8 +42,8 @@
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** A newer leader has been seen: this duty gives no more orders. */
   readonly handleDeposed: (detail: string) => void;
-  /** The log has answered after it had not. */
-  readonly handleLogBack: () => void;
+  /** The log has answered, after it had not, a call that was sent at a monotonic time. */
+  readonly handleLogBack: (answeredSentAt: number) => void;
   readonly recordCount: (
     name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered',
     amount?: number,
@@ -168,9 +168,9 @@
   }
 
   /** The log has answered this box: calls that wait for an answer since it went out are made again. */
-  startAgain(): void {
+  startAgain(answeredSentAt: number): void {
     this.journal.startAgain();
-    this.endpoints.startAgain();
+    this.endpoints.startAgain(answeredSentAt);
   }
 
   readDispatcher(): Dispatcher {
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -26,8 +26,8 @@
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** A newer leader has been seen. */
   readonly handleFenced: (detail: string) => void;
-  /** The log has answered after it had not. */
-  readonly handleLogBack: () => void;
+  /** The log has answered, after it had not, a call that was sent at a monotonic time. */
+  readonly handleLogBack: (answeredSentAt: number) => void;
 }
 
 /** Changes gathered for one append: a start waits so much longer, a small part of any objective, and the log gets fewer calls. */
@@ -137,11 +137,11 @@
       maxBytes: maxAppendBytes,
       handleFenced,
       handleConfirmed,
-      handleConnection: (isConnected, detail) => {
+      handleConnection: (isConnected, detail, sentAt) => {
         const sentence = isConnected ? 'The log takes writes again.' : 'The log takes no writes.';
         logger.info(sentence, { topic, detail });
         if (isConnected) {
-          handleLogBack();
+          handleLogBack(sentAt);
         }
       },
     });
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -277,26 +277,26 @@
       pauseMs,
       pollMs,
       handleRecords,
-      handleConnection: (isConnected, detail) => {
+      handleConnection: (isConnected, detail, sentAt) => {
         this.logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
         if (topic === STATES_TOPIC) {
           this.leadership.handleConnection(isConnected);
         }
         if (isConnected) {
           this.startNextTopic();
-          this.handleLogBack();
+          this.handleLogBack(sentAt);
         }
       },
     });
   }
 
   /** One answer of the log shows that it is back: whatever still waits for an older call is tried again at once. */
-  private handleLogBack(): void {
-    this.jobsFollower.startAgain();
-    this.statesFollower.startAgain();
-    this.operatorFollower.startAgain();
+  private handleLogBack(answeredSentAt: number): void {
+    this.jobsFollower.startAgain(answeredSentAt);
+    this.statesFollower.startAgain(answeredSentAt);
+    this.operatorFollower.startAgain(answeredSentAt);
     this.writer.startAgain();
-    this.duty?.startAgain();
+    this.duty?.startAgain(answeredSentAt);
   }
 
   private createAnnouncement(): LogWrite {
@@ -379,7 +379,7 @@
       readAskers: () => this.readAskers(),
       formatLeaderRecord: (isResigned) => this.leadership.formatRecord(epoch, isResigned),
       handleDeposed: (detail) => this.handleDeposed(epoch, detail),
-      handleLogBack: () => this.handleLogBack(),
+      handleLogBack: (answeredSentAt) => this.handleLogBack(answeredSentAt),
       recordCount: (name, amount) => this.metrics.recordCount(name, amount),
       recordTime: (name, valueMs) => this.metrics.recordTime(name, valueMs),
     });
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -20,8 +20,8 @@
   readonly handleFenced: (detail: string) => void;
   /** An append was answered; the argument is when it was sent. */
   readonly handleConfirmed: (sentAt: number) => void;
-  /** Appends fail, or work again. */
-  readonly handleConnection: (isConnected: boolean, detail: string) => void;
+  /** Appends fail, or work again; with the monotonic time at which the one that shows it was sent. */
+  readonly handleConnection: (isConnected: boolean, detail: string, sentAt: number) => void;
 }
 
 interface QueuedChange {
@@ -148,7 +148,7 @@
         continue;
       }
       if (answer.ok) {
-        this.recordConnection(true, '');
+        this.recordConnection(true, '', sentAt);
         this.options.handleConfirmed(sentAt);
         return true;
       }
@@ -157,17 +157,18 @@
         this.options.handleFenced(answer.error.detail);
         return false;
       }
-      this.recordConnection(false, answer.error.kind === 'forgotten' ? 'forgotten' : answer.error.detail);
+      const detail = answer.error.kind === 'forgotten' ? 'forgotten' : answer.error.detail;
+      this.recordConnection(false, detail, sentAt);
       timeoutMs = Math.min(appendRules.maxTimeoutMs, timeoutMs * 2);
       await startDelay(RETRY_DELAY_MS);
     }
     return false;
   }
 
-  private recordConnection(isConnected: boolean, detail: string): void {
+  private recordConnection(isConnected: boolean, detail: string, sentAt: number): void {
     if ((this.failingSince === undefined) !== isConnected) {
       this.failingSince = isConnected ? undefined : this.options.clock.readNow();
-      this.options.handleConnection(isConnected, detail);
+      this.options.handleConnection(isConnected, detail, sentAt);
     }
   }
 
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -20,8 +20,11 @@
   readonly pollMs: number;
   /** Takes records in order. After a gap in the log's history the newest of each key come again, so it must be idempotent. */
   readonly handleRecords: (records: readonly LogRecord[]) => void;
-  /** Told when the whole topic has been read, when reads fail, the first ones too, and when they are answered again. */
-  readonly handleConnection?: (isConnected: boolean, detail: string) => void;
+  /**
+   * Told when the whole topic has been read, when reads fail, the first ones too, and when they are answered again; with the
+   * monotonic time at which the read that shows it was sent.
+   */
+  readonly handleConnection?: (isConnected: boolean, detail: string, sentAt: number) => void;
 }
 
 /** Silence beyond the wait that was asked for before a call is given up; doubles with each call that had no answer. */
@@ -43,6 +46,8 @@
   private newest: NewestReader;
   private readonly interruption = new Interruption();
   private lastOkAt = -Infinity;
+  /** Monotonic time at which the read under way was sent. */
+  private sentAt = -Infinity;
   private pauseEnd: AbortController | undefined;
   private pauseMs: number;
   private timeoutMs = CALL_TIMEOUT_MS;
@@ -67,6 +72,7 @@
     this.generation += 1;
     const { generation } = this;
     while (this.isCurrent(generation)) {
+      this.sentAt = this.options.clock.readNow();
       const read = this.offset === undefined ? this.readFirst() : this.readNext(this.offset);
       const error = await this.interruption.startWait(read.then((failure) => failure ?? 'done'));
       if (!this.isCurrent(generation)) {
@@ -93,10 +99,17 @@
     this.pauseEnd?.abort();
   }
 
-  /** Reads at once if the last read failed: the log is known to answer again. */
-  startAgain(): void {
-    if (this.isFailing) {
+  /**
+   * The log is known to answer calls sent at `answeredSentAt`, after an outage. Reads at once if the last read failed, or if the
+   * one under way was sent earlier: it may have gone into the outage, and would be missed only after its wait and time limit
+   * (1.5 s for a leader's long poll).
+   */
+  startAgain(answeredSentAt: number): void {
+    const isOlder = this.offset !== undefined && this.sentAt < answeredSentAt;
+    if (this.isFailing || isOlder) {
       this.interruption.stopWait();
+    }
+    if (this.isFailing) {
       this.pauseEnd?.abort();
     }
   }
@@ -210,7 +223,7 @@
     this.recordAnswered();
     if (!this.isConnected) {
       this.isConnected = true;
-      this.options.handleConnection?.(true, '');
+      this.options.handleConnection?.(true, '', this.sentAt);
     }
   }
 
@@ -231,7 +244,7 @@
     if (isNew) {
       this.isConnected = false;
       const detail = error.kind === 'forgotten' ? 'history gone' : error.detail;
-      this.options.handleConnection?.(false, detail);
+      this.options.handleConnection?.(false, detail, this.sentAt);
     }
   }
 
