Leases are renewed while an end waits for the log

Cause: a session looked at its endpoint again only once the ends of the last look were durable. In an outage of the log each endpoint with one end was left alone, and all else that ran there died with its lease after 4 s. Ruled out: the leader's right to renew, which holds for 8 s without the log.

--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/EndpointSession.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../common/Clock';
+import { startBounded } from '../common/startBounded';
 import { startDelay } from '../common/startDelay';
 import { leaderTimings } from '../leadership/leaderTimings';
 import type { EndpointBook } from './EndpointBook';
@@ -13,8 +14,11 @@
   readonly clock: Clock;
   /** True while this leader may give leases. */
   readonly isRenewing: () => boolean;
-  /** Takes an answer in; resolves once the ends in it are durable. Rejects when this leader is deposed. */
-  readonly handleHeld: (answer: Held, sentAt: number) => Promise<void>;
+  /**
+   * Takes an answer in; resolves once the ends in it are durable. Rejects when this leader is deposed. An end comes again with
+   * each answer until it has been acknowledged; `newEndCount` of them come for the first time.
+   */
+  readonly handleHeld: (answer: Held, sentAt: number, newEndCount: number) => Promise<void>;
   readonly handleSilence: (detail: string) => void;
   readonly handleGone: () => void;
   readonly handleFenced: () => void;
@@ -30,14 +34,22 @@
 const MAX_ANSWER_TIMEOUT_MS = 1200;
 const RETRY_DELAY_MS = 100;
 const MAX_RETRY_DELAY_MS = 500;
+/**
+ * Longest wait for an end to be durable before the next look. While the log is out the looks go on and renew the lease, else all
+ * that runs beside one end is killed after 4 s; each of them brings the same end again, so they are spaced like usual looks.
+ */
+const DURABLE_WAIT_MS = LOOK_WAIT_MS;
 
 /**
  * Keeps one endpoint leased and watched: one long poll at a time, which answers as soon as a run ends.
- * An end is acknowledged only once it is durable. An endpoint that does not answer is looked at without a new lease, so that
+ * An end is acknowledged only once it is durable, which may take several looks. An endpoint that does not answer is looked at without a new lease, so that
  * the time by which all its work has ended stays known.
  */
 export class EndpointSession {
+  /** Ends up to this number are durable. */
   private lastSeen = 0;
+  /** Ends up to this number have been taken in. */
+  private lastTaken = 0;
   private isStopped = false;
   private isLookingExtra = false;
   private failures = 0;
@@ -57,7 +69,7 @@
     this.isLookingExtra = false;
     // Silence is the loop's to judge, and ends are the loop's to acknowledge.
     if (!this.isStopped && answer.kind === 'held') {
-      await this.options.handleHeld(answer, sentAt).catch(() => undefined);
+      await this.sendHeld(answer, sentAt).catch(() => undefined);
     }
   }
 
@@ -127,14 +139,28 @@
 
   private async handleHeld(answer: Held, sentAt: number): Promise<void> {
     this.failures = 0;
+    const noted = this.startNoting(answer, sentAt);
+    await startBounded(noted, DURABLE_WAIT_MS, undefined);
+  }
+
+  /** Takes an answer in, and acknowledges its ends once they are durable. */
+  private async startNoting(answer: Held, sentAt: number): Promise<void> {
     try {
-      await this.options.handleHeld(answer, sentAt);
+      await this.sendHeld(answer, sentAt);
     } catch {
       this.isStopped = true;
       return;
     }
-    for (const { number } of answer.ended) {
-      this.lastSeen = Math.max(this.lastSeen, number);
-    }
+    this.lastSeen = this.readNewestEnd(answer, this.lastSeen);
+  }
+
+  private sendHeld(answer: Held, sentAt: number): Promise<void> {
+    const newEndCount = answer.ended.filter(({ number }) => number > this.lastTaken).length;
+    this.lastTaken = this.readNewestEnd(answer, this.lastTaken);
+    return this.options.handleHeld(answer, sentAt, newEndCount);
+  }
+
+  private readNewestEnd({ ended }: Held, atLeast: number): number {
+    return ended.reduce((newest, { number }) => Math.max(newest, number), atLeast);
   }
 }
--- a/packages/dispatch/EndpointSessions.ts
+++ b/packages/dispatch/EndpointSessions.ts
@@ -25,8 +25,10 @@
   readonly createEndpointClient: (profile: EndpointProfile) => EndpointClient;
   /** True while this leader may give leases. */
   readonly isRenewing: () => boolean;
-  /** The dispatcher has taken in what an endpoint answered; resolves once the ends in it are durable. */
-  readonly handleLooked: (endedCount: number) => Promise<void>;
+  /** The dispatcher has taken in what an endpoint answered, with so many new ends. */
+  readonly handleLooked: (newEndCount: number) => void;
+  /** Resolves once all ends taken in so far are durable. */
+  readonly startFlush: () => Promise<void>;
   readonly handleSilent: () => void;
   /** Something has changed that may let work start. */
   readonly handleChanged: () => void;
@@ -198,7 +200,7 @@
       client: createEndpointClient(profile),
       clock,
       isRenewing,
-      handleHeld: (answer, sentAt) => this.handleHeld(profile.id, answer, sentAt),
+      handleHeld: (answer, sentAt, newEndCount) => this.handleHeld(profile.id, answer, sentAt, newEndCount),
       handleSilence: (detail) => this.handleSilence(profile.id, detail),
       handleGone: () => this.handleGone(profile.id),
       handleFenced: () => handleFenced(`endpoint ${profile.id} obeys a newer leader`),
@@ -207,8 +209,8 @@
     void session.start();
   }
 
-  private handleHeld(id: EndpointId, answer: Held, sentAt: number): Promise<void> {
-    const { clock, dispatcher, logger, handleLooked } = this.options;
+  private handleHeld(id: EndpointId, answer: Held, sentAt: number, newEndCount: number): Promise<void> {
+    const { clock, dispatcher, logger, handleLooked, startFlush } = this.options;
     const book = dispatcher.readBook(id);
     if (book !== undefined && (book.readSilentSince() !== undefined || !book.isSettled())) {
       logger.info('Endpoint answers.', {
@@ -219,7 +221,9 @@
     }
     const input = { endpoint: id, running: answer.running, ended: answer.ended, sentAt };
     dispatcher.handleLook(input, clock.readNow(), clock.readWall());
-    return handleLooked(answer.ended.length);
+    handleLooked(newEndCount);
+    // Another look may have brought the same ends before: they are durable only once its records are.
+    return answer.ended.length === 0 ? Promise.resolve() : startFlush();
   }
 
   private handleSilence(id: EndpointId, detail: string): void {
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -97,7 +97,8 @@
       parseEndpoint: options.parseEndpoint,
       createEndpointClient: options.createEndpointClient,
       isRenewing: () => clock.readNow() - this.journal.readConfirmedAt() < unconfirmedMs,
-      handleLooked: (endedCount) => this.handleLooked(endedCount),
+      handleLooked: (newEndCount) => this.handleLooked(newEndCount),
+      startFlush: () => this.journal.startFlush(),
       handleSilent: () => options.recordCount('unanswered'),
       handleChanged: () => {
         this.startTakeOver();
@@ -224,13 +225,11 @@
     }
   }
 
-  /** Records what the look has shown; resolves once the ends in it are durable. */
-  private handleLooked(endedCount: number): Promise<void> {
-    this.options.recordCount('ends', endedCount);
+  /** Queues the records of what a look has shown. */
+  private handleLooked(newEndCount: number): void {
+    this.options.recordCount('ends', newEndCount);
     this.sendEffects();
     this.queueRound();
-    // Another look may have taken the same ends in already: they are durable only once its records are.
-    return endedCount === 0 ? Promise.resolve() : this.journal.startFlush();
   }
 
   private handleDeposed(detail: string): void {
--- /dev/null
+++ b/tests/serve/outage.test.ts
@@ -0,0 +1,43 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { Cell } from '../../dev/cell/Cell';
+import { toJobIdText } from '../../dev/cell/toJobIdText';
+
+const EXECUTORS = 6;
+const ROOM = 3;
+/** Longer than the lease of what runs (4 s), shorter than a leader may renew without the log (8 s). */
+const OUTAGE_MS = 6000;
+const SHORT_MS = 400;
+const LONG_MS = 9000;
+
+const createBody = (count: number, runMs: number): string =>
+  JSON.stringify({ spec: String(runMs), steps: [{ count, cpu: 1000, 'mem-mb': 100, 'anti-affinity': 1 }] });
+
+const startWait = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+
+describe('an outage of the log that is longer than a lease', () => {
+  let cell: Cell;
+
+  beforeEach(async () => {
+    cell = await Cell.create({ boxes: 3, executors: EXECUTORS, roomPerExecutor: ROOM });
+  });
+
+  afterEach(async () => {
+    expect(cell.witness.readProblems()).toEqual([]);
+    await cell.stop();
+  });
+
+  it('kills nothing that runs beside a run that ended in its first second', async () => {
+    const box = cell.boxes[0]!;
+    const [long, short] = [toJobIdText(1), toJobIdText(2)];
+    expect((await cell.sendJob(box, long, createBody(EXECUTORS, LONG_MS))).status).toBe(200);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === EXECUTORS));
+    expect((await cell.sendJob(box, short, createBody(EXECUTORS, SHORT_MS))).status).toBe(200);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 2 * EXECUTORS));
+    cell.log.applyFault('silent');
+    await startWait(OUTAGE_MS);
+    cell.log.applyFault('none');
+    await cell.startState(box, short, 'completed');
+    await cell.startState(box, long, 'completed');
+    expect(cell.witness.readTotalStarts()).toBe(2 * EXECUTORS);
+  });
+});
