Kept connections that have gone silent cost one time limit, not one each

Cause: a call without an answer ended its own connection only; the other idle ones of the same address, silent like it, each cost a later call its limit (up to 10 to the log, 4 to an endpoint). Test: serve/calls, 4 connections silenced: 1 call unanswered and 3 answered; before, 4 unanswered.

--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -22,12 +22,13 @@
 const KEEP_ALIVE_MS = 60_000;
 const CONNECT_TIMEOUT_MS = 1500;
 /**
- * Calls one address over kept connections, one call at a time on each. A call without an answer ends its connection.
+ * Calls one address over kept connections, one call at a time on each. A call without an answer ends its connection, and the idle
+ * ones with it: kept connections go silent together, and each would cost a call its time limit.
  * Calls beyond the number of connections wait their turn, and their time limit counts from then: a call that was never sent
  * must not count as unanswered.
  */
 export class HttpCaller {
-  private readonly pool: Pool;
+  private pool: Pool;
   private underWay = 0;
   private readonly waiting: (() => void)[] = [];
 
@@ -54,6 +55,14 @@
     return isGood ? (parseJson(result.body.toString('utf8')) ?? {}) : undefined;
   }
 
+  /** Makes later calls over new connections; calls under way keep theirs. */
+  renewConnections(): void {
+    const { pool } = this;
+    this.pool = this.createPool();
+    // Resolves once the calls under way have ended, each by its own limit. Nobody waits for it.
+    void pool.close();
+  }
+
   async stop(): Promise<void> {
     await this.pool.destroy();
   }
@@ -76,10 +85,16 @@
   }
 
   private sendNow(call: HttpCall): Promise<HttpResult> {
+    const { pool } = this;
     return new Promise((resolve) => {
       const { method, path, headers = {}, body = null } = call;
-      const exchange = new HttpExchange(call.timeoutMs, resolve);
-      this.pool.dispatch({ method, path, headers, body }, exchange.createHandler());
+      const exchange = new HttpExchange(call.timeoutMs, (result) => {
+        if (result.kind === 'unanswered' && pool === this.pool) {
+          this.renewConnections();
+        }
+        resolve(result);
+      });
+      pool.dispatch({ method, path, headers, body }, exchange.createHandler());
     });
   }
 
--- a/tests/serve/calls.test.ts
+++ b/tests/serve/calls.test.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from 'node:http';
+import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { chooseFreePorts } from '../../dev/fleet/chooseFreePorts';
 import { HttpCaller } from '../../packages/common/HttpCaller';
@@ -8,16 +9,24 @@
   let address = '';
   let connectionCount = 0;
   let answerMs = 0;
+  /** Connections that stay open and answer nothing any more. */
+  let silent: Set<Socket>;
+  let open: Set<Socket>;
 
   beforeEach(async () => {
     const [port] = await chooseFreePorts(1);
     address = `127.0.0.1:${port!}`;
     connectionCount = 0;
-    server = createServer((_request, response) => {
-      setTimeout(() => response.end('answer'), answerMs);
+    silent = new Set();
+    open = new Set();
+    server = createServer((request, response) => {
+      if (!silent.has(request.socket)) {
+        setTimeout(() => response.end('answer'), answerMs);
+      }
     });
-    server.on('connection', () => {
+    server.on('connection', (socket: Socket) => {
       connectionCount += 1;
+      open.add(socket);
     });
     await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
   });
@@ -53,6 +62,21 @@
     await caller.stop();
   });
 
+  it('lose one time limit when all kept connections have gone silent, not one for each', async () => {
+    answerMs = 20;
+    const caller = new HttpCaller({ address, connections: 4 });
+    const call = { method: 'GET', path: '/', timeoutMs: 200 } as const;
+    await Promise.all(Array.from({ length: 4 }, () => caller.sendCall(call)));
+    expect(connectionCount).toBe(4);
+    silent = new Set(open);
+    const startedAt = performance.now();
+    expect((await caller.sendCall(call)).kind).toBe('unanswered');
+    const later = [await caller.sendCall(call), await caller.sendCall(call), await caller.sendCall(call)];
+    expect(later.map(({ kind }) => kind)).toEqual(['answered', 'answered', 'answered']);
+    expect(performance.now() - startedAt).toBeLessThan(500);
+    await caller.stop();
+  });
+
   it('end without an answer after their limit, and say when nobody listens', async () => {
     answerMs = 1000;
     const caller = new HttpCaller({ address, connections: 1 });
