Room is asked about where it is before anybody is made to give way

Cause: whether a step counts as large was measured on the first endpoint of the list, the smallest kind in many rounds, and a large step was asked about endpoints in the order of the list, with room or without. Now a step counts as large against the mean capacity, and only while the endpoints that may run it hold fewer than twice its tasks; before that it is asked about endpoints with room, like any other. Test: makingRoom, asked about where there is room; fails before (both endpoints named).

--- a/packages/dispatch/AdviceCandidates.ts
+++ b/packages/dispatch/AdviceCandidates.ts
@@ -1,5 +1,3 @@
-import type { JobStep } from '../jobs/JobStep';
-import type { TaskDemand } from '../jobs/TaskDemand';
 import { demandSums } from './demandSums';
 import type { EndpointBook } from './EndpointBook';
 import type { Preemptor } from './Preemptor';
@@ -22,7 +20,7 @@
     now: number,
   ): readonly EndpointBook[] {
     const open = eligible.filter((book) => this.isOpen(step, book, now));
-    return this.room.isLarge(step, eligible)
+    return this.room.isShortOfRoom(step, eligible)
       ? this.chooseForLarge(step, open, missing, now)
       : this.chooseForSmall(step, open, missing);
   }
@@ -41,7 +39,7 @@
       return [];
     }
     const allowed = roomy.filter((book) => this.hasBeenAllowed(step, book));
-    const fitCount = toSum(allowed.map((book) => this.measureFitCount(book.readFree(), shape)));
+    const fitCount = toSum(allowed.map((book) => this.room.measureFitCount(book.readFree(), shape)));
     return fitCount >= missing
       ? allowed
       : [...roomy].sort((left, right) => right.readFreeCpuMillis() - left.readFreeCpuMillis());
@@ -67,7 +65,9 @@
         this.hasBeenAllowed(step, book) &&
         (book.hasRoom(demand) || this.preemptor.hasRoomWithStops(step, book, demand, now)),
     );
-    const readyCount = toSum(ready.map((book) => this.measureFitCount(book.readProfile().capacity, shape)));
+    const readyCount = toSum(
+      ready.map((book) => this.room.measureFitCount(book.readProfile().capacity, shape)),
+    );
     // A gang starts whole or not at all; of other steps each task may start by itself.
     if (shape.isGang && readyCount < missing && unasked.length === 0) {
       return [];
@@ -86,17 +86,4 @@
   private hasBeenAllowed(step: WaitingStep, book: EndpointBook): boolean {
     return step.job.readAdvice(step.time, step.step).hasBeenAllowed(book.readProfile().id);
   }
-
-  /** Tasks of a step that fit some room on one endpoint. */
-  private measureFitCount(room: TaskDemand, shape: JobStep): number {
-    const demand = this.room.toCountedDemand(shape);
-    const toCount = (whole: number, part: number): number =>
-      part === 0 ? Infinity : Math.floor(whole / part);
-    return Math.min(
-      shape.maxPerEndpoint === 0 ? Infinity : shape.maxPerEndpoint,
-      toCount(room.cpuMillis, demand.cpuMillis),
-      toCount(room.memoryMb, demand.memoryMb),
-      toCount(room.accelerators, demand.accelerators),
-    );
-  }
 }
--- a/packages/dispatch/RoomView.ts
+++ b/packages/dispatch/RoomView.ts
@@ -10,13 +10,17 @@
 
 /** Share of a service's processors that only the most urgent queues seen there may take. */
 const RESERVED_SHARE = 0.08;
-/** A task that asks for so much of an endpoint finds room by chance only rarely. */
+/** A task that asks for so much of a usual endpoint finds room by chance only rarely once room is short. */
 const LARGE_SHARE = 0.25;
+/** Room is short for a step when what it might use holds fewer than so many times its tasks: others choose at the same time. */
+const AMPLE_ROOM_FACTOR = 2;
 
 /** What the books say of room for a step. Changes no books; what it has worked out holds for one round of placement. */
 export class RoomView {
   /** Usable endpoints, by service and required label. */
   private readonly eligible = new Map<string, readonly EndpointBook[]>();
+  /** Mean capacity of the usable endpoints, by service and required label. */
+  private readonly meanCapacity = new Map<string, TaskDemand>();
   /** Demands for which no endpoint had room, by service and required label. Within a round room only shrinks. */
   private readonly unmet = new Map<string, TaskDemand[]>();
   /** The most urgent priority of the jobs seen, by service. */
@@ -32,12 +36,19 @@
     this.mostUrgent.set(service, Math.min(priority, this.mostUrgent.get(service) ?? Infinity));
   }
 
-  /** True for steps that find room by chance only rarely: gangs, and tasks that take much of an endpoint. */
-  isLarge({ shape }: WaitingStep, eligible: readonly EndpointBook[]): boolean {
-    const capacity = eligible[0]?.readProfile().capacity;
-    if (shape.isGang || capacity === undefined) {
-      return shape.isGang;
+  /**
+   * True for steps that would find room by chance only rarely: gangs and tasks that take much of an endpoint, while there is little
+   * room on endpoints that may run them.
+   */
+  isShortOfRoom(step: WaitingStep, eligible: readonly EndpointBook[]): boolean {
+    return this.isLarge(step) && !this.hasAmpleRoom(step, eligible);
+  }
+
+  private isLarge({ job, shape }: WaitingStep): boolean {
+    if (shape.isGang) {
+      return true;
     }
+    const capacity = this.readMeanCapacity(job.definition.queue.service, shape.requiredLabel);
     const { cpuMillis, memoryMb, accelerators } = this.toCountedDemand(shape);
     return (
       cpuMillis > capacity.cpuMillis * LARGE_SHARE ||
@@ -46,9 +57,39 @@
     );
   }
 
+  private hasAmpleRoom(
+    { job, time, step, shape, indexes }: WaitingStep,
+    eligible: readonly EndpointBook[],
+  ): boolean {
+    const advice = job.readAdvice(time, step);
+    const ample = indexes.length * AMPLE_ROOM_FACTOR;
+    let count = 0;
+    for (const book of eligible) {
+      count += advice.isRefused(book.readProfile().id) ? 0 : this.measureFitCount(book.readFree(), shape);
+      if (count >= ample) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Tasks of a step that fit some room on one endpoint. */
+  measureFitCount(room: TaskDemand, shape: JobStep): number {
+    const demand = this.toCountedDemand(shape);
+    const toCount = (whole: number, part: number): number =>
+      part === 0 ? Infinity : Math.max(0, Math.floor(whole / part));
+    return Math.min(
+      shape.maxPerEndpoint === 0 ? Infinity : shape.maxPerEndpoint,
+      toCount(room.cpuMillis, demand.cpuMillis),
+      toCount(room.memoryMb, demand.memoryMb),
+      toCount(room.accelerators, demand.accelerators),
+    );
+  }
+
   /** Forgets what was worked out before. */
   startRound(): void {
     this.eligible.clear();
+    this.meanCapacity.clear();
     this.unmet.clear();
   }
 
@@ -114,6 +155,27 @@
     return free - capacity * RESERVED_SHARE;
   }
 
+  private readMeanCapacity(service: ServiceName, label: string): TaskDemand {
+    const key = this.toKey(service, label);
+    const known = this.meanCapacity.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const books = this.readUsable(service, label);
+    const sum = books.reduce(
+      (total, book) => demandSums.toSum(total, book.readProfile().capacity),
+      demandSums.NOTHING,
+    );
+    const count = Math.max(1, books.length);
+    const mean = {
+      cpuMillis: sum.cpuMillis / count,
+      memoryMb: sum.memoryMb / count,
+      accelerators: sum.accelerators / count,
+    };
+    this.meanCapacity.set(key, mean);
+    return mean;
+  }
+
   private readUsable(service: ServiceName, label: string): readonly EndpointBook[] {
     const key = this.toKey(service, label);
     const known = this.eligible.get(key);
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -42,8 +42,8 @@
   /** Places what can be placed of a step; returns whether anything was. */
   placeStep(step: WaitingStep, now: number): boolean {
     const eligible = this.room.readEligible(step);
-    const isLarge = this.room.isLarge(step, eligible);
-    if (!isLarge && !this.room.hasAnyRoom(step, eligible)) {
+    const isShortOfRoom = this.room.isShortOfRoom(step, eligible);
+    if (!isShortOfRoom && !this.room.hasAnyRoom(step, eligible)) {
       return false;
     }
     const choices = this.chooseEndpoints(step, eligible, now);
@@ -51,7 +51,7 @@
       const missing = step.indexes.length - choices.length;
       this.options.questions.sendQuestion(step, eligible, missing, now);
     }
-    if (isLarge && choices.length === 0) {
+    if (isShortOfRoom && choices.length === 0) {
       this.startMakingRoom(step, eligible, now);
     }
     this.placeChoices(step, choices, now);
--- a/tests/makingRoom.test.ts
+++ b/tests/makingRoom.test.ts
@@ -253,6 +253,24 @@
     expect(cell.startRound().starts).toHaveLength(1);
   });
 
+  it('is asked about where there is room, before anybody is made to give way', () => {
+    const cell = new SmallCell();
+    cell.sendJob(createJob(1, PATIENT, { count: ACCELERATORS, isCheckpointing: true }));
+    const { endpoint } = cell.startRound().starts[0]!;
+    cell.startLooks();
+    const single = createJob(2, URGENT, { count: 1, demand: { ...demand, accelerators: ACCELERATORS / 2 } });
+    cell.sendJob({ ...single, queue: { ...single.queue, advice } });
+    const [question] = cell.startRound().questions;
+    expect(question!.endpoints).toHaveLength(1);
+    expect(question!.endpoints).not.toContain(endpoint);
+    cell.recordAdvice(question!, []);
+    // Where there is room it may not run: now the other is worth a question, and what runs there gives way.
+    const [second] = [...cell.startRound().questions, ...cell.startRound().questions];
+    expect(second!.endpoints).toEqual([endpoint]);
+    cell.recordAdvice(second!, [endpoint]);
+    expect(cell.startRound().stops.length).toBeGreaterThan(0);
+  });
+
   it('asks again about room for one task where fewer than all would ever fit (it once waited for all)', () => {
     const cell = new SmallCell();
     const other = createJob(1, PATIENT, { count: 2 * ACCELERATORS });
