Questions for advice name what a step is likely to need, others than those under way, and follow each other at once

Cause: each question named up to 30 endpoints, those with most room; steps that asked at the same time named the same, so that the first answer took the room of the others, which asked again 120 ms after their first question. Now a question names as many endpoints as the missing tasks need twice over, refusals of the queue so far taken off, those first that no question under way names, and the next one follows an answer that was not enough at once. Test: adviceQuestions; three of its four cases fail before.

--- a/packages/dispatch/AdviceBook.ts
+++ b/packages/dispatch/AdviceBook.ts
@@ -10,13 +10,16 @@
 const USE_MARGIN_MS = 250;
 /** The part of it that a start takes once it is recorded. */
 const SEND_MARGIN_MS = 100;
+/** A question without an answer is asked again after so long: the service, or the way to it, is not well. */
+const RETRY_MS = 120;
 
 /** What the advice service has said of one step: tickets, which run out, and refusals, which stand. */
 export class AdviceBook {
   private readonly tickets = new Map<EndpointId, Ticket>();
   private readonly refused = new Set<EndpointId>();
   private isAsking = false;
-  private lastAskedAt = -Infinity;
+  /** Monotonic time from which the next question may be asked. */
+  private askableFrom = -Infinity;
 
   /** The ticket for an endpoint, or undefined when there is none that holds long enough. */
   readTicket(endpoint: EndpointId, now: number): string | undefined {
@@ -39,17 +42,21 @@
     return this.tickets.has(endpoint);
   }
 
+  /** True while a question is under way. */
   isBusy(): boolean {
     return this.isAsking;
   }
 
-  readLastAskedAt(): number {
-    return this.lastAskedAt;
+  /**
+   * True when a question may be asked. After an answer at once: what has been answered is not asked again, so that there is an
+   * end to it, and each wait of 0.1 s is a tenth of an urgent job's time.
+   */
+  isAskable(now: number): boolean {
+    return !this.isAsking && now >= this.askableFrom;
   }
 
-  recordQuestion(now: number): void {
+  recordQuestion(): void {
     this.isAsking = true;
-    this.lastAskedAt = now;
   }
 
   recordAnswer(
@@ -60,6 +67,7 @@
   ): void {
     this.isAsking = false;
     if (good === undefined) {
+      this.askableFrom = now + RETRY_MS;
       return;
     }
     for (const endpoint of asked) {
--- a/packages/dispatch/AdviceCandidates.ts
+++ b/packages/dispatch/AdviceCandidates.ts
@@ -1,9 +1,15 @@
 import { demandSums } from './demandSums';
+import type { AdviceHistory } from './AdviceHistory';
 import type { EndpointBook } from './EndpointBook';
 import type { Preemptor } from './Preemptor';
 import type { RoomView } from './RoomView';
 import type { WaitingStep } from './WaitingStep';
 
+/** Room asked about for each task that is missing, refusals taken off: other steps take some of it meanwhile. */
+const COVER_FACTOR = 2;
+/** A question has a fixed cost, beside which so many endpoints cost little. */
+const MIN_NAMED = 5;
+
 const toSum = (counts: readonly number[]): number => counts.reduce((sum, count) => sum + count, 0);
 
 /** Chooses the endpoints about which the advice service is asked for a step, the most useful first. */
@@ -11,6 +17,7 @@
   constructor(
     private readonly room: RoomView,
     private readonly preemptor: Preemptor,
+    private readonly history: AdviceHistory,
   ) {}
 
   chooseNamed(
@@ -25,7 +32,11 @@
       : this.chooseForSmall(step, open, missing);
   }
 
-  /** Those with room now. Those allowed before come first, and alone where they are enough. */
+  /**
+   * Those with room now. Those allowed before come first, and alone where they are enough. Of the others so many as the tasks are
+   * likely to need, first those about which no other step is asking: a shorter question is answered sooner, and steps that ask
+   * at the same time do not count on the same room.
+   */
   private chooseForSmall(
     step: WaitingStep,
     open: readonly EndpointBook[],
@@ -40,9 +51,35 @@
     }
     const allowed = roomy.filter((book) => this.hasBeenAllowed(step, book));
     const fitCount = toSum(allowed.map((book) => this.room.measureFitCount(book.readFree(), shape)));
-    return fitCount >= missing
-      ? allowed
-      : [...roomy].sort((left, right) => right.readFreeCpuMillis() - left.readFreeCpuMillis());
+    if (fitCount >= missing) {
+      return allowed;
+    }
+    const ranked = [...roomy].sort(
+      (left, right) =>
+        this.readUnderWay(left) - this.readUnderWay(right) ||
+        right.readFreeCpuMillis() - left.readFreeCpuMillis(),
+    );
+    return this.chooseEnough(step, ranked, missing);
+  }
+
+  /** The first of some endpoints that are likely to hold the missing tasks, counting on the usual share of refusals. */
+  private chooseEnough(
+    step: WaitingStep,
+    ranked: readonly EndpointBook[],
+    missing: number,
+  ): readonly EndpointBook[] {
+    const wanted = (missing * COVER_FACTOR) / this.history.readShare(step.job.definition.queue.name);
+    let fitCount = 0;
+    let count = 0;
+    while (count < ranked.length && (fitCount < wanted || count < MIN_NAMED)) {
+      fitCount += this.room.measureFitCount(ranked[count]!.readFree(), step.shape);
+      count += 1;
+    }
+    return ranked.slice(0, count);
+  }
+
+  private readUnderWay(book: EndpointBook): number {
+    return this.history.readUnderWay(book.readProfile().id);
   }
 
   /**
--- a/packages/dispatch/AdviceQuestions.ts
+++ b/packages/dispatch/AdviceQuestions.ts
@@ -1,6 +1,7 @@
 import type { EndpointId } from '../jobs/EndpointId';
 import { toTaskName } from '../jobs/toTaskName';
 import type { AdviceCandidates } from './AdviceCandidates';
+import type { AdviceHistory } from './AdviceHistory';
 import type { AdviceTurns } from './AdviceTurns';
 import type { DispatchEffect } from './DispatchEffect';
 import type { EndpointBook } from './EndpointBook';
@@ -12,7 +13,8 @@
 
 /** Endpoints named in one question; so many are counted in a job's objective. */
 const MAX_NAMED = 30;
-const ASK_AGAIN_MS = 120;
+/** From the answer to a question to a start that uses it. */
+const USE_ANSWER_MS = 120;
 /** A question for a later step is sent so long before it is expected to be ready, beyond the question's own time. */
 const EARLY_MARGIN_MS = 150;
 /** Questions longer than this are long ones. */
@@ -28,6 +30,7 @@
     private readonly books: ReadonlyMap<EndpointId, EndpointBook>,
     private readonly room: RoomView,
     private readonly candidates: AdviceCandidates,
+    private readonly history: AdviceHistory,
     private readonly sendEffect: (effect: Extract<DispatchEffect, { kind: 'advise' }>) => void,
   ) {}
 
@@ -49,7 +52,7 @@
   ): void {
     const { advice } = step.job.definition.queue;
     const book = step.job.readAdvice(step.time, step.step);
-    if (advice === undefined || book.isBusy() || now - book.readLastAskedAt() < ASK_AGAIN_MS) {
+    if (advice === undefined || !book.isAskable(now)) {
       return;
     }
     const isLong = advice.decisionMs + advice.perEndpointMs * MAX_NAMED > LONG_QUESTION_MS;
@@ -60,12 +63,14 @@
     if (named.length === 0) {
       return;
     }
-    book.recordQuestion(now);
+    book.recordQuestion();
+    const endpoints = named.map((endpoint) => endpoint.readProfile().id);
+    this.history.recordQuestion(endpoints);
     this.turns = { all: this.turns.all - 1, long: this.turns.long - (isLong ? 1 : 0) };
     this.sendEffect({
       kind: 'advise',
       step: toStepName(step),
-      endpoints: named.map((endpoint) => endpoint.readProfile().id),
+      endpoints,
       expectedMs: advice.decisionMs + advice.perEndpointMs * named.length,
       isLong,
     });
@@ -74,7 +79,7 @@
   /** Time from a question about the step to its answer, in milliseconds; 0 where none is needed. */
   readAnswerMs({ job }: WaitingStep): number {
     const { advice } = job.definition.queue;
-    return advice === undefined ? 0 : advice.decisionMs + advice.perEndpointMs * MAX_NAMED + ASK_AGAIN_MS;
+    return advice === undefined ? 0 : advice.decisionMs + advice.perEndpointMs * MAX_NAMED + USE_ANSWER_MS;
   }
 
   private hasTurn(isLong: boolean): boolean {
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -16,6 +16,7 @@
 import { RoomReservations } from './RoomReservations';
 import { createPlacedRun } from './createPlacedRun';
 import { AdviceCandidates } from './AdviceCandidates';
+import { AdviceHistory } from './AdviceHistory';
 import { AdviceQuestions } from './AdviceQuestions';
 import type { AdviceTurns } from './AdviceTurns';
 import { GangWatch } from './GangWatch';
@@ -55,6 +56,7 @@
   private readonly orders: RunOrders;
   private readonly looks: LookReader;
   private readonly questions: AdviceQuestions;
+  private readonly adviceHistory = new AdviceHistory();
   private readonly mover: RunMover;
   private readonly gangs: GangWatch;
   /** True when something has happened since the last round that may let work start. */
@@ -82,8 +84,8 @@
       reservations,
       handlePreempted: (book, run, step) => this.handlePreempted(book, run, step),
     });
-    const candidates = new AdviceCandidates(this.room, preemptor);
-    this.questions = new AdviceQuestions(this.books, this.room, candidates, sendEffect);
+    const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory);
+    this.questions = new AdviceQuestions(this.books, this.room, candidates, this.adviceHistory, sendEffect);
     this.placer = new StepPlacer({
       room: this.room,
       questions: this.questions,
@@ -237,6 +239,7 @@
   ): void {
     const [id, time, number] = step.split('.');
     const job = this.jobs.get(id as JobId);
+    this.adviceHistory.recordAnswer(job?.definition.queue.name ?? '', asked, good?.size);
     const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
     job?.readAdvice(Number(time), Number(number)).recordAnswer(asked, good, now, validityMs);
     this.hasNews = true;
