--- a/packages/cli/commands.ts
+++ b/packages/cli/commands.ts
@@ -4,6 +4,7 @@
 import { entryCommand } from './entryCommand';
 import { explainJobCommand } from './explainJobCommand';
 import { explainCommand } from './explainCommand';
+import { ledgerCommand } from './ledgerCommand';
 import { replayCommand } from './replayCommand';
 import { serveCommand } from './serveCommand';
 import { statusCommand } from './statusCommand';
@@ -14,6 +15,7 @@
 export const commands: readonly Command[] = [
   serveCommand,
   explainJobCommand,
+  ledgerCommand,
   entryCommand,
   checkCommand,
   statusCommand,
--- a/packages/cli/explainJobCommand.ts
+++ b/packages/cli/explainJobCommand.ts
@@ -1,8 +1,7 @@
-import { readFileSync } from 'node:fs';
-import { toErrorText } from '../common/toErrorText';
 import { readJobStory } from '../timeline/readJobStory';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
+import { readLogFiles } from './readLogFiles';
 import { writeError } from './writeError';
 import { writeLine } from './writeLine';
 
@@ -27,14 +26,9 @@
       writeError('Give the id of a job and at least one log file.');
       return Promise.resolve(exitCodes.usage);
     }
-    const texts: string[] = [];
-    for (const file of files) {
-      try {
-        texts.push(...readFileSync(file, 'utf8').split('\n'));
-      } catch (thrown) {
-        writeError(`${file}: ${toErrorText(thrown)}`);
-        return Promise.resolve(exitCodes.usage);
-      }
+    const texts = readLogFiles(files);
+    if (texts === undefined) {
+      return Promise.resolve(exitCodes.usage);
     }
     const story = readJobStory(texts, job);
     for (const line of story) {
--- /dev/null
+++ b/packages/cli/readLogFiles.ts
@@ -0,0 +1,19 @@
+import { readFileSync } from 'node:fs';
+import { toErrorText } from '../common/toErrorText';
+import { writeError } from './writeError';
+
+/** Reads the lines of some log files; says which one cannot be read, and gives undefined then. */
+export const readLogFiles = (files: readonly string[]): readonly string[] | undefined => {
+  const lines: string[] = [];
+  for (const file of files) {
+    try {
+      for (const line of readFileSync(file, 'utf8').split('\n')) {
+        lines.push(line);
+      }
+    } catch (thrown) {
+      writeError(`${file}: ${toErrorText(thrown)}`);
+      return undefined;
+    }
+  }
+  return lines;
+};
--- a/packages/dispatch/AdviceDesk.ts
+++ b/packages/dispatch/AdviceDesk.ts
@@ -11,7 +11,7 @@
   readonly clock: Clock;
   /** The boxes that can ask, this one first. Read anew for each question. */
   readonly readAskers: () => readonly AdviceAsker[];
-  readonly handleAnswer: (question: Question, answer: Answer) => void;
+  readonly handleAnswer: (question: Question, answer: Answer, tookMs: number) => void;
 }
 
 /** A box that can ask the advice service, one question at a time. */
@@ -51,22 +51,24 @@
     const free = this.options.readAskers().filter((asker) => this.isFree(asker));
     const asker = question.isLong ? free[free.length - 1] : free[0];
     if (asker === undefined) {
-      this.options.handleAnswer(question, undefined);
+      this.options.handleAnswer(question, undefined, 0);
       return;
     }
     const load = this.loads.get(asker.box) ?? { isBusy: false, avoidUntil: 0 };
     this.loads.set(asker.box, load);
     load.isBusy = true;
+    const askedAt = this.options.clock.readNow();
     const timeoutMs = question.expectedMs + ANSWER_MARGIN_MS;
     const answer = await asker.client.sendQuestion(question.step, question.endpoints, timeoutMs);
     load.isBusy = false;
     if (this.isStopped) {
       return;
     }
+    const now = this.options.clock.readNow();
     if (answer === undefined) {
-      load.avoidUntil = this.options.clock.readNow() + AVOID_MS;
+      load.avoidUntil = now + AVOID_MS;
     }
-    this.options.handleAnswer(question, answer);
+    this.options.handleAnswer(question, answer, Math.round(now - askedAt));
   }
 
   stop(): void {
--- a/packages/dispatch/AdviceQuestions.ts
+++ b/packages/dispatch/AdviceQuestions.ts
@@ -9,6 +9,7 @@
 import type { PlacedRun } from './PlacedRun';
 import type { RoomView } from './RoomView';
 import { toStepName } from './toStepName';
+import type { WaitCause } from './WaitCause';
 import type { WaitingStep } from './WaitingStep';
 
 /** Endpoints named in one question; so many are counted in a job's objective. */
@@ -42,26 +43,32 @@
     this.turns = turns;
   }
 
-  /** Asks about endpoints for the tasks of a step that found none with a ticket that holds until `neededUntil`. */
+  /**
+   * Asks about endpoints for the tasks of a step that found none with a ticket that holds until `neededUntil`. Returns what the
+   * tasks wait for from now on.
+   */
   sendQuestion(
     step: WaitingStep,
     eligible: readonly EndpointBook[],
     missing: number,
     now: number,
     neededUntil = now,
-  ): void {
+  ): WaitCause {
     const { advice } = step.job.definition.queue;
     const book = step.job.readAdvice(step.time, step.step);
-    if (advice === undefined || !book.isAskable(now)) {
-      return;
+    if (advice === undefined) {
+      return 'room';
+    }
+    if (!book.isAskable(now)) {
+      return 'answer';
     }
     const isLong = advice.decisionMs + advice.perEndpointMs * MAX_NAMED > LONG_QUESTION_MS;
     if (!this.hasTurn(isLong)) {
-      return;
+      return 'turn';
     }
     const named = this.candidates.chooseNamed(step, eligible, missing, neededUntil).slice(0, MAX_NAMED);
     if (named.length === 0) {
-      return;
+      return 'room';
     }
     book.recordQuestion();
     const endpoints = named.map((endpoint) => endpoint.readProfile().id);
@@ -74,6 +81,7 @@
       expectedMs: advice.decisionMs + advice.perEndpointMs * named.length,
       isLong,
     });
+    return 'answer';
   }
 
   /** Time from a question about the step to its answer, in milliseconds; 0 where none is needed. */
--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -2,13 +2,21 @@
 import type { JobId } from '../jobs/JobId';
 import type { TaskName } from '../jobs/TaskName';
 import type { StartOrder } from './StartOrder';
+import type { WaitTimes } from './WaitTimes';
 
 /** What the dispatcher wants done. */
 export type DispatchEffect =
   /** Write the job's progress to the log; then call `Dispatcher.handleRecorded` with the starts that it carries. */
   | { readonly kind: 'record'; readonly job: JobId }
   /** Send a start, once the record that carries it is durable. */
-  | { readonly kind: 'start'; readonly job: JobId; readonly endpoint: EndpointId; readonly order: StartOrder }
+  | {
+      readonly kind: 'start';
+      readonly job: JobId;
+      readonly endpoint: EndpointId;
+      readonly order: StartOrder;
+      /** What the task had waited for until it was placed. */
+      readonly waits: WaitTimes;
+    }
   | {
       readonly kind: 'stop';
       readonly endpoint: EndpointId;
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -139,7 +139,7 @@
     if (this.jobs.has(definition.id) || progress.isEnded()) {
       return;
     }
-    const job = new LiveJob(definition, progress);
+    const job = new LiveJob(definition, progress, now);
     this.jobs.set(definition.id, job);
     this.room.recordQueue(definition.queue);
     this.hasNews = true;
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -18,8 +18,11 @@
 import type { OrderAnswer } from './OrderAnswer';
 import { ProgressInheritance } from './ProgressInheritance';
 import { RoundPacer } from './RoundPacer';
+import type { WaitCause } from './WaitCause';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
+/** Times that a leader measures: `start` is the answer to a start order, the others are parts of the wait for it. */
+type LeaderTime = 'startMs' | 'roundMs' | (typeof WAIT_TIMES)[WaitCause];
 
 interface LeaderDutyOptions {
   readonly epoch: number;
@@ -48,9 +51,21 @@
     name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered',
     amount?: number,
   ) => void;
-  readonly recordTime: (name: 'startMs', valueMs: number) => void;
+  readonly recordTime: (name: LeaderTime, valueMs: number) => void;
 }
 
+/** Names of the measured times by what a task waited for. */
+const WAIT_TIMES = {
+  round: 'waitRoundMs',
+  turn: 'waitTurnMs',
+  answer: 'waitAnswerMs',
+  room: 'waitRoomMs',
+} as const satisfies Readonly<Record<WaitCause, string>>;
+const WAIT_CAUSES = Object.keys(WAIT_TIMES) as WaitCause[];
+/** Rounds that hold the process up for longer are worth a line. */
+const LONG_ROUND_MS = 10;
+/** Most one such line in so long, with the number of rounds that it stands for. */
+const LONG_ROUND_LINE_MS = 1000;
 const TICK_MS = 100;
 /**
  * Once the log has taken no progress for so long, nothing more is placed, and what waits for its record gives its room back. Beyond
@@ -71,6 +86,8 @@
   private hasReadJobs = false;
   private hasTakenOver = false;
   private isHoldingStarts = false;
+  /** Long rounds since the last line about them, and when that was written. */
+  private longRounds = { count: 0, longestMs: 0, toldAt: -Infinity };
   private isStopped = false;
   private readonly rounds: RoundPacer;
   private timer: NodeJS.Timeout | undefined;
@@ -116,7 +133,13 @@
     this.desk = new AdviceDesk({
       clock,
       readAskers: options.readAskers,
-      handleAnswer: (question, answer) => {
+      handleAnswer: (question, answer, tookMs) => {
+        options.logger.info('Advice answered.', {
+          step: question.step,
+          asked: question.endpoints.length,
+          allowed: answer?.size ?? 'no answer',
+          tookMs,
+        });
         this.dispatcher.handleAdvice(question.step, question.endpoints, answer, clock.readNow());
         this.queueRound();
       },
@@ -159,6 +182,8 @@
   /** A job was accepted, by any box. */
   handleJob(definition: JobDefinition): void {
     if (this.hasTakenOver) {
+      const { id, queue, steps } = definition;
+      this.options.logger.info('Job taken in.', { job: id, queue: queue.name, steps: steps.length });
       this.applyJob(definition);
       this.queueRound();
     }
@@ -274,6 +299,24 @@
       this.dispatcher.placeWaiting(now, clock.readWall(), turns);
     }
     this.sendEffects();
+    this.recordRound(clock.readNow() - now, now);
+  }
+
+  private recordRound(tookMs: number, now: number): void {
+    this.options.recordTime('roundMs', tookMs);
+    if (tookMs <= LONG_ROUND_MS) {
+      return;
+    }
+    const { count, longestMs, toldAt } = this.longRounds;
+    this.longRounds = { count: count + 1, longestMs: Math.max(longestMs, tookMs), toldAt };
+    if (now - toldAt >= LONG_ROUND_LINE_MS) {
+      this.options.logger.info('Rounds took long.', {
+        rounds: this.longRounds.count,
+        longestMs: Math.round(this.longRounds.longestMs),
+        jobs: this.dispatcher.readJobCount(),
+      });
+      this.longRounds = { count: 0, longestMs: 0, toldAt: now };
+    }
   }
 
   /** Starts are held while they could not be recorded: they would keep room, and leave with tickets that have run out. */
@@ -339,6 +382,7 @@
       return;
     }
     recordCount('starts');
+    WAIT_CAUSES.forEach((cause) => recordTime(WAIT_TIMES[cause], effect.waits[cause]));
     const sentAt = clock.readNow();
     session.recordLease(sentAt);
     const timeoutMs = this.orderTimeout.readTimeoutMs();
--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/LiveJob.ts
@@ -4,6 +4,7 @@
 import type { TaskName } from '../jobs/TaskName';
 import { AdviceBook } from './AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
+import { StepWait } from './StepWait';
 import { readWaitingSteps } from './readWaitingSteps';
 import type { WaitingStep } from './WaitingStep';
 
@@ -13,6 +14,8 @@
   readonly speeds: StepSpeeds;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointId>;
+  /** Undefined while no task of the step was seen waiting since the last was placed. */
+  wait: StepWait | undefined;
 }
 
 /** What waits, and for how long that holds. */
@@ -46,6 +49,8 @@
   constructor(
     readonly definition: JobDefinition,
     readonly progress: JobProgress,
+    /** Monotonic time at which a task may last have become able to start: the job was taken in, or a run ended. */
+    public changedAt = 0,
   ) {
     this.chainMs = measureChain(definition);
   }
@@ -82,6 +87,18 @@
     return this.readStepMemory(time, step).speeds;
   }
 
+  /** The wait of a step's tasks, from the job's newest change on if there is none yet. */
+  readWait(time: number, step: number): StepWait {
+    const memory = this.readStepMemory(time, step);
+    memory.wait ??= new StepWait(Math.max(this.changedAt, 0));
+    return memory.wait;
+  }
+
+  /** Tasks of the step have been placed: what waits from now on waits anew. */
+  recordPlaced(time: number, step: number, now: number, hasMore: boolean): void {
+    this.readStepMemory(time, step).wait = hasMore ? new StepWait(now) : undefined;
+  }
+
   hasFailedOn(time: number, step: number, endpoint: EndpointId): boolean {
     return this.readStepMemory(time, step).failedOn.has(endpoint);
   }
@@ -105,7 +122,12 @@
     if (known !== undefined) {
       return known;
     }
-    const created = { advice: new AdviceBook(), speeds: new StepSpeeds(), failedOn: new Set<EndpointId>() };
+    const created = {
+      advice: new AdviceBook(),
+      speeds: new StepSpeeds(),
+      failedOn: new Set<EndpointId>(),
+      wait: undefined,
+    };
     this.stepMemories.set(key, created);
     return created;
   }
--- a/packages/dispatch/PlacedRun.ts
+++ b/packages/dispatch/PlacedRun.ts
@@ -30,6 +30,8 @@
   stage: RunStage;
   /** Monotonic time of the placement. */
   placedAt: number;
+  /** Monotonic time at which its record was durable; `placedAt` before. */
+  recordedAt: number;
   /** Monotonic time at which the endpoint's answer to the start came. */
   confirmedAt: number;
   /** Monotonic time from which the next repetition of the stop counts; undefined before the first check. */
--- a/packages/dispatch/RunLedger.ts
+++ b/packages/dispatch/RunLedger.ts
@@ -40,6 +40,7 @@
     const job = this.jobs.get(run.job);
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
+      job.changedAt = now;
       this.sinks.handleChanged(run.job);
       this.sendTell('Run ended.', {
         job: run.job,
@@ -49,6 +50,9 @@
         outcome,
         stage: run.stage,
         ageMs: Math.round(now - run.placedAt),
+        recordMs: Math.round(run.recordedAt - run.placedAt),
+        startMs: Math.round(run.confirmedAt - run.recordedAt),
+        unheardMs: Math.round(now - run.seenAt),
       });
     }
     this.checkEmptyBook(book);
--- a/packages/dispatch/RunOrders.ts
+++ b/packages/dispatch/RunOrders.ts
@@ -40,6 +40,8 @@
       return false;
     }
     run.stage = 'ordered';
+    run.recordedAt = now;
+    run.confirmedAt = now;
     return true;
   }
 
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -8,6 +8,8 @@
 import { rankingRules } from './rankingRules';
 import type { RoomReservations } from './RoomReservations';
 import type { RoomView } from './RoomView';
+import { toRoundedTimes } from './toRoundedTimes';
+import { toStepName } from './toStepName';
 import type { WaitingStep } from './WaitingStep';
 
 interface Choice {
@@ -43,18 +45,24 @@
   placeStep(step: WaitingStep, now: number): boolean {
     const eligible = this.room.readEligible(step);
     const isShortOfRoom = this.room.isShortOfRoom(step, eligible);
+    const wait = step.job.readWait(step.time, step.step);
     if (!isShortOfRoom && !this.room.hasAnyRoom(step, eligible)) {
+      wait.recordCause('room', now);
       return false;
     }
     const choices = this.chooseEndpoints(step, eligible, now);
-    if (choices.length < step.indexes.length) {
-      const missing = step.indexes.length - choices.length;
-      this.options.questions.sendQuestion(step, eligible, missing, now);
-    }
+    const missing = step.indexes.length - choices.length;
+    const cause = missing === 0 ? 'room' : this.options.questions.sendQuestion(step, eligible, missing, now);
     if (isShortOfRoom && choices.length === 0) {
       this.startMakingRoom(step, eligible, now);
     }
-    this.placeChoices(step, choices, now);
+    if (choices.length > 0) {
+      this.placeChoices(step, choices, now);
+      step.job.recordPlaced(step.time, step.step, now, missing > 0);
+    }
+    if (missing > 0) {
+      step.job.readWait(step.time, step.step).recordCause(cause, now);
+    }
     return choices.length > 0;
   }
 
@@ -179,29 +187,34 @@
     const { job, shape } = step;
     const { progress, definition } = job;
     const gangCheckpoint = shape.isGang ? this.readGangCheckpoint(step) : '';
-    if (choices.length > 0) {
-      this.options.reservations.revokeFor(step);
-    }
-    for (const { book, run: placed, ticket } of choices) {
-      const { address, task, run } = placed;
+    const waits = job.readWait(step.time, step.step).readTimes(now);
+    this.options.reservations.revokeFor(step);
+    const rows = choices.map(({ book, run, ticket }) => {
+      const { address, task } = run;
       const endpoint = book.readProfile().id;
       const checkpoint = shape.isGang ? gangCheckpoint : progress.readTask(address)!.checkpoint;
-      progress.recordPlaced(address, run, endpoint);
-      const order = { task, run, spec: definition.spec, checkpoint, ticket };
-      this.options.sendEffect({ kind: 'start', job: definition.id, endpoint, order });
-      this.options.sendEffect({
-        kind: 'tell',
-        sentence: 'Run placed.',
-        fields: {
-          job: definition.id,
-          task,
-          run,
-          endpoint,
-          freeCpuMillis: book.readFree().cpuMillis,
-          failureRate: Number(book.readFailureRate(now).toFixed(2)),
-        },
-      });
-    }
+      progress.recordPlaced(address, run.run, endpoint);
+      const order = { task, run: run.run, spec: definition.spec, checkpoint, ticket };
+      this.options.sendEffect({ kind: 'start', job: definition.id, endpoint, order, waits });
+      return {
+        task,
+        run: run.run,
+        endpoint,
+        freeCpuMillis: book.readFree().cpuMillis,
+        failureRate: Number(book.readFailureRate(now).toFixed(2)),
+      };
+    });
+    this.options.sendEffect({
+      kind: 'tell',
+      sentence: 'Tasks placed.',
+      fields: {
+        job: definition.id,
+        step: toStepName(step),
+        queue: definition.queue.name,
+        waits: toRoundedTimes(waits),
+        placed: rows,
+      },
+    });
   }
 
   /** The saved text of any member is good for all, and all must carry the same one. */
--- a/packages/dispatch/createPlacedRun.ts
+++ b/packages/dispatch/createPlacedRun.ts
@@ -24,6 +24,7 @@
     isFromStart,
     stage: 'recording',
     placedAt: now,
+    recordedAt: now,
     confirmedAt: now,
     stopSentAt: undefined,
     isStopRepeated: false,
--- a/packages/dispatch/createStrangeRun.ts
+++ b/packages/dispatch/createStrangeRun.ts
@@ -17,6 +17,7 @@
   isFromStart: false,
   stage: 'running',
   placedAt: now,
+  recordedAt: now,
   confirmedAt: now,
   stopSentAt: undefined,
   isStopRepeated: false,
--- /dev/null
+++ b/packages/ledger/JobAccount.ts
@@ -0,0 +1,18 @@
+import type { RunAccount } from './RunAccount';
+
+/** One job, as the logs of all boxes tell it. Times are in milliseconds since 1970. */
+export interface JobAccount {
+  readonly job: string;
+  readonly queue: string;
+  /** When it was durable. */
+  readonly acceptedAt: number;
+  /** Time that this took. */
+  readonly acceptMs: number;
+  /** When the first leader had it; undefined when no line says so. */
+  takenInAt: number | undefined;
+  /** When its end was noted; undefined while it is open. */
+  endedAt: number | undefined;
+  ending: string;
+  /** By task and run number. */
+  readonly runs: Map<string, RunAccount>;
+}
--- /dev/null
+++ b/packages/ledger/LedgerCause.ts
@@ -0,0 +1,25 @@
+/**
+ * What a job's time went into.
+ * - `accept`: until the job was durable.
+ * - `handOver`: until the leader had it.
+ * - `round`, `turn`, `answer`, `room`: a task could start and was not placed; see `WaitCause`.
+ * - `record`: until the placement was durable.
+ * - `start`: until the endpoint had answered the order to start.
+ * - `running`: a run that ended in success.
+ * - `lost`: a run that ended in any other way.
+ * - `noted`: from the last end until the job's end was noted.
+ * - `unknown`: the logs do not tell; lines may have been left out.
+ */
+export type LedgerCause =
+  | 'accept'
+  | 'handOver'
+  | 'round'
+  | 'turn'
+  | 'answer'
+  | 'room'
+  | 'record'
+  | 'start'
+  | 'running'
+  | 'lost'
+  | 'noted'
+  | 'unknown';
--- /dev/null
+++ b/packages/ledger/ledgerCauses.ts
@@ -0,0 +1,17 @@
+import type { LedgerCause } from './LedgerCause';
+
+/** All causes, in the order in which a job meets them. */
+export const ledgerCauses: readonly LedgerCause[] = [
+  'accept',
+  'handOver',
+  'round',
+  'turn',
+  'answer',
+  'room',
+  'record',
+  'start',
+  'running',
+  'lost',
+  'noted',
+  'unknown',
+];
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -18,7 +18,15 @@
 const MICROS_PER_SECOND = 1e6;
 
 type CountName = (typeof COUNTS)[number];
-type TimeName = 'acceptMs' | 'readMs' | 'startMs';
+type TimeName =
+  | 'acceptMs'
+  | 'readMs'
+  | 'startMs'
+  | 'roundMs'
+  | 'waitRoundMs'
+  | 'waitTurnMs'
+  | 'waitAnswerMs'
+  | 'waitRoomMs';
 
 const toMetricName = (name: string): string => name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
 
--- a/tests/serve/explain.test.ts
+++ b/tests/serve/explain.test.ts
@@ -15,7 +15,12 @@
 const LINES = [
   toLine(0, { part: 'leader', message: 'Endpoint does not answer.', endpoint: 'i-1' }),
   toLine(1, { part: 'jobs', message: 'Job accepted.', job: JOB }),
-  toLine(2, { part: 'leader', message: 'Run placed.', job: JOB, task: `${JOB}.0.0.0`, endpoint: 'i-1' }),
+  toLine(2, {
+    part: 'leader',
+    message: 'Tasks placed.',
+    job: JOB,
+    placed: [{ task: `${JOB}.0.0.0`, run: 1, endpoint: 'i-1' }],
+  }),
   toLine(3, { part: 'leader', message: 'Endpoint does not answer.', endpoint: 'i-1' }),
   toLine(3, { part: 'leader', message: 'Endpoint does not answer.', endpoint: 'i-2' }),
   toLine(4, { part: 'leadership', message: 'Leader changed.', epoch: 2 }),
@@ -39,7 +44,7 @@
     const messages = readJobStory(LINES, JOB).map(({ message }) => message);
     expect(messages).toEqual([
       'Job accepted.',
-      'Run placed.',
+      'Tasks placed.',
       'Endpoint does not answer.',
       'Leader changed.',
       'Job ended.',
@@ -57,6 +62,28 @@
     expect(startCommand(JOB, join(folder, 'missing.log')).status).toBe(2);
   });
 
+  it('gives a ledger of where time went from the command line, and says what is wrong with its arguments', () => {
+    const startCommand = (...args: string[]) =>
+      spawnSync(process.execPath, ['dist/stairline.cjs', 'ledger', ...args], { encoding: 'utf8' });
+    const accepted = toLine(1, {
+      part: 'jobs',
+      message: 'Job accepted.',
+      job: JOB,
+      queue: 'jobs',
+      tookMs: 4,
+    });
+    writeFileSync(join(folder, 'ledger.log'), [accepted, ...LINES].join('\n'));
+    const known = startCommand('--worst', '1', join(folder, 'ledger.log'));
+    expect(known.status).toBe(0);
+    expect(known.stdout).toContain(`${JOB} jobs completed 4004 ms: accept 4`);
+    const json = startCommand('--json', join(folder, 'ledger.log'));
+    expect(JSON.parse(json.stdout)).toMatchObject({ job: JOB, queue: 'jobs', totalMs: 4004 });
+    expect(startCommand(join(folder, 'all.log')).status).toBe(1);
+    expect(startCommand().status).toBe(2);
+    expect(startCommand('--window', 'much', join(folder, 'ledger.log')).status).toBe(2);
+    expect(startCommand(join(folder, 'missing.log')).status).toBe(2);
+  });
+
   it('bounds the volume of the log, counts what it leaves out, and keeps errors', () => {
     const written: string[] = [];
     let now = 0;
