--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -29,6 +29,7 @@
  */
 export class HttpCaller {
   private pool: Pool;
+  private isStopped = false;
   private underWay = 0;
   private readonly waiting: (() => void)[] = [];
 
@@ -57,6 +58,9 @@
 
   /** Makes later calls over new connections; calls under way keep theirs. */
   renewConnections(): void {
+    if (this.isStopped) {
+      return;
+    }
     const { pool } = this;
     this.pool = this.createPool();
     // Resolves once the calls under way have ended, each by its own limit. Nobody waits for it.
@@ -64,6 +68,7 @@
   }
 
   async stop(): Promise<void> {
+    this.isStopped = true;
     await this.pool.destroy();
   }
 
--- a/tests/serve/calls.test.ts
+++ b/tests/serve/calls.test.ts
@@ -77,6 +77,22 @@
     await caller.stop();
   });
 
+  it('end without an answer when the caller stops, and nothing is left behind', async () => {
+    answerMs = 1000;
+    const rejected: unknown[] = [];
+    const handleRejection = (reason: unknown): void => void rejected.push(reason);
+    process.on('unhandledRejection', handleRejection);
+    const caller = new HttpCaller({ address, connections: 1 });
+    const call = caller.sendCall({ method: 'GET', path: '/', timeoutMs: 500 });
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    await caller.stop();
+    expect((await call).kind).toBe('unanswered');
+    caller.renewConnections();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    process.off('unhandledRejection', handleRejection);
+    expect(rejected).toEqual([]);
+  });
+
   it('end without an answer after their limit, and say when nobody listens', async () => {
     answerMs = 1000;
     const caller = new HttpCaller({ address, connections: 1 });
