A new leader waits for unheard endpoints from the last sign of the earlier one, not from its own election

The next leader could not hear that endpoint and waited 12.4 s from its own election (38.5 to 50.7 s) until it started them anew; the job stood still to the end. The earlier leader had shown its last sign at 31.0 s, so its leases could last until 43.4 s. LeaseHistory folds the signs of all earlier leaders, in the order of the log; a leader that has said that it stopped leaves only its leases. For this a leader renews leases, and sends starts, only within 8 s of its last write to the topic that the others follow; before, a write to the other topic counted too. Ruled out: the draining endpoint's own record, which sets a least time and no most. Tests: leadership, what earlier leaders leased.

--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -26,6 +26,10 @@
 
 interface LeaderDutyOptions {
   readonly epoch: number;
+  /** Monotonic time at which the claim was sent that made this process lead. */
+  readonly claimedAt: number;
+  /** Monotonic time by which all that earlier leaders leased has ended, on endpoints that were not heard since. */
+  readonly earlierLeasesEndAt: number;
   readonly client: LogClient;
   /** Topic of the states of jobs and of the leader's record, which every box follows. */
   readonly statesTopic: string;
@@ -94,9 +98,8 @@
 
   constructor(private readonly options: LeaderDutyOptions) {
     const { clock, client, epoch, replica } = options;
-    const { unconfirmedMs, leaseMs, clockDriftShare, marginMs } = leaderTimings;
     this.dispatcher = new Dispatcher({
-      unheardUntil: clock.readNow() + unconfirmedMs + leaseMs * (1 + clockDriftShare) + marginMs,
+      unheardUntil: options.earlierLeasesEndAt,
       readDefinition: (id) => replica.readDefinition(id),
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
@@ -119,7 +122,7 @@
       dispatcher: this.dispatcher,
       parseEndpoint: options.parseEndpoint,
       createEndpointClient: options.createEndpointClient,
-      isRenewing: () => clock.readNow() - this.journal.readConfirmedAt() < unconfirmedMs,
+      isRenewing: () => this.isRenewing(),
       handleLooked: (newEndCount) => this.handleLooked(newEndCount),
       startFlush: () => this.journal.startFlush(),
       handleSilent: () => options.recordCount('unanswered'),
@@ -279,6 +282,11 @@
     }
   }
 
+  /** True while this leader may give leases; the next one waits until the last of them has ended. */
+  private isRenewing(): boolean {
+    return this.options.clock.readNow() - this.journal.readShownAt() < leaderTimings.unconfirmedMs;
+  }
+
   private queueRound(): void {
     if (!this.isStopped) {
       this.rounds.queueRound();
@@ -374,7 +382,8 @@
     const { endpoint, order } = effect;
     const session = this.endpoints.readSession(endpoint);
     const isWanted = !this.isStopped && this.dispatcher.handleRecorded(effect, clock.readNow());
-    if (session === undefined || !isWanted) {
+    // A start grants a lease too.
+    if (session === undefined || !isWanted || !this.isRenewing()) {
       if (isWanted) {
         this.dispatcher.handleUnsent(effect, clock.readNow());
       }
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -14,6 +14,8 @@
 
 interface LeaderJournalOptions {
   readonly epoch: number;
+  /** Monotonic time at which the claim was sent that made this process lead. */
+  readonly claimedAt: number;
   readonly client: LogClient;
   /** Topic of the states of jobs and of the leader's record, which every box follows. */
   readonly statesTopic: string;
@@ -39,22 +41,23 @@
   /** Nothing starts, and no end is acknowledged, before it is durable here. */
   private readonly progressWriter: ExclusiveWriter;
   private readonly stateWriter: ExclusiveWriter;
-  private confirmedAt: number;
   /** When the newest answered write to the topic that the other boxes follow was sent. */
-  private shownAt = -Infinity;
+  private shownAt: number;
 
   constructor(private readonly options: LeaderJournalOptions) {
-    this.confirmedAt = options.clock.readNow();
-    this.progressWriter = this.createWriter(options.progressTopic, (sentAt) => this.recordConfirmed(sentAt));
+    this.shownAt = options.claimedAt;
+    this.progressWriter = this.createWriter(options.progressTopic, () => undefined);
     this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => {
-      this.shownAt = sentAt;
-      this.recordConfirmed(sentAt);
+      this.shownAt = Math.max(this.shownAt, sentAt);
     });
   }
 
-  /** Monotonic time at which the newest write that the log has answered was sent, on either topic. */
-  readConfirmedAt(): number {
-    return this.confirmedAt;
+  /**
+   * Monotonic time at which the newest write was sent that the other boxes can have read. The next leader counts from what it has read
+   * how long leases may last, so nothing else may lengthen them.
+   */
+  readShownAt(): number {
+    return this.shownAt;
   }
 
   /** How long the log has not taken writes, in milliseconds. */
@@ -125,10 +128,6 @@
     this.stateWriter.stop();
   }
 
-  private recordConfirmed(sentAt: number): void {
-    this.confirmedAt = Math.max(this.confirmedAt, sentAt);
-  }
-
   private createWriter(topic: string, handleConfirmed: (sentAt: number) => void): ExclusiveWriter {
     const { client, clock, epoch, logger, maxAppendBytes, handleFenced, handleLogBack } = this.options;
     return new ExclusiveWriter({
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -7,6 +7,7 @@
 import type { LogFollower } from '../store/LogFollower';
 import type { LogRecord } from '../store/LogRecord';
 import type { LeaderRecord } from './LeaderRecord';
+import { LeaseHistory } from './LeaseHistory';
 import { leaderKeys } from './leaderKeys';
 import { leaderTimings } from './leaderTimings';
 
@@ -22,7 +23,16 @@
   /** True when boxes are known that should lead rather than this one. */
   readonly isOutranked: () => boolean;
   /** Called once this process leads. */
-  readonly handleElected: (epoch: number) => void;
+  readonly handleElected: (election: Election) => void;
+}
+
+/** What a process that has come to lead must know. Times are monotonic. */
+interface Election {
+  readonly epoch: number;
+  /** When the claim was sent that won. */
+  readonly claimedAt: number;
+  /** When all that earlier leaders leased has ended, on endpoints that were not heard since. */
+  readonly earlierLeasesEndAt: number;
 }
 
 const CLAIM_TIMEOUT_MS = 700;
@@ -65,6 +75,7 @@
   private endedReason: ClaimReason = 'the leader handed over';
   /** Monotonic time at which this process noticed that. */
   private endedAt = -Infinity;
+  private readonly leases = new LeaseHistory();
   private readonly silenceLimitMs: number;
   private readonly shortJitter: number;
 
@@ -79,13 +90,16 @@
 
   /** Folds records of the progress topic. Only leaders write there, so every record is a sign of the leader. */
   foldRecords(records: readonly LogRecord[]): void {
-    this.signAt = this.options.clock.readNow();
+    const now = this.options.clock.readNow();
+    this.signAt = now;
     for (const { key, value } of records) {
       if (key !== leaderKeys.recordKey) {
+        this.leases.recordSign(now);
         continue;
       }
       const parsed = recordSchema.safeParse(parseJson(value));
       if (parsed.success && parsed.data.epoch >= (this.record?.epoch ?? 0)) {
+        this.leases.recordLeader(parsed.data, now);
         this.applyRecord(parsed.data);
       }
     }
@@ -93,6 +107,7 @@
 
   /** The leader of an epoch has stopped and asked this process to lead next. */
   handleHandOver(epoch: number): void {
+    this.leases.recordStopped(epoch, this.options.clock.readNow());
     this.endedEpoch = epoch;
     this.endedReason = 'the leader handed over';
     this.applyTime();
@@ -130,6 +145,7 @@
   handleDeposed(): void {
     this.isLeading = false;
     this.signAt = this.options.clock.readNow();
+    this.leases.recordSign(this.signAt);
   }
 
   /** Claims no more. */
@@ -191,6 +207,7 @@
       reason,
       silentMs: Math.round(clock.readNow() - this.signAt),
     });
+    const claimedAt = clock.readNow();
     const answer = await client.append({
       topic,
       writes: [{ key: leaderKeys.recordKey, value: this.formatRecord(epoch, false) }],
@@ -205,6 +222,10 @@
       return;
     }
     this.isLeading = true;
-    this.options.handleElected(epoch);
+    this.options.handleElected({
+      epoch,
+      claimedAt,
+      earlierLeasesEndAt: this.leases.readEarlierEndAt(),
+    });
   }
 }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -25,6 +25,8 @@
 import { ServeMetrics } from './ServeMetrics';
 import type { ServeSettings } from './ServeSettings';
 
+type Election = Parameters<ConstructorParameters<typeof Leadership>[0]['handleElected']>[0];
+
 interface ServeProcessOptions {
   readonly settings: ServeSettings;
   readonly adapter: ServeAdapter;
@@ -126,7 +128,7 @@
       random,
       logger: options.createPartLogger('leadership'),
       isOutranked: () => this.directory.readStronger(settings.cores).length > 0,
-      handleElected: (epoch) => this.startLeading(epoch),
+      handleElected: (election) => this.startLeading(election),
     });
     this.boxes = new BoxClients(this.directory, settings);
     this.handOver = this.createHandOver();
@@ -354,7 +356,8 @@
     }
   }
 
-  private startLeading(epoch: number): void {
+  private startLeading(election: Election): void {
+    const { epoch } = election;
     const { adapter, clock, random, settings } = this.options;
     if (this.isStopping) {
       return;
@@ -364,7 +367,7 @@
     this.statesFollower.stop();
     this.jobsFollower.applyPause(LEADER_PAUSE_MS);
     this.duty = new LeaderDuty({
-      epoch,
+      ...election,
       client: this.log,
       statesTopic: STATES_TOPIC,
       progressTopic: PROGRESS_TOPIC,
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -2,6 +2,8 @@
 import { BoxDirectory } from '../packages/boxes/BoxDirectory';
 import { Leadership } from '../packages/leadership/Leadership';
 import { leaderKeys } from '../packages/leadership/leaderKeys';
+import type { LeaderRecord } from '../packages/leadership/LeaderRecord';
+import { LeaseHistory } from '../packages/leadership/LeaseHistory';
 import type { LogClient } from '../packages/store/LogClient';
 import { LogFollower } from '../packages/store/LogFollower';
 
@@ -87,3 +89,54 @@
     expect(directory.readPeers(0.3)).toHaveLength(3);
   });
 });
+
+describe('what earlier leaders leased', () => {
+  const toRecord = (epoch: number, isResigned = false): LeaderRecord => ({
+    epoch,
+    box: `box-${epoch}`,
+    process: `box-${epoch}#1`,
+    isResigned,
+  });
+  const LEASE_BOUND_MS = 4370;
+  const UNCONFIRMED_MS = 8000;
+
+  it('ends a bounded time after the last sign of a leader, however late the next one is elected', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordSign(2000);
+    leases.recordLeader(toRecord(2), 9000);
+    expect(leases.readEarlierEndAt()).toBe(2000 + LEASE_BOUND_MS + UNCONFIRMED_MS);
+  });
+
+  it('ends with the lease itself where the leader has said that it stopped', () => {
+    const resigned = new LeaseHistory();
+    resigned.recordLeader(toRecord(1), 1000);
+    resigned.recordLeader(toRecord(1, true), 5000);
+    resigned.recordLeader(toRecord(2), 5500);
+    expect(resigned.readEarlierEndAt()).toBe(5000 + LEASE_BOUND_MS);
+    const told = new LeaseHistory();
+    told.recordLeader(toRecord(1), 1000);
+    told.recordStopped(1, 5000);
+    told.recordLeader(toRecord(2), 5500);
+    expect(told.readEarlierEndAt()).toBe(5000 + LEASE_BOUND_MS);
+  });
+
+  it('is not forgotten when a leader in between was short', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordLeader(toRecord(2), 3000);
+    leases.recordLeader(toRecord(2, true), 3100);
+    leases.recordLeader(toRecord(3), 3200);
+    expect(leases.readEarlierEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_MS);
+  });
+
+  it('counts a heartbeat that is read after the word of its leader, and not the word of another', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordStopped(1, 1100);
+    leases.recordLeader(toRecord(1), 1200);
+    leases.recordStopped(7, 1300);
+    leases.recordLeader(toRecord(2), 1400);
+    expect(leases.readEarlierEndAt()).toBe(1200 + LEASE_BOUND_MS + UNCONFIRMED_MS);
+  });
+});
