--- a/tests/adviceQuestions.test.ts
+++ b/tests/adviceQuestions.test.ts
@@ -4,34 +4,21 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
-import type { JobId } from '../packages/jobs/JobId';
 import { JobProgress } from '../packages/jobs/JobProgress';
-import type { ServiceName } from '../packages/jobs/ServiceName';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 
 type Question = Extract<DispatchEffect, { kind: 'advise' }>;
 
-const SERVICE = toId<ServiceName>('service-a');
 const ENDPOINTS = 24;
 
-const createJob = (number: number): JobDefinition => ({
-  id: toId<JobId>(number.toString(16).padStart(16, '0')),
-  queue: {
-    name: 'jobs',
-    service: SERVICE,
-    priority: 0,
-    attempts: 3,
-    stretch: 1.5,
-    targetLatencyMs: 250,
-    advice: { decisionMs: 30, perEndpointMs: 1, validityMs: 2500 },
-  },
-  spec: '',
-  steps: [createStep({ count: 2, demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 } })],
-  times: 1,
-  firstRunMs: 0,
-  intervalMs: 0,
-  acceptedAtMs: number,
-});
+const createJob = (number: number): JobDefinition =>
+  createJobDefinition(
+    number,
+    [createStep({ count: 2, demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 } })],
+    { advice: { decisionMs: 30, perEndpointMs: 1, validityMs: 2500 } },
+  );
 
 describe('questions to the advice service', () => {
   let dispatcher: Dispatcher;
@@ -40,16 +27,8 @@
     dispatcher = new Dispatcher({ readDefinition: () => undefined, unheardUntil: 0 });
     for (let index = 0; index < ENDPOINTS; index += 1) {
       const id = toId<EndpointId>(`i-${index}`);
-      dispatcher.handleEndpoint({
-        id,
-        service: SERVICE,
-        address: `10.0.0.${index}:80`,
-        hall: 'hall-a',
-        capacity: { cpuMillis: 1000, memoryMb: 10_000, accelerators: 0 },
-        labels: [],
-        isDraining: false,
-        remainingMs: 0,
-      });
+      const capacity = { cpuMillis: 1000, memoryMb: 10_000, accelerators: 0 };
+      dispatcher.handleEndpoint(createProfile(id, { capacity }));
       dispatcher.handleLook({ endpoint: id, running: [], ended: [], sentAt: 0 }, 0, 0);
     }
   });
--- a/tests/dispatch.test.ts
+++ b/tests/dispatch.test.ts
@@ -15,38 +15,19 @@
 import { JobProgress } from '../packages/jobs/JobProgress';
 import type { JobStep } from '../packages/jobs/JobStep';
 import { parseProgress } from '../packages/jobs/parseProgress';
-import type { ServiceName } from '../packages/jobs/ServiceName';
 import type { TaskName } from '../packages/jobs/TaskName';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 
-const SERVICE = toId<ServiceName>('service-a');
 const CPUS = 4000;
 const LEASE_MS = 4000;
 /** Worlds to try; more by hand, with other seeds. */
 const RUNS = Number(process.env['STAIRLINE_WORLDS'] ?? 60);
 const SEED = Number(process.env['STAIRLINE_WORLD_SEED'] ?? 20261202);
 
-const createJob = (number: number, steps: readonly JobStep[], attempts = 3, priority = 0): JobDefinition => ({
-  id: toId<JobId>(number.toString(16).padStart(16, '0')),
-  queue: { name: 'jobs', service: SERVICE, priority, attempts, stretch: 1.5, targetLatencyMs: 250 },
-  spec: '',
-  steps,
-  times: 1,
-  firstRunMs: 0,
-  intervalMs: 0,
-  acceptedAtMs: number,
-});
-
-const createProfile = (index: number): EndpointProfile => ({
-  id: toId<EndpointId>(`i-${index}`),
-  service: SERVICE,
-  address: `10.0.0.${index}:80`,
-  hall: 'hall-a',
-  capacity: { cpuMillis: CPUS, memoryMb: 10_000, accelerators: 0 },
-  labels: [],
-  isDraining: false,
-  remainingMs: 0,
-});
+const createJob = (number: number, steps: readonly JobStep[], attempts = 3, priority = 0): JobDefinition =>
+  createJobDefinition(number, steps, { attempts, priority });
 
 interface ModelRun {
   readonly task: TaskName;
@@ -102,7 +83,7 @@
     this.random = createRandom(seed);
     for (let index = 0; index < 3; index += 1) {
       this.endpoints.push({
-        profile: createProfile(index),
+        profile: createProfile(`i-${index}`),
         runs: new Map(),
         rejected: new Map(),
         ends: [],
@@ -442,7 +423,7 @@
   /** A long-running task at work on the first of two endpoints. */
   const createAtWork = () => {
     const dispatcher = new Dispatcher({ readDefinition: () => undefined, unheardUntil: 0 });
-    const [first, second] = [createProfile(0), createProfile(1)];
+    const [first, second] = [createProfile('i-0'), createProfile('i-1')];
     const definition = createJob(1, [createStep({ count: 1, isLongRunning: true, missAllowed: 1 })]);
     dispatcher.handleEndpoint(first);
     dispatcher.handleLook({ endpoint: first.id, running: [], ended: [], sentAt: 0 }, 1, 1);
--- a/tests/endpointSession.test.ts
+++ b/tests/endpointSession.test.ts
@@ -5,9 +5,8 @@
 import type { EndpointClient } from '../packages/dispatch/EndpointClient';
 import { EndpointSession } from '../packages/dispatch/EndpointSession';
 import type { HoldAnswer } from '../packages/dispatch/HoldAnswer';
-import type { EndpointId } from '../packages/jobs/EndpointId';
-import type { ServiceName } from '../packages/jobs/ServiceName';
 import type { TaskName } from '../packages/jobs/TaskName';
+import { createProfile } from './helpers/createProfile';
 
 type HoldRequest = Parameters<EndpointClient['sendHold']>[0];
 type HeldHandler = ConstructorParameters<typeof EndpointSession>[0]['handleHeld'];
@@ -19,20 +18,7 @@
 const LEASE_MS = 4000;
 const END = { number: 1, task: toId<TaskName>('0.0.0.0'), run: 1, how: 'done', checkpoint: '' } as const;
 
-const createBook = (): EndpointBook =>
-  new EndpointBook(
-    {
-      id: toId<EndpointId>('i-0'),
-      service: toId<ServiceName>('service-a'),
-      address: '10.0.0.1:80',
-      hall: 'hall-a',
-      capacity: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 },
-      labels: [],
-      isDraining: false,
-      remainingMs: 0,
-    },
-    0,
-  );
+const createBook = (): EndpointBook => new EndpointBook(createProfile('i-0'), 0);
 
 const createSession = (
   book: EndpointBook,
--- a/tests/heldStarts.test.ts
+++ b/tests/heldStarts.test.ts
@@ -4,54 +4,37 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
-import type { JobId } from '../packages/jobs/JobId';
 import { JobProgress } from '../packages/jobs/JobProgress';
-import type { ServiceName } from '../packages/jobs/ServiceName';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 type Question = Extract<DispatchEffect, { kind: 'advise' }>;
 
-const SERVICE = toId<ServiceName>('service-a');
 const ENDPOINT = toId<EndpointId>('i-0');
 const VALIDITY_MS = 2500;
 const ROOM = 4;
 const TURNS = { all: 1, long: 1 };
 
-const createJob = (number: number, priority: number, count: number): JobDefinition => ({
-  id: toId<JobId>(number.toString(16).padStart(16, '0')),
-  queue: {
-    name: `queue-${priority}`,
-    service: SERVICE,
-    priority,
-    attempts: 3,
-    stretch: 1.5,
-    targetLatencyMs: 250,
-    advice: { decisionMs: 5, perEndpointMs: 1, validityMs: VALIDITY_MS },
-  },
-  spec: '',
-  steps: [createStep({ count, demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 } })],
-  times: 1,
-  firstRunMs: 0,
-  intervalMs: 0,
-  acceptedAtMs: number,
-});
+const createJob = (number: number, priority: number, count: number): JobDefinition =>
+  createJobDefinition(
+    number,
+    [createStep({ count, demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 } })],
+    {
+      name: `queue-${priority}`,
+      priority,
+      advice: { decisionMs: 5, perEndpointMs: 1, validityMs: VALIDITY_MS },
+    },
+  );
 
 describe('starts whose record waits for the log', () => {
   let dispatcher: Dispatcher;
 
   beforeEach(() => {
     dispatcher = new Dispatcher({ readDefinition: () => undefined, unheardUntil: 0 });
-    dispatcher.handleEndpoint({
-      id: ENDPOINT,
-      service: SERVICE,
-      address: '10.0.0.1:80',
-      hall: 'hall-a',
-      capacity: { cpuMillis: ROOM * 1000, memoryMb: 10_000, accelerators: 0 },
-      labels: [],
-      isDraining: false,
-      remainingMs: 0,
-    });
+    const capacity = { cpuMillis: ROOM * 1000, memoryMb: 10_000, accelerators: 0 };
+    dispatcher.handleEndpoint(createProfile(ENDPOINT, { capacity }));
     dispatcher.handleLook({ endpoint: ENDPOINT, running: [], ended: [], sentAt: 0 }, 0, 0);
   });
 
--- /dev/null
+++ b/tests/helpers/createProfile.ts
@@ -0,0 +1,17 @@
+import { toId } from '../../packages/common/toId';
+import type { EndpointProfile } from '../../packages/dispatch/EndpointProfile';
+import type { EndpointId } from '../../packages/jobs/EndpointId';
+import type { ServiceName } from '../../packages/jobs/ServiceName';
+
+/** An endpoint of four cores, or what the fields say. */
+export const createProfile = (id: string, fields: Partial<EndpointProfile> = {}): EndpointProfile => ({
+  id: toId<EndpointId>(id),
+  service: toId<ServiceName>('service-a'),
+  address: `${id}:80`,
+  hall: 'hall-a',
+  capacity: { cpuMillis: 4000, memoryMb: 10_000, accelerators: 0 },
+  labels: [],
+  isDraining: false,
+  remainingMs: 0,
+  ...fields,
+});
--- a/tests/lapsedRecords.test.ts
+++ b/tests/lapsedRecords.test.ts
@@ -4,8 +4,8 @@
 import type { EndpointClient } from '../packages/dispatch/EndpointClient';
 import { EndpointSessions } from '../packages/dispatch/EndpointSessions';
 import type { EndpointId } from '../packages/jobs/EndpointId';
-import type { ServiceName } from '../packages/jobs/ServiceName';
 import type { LogClient } from '../packages/store/LogClient';
+import { createProfile } from './helpers/createProfile';
 
 const ENDPOINT = toId<EndpointId>('i-0');
 /** Timers fire a little early by the clock, as they do when a process was busy as it set them. */
@@ -55,16 +55,7 @@
       random: () => 0.5,
       logger: { info: record, warn: record, error: record },
       dispatcher,
-      parseEndpoint: (id) => ({
-        id: toId<EndpointId>(id),
-        service: toId<ServiceName>('service-a'),
-        address: '10.0.0.1:80',
-        hall: 'hall-a',
-        capacity: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 },
-        labels: [],
-        isDraining: false,
-        remainingMs: 0,
-      }),
+      parseEndpoint: (id) => createProfile(id),
       createEndpointClient: () => noEndpoint,
       isRenewing: () => true,
       handleLooked: () => undefined,
--- a/tests/makingRoom.test.ts
+++ b/tests/makingRoom.test.ts
@@ -5,10 +5,10 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
-import type { JobId } from '../packages/jobs/JobId';
 import { JobProgress } from '../packages/jobs/JobProgress';
 import type { JobStep } from '../packages/jobs/JobStep';
-import type { ServiceName } from '../packages/jobs/ServiceName';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -21,36 +21,24 @@
   readonly questions: readonly Question[];
 }
 
-const SERVICE = toId<ServiceName>('service-a');
 const ACCELERATORS = 8;
 const LEASE_MS = 4000;
 const URGENT = 1;
 const PATIENT = 2;
 
-const createJob = (number: number, priority: number, step: Partial<JobStep>): JobDefinition => ({
-  id: toId<JobId>(number.toString(16).padStart(16, '0')),
-  queue: {
-    name: `queue-${priority}`,
-    service: SERVICE,
-    priority,
-    attempts: 3,
-    stretch: 4,
-    targetLatencyMs: 3000,
-  },
-  spec: '',
-  steps: [
-    createStep({
-      count: 1,
-      demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 1 },
-      estimatedMs: 4000,
-      ...step,
-    }),
-  ],
-  times: 1,
-  firstRunMs: 0,
-  intervalMs: 0,
-  acceptedAtMs: number,
-});
+const createJob = (number: number, priority: number, step: Partial<JobStep>): JobDefinition =>
+  createJobDefinition(
+    number,
+    [
+      createStep({
+        count: 1,
+        demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 1 },
+        estimatedMs: 4000,
+        ...step,
+      }),
+    ],
+    { name: `queue-${priority}`, priority, stretch: 4, targetLatencyMs: 3000 },
+  );
 
 const createGang = (number: number): JobDefinition =>
   createJob(number, URGENT, {
@@ -69,16 +57,8 @@
     for (const name of ['i-0', 'i-1']) {
       const id = toId<EndpointId>(name);
       this.running.set(id, []);
-      this.dispatcher.handleEndpoint({
-        id,
-        service: SERVICE,
-        address: `${name}:80`,
-        hall: 'hall-a',
-        capacity: { cpuMillis: 16_000, memoryMb: 10_000, accelerators: ACCELERATORS },
-        labels: [],
-        isDraining: false,
-        remainingMs: 0,
-      });
+      const capacity = { cpuMillis: 16_000, memoryMb: 10_000, accelerators: ACCELERATORS };
+      this.dispatcher.handleEndpoint(createProfile(id, { capacity }));
     }
     this.startLooks();
   }
