--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/EndpointSession.ts
@@ -42,8 +42,8 @@
 
 /**
  * Keeps one endpoint leased and watched: one long poll at a time, which answers as soon as a run ends.
- * An end is acknowledged only once it is durable, which may take several looks. An endpoint that does not answer is looked at without a new lease, so that
- * the time by which all its work has ended stays known.
+ * An end is acknowledged only once it is durable, which may take several looks. An endpoint that does not answer is looked at without
+ * a new lease, so that the time by which all its work has ended stays known.
  */
 export class EndpointSession {
   /** Ends up to this number are durable. */
