Waits and leases: three needless things removed

A bound at 0 of a time that is never below it with a default that nobody used, a flag set twice in one call, and a look-up of a step's wait that only one branch needed. No behaviour changes; types, lint and the 36 tests of dispatch, leadership, advice, held starts and making room pass.

--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/LiveJob.ts
@@ -50,7 +50,7 @@
     readonly definition: JobDefinition,
     readonly progress: JobProgress,
     /** Monotonic time at which a task may last have become able to start: the job was taken in, or a run ended. */
-    public changedAt = 0,
+    public changedAt: number,
   ) {
     this.chainMs = measureChain(definition);
   }
@@ -90,7 +90,7 @@
   /** The wait of a step's tasks, from the job's newest change on if there is none yet. */
   readWait(time: number, step: number): StepWait {
     const memory = this.readStepMemory(time, step);
-    memory.wait ??= new StepWait(Math.max(this.changedAt, 0));
+    memory.wait ??= new StepWait(this.changedAt);
     return memory.wait;
   }
 
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -45,9 +45,8 @@
   placeStep(step: WaitingStep, now: number): boolean {
     const eligible = this.room.readEligible(step);
     const isShortOfRoom = this.room.isShortOfRoom(step, eligible);
-    const wait = step.job.readWait(step.time, step.step);
     if (!isShortOfRoom && !this.room.hasAnyRoom(step, eligible)) {
-      wait.recordCause('room', now);
+      step.job.readWait(step.time, step.step).recordCause('room', now);
       return false;
     }
     const choices = this.chooseEndpoints(step, eligible, now);
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -24,7 +24,6 @@
     if (epoch > this.epoch) {
       this.earlierEndAt = Math.max(this.earlierEndAt, this.readEndAt());
       this.epoch = epoch;
-      this.hasStopped = false;
     }
     this.recordSign(now);
     this.hasStopped = isResigned;
