--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -18,6 +18,14 @@
   readonly strongBoxes?: number;
 }
 
+/** A customer in the cell's configuration. */
+interface CellCustomer {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Thousandths of a core that its tasks may take in all; 0 for no limit. */
+  readonly cpuMillis: number;
+}
+
 interface CellBox {
   readonly name: string;
   readonly front: string;
@@ -44,6 +52,7 @@
 const BOX_PORTS = 4;
 const PROGRAM = 'dist/stairline.cjs';
 const SERVICE = 'service-a';
+const OPEN_QUEUE = 'open';
 const QUEUE_HOST = 'jobs.example';
 const CALL_TIMEOUT_MS = 8000;
 const POLL_MS = 40;
@@ -93,8 +102,15 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
-  /** Writes a version of the configuration: queue `jobs`, and `advised`, which needs advice. */
-  writeConfiguration(version: number, extra: readonly string[] = []): void {
+  /**
+   * Writes a version of the configuration: queue `jobs`, and `advised`, which needs advice. With customers all queues need one of
+   * their keys, but `open`.
+   */
+  writeConfiguration(
+    version: number,
+    extra: readonly string[] = [],
+    customers?: readonly CellCustomer[],
+  ): void {
     const route = (name: string): object => ({
       name,
       host: QUEUE_HOST,
@@ -106,10 +122,18 @@
       service: SERVICE,
       attempts: 2,
       stretch: 1.5,
+      'auth-exempt': name === OPEN_QUEUE,
     });
     const advice = { 'decision-ms': 5, 'period-ms': 1, 'validity-ms': 2500 };
     const routes = [...['jobs', 'urgent', ...extra].map(route), { ...route('advised'), advice }];
-    const configuration = { version, routes, services: [{ name: SERVICE }], limits: {} };
+    const tenants = customers?.map(({ name, keys, cpuMillis }) => ({
+      name,
+      'api-keys': keys,
+      weight: 1,
+      'upper-limit': { cpu: cpuMillis, 'mem-mb': 0, gpu: 0 },
+    }));
+    const known = tenants === undefined ? {} : { tenants };
+    const configuration = { version, routes, services: [{ name: SERVICE }], limits: {}, ...known };
     this.log.writeRecord('keyed.op', 'config', configuration);
   }
 
@@ -167,12 +191,13 @@
     return leader!;
   }
 
-  async sendJob(box: CellBox, id: string, body: unknown, queue = 'jobs'): Promise<CellAnswer> {
+  async sendJob(box: CellBox, id: string, body: unknown, queue = 'jobs', key?: string): Promise<CellAnswer> {
     return this.sendCall(
       box,
       'POST',
       `/${queue}/${id}`,
       typeof body === 'string' ? body : JSON.stringify(body),
+      key === undefined ? undefined : `Token ${key}`,
     );
   }
 
@@ -185,6 +210,7 @@
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
     body?: string,
+    authorization?: string,
   ): Promise<CellAnswer> {
     const startedAt = performance.now();
     const answer = await request(`http://${box.front}${path}`, {
@@ -193,6 +219,7 @@
         host: QUEUE_HOST,
         'content-type': 'application/json',
         'x-stairline-deadline-ms': '3000',
+        ...(authorization === undefined ? {} : { authorization }),
       },
       body: body ?? null,
       headersTimeout: CALL_TIMEOUT_MS,
--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -1,11 +1,15 @@
 import { z } from 'zod';
 import { HttpCaller } from '../common/HttpCaller';
+import type { JobCaller } from '../customers/JobCaller';
+import { configurationSchema } from '../gateway/configurationSchema';
 import type { AdviceClient } from '../dispatch/AdviceClient';
 import { toTickets } from '../dispatch/toTickets';
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
 
+import type { ConfigurationAnswer } from './ConfigurationAnswer';
+
 const CONNECTIONS = 3;
 const SHORT_CALL_MS = 200;
 
@@ -13,6 +17,11 @@
   state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled', 'absent']),
 });
 
+const configurationAnswerSchema: z.ZodType<ConfigurationAnswer> = z.object({
+  ageMs: z.number().min(0),
+  configuration: configurationSchema.optional(),
+});
+
 /** Calls another entry box: for its turn at the advice service, for what a leader knows, and to hand leadership over. */
 export class BoxClient implements AdviceClient {
   private readonly caller: HttpCaller;
@@ -30,12 +39,25 @@
     return toTickets(answer);
   }
 
-  /** The state of a job as the box knows it while it leads; undefined when it does not answer. */
-  async sendStateQuestion(id: JobId, timeoutMs: number): Promise<JobState | 'absent' | undefined> {
-    const answer = await this.caller.sendJson('/job-state', { id, timeoutMs }, timeoutMs);
+  /** The state of a job for a caller, as the box knows it while it leads; undefined when it does not answer. */
+  async sendStateQuestion(
+    id: JobId,
+    caller: JobCaller,
+    timeoutMs: number,
+  ): Promise<JobState | 'absent' | undefined> {
+    const answer = await this.caller.sendJson('/job-state', { id, caller, timeoutMs }, timeoutMs);
     return stateAnswerSchema.safeParse(answer).data?.state;
   }
 
+  /** What the box knows of the configuration, whole if it is newer than a version; undefined when it does not answer. */
+  async sendConfigurationQuestion(
+    knownVersion: number,
+    timeoutMs: number,
+  ): Promise<ConfigurationAnswer | undefined> {
+    const answer = await this.caller.sendJson('/configuration', { knownVersion }, timeoutMs);
+    return configurationAnswerSchema.safeParse(answer).data;
+  }
+
   /** True when the box can use the log. */
   async isLogUsable(): Promise<boolean> {
     const result = await this.caller.sendCall({ method: 'GET', path: '/log', timeoutMs: SHORT_CALL_MS });
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -4,10 +4,13 @@
 import { toHostPort } from '../common/toHostPort';
 import { toId } from '../common/toId';
 import type { AdviceClient } from '../dispatch/AdviceClient';
+import type { CustomerName } from '../customers/CustomerName';
+import type { JobCaller } from '../customers/JobCaller';
 import { createBufferApp } from '../gateway/createBufferApp';
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
+import type { ConfigurationAnswer } from './ConfigurationAnswer';
 
 interface BoxServerOptions {
   /** Host and port for other entry boxes and for collectors of metrics. */
@@ -17,7 +20,13 @@
   /** Tries whether this box can use the log now. */
   readonly isLogUsable: () => Promise<boolean>;
   /** The state of a job while this box leads; undefined when it does not, or cannot tell in time. */
-  readonly readLeaderState: (id: JobId, timeoutMs: number) => Promise<JobState | 'absent' | undefined>;
+  readonly readLeaderState: (
+    id: JobId,
+    caller: JobCaller,
+    timeoutMs: number,
+  ) => Promise<JobState | 'absent' | undefined>;
+  /** What this box knows of the configuration, for one that has a version. */
+  readonly readConfiguration: (knownVersion: number) => ConfigurationAnswer;
   /** The leader of an epoch has stopped and asks this box to lead next. */
   readonly handleHandOver: (epoch: number) => void;
 }
@@ -29,7 +38,21 @@
   timeoutMs: z.number().positive(),
 });
 
-const stateQuestionSchema = z.object({ id: z.string(), timeoutMs: z.number().positive() });
+const callerSchema = z.object({
+  queue: z.string(),
+  isOpen: z.boolean(),
+  customer: z
+    .string()
+    .transform((text) => toId<CustomerName>(text))
+    .optional(),
+});
+
+const stateQuestionSchema = z.object({
+  id: z.string(),
+  caller: callerSchema,
+  timeoutMs: z.number().positive(),
+});
+const configurationQuestionSchema = z.object({ knownVersion: z.number() });
 const handOverSchema = z.object({ epoch: z.number() });
 
 const readBody = ({ body }: FastifyRequest): unknown =>
@@ -50,10 +73,16 @@
       if (!question.success) {
         return reply.code(400).send({ error: 'malformed question' });
       }
-      const { id, timeoutMs } = question.data;
-      const state = await options.readLeaderState(toId<JobId>(id), timeoutMs);
+      const { id, caller, timeoutMs } = question.data;
+      const state = await options.readLeaderState(toId<JobId>(id), caller, timeoutMs);
       return state === undefined ? reply.code(503).send({}) : reply.send({ state });
     });
+    this.app.post('/configuration', (request, reply) => {
+      const question = configurationQuestionSchema.safeParse(readBody(request));
+      return question.success
+        ? reply.send(options.readConfiguration(question.data.knownVersion))
+        : reply.code(400).send({ error: 'malformed question' });
+    });
     this.app.post('/hand-over', (request, reply) => {
       const handOver = handOverSchema.safeParse(readBody(request));
       if (!handOver.success) {
--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -6,6 +6,8 @@
 import { createRandom } from '../common/createRandom';
 import { systemClock } from '../common/systemClock';
 import { toErrorText } from '../common/toErrorText';
+import type { ConfigurationSource } from '../serve/ConfigurationSource';
+import { configurationSources } from '../serve/configurationSources';
 import { ServeProcess } from '../serve/ServeProcess';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
@@ -22,14 +24,25 @@
     process.on('SIGHUP', () => serve.handleReload());
   });
 
+const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
+
+const parseConfigurationSource = (text: unknown): ConfigurationSource | undefined => {
+  const sources = Object.keys(configurationSources) as ConfigurationSource[];
+  return text === undefined ? DEFAULT_SOURCE : sources.find((source) => source === text);
+};
+
 /** `stairline serve`: one entry process on the platform. */
 export const serveCommand: Command = {
   name: 'serve',
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
-  usage: '[--settings FILE]',
+  usage: '[--settings FILE] [--configuration log|boxes]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
+    configuration: {
+      type: 'string',
+      help: 'where new versions of the configuration come from while the log is out: log alone, or other boxes (default)',
+    },
   },
   start: async (input) => {
     const file = input.values['settings'] ?? process.env[wireNames.settingsVariable];
@@ -42,9 +55,14 @@
       settings.error.forEach((problem) => writeError(`Settings: ${problem}`));
       return exitCodes.usage;
     }
+    const source = parseConfigurationSource(input.values['configuration']);
+    if (source === undefined) {
+      writeError(`--configuration: expected ${Object.keys(configurationSources).join(' or ')}.`);
+      return exitCodes.usage;
+    }
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
     const serve = new ServeProcess({
-      settings: settings.value,
+      settings: { ...settings.value, configurationSource: source },
       adapter: createPlatformAdapter(settings.value, systemClock),
       clock: systemClock,
       random: createRandom(randomBytes(4).readUInt32LE()),
--- /dev/null
+++ b/packages/customers/JobCustomer.ts
@@ -0,0 +1,9 @@
+import type { TaskDemand } from '../jobs/TaskDemand';
+import type { CustomerName } from './CustomerName';
+
+/** Whose job it is. Kept with the job, so that a new leader knows the limit before its first start. */
+export interface JobCustomer {
+  readonly name: CustomerName;
+  /** The customer's limit when the job was accepted; 0 in a dimension means no limit there. */
+  readonly limit: TaskDemand;
+}
--- a/packages/dispatch/AdviceCandidates.ts
+++ b/packages/dispatch/AdviceCandidates.ts
@@ -1,4 +1,4 @@
-import { demandSums } from './demandSums';
+import { demandSums } from '../jobs/demandSums';
 import type { AdviceHistory } from './AdviceHistory';
 import type { EndpointBook } from './EndpointBook';
 import type { Preemptor } from './Preemptor';
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -5,7 +5,7 @@
 import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskName } from '../jobs/TaskName';
 import type { TaskProgress } from '../jobs/TaskProgress';
-import { demandSums } from './demandSums';
+import { demandSums } from '../jobs/demandSums';
 import type { DispatchEffect } from './DispatchEffect';
 import { EndpointBook } from './EndpointBook';
 import type { EndpointProfile } from './EndpointProfile';
--- a/packages/dispatch/EndpointBook.ts
+++ b/packages/dispatch/EndpointBook.ts
@@ -1,6 +1,6 @@
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { TaskName } from '../jobs/TaskName';
-import { demandSums } from './demandSums';
+import { demandSums } from '../jobs/demandSums';
 import type { EndpointProfile } from './EndpointProfile';
 import type { PlacedRun } from './PlacedRun';
 
--- a/packages/dispatch/Preemptor.ts
+++ b/packages/dispatch/Preemptor.ts
@@ -1,6 +1,6 @@
 import type { JobId } from '../jobs/JobId';
 import type { TaskDemand } from '../jobs/TaskDemand';
-import { demandSums } from './demandSums';
+import { demandSums } from '../jobs/demandSums';
 import type { EndpointBook } from './EndpointBook';
 import type { LiveJob } from './LiveJob';
 import type { PlacedRun } from './PlacedRun';
--- a/packages/dispatch/RoomView.ts
+++ b/packages/dispatch/RoomView.ts
@@ -3,7 +3,7 @@
 import type { JobStep } from '../jobs/JobStep';
 import type { ServiceName } from '../jobs/ServiceName';
 import type { TaskDemand } from '../jobs/TaskDemand';
-import { demandSums } from './demandSums';
+import { demandSums } from '../jobs/demandSums';
 import type { EndpointBook } from './EndpointBook';
 import type { RoomReservations } from './RoomReservations';
 import type { WaitingStep } from './WaitingStep';
--- a/packages/dispatch/createStrangeRun.ts
+++ b/packages/dispatch/createStrangeRun.ts
@@ -1,6 +1,6 @@
 import { toId } from '../common/toId';
 import type { JobId } from '../jobs/JobId';
-import { demandSums } from './demandSums';
+import { demandSums } from '../jobs/demandSums';
 import type { PlacedRun } from './PlacedRun';
 import type { RunningRow } from './RunningRow';
 
--- a/packages/gateway/QueueRoute.ts
+++ b/packages/gateway/QueueRoute.ts
@@ -5,4 +5,6 @@
   readonly host: string;
   readonly pathPrefix: string;
   readonly queue: JobQueue;
+  /** True when calls need no customer's key. */
+  readonly isOpen: boolean;
 }
--- a/packages/gateway/QueueRouter.ts
+++ b/packages/gateway/QueueRouter.ts
@@ -1,10 +1,12 @@
+import { CustomerDirectory } from '../customers/CustomerDirectory';
 import type { QueueConfiguration } from './QueueConfiguration';
 import type { QueueRoute } from './QueueRoute';
 
-/** Finds the queue of a call by host and longest path prefix. Versions only rise. */
+/** The configuration in force: the queue of a call by host and longest path prefix, and the customers. Versions only rise. */
 export class QueueRouter {
   private configuration: QueueConfiguration | undefined;
   private routesByHost = new Map<string, QueueRoute[]>();
+  private customers = new CustomerDirectory([]);
 
   /** Takes a version into force; an older one than that in force is passed over. Returns whether it was taken. */
   applyConfiguration(configuration: QueueConfiguration): boolean {
@@ -22,6 +24,7 @@
     }
     this.configuration = configuration;
     this.routesByHost = routesByHost;
+    this.customers = new CustomerDirectory(configuration.customers);
     return true;
   }
 
@@ -30,6 +33,10 @@
     return this.configuration;
   }
 
+  readCustomers(): CustomerDirectory {
+    return this.customers;
+  }
+
   /** The route of a host (without port) and path; undefined when there is none. */
   readRoute(host: string, path: string): QueueRoute | undefined {
     return this.routesByHost.get(host)?.find((route) => path.startsWith(route.pathPrefix));
--- a/packages/jobs/JobDefinition.ts
+++ b/packages/jobs/JobDefinition.ts
@@ -1,3 +1,4 @@
+import type { JobCustomer } from '../customers/JobCustomer';
 import type { JobId } from './JobId';
 import type { JobQueue } from './JobQueue';
 import type { JobStep } from './JobStep';
@@ -6,6 +7,8 @@
 export interface JobDefinition {
   readonly id: JobId;
   readonly queue: JobQueue;
+  /** Undefined for jobs that nobody's key came with. */
+  readonly customer?: JobCustomer;
   /** Opaque text that is handed to each task. */
   readonly spec: string;
   readonly steps: readonly JobStep[];
--- a/packages/jobs/definitionSchema.ts
+++ b/packages/jobs/definitionSchema.ts
@@ -1,18 +1,22 @@
 import { z } from 'zod';
+import type { CustomerName } from '../customers/CustomerName';
 import { toId } from '../common/toId';
 import type { JobDefinition } from './JobDefinition';
 import type { JobId } from './JobId';
-import type { ServiceName } from './ServiceName';
+import { queueSchema } from './queueSchema';
 
 const whole = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
 
 const flag = z.boolean().default(false);
 const text = z.string().default('');
 
+const amount = z.number().min(0);
+const demandSchema = z.object({ cpuMillis: whole, memoryMb: whole, accelerators: whole });
+
 /** `formatDefinition` leaves out what is 0, false or empty. */
 const stepSchema = z.object({
   count: whole,
-  demand: z.object({ cpuMillis: whole, memoryMb: whole, accelerators: whole }),
+  demand: demandSchema,
   estimatedMs: z.number().default(0),
   dependsOn: z.array(whole).default([]),
   isGang: flag,
@@ -29,26 +33,16 @@
   missAllowed: whole.default(0),
 });
 
-const adviceSchema = z.object({
-  decisionMs: z.number(),
-  perEndpointMs: z.number(),
-  validityMs: z.number(),
-});
-
-const queueSchema = z.object({
-  name: z.string(),
-  service: z.string().transform((text) => toId<ServiceName>(text)),
-  priority: z.number(),
-  attempts: z.number(),
-  stretch: z.number(),
-  targetLatencyMs: z.number(),
-  advice: adviceSchema.exactOptional(),
+const customerSchema = z.object({
+  name: z.string().transform((text) => toId<CustomerName>(text)),
+  limit: z.object({ cpuMillis: amount, memoryMb: amount, accelerators: amount }),
 });
 
 /** The log record of an accepted job. */
 export const definitionSchema: z.ZodType<JobDefinition> = z.object({
   id: z.string().transform((text) => toId<JobId>(text)),
   queue: queueSchema,
+  customer: customerSchema.exactOptional(),
   spec: z.string(),
   steps: z.array(stepSchema),
   times: whole,
--- a/packages/dispatch/demandSums.ts
+++ b/packages/jobs/demandSums.ts
@@ -1,4 +1,4 @@
-import type { TaskDemand } from '../jobs/TaskDemand';
+import type { TaskDemand } from './TaskDemand';
 
 const NOTHING: TaskDemand = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
--- /dev/null
+++ b/packages/jobs/queueSchema.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod';
+import { toId } from '../common/toId';
+import type { JobQueue } from './JobQueue';
+import type { ServiceName } from './ServiceName';
+
+const adviceSchema = z.object({
+  decisionMs: z.number(),
+  perEndpointMs: z.number(),
+  validityMs: z.number(),
+});
+
+/** A queue's policy in log records and between boxes. */
+export const queueSchema: z.ZodType<JobQueue> = z.object({
+  name: z.string(),
+  service: z.string().transform((text) => toId<ServiceName>(text)),
+  priority: z.number(),
+  attempts: z.number(),
+  stretch: z.number(),
+  targetLatencyMs: z.number(),
+  advice: adviceSchema.exactOptional(),
+});
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -1,8 +1,13 @@
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
+import { customerLimits } from '../customers/customerLimits';
+import type { CustomerPolicy } from '../customers/CustomerPolicy';
+import { hasAccess } from '../customers/hasAccess';
+import type { JobCaller } from '../customers/JobCaller';
 import type { JobOutcome } from '../gateway/JobOutcome';
 import type { JobService } from '../gateway/JobService';
 import type { JobSubmission } from '../gateway/JobSubmission';
+import type { SubmitAnswer } from '../gateway/SubmitAnswer';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import { formatDefinition } from '../jobs/formatDefinition';
 import type { JobId } from '../jobs/JobId';
@@ -27,7 +32,11 @@
   /** True while this process leads, so that its own memory is the newest. */
   readonly isLeading: () => boolean;
   /** Asks the leading box for a job's state; undefined when it gives none in time. */
-  readonly startAskingLeader: (id: JobId, timeoutMs: number) => Promise<JobState | 'absent' | undefined>;
+  readonly startAskingLeader: (
+    id: JobId,
+    caller: JobCaller,
+    timeoutMs: number,
+  ) => Promise<JobState | 'absent' | undefined>;
   /** A job or a cancel of this box is durable. */
   readonly handleAccepted: (definition: JobDefinition) => void;
   readonly handleCancelled: (id: JobId) => void;
@@ -48,6 +57,8 @@
 const LEADER_ANSWER_MS = 80;
 /** A leader that gave no answer is not asked again for so long: about the time until another is known. */
 const LEADER_AVOID_MS = 1000;
+const ACCEPTED = { kind: 'answered', answer: { kind: 'accepted' } } as const;
+const TAKEN = { kind: 'answered', answer: { kind: 'taken' } } as const;
 const ABSENT = { kind: 'answered', answer: 'absent' } as const;
 
 const ENDED: ReadonlySet<JobState | undefined> = new Set(['completed', 'failed', 'cancelled']);
@@ -64,13 +75,24 @@
   async writeJob(
     id: JobId,
     queue: JobQueue,
+    customer: CustomerPolicy | undefined,
     submission: JobSubmission,
     deadline: number,
-  ): Promise<JobOutcome<'accepted'>> {
+  ): Promise<JobOutcome<SubmitAnswer>> {
     const { replica, writer, clock, metrics } = this.options;
-    if (replica.readDefinition(id) !== undefined) {
-      this.recordDecision('Job was accepted before.', id, queue.name, {});
-      return { kind: 'answered', answer: 'accepted' };
+    const known = replica.readDefinition(id);
+    if (known !== undefined) {
+      return this.toKnownAnswer(known, queue, customer);
+    }
+    const problem = customer && customerLimits.readProblem(submission.steps, customer.limit);
+    if (problem !== undefined) {
+      metrics.recordCount('impossible');
+      this.recordDecision('Job not taken: it could never run.', id, queue.name, {
+        customer: customer?.name,
+        limit: customer?.limit,
+        problem,
+      });
+      return { kind: 'answered', answer: { kind: 'impossible', reason: problem } };
     }
     if (this.isLogOut()) {
       return this.createUnavailable(id, queue.name);
@@ -79,6 +101,7 @@
     const definition: JobDefinition = {
       id,
       queue,
+      ...(customer === undefined ? {} : { customer: { name: customer.name, limit: customer.limit } }),
       ...submission,
       acceptedAtMs: Math.round(clock.readWall()),
     };
@@ -95,12 +118,33 @@
     }
     metrics.recordCount('accepted');
     metrics.recordTime('acceptMs', clock.readNow() - startedAt);
-    this.recordDecision('Job accepted.', id, queue.name, { tookMs, priority: queue.priority });
+    this.recordDecision('Job accepted.', id, queue.name, {
+      tookMs,
+      priority: queue.priority,
+      ...(customer === undefined ? {} : { customer: customer.name }),
+    });
     this.options.handleAccepted(definition);
-    return { kind: 'answered', answer: 'accepted' };
+    return ACCEPTED;
+  }
+
+  /** The answer for an id that a job has: its own caller is told that it was accepted, nobody else. */
+  private toKnownAnswer(
+    known: JobDefinition,
+    queue: JobQueue,
+    customer: CustomerPolicy | undefined,
+  ): JobOutcome<SubmitAnswer> {
+    const isSame = known.queue.name === queue.name && known.customer?.name === customer?.name;
+    if (isSame) {
+      this.recordDecision('Job was accepted before.', known.id, queue.name, {});
+      return ACCEPTED;
+    }
+    this.recordDecision('Job not taken: its id belongs to another.', known.id, queue.name, {
+      customer: customer?.name,
+    });
+    return TAKEN;
   }
 
-  async readJob(id: JobId, deadline: number): Promise<JobOutcome<JobState | 'absent'>> {
+  async readJob(id: JobId, caller: JobCaller, deadline: number): Promise<JobOutcome<JobState | 'absent'>> {
     const { replica, clock, metrics } = this.options;
     const startedAt = clock.readNow();
     metrics.recordCount('reads');
@@ -108,10 +152,14 @@
     if (known === undefined) {
       const isFresh = await this.startRefresh(this.options.jobsFollower, deadline);
       if (!isFresh && replica.readState(id) === undefined) {
-        return this.readFromLeader(id, deadline);
+        return this.readFromLeader(id, caller, deadline);
       }
     }
-    const newest = isEnded(replica.readState(id)) ? undefined : await this.readNewestState(id, deadline);
+    if (!this.isOpenTo(id, caller)) {
+      return ABSENT;
+    }
+    const isOver = isEnded(replica.readState(id));
+    const newest = isOver ? undefined : await this.readNewestState(id, caller, deadline);
     metrics.recordTime('readMs', clock.readNow() - startedAt);
     const held = replica.readState(id);
     const answer = isEnded(held) ? held : (newest ?? held);
@@ -122,13 +170,18 @@
    * The state of an open job from the leader, whose memory is the newest and costs the log no call; without an answer the log's
    * states are read into the replica instead.
    */
-  private async readNewestState(id: JobId, deadline: number): Promise<JobState | undefined> {
+  private async readNewestState(
+    id: JobId,
+    caller: JobCaller,
+    deadline: number,
+  ): Promise<JobState | undefined> {
     const { clock, isLeading, startAskingLeader, statesFollower } = this.options;
     if (isLeading()) {
       return undefined;
     }
     if (clock.readNow() >= this.askLeaderFrom) {
-      const answer = await startAskingLeader(id, Math.min(LEADER_ANSWER_MS, this.readRefreshLimit(deadline)));
+      const timeoutMs = Math.min(LEADER_ANSWER_MS, this.readRefreshLimit(deadline));
+      const answer = await startAskingLeader(id, caller, timeoutMs);
       if (answer !== undefined && answer !== 'absent') {
         return answer;
       }
@@ -138,18 +191,25 @@
     return undefined;
   }
 
-  async writeCancel(id: JobId, deadline: number): Promise<JobOutcome<'cancelled' | 'absent'>> {
+  async writeCancel(
+    id: JobId,
+    caller: JobCaller,
+    deadline: number,
+  ): Promise<JobOutcome<'cancelled' | 'absent'>> {
     const { replica, writer, clock, metrics } = this.options;
     const startedAt = clock.readNow();
     if (replica.readDefinition(id) === undefined) {
       const isFresh = await this.startRefresh(this.options.jobsFollower, deadline);
       if (replica.readDefinition(id) === undefined) {
-        const found = isFresh ? ABSENT : await this.readFromLeader(id, deadline);
+        const found = isFresh ? ABSENT : await this.readFromLeader(id, caller, deadline);
         if (found.kind !== 'answered' || found.answer === 'absent') {
           return found.kind === 'answered' ? ABSENT : found;
         }
       }
     }
+    if (!this.isOpenTo(id, caller)) {
+      return ABSENT;
+    }
     const write = { key: jobKeys.toCancelKey(id), value: '1' };
     const outcome = await writer.writeRecord(write, this.readWriteLimit(startedAt, deadline));
     const tookMs = Math.round(clock.readNow() - startedAt);
@@ -172,13 +232,23 @@
   }
 
   /** What the leader knows of a job that this box cannot read about in the log. */
-  private async readFromLeader(id: JobId, deadline: number): Promise<JobOutcome<JobState | 'absent'>> {
-    const answer = await this.options.startAskingLeader(id, this.readRefreshLimit(deadline));
+  private async readFromLeader(
+    id: JobId,
+    caller: JobCaller,
+    deadline: number,
+  ): Promise<JobOutcome<JobState | 'absent'>> {
+    const answer = await this.options.startAskingLeader(id, caller, this.readRefreshLimit(deadline));
     return answer === undefined
       ? { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS }
       : { kind: 'answered', answer };
   }
 
+  /** False when the job is known here and belongs to another customer. */
+  private isOpenTo(id: JobId, caller: JobCaller): boolean {
+    const definition = this.options.replica.readDefinition(id);
+    return definition === undefined || hasAccess(caller, definition);
+  }
+
   /** True when trying an append would only keep the caller waiting. */
   private isLogOut(): boolean {
     const { writer, isReading } = this.options;
--- a/packages/serve/ServeAdapter.ts
+++ b/packages/serve/ServeAdapter.ts
@@ -1,4 +1,6 @@
+import type { Result } from '../common/Result';
 import type { AdviceClient } from '../dispatch/AdviceClient';
+import type { CallerGate } from '../gateway/CallerGate';
 import type { EndpointClient } from '../dispatch/EndpointClient';
 import type { EndpointProfile } from '../dispatch/EndpointProfile';
 import type { JobService } from '../gateway/JobService';
@@ -11,6 +13,7 @@
   readonly jobs: JobService;
   readonly isReady: () => boolean;
   readonly isLeaving: () => boolean;
+  readonly gate: CallerGate;
 }
 
 interface CallerServerParts {
@@ -28,6 +31,7 @@
   createAdviceClient(): AdviceClient;
   createEndpointClient(profile: EndpointProfile, fencingToken: number): EndpointClient;
   createCallerServer(input: CallerServerInput): CallerServerParts;
-  parseConfiguration(text: string): QueueConfiguration | undefined;
+  /** On failure gives all problems at once. */
+  parseConfiguration(text: string): Result<QueueConfiguration, readonly string[]>;
   parseEndpoint(id: string, text: string): EndpointProfile | undefined;
 }
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -3,6 +3,8 @@
 const COUNTS = [
   'accepted',
   'notTaken',
+  'impossible',
+  'keysRefused',
   'unknown',
   'cancels',
   'reads',
@@ -26,7 +28,8 @@
   | 'waitRoundMs'
   | 'waitTurnMs'
   | 'waitAnswerMs'
-  | 'waitRoomMs';
+  | 'waitRoomMs'
+  | 'waitLimitMs';
 
 const toMetricName = (name: string): string => name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
 
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -8,6 +8,8 @@
 import type { AdviceClient } from '../dispatch/AdviceClient';
 import { LeaderDuty } from '../dispatch/LeaderDuty';
 import { QueueRouter } from '../gateway/QueueRouter';
+import type { JobCaller } from '../customers/JobCaller';
+import { CallerGate } from '../gateway/CallerGate';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
@@ -19,6 +21,7 @@
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
 import { LogWriter } from '../store/LogWriter';
+import { ConfigurationDesk } from './ConfigurationDesk';
 import { JobDesk } from './JobDesk';
 import { LeaderHandOver } from './LeaderHandOver';
 import type { ServeAdapter } from './ServeAdapter';
@@ -79,6 +82,7 @@
   private readonly advice: AdviceClient;
   private readonly boxes: BoxClients;
   private readonly watch: LeaderWatch;
+  private readonly configuration: ConfigurationDesk;
   private readonly handOver: LeaderHandOver;
   private readonly boxServer: BoxServer;
   private readonly callers: ReturnType<ServeAdapter['createCallerServer']>;
@@ -116,7 +120,7 @@
       },
     );
     this.operatorFollower = this.createFollower(adapter.operatorTopic, 0, OPERATOR_POLL_MS, (records) =>
-      this.handleOperatorRecords(records),
+      this.configuration.handleRecords(records),
     );
     this.leadership = new Leadership({
       client: this.log,
@@ -131,6 +135,7 @@
       handleElected: (election) => this.startLeading(election),
     });
     this.boxes = new BoxClients(this.directory, settings);
+    this.configuration = this.createConfigurationDesk();
     this.handOver = this.createHandOver();
     this.watch = new LeaderWatch({
       handleEnded: (process) => this.leadership.handleLeaderEnded(process),
@@ -142,13 +147,15 @@
       jobs: this.jobs,
       isReady: () => this.isReady(),
       isLeaving: () => this.isStopping,
+      gate: this.createGate(),
     });
     this.boxServer = new BoxServer({
       address: settings.internal,
       advice: this.advice,
       formatMetrics: () => this.formatMetrics(),
       isLogUsable: () => this.isLogUsable(),
-      readLeaderState: (id, timeoutMs) => this.readLeaderState(id, timeoutMs),
+      readLeaderState: (id, caller, timeoutMs) => this.readLeaderState(id, caller, timeoutMs),
+      readConfiguration: (knownVersion) => this.configuration.readAnswer(knownVersion),
       handleHandOver: (epoch) => this.leadership.handleHandOver(epoch),
     });
   }
@@ -215,20 +222,28 @@
   }
 
   /** The state of a job for another box, while this one leads. */
-  private async readLeaderState(id: JobId, timeoutMs: number): Promise<JobState | 'absent' | undefined> {
+  private async readLeaderState(
+    id: JobId,
+    caller: JobCaller,
+    timeoutMs: number,
+  ): Promise<JobState | 'absent' | undefined> {
     if (this.duty?.isActive() !== true) {
       return undefined;
     }
-    const outcome = await this.jobs.readJob(id, this.options.clock.readNow() + timeoutMs);
+    const outcome = await this.jobs.readJob(id, caller, this.options.clock.readNow() + timeoutMs);
     return outcome.kind === 'answered' ? outcome.answer : undefined;
   }
 
-  private async startAskingLeader(id: JobId, timeoutMs: number): Promise<JobState | 'absent' | undefined> {
+  private async startAskingLeader(
+    id: JobId,
+    caller: JobCaller,
+    timeoutMs: number,
+  ): Promise<JobState | 'absent' | undefined> {
     const leader = this.leadership.readRecord()?.box;
     if (leader === undefined || leader === this.options.settings.box) {
       return undefined;
     }
-    return this.boxes.readClientOf(leader)?.sendStateQuestion(id, timeoutMs);
+    return this.boxes.readClientOf(leader)?.sendStateQuestion(id, caller, timeoutMs);
   }
 
   private createJobDesk(): JobDesk {
@@ -242,7 +257,7 @@
       metrics: this.metrics,
       isReading: () => this.isReading(),
       isLeading: () => this.duty?.isActive() ?? false,
-      startAskingLeader: (id, timeoutMs) => this.startAskingLeader(id, timeoutMs),
+      startAskingLeader: (id, caller, timeoutMs) => this.startAskingLeader(id, caller, timeoutMs),
       handleAccepted: (definition) => this.applyAccepted(definition),
       handleCancelled: (id) => this.applyCancelled(id),
     });
@@ -327,21 +342,36 @@
     cancelled.forEach((id) => this.duty?.handleCancel(id));
   }
 
-  private handleOperatorRecords(records: readonly LogRecord[]): void {
-    for (const { key, value } of records) {
-      if (key !== this.options.adapter.configurationKey) {
-        continue;
-      }
-      const configuration = this.options.adapter.parseConfiguration(value);
-      if (configuration === undefined) {
-        this.logger.error('Configuration is malformed and left out.', { bytes: value.length });
-      } else if (this.router.applyConfiguration(configuration)) {
-        this.logger.info('Configuration in force.', {
-          version: configuration.version,
-          routes: configuration.routes.length,
+  private createConfigurationDesk(): ConfigurationDesk {
+    const { adapter, clock, random, settings, createPartLogger } = this.options;
+    return new ConfigurationDesk({
+      adapter,
+      router: this.router,
+      source: settings.configurationSource,
+      clock,
+      random,
+      logger: createPartLogger('configuration'),
+      maxAgeMs: settings.maxConfigurationAgeMs,
+      isFollowing: () => this.operatorFollower.isFollowing(),
+      readFollowedAt: () => this.operatorFollower.readLastOkAt(),
+      readOthers: () => this.boxes.readOthers(),
+    });
+  }
+
+  private createGate(): CallerGate {
+    return new CallerGate({
+      router: this.router,
+      isFresh: () => this.configuration.isFresh(),
+      handleRefused: (queue, reason) => {
+        this.metrics.recordCount('keysRefused');
+        this.logger.info('Call refused for its key.', {
+          queue,
+          reason,
+          configuration: this.router.readConfiguration()?.version,
+          configurationAgeMs: Math.round(this.configuration.readAgeMs()),
         });
-      }
-    }
+      },
+    });
   }
 
   private applyAccepted(definition: JobDefinition): void {
@@ -422,6 +452,7 @@
         : undefined,
     );
     this.handOver.applyTime();
+    this.configuration.applyTime();
   }
 
   private formatMetrics(): string {
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,3 +1,5 @@
+import type { ConfigurationSource } from './ConfigurationSource';
+
 /** What one entry process needs to know at its start. */
 export interface ServeSettings {
   readonly box: string;
@@ -14,6 +16,13 @@
   readonly log: string;
   /** Host and port of the advice service; empty where there is none. */
   readonly advice: string;
+  /** Where the box hears of new versions of the configuration. */
+  readonly configurationSource: ConfigurationSource;
+  /**
+   * Milliseconds for which a key still works after this box last knew the newest configuration; undefined when keys go on working
+   * however old it is.
+   */
+  readonly maxConfigurationAgeMs: number | undefined;
   /** Largest append in bytes. */
   readonly maxAppendBytes: number;
   /** Time from SIGTERM to SIGKILL. */
--- /dev/null
+++ b/tests/customers.test.ts
@@ -0,0 +1,245 @@
+import { describe, expect, it } from 'vitest';
+import { toId } from '../packages/common/toId';
+import { checkCaller } from '../packages/customers/checkCaller';
+import { CustomerDirectory } from '../packages/customers/CustomerDirectory';
+import { customerLimits } from '../packages/customers/customerLimits';
+import type { CustomerName } from '../packages/customers/CustomerName';
+import { CustomerUsage } from '../packages/customers/CustomerUsage';
+import { hasAccess } from '../packages/customers/hasAccess';
+import { toKeyDigest } from '../packages/customers/toKeyDigest';
+import { configurationSchema } from '../packages/gateway/configurationSchema';
+import { QueueRouter } from '../packages/gateway/QueueRouter';
+import { definitionSchema } from '../packages/jobs/definitionSchema';
+import { formatDefinition } from '../packages/jobs/formatDefinition';
+import { parseCallerKey } from '../platform/parseCallerKey';
+import { parseConfiguration } from '../platform/parseConfiguration';
+import { createCustomer } from './helpers/createCustomer';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createStep } from './helpers/createStep';
+
+const KEYS = {
+  clinic: 'key-of-the-clinic',
+  clinicSecond: 'second-key-of-the-clinic',
+  builders: 'key-of-builders',
+};
+
+const createTenant = (name: string, keys: readonly string[], fields: object = {}): object => ({
+  name,
+  'api-keys': keys,
+  weight: 3,
+  'upper-limit': { cpu: 8000, 'mem-mb': 0, gpu: 0 },
+  ...fields,
+});
+
+const createRoute = (name: string, fields: object = {}): object => ({
+  name,
+  host: 'jobs.example',
+  'path-prefix': `/${name}/`,
+  service: 'service-a',
+  ...fields,
+});
+
+const createConfiguration = (version: number, tenants?: readonly object[]): string =>
+  JSON.stringify({
+    version,
+    routes: [createRoute('jobs'), createRoute('open', { 'auth-exempt': true })],
+    ...(tenants === undefined ? {} : { tenants }),
+  });
+
+const TENANTS = [
+  createTenant('clinic', [KEYS.clinic, KEYS.clinicSecond]),
+  createTenant('builders', [KEYS.builders]),
+];
+
+const createRouter = (text: string): QueueRouter => {
+  const router = new QueueRouter();
+  const parsed = parseConfiguration(text);
+  if (!parsed.ok) {
+    throw new Error(parsed.error.join('; '));
+  }
+  router.applyConfiguration(parsed.value);
+  return router;
+};
+
+describe('keys of customers', () => {
+  const router = createRouter(createConfiguration(1, TENANTS));
+
+  const checkHeader = (path: string, header: string | undefined, isFresh = true) => {
+    const { isOpen } = router.readRoute('jobs.example', path)!;
+    const key = parseCallerKey(header);
+    const check = checkCaller({ key, isOpen, customers: router.readCustomers(), isFresh });
+    return check.kind === 'admitted' ? (check.customer?.name ?? 'nobody') : check;
+  };
+
+  it('admit their customer, each of them', () => {
+    expect(checkHeader('/jobs/', `Token ${KEYS.clinic}`)).toBe('clinic');
+    expect(checkHeader('/jobs/', `token  ${KEYS.clinicSecond} `)).toBe('clinic');
+    expect(checkHeader('/jobs/', `Token ${KEYS.builders}`)).toBe('builders');
+  });
+
+  it.each([
+    [undefined, 'no key'],
+    ['  ', 'no key'],
+    ['Token', 'malformed key'],
+    ['Token two words', 'malformed key'],
+    [`Bearer ${KEYS.clinic}`, 'malformed key'],
+    [KEYS.clinic, 'malformed key'],
+    ['Token key-of-nobody', 'unknown key'],
+    [`Token ${KEYS.clinic}x`, 'unknown key'],
+    ['Token __proto__', 'unknown key'],
+  ])('are refused when missing, malformed or unknown: %s', (header, reason) => {
+    expect(checkHeader('/jobs/', header)).toEqual({ kind: 'refused', reason });
+  });
+
+  it('are not asked for on queues that are open to all, and tell whose call it is when they come', () => {
+    expect(checkHeader('/open/', undefined)).toBe('nobody');
+    expect(checkHeader('/open/', 'Token key-of-nobody')).toBe('nobody');
+    expect(checkHeader('/open/', `Token ${KEYS.clinic}`)).toBe('clinic');
+  });
+
+  it('are asked for nowhere where the platform knows no customers, and everywhere else by default', () => {
+    expect(createRouter(createConfiguration(1)).readRoute('jobs.example', '/jobs/')?.isOpen).toBe(true);
+    expect(createRouter(createConfiguration(1, [])).readRoute('jobs.example', '/jobs/')?.isOpen).toBe(false);
+  });
+
+  it('tell nothing on closed queues while the configuration is too old and the settings are strict', () => {
+    expect(checkHeader('/jobs/', `Token ${KEYS.clinic}`, false)).toEqual({ kind: 'stale' });
+    expect(checkHeader('/open/', undefined, false)).toBe('nobody');
+  });
+
+  it('stop working with the version that takes them away; an older version does not bring them back', () => {
+    const changing = createRouter(createConfiguration(1, TENANTS));
+    const newer = parseConfiguration(createConfiguration(2, [createTenant('clinic', [KEYS.clinicSecond])]));
+    const older = parseConfiguration(createConfiguration(1, TENANTS));
+    if (!newer.ok || !older.ok) {
+      throw new Error('malformed');
+    }
+    expect(changing.applyConfiguration(newer.value)).toBe(true);
+    expect(changing.applyConfiguration(older.value)).toBe(false);
+    expect(changing.readCustomers().readByKey(KEYS.clinic)).toBeUndefined();
+    expect(changing.readCustomers().readByKey(KEYS.builders)).toBeUndefined();
+    expect(changing.readCustomers().readByKey(KEYS.clinicSecond)?.name).toBe('clinic');
+  });
+
+  it('stand in no configuration that is kept or given to another box, only their digests', () => {
+    const kept = JSON.stringify(router.readConfiguration());
+    Object.values(KEYS).forEach((key) => expect(kept).not.toContain(key));
+    expect(kept).toContain(toKeyDigest(KEYS.clinic));
+    const given = configurationSchema.parse(JSON.parse(kept));
+    expect(new CustomerDirectory(given.customers).readByKey(KEYS.clinic)?.name).toBe('clinic');
+    expect(given).toEqual(router.readConfiguration());
+  });
+});
+
+describe('a configuration with mistakes', () => {
+  it('is refused with all of them at once', () => {
+    const text = JSON.stringify({
+      version: 1,
+      routes: [{ name: 'jobs' }],
+      tenants: [{ name: '', 'upper-limit': { cpu: -1 } }],
+    });
+    const parsed = parseConfiguration(text);
+    const places = parsed.ok ? [] : parsed.error.map((problem) => problem.split(':')[0]);
+    expect(places).toEqual(
+      expect.arrayContaining([
+        'routes.0.host',
+        'routes.0.service',
+        'tenants.0.name',
+        'tenants.0.upper-limit.cpu',
+      ]),
+    );
+  });
+
+  it('is refused when two customers share a name or a key, without telling the key', () => {
+    const parsed = parseConfiguration(
+      createConfiguration(1, [
+        createTenant('clinic', [KEYS.clinic]),
+        createTenant('clinic', []),
+        createTenant('builders', [KEYS.clinic]),
+      ]),
+    );
+    expect(parsed).toEqual({
+      ok: false,
+      error: ['tenants: clinic stands there twice', 'tenants: key 0 of builders is also a key of clinic'],
+    });
+  });
+
+  it.each(['', '[]', 'null', '{'])('is refused when it is no configuration at all: %j', (text) => {
+    expect(parseConfiguration(text).ok).toBe(false);
+  });
+});
+
+describe('who may know of a job', () => {
+  const ownJob = { ...createJobDefinition(1, [createStep()]), customer: createCustomer('clinic') };
+  const commonJob = createJobDefinition(2, [createStep()]);
+  const clinic = toId<CustomerName>('clinic');
+  const builders = toId<CustomerName>('builders');
+
+  it('is its own customer', () => {
+    expect(hasAccess({ queue: 'jobs', isOpen: false, customer: clinic }, ownJob)).toBe(true);
+    expect(hasAccess({ queue: 'jobs', isOpen: false, customer: builders }, ownJob)).toBe(false);
+  });
+
+  it('is anybody on the open queue to which it was handed in, but not through another open queue', () => {
+    expect(hasAccess({ queue: 'jobs', isOpen: true }, ownJob)).toBe(true);
+    expect(hasAccess({ queue: 'other', isOpen: true }, ownJob)).toBe(false);
+    expect(hasAccess({ queue: 'jobs', isOpen: false }, commonJob)).toBe(true);
+  });
+});
+
+describe('limits of customers', () => {
+  const limit = createCustomer('clinic', { cpuMillis: 8000, memoryMb: 1000 }).limit;
+  const nothing = createCustomer('clinic').limit;
+  const demand = { cpuMillis: 3000, memoryMb: 100, accelerators: 1 };
+
+  it('count in the dimension that is scarcest, and not where there is none', () => {
+    expect(customerLimits.measureFitCount(limit, nothing, demand)).toBe(2);
+    expect(customerLimits.measureFitCount(limit, { ...nothing, memoryMb: 950 }, demand)).toBe(0);
+    expect(customerLimits.measureFitCount(nothing, { ...nothing, cpuMillis: 1e9 }, demand)).toBe(Infinity);
+  });
+
+  it('that have fallen below what runs let nothing more start', () => {
+    expect(customerLimits.measureFitCount(limit, { ...nothing, cpuMillis: 20_000 }, demand)).toBe(0);
+  });
+
+  it('tell at once what could never run: a task or a whole gang that is larger', () => {
+    const large = createStep({ demand: { ...demand, cpuMillis: 9000 } });
+    const wide = createStep({ count: 20, demand });
+    expect(customerLimits.readProblem([wide], limit)).toBeUndefined();
+    expect(customerLimits.readProblem([wide, large], limit)).toBe(
+      'steps[1]: one task is more than the customer may ever have running',
+    );
+    expect(customerLimits.readProblem([{ ...wide, isGang: true }], limit)).toBe(
+      'steps[0]: a gang of 20 is more than the customer may ever have running',
+    );
+    expect(customerLimits.readProblem([large], nothing)).toBeUndefined();
+  });
+
+  it('are kept with the job in the log; jobs of earlier versions have none', () => {
+    const definition = {
+      ...createJobDefinition(1, [createStep()]),
+      customer: createCustomer('clinic', limit),
+    };
+    expect(definitionSchema.parse(JSON.parse(formatDefinition(definition)))).toEqual(definition);
+    const earlier = createJobDefinition(2, [createStep()]);
+    expect(definitionSchema.parse(JSON.parse(formatDefinition(earlier)))).toEqual(earlier);
+  });
+});
+
+describe('the usage of customers', () => {
+  const run = {
+    customer: toId<CustomerName>('clinic'),
+    charge: { cpuMillis: 3, memoryMb: 2, accelerators: 1 },
+  };
+
+  it('rises and falls with runs, and forgets customers that have none', () => {
+    const usage = new CustomerUsage();
+    usage.recordRun(run);
+    usage.recordRun(run);
+    usage.recordRun({ ...run, customer: undefined });
+    expect(usage.readTaken(run.customer)).toEqual({ cpuMillis: 6, memoryMb: 4, accelerators: 2 });
+    usage.recordRunEnd(run);
+    usage.recordRunEnd(run);
+    expect(usage.readAll().size).toBe(0);
+  });
+});
--- /dev/null
+++ b/tests/helpers/createCustomer.ts
@@ -0,0 +1,10 @@
+import { toId } from '../../packages/common/toId';
+import type { CustomerName } from '../../packages/customers/CustomerName';
+import type { JobCustomer } from '../../packages/customers/JobCustomer';
+import type { TaskDemand } from '../../packages/jobs/TaskDemand';
+
+/** A customer of a job, with a limit in thousandths of a core or more dimensions; what is left out is not limited. */
+export const createCustomer = (name: string, limit: Partial<TaskDemand> = {}): JobCustomer => ({
+  name: toId<CustomerName>(name),
+  limit: { cpuMillis: 0, memoryMb: 0, accelerators: 0, ...limit },
+});
--- /dev/null
+++ b/tests/serve/customers.test.ts
@@ -0,0 +1,126 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { Cell } from '../../dev/cell/Cell';
+import { toJobIdText } from '../../dev/cell/toJobIdText';
+
+const KEYS = { clinic: 'secret-of-the-clinic', spare: 'spare-of-the-clinic', builders: 'secret-of-builders' };
+const CLINIC = { name: 'clinic', keys: [KEYS.clinic, KEYS.spare], cpuMillis: 3000 };
+const BUILDERS = { name: 'builders', keys: [KEYS.builders], cpuMillis: 0 };
+/** A version must be in force everywhere within this time. */
+const APPLY_MS = 3000;
+
+const createBody = (count: number, spec: string, fields: object = {}): object => ({
+  spec,
+  steps: [{ count, cpu: 1000, 'mem-mb': 100, ...fields }],
+});
+
+describe('customers', () => {
+  let cell: Cell;
+
+  beforeEach(async () => {
+    cell = await Cell.create({ boxes: 3, executors: 4, roomPerExecutor: 3 });
+    cell.writeConfiguration(2, ['open'], [CLINIC, BUILDERS]);
+    await startRefused('Token key-of-nobody');
+  });
+
+  afterEach(async () => {
+    expect(cell.witness.readProblems()).toEqual([]);
+    const output = cell.boxes.map(({ process }) => process.readOutput()).join('');
+    Object.values(KEYS).forEach((key) => expect(output).not.toContain(key));
+    await cell.stop();
+  });
+
+  const sendCount = (box: Cell['boxes'][number], authorization?: string) =>
+    cell.sendCall(box, 'GET', '/jobs/', undefined, authorization);
+
+  /** Waits until every box refuses a key. */
+  const startRefused = async (authorization: string, timeoutMs = APPLY_MS): Promise<void> => {
+    await cell.startUntil(async () => {
+      const answers = await Promise.all(cell.boxes.map((box) => sendCount(box, authorization)));
+      return answers.every(({ status }) => status === 401);
+    }, timeoutMs);
+  };
+
+  it('need one of their keys for each call, on queues that are not open', async () => {
+    const box = cell.boxes[1]!;
+    const [id, body] = [toJobIdText(1), JSON.stringify(createBody(1, '50'))];
+    const calls = [
+      ['POST', `/jobs/${id}`, body],
+      ['GET', `/jobs/${id}`, undefined],
+      ['GET', '/jobs/', undefined],
+      ['DELETE', `/jobs/${id}`, undefined],
+    ] as const;
+    for (const [method, path, content] of calls) {
+      for (const authorization of [undefined, 'Token', 'Token key-of-nobody', `Bearer ${KEYS.clinic}`]) {
+        const answer = await cell.sendCall(box, method, path, content, authorization);
+        expect([method, authorization, answer.status]).toEqual([method, authorization, 401]);
+        expect(answer.body).toMatchObject({ status: 401, title: 'Unauthorized' });
+      }
+    }
+    expect((await cell.sendCall(box, 'GET', '/nowhere/')).status).toBe(404);
+    expect((await cell.sendCall(box, 'GET', '/open/')).status).toBe(200);
+    expect((await cell.sendJob(box, id, body, 'jobs', KEYS.spare)).status).toBe(200);
+    expect(cell.witness.readTotalStarts()).toBeLessThanOrEqual(1);
+  });
+
+  it('read and cancel only their own jobs, and get no answer for the id of another', async () => {
+    const id = toJobIdText(1);
+    const body = createBody(1, 'lasts', { 'long-running': true });
+    expect((await cell.sendJob(cell.boxes[0]!, id, body, 'jobs', KEYS.clinic)).status).toBe(200);
+    for (const box of cell.boxes) {
+      const send = (method: 'GET' | 'DELETE', key: string) =>
+        cell.sendCall(box, method, `/jobs/${id}`, undefined, `Token ${key}`);
+      expect((await send('GET', KEYS.builders)).status).toBe(410);
+      expect((await send('DELETE', KEYS.builders)).status).toBe(410);
+      expect((await cell.sendJob(box, id, body, 'jobs', KEYS.builders)).status).toBe(409);
+      expect((await cell.sendJob(box, id, body, 'open', KEYS.clinic)).status).toBe(409);
+      expect((await cell.sendJob(box, id, body, 'jobs', KEYS.spare)).status).toBe(200);
+      expect((await send('GET', KEYS.spare)).status).toBe(200);
+    }
+    const cancel = await cell.sendCall(
+      cell.boxes[1]!,
+      'DELETE',
+      `/jobs/${id}`,
+      undefined,
+      `Token ${KEYS.clinic}`,
+    );
+    expect(cancel.status).toBe(200);
+  });
+
+  it('have a key that is taken away refused in time by every box, also by one that the log turns away', async () => {
+    const away = cell.boxes[2]!;
+    cell.log.applyFault('busy', away.name);
+    await cell.startUntil(() =>
+      Promise.resolve(/Topic cannot be read."[^\n]*keyed.op/.test(away.process.readOutput())),
+    );
+    cell.writeConfiguration(3, ['open'], [{ ...CLINIC, keys: [KEYS.spare] }, BUILDERS]);
+    await startRefused(`Token ${KEYS.clinic}`);
+    const answers = await Promise.all(cell.boxes.map((box) => sendCount(box, `Token ${KEYS.spare}`)));
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200]);
+    const line = away.process
+      .readOutput()
+      .split('\n')
+      .find((text) => text.includes('"version":3'));
+    expect(line).toMatch(/"source":"box-[01]"/);
+    // A broken version changes nothing and is told.
+    cell.log.writeRecord('keyed.op', 'config', { version: 4, routes: 'none', tenants: [{ name: '' }] });
+    await cell.startUntil(() =>
+      Promise.resolve(
+        cell.boxes[0]!.process.readOutput().includes('Configuration is malformed and left out.'),
+      ),
+    );
+    expect((await sendCount(cell.boxes[0]!, `Token ${KEYS.spare}`)).status).toBe(200);
+  });
+
+  it('are told at once, and truthfully, what could never run', async () => {
+    const send = (number: number, body: object, key: string) =>
+      cell.sendJob(cell.boxes[1]!, toJobIdText(number), body, 'jobs', key);
+    const gang = createBody(4, '50', { gang: true });
+    const answer = await send(1, gang, KEYS.clinic);
+    expect(answer.status).toBe(422);
+    expect(answer.body).toMatchObject({
+      detail: 'steps[0]: a gang of 4 is more than the customer may ever have running',
+    });
+    expect((await send(2, gang, KEYS.builders)).status).toBe(200);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() === 4));
+  });
+});
