Limits of customers: starts stay at or under what a customer may have running over all endpoints

The books of endpoints tell one sum a customer of each run that takes or frees room, so everything that may be running counts: recording, unanswered, being stopped, inherited and unheard, strange but known. A step held by its limit is one look in a round, waits for `limit` in logs, ledger and metrics, makes nobody give way and asks no advice; wide steps run in waves, gangs whole or not at all. The newest limit counts, that kept with the job until a configuration is known; a fallen one kills nothing.

Tests fail before: tests/customerLimits.test.ts, the customers' worlds of tests/dispatch.test.ts with two mutations, and "are held at their limit" of tests/serve/customers.test.ts.

--- a/packages/dispatch/AdviceQuestions.ts
+++ b/packages/dispatch/AdviceQuestions.ts
@@ -5,6 +5,7 @@
 import type { AdviceTurns } from './AdviceTurns';
 import type { DispatchEffect } from './DispatchEffect';
 import type { EndpointBook } from './EndpointBook';
+import type { LimitView } from './LimitView';
 import type { LiveJob } from './LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import type { RoomView } from './RoomView';
@@ -30,6 +31,7 @@
   constructor(
     private readonly books: ReadonlyMap<EndpointId, EndpointBook>,
     private readonly room: RoomView,
+    private readonly limits: LimitView,
     private readonly candidates: AdviceCandidates,
     private readonly history: AdviceHistory,
     private readonly sendEffect: (effect: Extract<DispatchEffect, { kind: 'advise' }>) => void,
@@ -110,13 +112,22 @@
         const leadMs = advice.decisionMs + advice.perEndpointMs * MAX_NAMED + EARLY_MARGIN_MS;
         if (this.readReadyInMs(job, time, step, now) <= leadMs) {
           const indexes = progress.readTasks(time, step).map((_task, index) => index);
-          const waiting = { job, time, step, shape, indexes, objectiveAtMs: job.readObjectiveAtMs(time) };
-          this.sendQuestion(waiting, this.room.readEligible(waiting), indexes.length, now);
+          this.sendEarlyQuestion(
+            { job, time, step, shape, indexes, objectiveAtMs: job.readObjectiveAtMs(time) },
+            now,
+          );
         }
       }
     }
   }
 
+  private sendEarlyQuestion(whole: WaitingStep, now: number): void {
+    const step = this.limits.readEverStartable(whole);
+    if (step !== undefined) {
+      this.sendQuestion(step, this.room.readEligible(step), step.indexes.length, now);
+    }
+  }
+
   /** Estimated time until a later step becomes ready; Infinity while an earlier one has not started. */
   private readReadyInMs(job: LiveJob, time: number, step: number, now: number): number {
     let readyInMs = 0;
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -1,14 +1,18 @@
+import type { CustomerName } from '../customers/CustomerName';
+import { CustomerUsage } from '../customers/CustomerUsage';
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import type { JobProgress } from '../jobs/JobProgress';
 import type { TaskAddress } from '../jobs/TaskAddress';
+import type { TaskDemand } from '../jobs/TaskDemand';
 import type { TaskName } from '../jobs/TaskName';
 import type { TaskProgress } from '../jobs/TaskProgress';
 import { demandSums } from '../jobs/demandSums';
 import type { DispatchEffect } from './DispatchEffect';
 import { EndpointBook } from './EndpointBook';
 import type { EndpointProfile } from './EndpointProfile';
+import { LimitView } from './LimitView';
 import { LiveJob } from './LiveJob';
 import type { OrderAnswer } from './OrderAnswer';
 import type { PlacedRun } from './PlacedRun';
@@ -36,6 +40,8 @@
   readonly readDefinition: (id: JobId) => JobDefinition | undefined;
   /** Monotonic time until which an endpoint that has not been heard may run what earlier leaders placed there. */
   readonly unheardUntil: number;
+  /** The limit of a customer in the configuration in force; where there is none, that kept with the job counts. */
+  readonly readLimit?: (customer: CustomerName) => TaskDemand | undefined;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -49,6 +55,8 @@
 export class Dispatcher {
   private readonly books = new Map<EndpointId, EndpointBook>();
   private readonly jobs = new Map<JobId, LiveJob>();
+  /** What each customer has running; every book tells it of its runs. */
+  private readonly usage = new CustomerUsage();
   private effects: DispatchEffect[] = [];
   private readonly changed = new Set<JobId>();
   private readonly placer: StepPlacer;
@@ -84,10 +92,19 @@
       reservations,
       handlePreempted: (book, run, step) => this.handlePreempted(book, run, step),
     });
+    const limits = new LimitView(this.usage, options.readLimit ?? (() => undefined));
     const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory);
-    this.questions = new AdviceQuestions(this.books, this.room, candidates, this.adviceHistory, sendEffect);
+    this.questions = new AdviceQuestions(
+      this.books,
+      this.room,
+      limits,
+      candidates,
+      this.adviceHistory,
+      sendEffect,
+    );
     this.placer = new StepPlacer({
       room: this.room,
+      limits,
       questions: this.questions,
       preemptor,
       reservations,
@@ -130,6 +147,10 @@
     return this.jobs.size;
   }
 
+  readUsage(): CustomerUsage {
+    return this.usage;
+  }
+
   readBook(id: EndpointId): EndpointBook | undefined {
     return this.books.get(id);
   }
@@ -168,7 +189,7 @@
     this.hasNews = true;
     const book = this.books.get(profile.id);
     if (book === undefined) {
-      this.books.set(profile.id, new EndpointBook(profile, this.options.unheardUntil));
+      this.books.set(profile.id, new EndpointBook(profile, this.options.unheardUntil, this.usage));
       return;
     }
     book.applyProfile(profile);
@@ -371,7 +392,7 @@
         isDraining: true,
         remainingMs: 0,
       };
-      book = new EndpointBook(profile, this.options.unheardUntil);
+      book = new EndpointBook(profile, this.options.unheardUntil, this.usage);
       this.books.set(task.endpoint, book);
     }
     const run = createPlacedRun(definition, address, task.run, now);
--- a/packages/dispatch/EndpointBook.ts
+++ b/packages/dispatch/EndpointBook.ts
@@ -1,3 +1,4 @@
+import type { CustomerUsage } from '../customers/CustomerUsage';
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { TaskName } from '../jobs/TaskName';
 import { demandSums } from '../jobs/demandSums';
@@ -37,6 +38,8 @@
   constructor(
     private profile: EndpointProfile,
     leasedUntil: number,
+    /** Told of each run that takes or frees room. */
+    private readonly usage: CustomerUsage,
   ) {
     this.leasedUntil = leasedUntil;
   }
@@ -67,16 +70,18 @@
     return this.runs.size;
   }
 
-  /** Takes room for a run. */
+  /** Takes room for a run, here and in its customer's usage. */
   recordRun(run: PlacedRun): void {
     this.runs.set(`${run.task}#${run.run}`, run);
     this.used = demandSums.toSum(this.used, run.demand);
+    this.usage.recordRun(run);
   }
 
   /** Frees the room of a run that is known to have ended. */
   recordRunEnd(run: PlacedRun): void {
     if (this.runs.delete(`${run.task}#${run.run}`)) {
       this.used = demandSums.toDifference(this.used, run.demand);
+      this.usage.recordRunEnd(run);
     }
   }
 
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -1,3 +1,5 @@
+import type { CustomerName } from '../customers/CustomerName';
+import type { TaskDemand } from '../jobs/TaskDemand';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
@@ -43,6 +45,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** The limit of a customer in the configuration in force. */
+  readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   readonly parseEndpoint: (id: string, text: string) => EndpointProfile | undefined;
   readonly createEndpointClient: (profile: EndpointProfile) => EndpointClient;
   readonly readAskers: () => ReturnType<ConstructorParameters<typeof AdviceDesk>[0]['readAskers']>;
@@ -64,6 +68,7 @@
   turn: 'waitTurnMs',
   answer: 'waitAnswerMs',
   room: 'waitRoomMs',
+  limit: 'waitLimitMs',
 } as const satisfies Readonly<Record<WaitCause, string>>;
 const WAIT_CAUSES = Object.keys(WAIT_TIMES) as WaitCause[];
 /** Rounds that hold the process up for longer are worth a line. */
@@ -101,6 +106,7 @@
     this.dispatcher = new Dispatcher({
       unheardUntil: options.earlierLeasesEndAt,
       readDefinition: (id) => replica.readDefinition(id),
+      readLimit: options.readLimit,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.journal = new LeaderJournal({
--- a/packages/dispatch/PlacedRun.ts
+++ b/packages/dispatch/PlacedRun.ts
@@ -1,3 +1,4 @@
+import type { CustomerName } from '../customers/CustomerName';
 import type { JobId } from '../jobs/JobId';
 import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskDemand } from '../jobs/TaskDemand';
@@ -21,6 +22,10 @@
   readonly run: number;
   /** Room it takes; fillers take no processor time. */
   readonly demand: TaskDemand;
+  /** Whose run it is; undefined for jobs of no customer. */
+  readonly customer: CustomerName | undefined;
+  /** What counts against the customer's limit: with fillers also the processor time that they ask for. */
+  readonly charge: TaskDemand;
   readonly isFiller: boolean;
   /** A long-running task that serves users of its own. */
   readonly isServing: boolean;
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -2,6 +2,7 @@
 import type { DispatchEffect } from './DispatchEffect';
 import type { AdviceQuestions } from './AdviceQuestions';
 import type { EndpointBook } from './EndpointBook';
+import type { LimitView } from './LimitView';
 import type { LiveJob } from './LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import type { Preemptor } from './Preemptor';
@@ -22,6 +23,7 @@
 
 interface StepPlacerOptions {
   readonly room: RoomView;
+  readonly limits: LimitView;
   readonly questions: AdviceQuestions;
   readonly preemptor: Preemptor;
   readonly reservations: RoomReservations;
@@ -42,11 +44,17 @@
   }
 
   /** Places what can be placed of a step; returns whether anything was. */
-  placeStep(step: WaitingStep, now: number): boolean {
+  placeStep(whole: WaitingStep, now: number): boolean {
+    const wait = whole.job.readWait(whole.time, whole.step);
+    const step = this.options.limits.readStartable(whole);
+    if (step === undefined) {
+      wait.recordCause('limit', now);
+      return false;
+    }
     const eligible = this.room.readEligible(step);
     const isShortOfRoom = this.room.isShortOfRoom(step, eligible);
     if (!isShortOfRoom && !this.room.hasAnyRoom(step, eligible)) {
-      step.job.readWait(step.time, step.step).recordCause('room', now);
+      wait.recordCause('room', now);
       return false;
     }
     const choices = this.chooseEndpoints(step, eligible, now);
@@ -57,10 +65,10 @@
     }
     if (choices.length > 0) {
       this.placeChoices(step, choices, now);
-      step.job.recordPlaced(step.time, step.step, now, missing > 0);
+      step.job.recordPlaced(step.time, step.step, now, choices.length < whole.indexes.length);
     }
-    if (missing > 0) {
-      step.job.readWait(step.time, step.step).recordCause(cause, now);
+    if (choices.length < whole.indexes.length) {
+      step.job.readWait(step.time, step.step).recordCause(missing > 0 ? cause : 'limit', now);
     }
     return choices.length > 0;
   }
@@ -69,7 +77,11 @@
    * Asks for the tickets that the step lacks for starting later, and that will have run out once an answer could be there. Books
    * what it would take until `revokeBooked`, so that less urgent steps are asked about for the room that is left.
    */
-  sendQuestionAhead(step: WaitingStep, now: number): void {
+  sendQuestionAhead(whole: WaitingStep, now: number): void {
+    const step = this.options.limits.readStartable(whole);
+    if (step === undefined) {
+      return;
+    }
     const eligible = this.room.readEligible(step);
     if (!this.room.hasAnyRoom(step, eligible)) {
       return;
--- a/packages/dispatch/WaitCause.ts
+++ b/packages/dispatch/WaitCause.ts
@@ -4,5 +4,6 @@
  * - `turn`: its question for advice waits for a box that is free to ask.
  * - `answer`: its question is under way.
  * - `room`: no endpoint that may run it has room.
+ * - `limit`: its customer has as much running as it may.
  */
-export type WaitCause = 'round' | 'turn' | 'answer' | 'room';
+export type WaitCause = 'round' | 'turn' | 'answer' | 'room' | 'limit';
--- a/packages/dispatch/createPlacedRun.ts
+++ b/packages/dispatch/createPlacedRun.ts
@@ -18,6 +18,8 @@
     address,
     run,
     demand: shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand,
+    customer: definition.customer?.name,
+    charge: shape.demand,
     isFiller: shape.isFiller,
     isServing: shape.isLongRunning && !shape.isFiller,
     priority: definition.queue.priority,
--- a/packages/dispatch/createStrangeRun.ts
+++ b/packages/dispatch/createStrangeRun.ts
@@ -11,6 +11,8 @@
   address: { time: 0, step: 0, index: 0 },
   run: row.run,
   demand: demandSums.NOTHING,
+  customer: undefined,
+  charge: demandSums.NOTHING,
   isFiller: false,
   isServing: false,
   priority: 0,
--- a/packages/ledger/ledgerCauses.ts
+++ b/packages/ledger/ledgerCauses.ts
@@ -8,6 +8,7 @@
   'turn',
   'answer',
   'room',
+  'limit',
   'record',
   'start',
   'running',
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -408,6 +408,7 @@
       clock,
       random,
       logger: this.options.createPartLogger('leader'),
+      readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile) => adapter.createEndpointClient(profile, epoch),
       readAskers: () => this.readAskers(),
--- /dev/null
+++ b/tests/customerLimits.test.ts
@@ -0,0 +1,200 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
+import { Dispatcher } from '../packages/dispatch/Dispatcher';
+import type { JobDefinition } from '../packages/jobs/JobDefinition';
+import { JobProgress } from '../packages/jobs/JobProgress';
+import type { JobStep } from '../packages/jobs/JobStep';
+import type { TaskDemand } from '../packages/jobs/TaskDemand';
+import { createCustomer } from './helpers/createCustomer';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
+import { createStep } from './helpers/createStep';
+
+type Start = Extract<DispatchEffect, { kind: 'start' }>;
+
+const LIMIT = { cpuMillis: 3000, memoryMb: 0, accelerators: 0 };
+const ADVICE = { decisionMs: 20, perEndpointMs: 1, validityMs: 2500 };
+const PROFILES = ['i-0', 'i-1', 'i-2'].map((id) => createProfile(id));
+
+describe('a customer at its limit', () => {
+  let dispatcher: Dispatcher;
+  let limit: TaskDemand | undefined;
+
+  const startLeader = (unheardUntil = 0, isHeard = true): void => {
+    dispatcher = new Dispatcher({ readDefinition: () => undefined, unheardUntil, readLimit: () => limit });
+    PROFILES.forEach((profile) => dispatcher.handleEndpoint(profile));
+    if (isHeard) {
+      PROFILES.forEach(({ id }) =>
+        dispatcher.handleLook({ endpoint: id, running: [], ended: [], sentAt: 0 }, 1, 1),
+      );
+    }
+  };
+
+  beforeEach(() => {
+    limit = undefined;
+    startLeader();
+  });
+
+  const createJob = (number: number, steps: readonly JobStep[], queue = {}): JobDefinition => ({
+    ...createJobDefinition(number, steps, queue),
+    customer: createCustomer('clinic', LIMIT),
+  });
+
+  const handleJob = (definition: JobDefinition): void =>
+    dispatcher.handleJob(definition, new JobProgress(definition), 1);
+
+  /** Places, records and confirms; gives what was started. */
+  const placeAll = (now: number): readonly Start[] => {
+    dispatcher.placeWaiting(now, now);
+    const starts = readKind('start');
+    for (const start of starts) {
+      dispatcher.handleRecorded(start, now);
+      dispatcher.handleStartAnswer(start.endpoint, start.order.task, start.order.run, { kind: 'done' }, now);
+    }
+    return starts;
+  };
+
+  const readKind = <Kind extends DispatchEffect['kind']>(kind: Kind) =>
+    dispatcher
+      .readEffects()
+      .filter((effect): effect is Extract<DispatchEffect, { kind: Kind }> => effect.kind === kind);
+
+  /** A look shows that one run was done and all others go on. */
+  const handleDone = (start: Start, now: number): void => {
+    const { task, run } = start.order;
+    const others = [...dispatcher.readBook(start.endpoint)!.readRuns()].filter(
+      (other) => other.task !== task,
+    );
+    const running = others.map((other) => ({ ...other, percent: 10, load: 0 }));
+    const ended = [{ number: 1, task, run, how: 'done', checkpoint: '' } as const];
+    dispatcher.handleLook({ endpoint: start.endpoint, running, ended, sentAt: now }, now, now);
+  };
+
+  it('has a wide step run in waves, beside other customers that go on', () => {
+    const other = {
+      ...createJobDefinition(2, [createStep({ count: 2 })]),
+      customer: createCustomer('builders', LIMIT),
+    };
+    handleJob(createJob(1, [createStep({ count: 8 })]));
+    handleJob(other);
+    const first = placeAll(2);
+    expect(first.filter(({ job }) => job === other.id)).toHaveLength(2);
+    const own = first.filter(({ job }) => job !== other.id);
+    expect(own).toHaveLength(3);
+    expect(placeAll(3)).toEqual([]);
+    handleDone(own[0]!, 500);
+    expect(placeAll(501)).toHaveLength(1);
+  });
+
+  it('says `limit` as the cause of the wait', () => {
+    handleJob(createJob(1, [createStep({ count: 4 })]));
+    const first = placeAll(2);
+    handleDone(first[0]!, 302);
+    const [later] = placeAll(302);
+    expect(later?.waits).toMatchObject({ limit: 300, room: 0, round: 0 });
+  });
+
+  it('has a gang start whole or not at all', () => {
+    handleJob(createJob(1, [createStep({ count: 2 })]));
+    handleJob(createJob(2, [createStep({ count: 2, isGang: true })]));
+    const first = placeAll(2);
+    expect(first.map(({ job }) => job)).toEqual([first[0]!.job, first[0]!.job]);
+    first.forEach((start, index) => handleDone(start, 500 + index));
+    expect(placeAll(600)).toHaveLength(2);
+  });
+
+  it('gets room again only when a stopped run is known to be gone', () => {
+    const job = createJob(1, [createStep({ count: 3 })]);
+    handleJob(job);
+    const starts = placeAll(2);
+    handleJob(createJob(2, [createStep({ count: 3 })]));
+    dispatcher.handleCancel(job.id, 100);
+    expect(placeAll(100)).toEqual([]);
+    starts.forEach(({ endpoint, order }) =>
+      dispatcher.handleStopAnswer(endpoint, order.task, order.run, { kind: 'done' }, 110),
+    );
+    expect(placeAll(120)).toEqual([]);
+    PROFILES.forEach(({ id }) =>
+      dispatcher.handleLook({ endpoint: id, running: [], ended: [], sentAt: 130 }, 131, 131),
+    );
+    expect(placeAll(132)).toHaveLength(3);
+  });
+
+  it('has starts without an answer counted until they are proved not to run', () => {
+    handleJob(createJob(1, [createStep({ count: 3 })]));
+    dispatcher.placeWaiting(2, 2);
+    const starts = readKind('start');
+    starts.forEach((start) => dispatcher.handleRecorded(start, 2));
+    for (const { endpoint, order } of starts) {
+      dispatcher.handleStartAnswer(endpoint, order.task, order.run, { kind: 'unanswered', detail: '' }, 50);
+    }
+    handleJob(createJob(2, [createStep({ count: 1 })]));
+    // Other endpoints have room and answer.
+    PROFILES.forEach(({ id }) =>
+      dispatcher.handleLook({ endpoint: id, running: [], ended: [], sentAt: 60 }, 61, 61),
+    );
+    expect(placeAll(62)).toEqual([]);
+  });
+
+  it('has what an earlier leader placed counted before the first start, also on endpoints that are not heard', () => {
+    const job = createJob(1, [createStep({ count: 3 })]);
+    const progress = new JobProgress(job);
+    [0, 1, 2].forEach((index) => progress.recordPlaced({ time: 0, step: 0, index }, 1, PROFILES[2]!.id));
+    startLeader(5000, false);
+    dispatcher.handleJob(job, progress, 1);
+    handleJob(createJob(2, [createStep({ count: 1 })]));
+    const heard = PROFILES.slice(0, 2);
+    heard.forEach(({ id }) =>
+      dispatcher.handleLook({ endpoint: id, running: [], ended: [], sentAt: 2 }, 3, 3),
+    );
+    dispatcher.applyTime(4000);
+    expect(placeAll(4000)).toEqual([]);
+    dispatcher.applyTime(5001);
+    expect(placeAll(5002)).toHaveLength(3);
+  });
+
+  it('has the processor time that fillers ask for counted', () => {
+    handleJob(createJob(1, [createStep({ count: 8, isFiller: true, isLongRunning: true })]));
+    expect(placeAll(2)).toHaveLength(3);
+  });
+
+  it('is held by the newest limit: a fallen one kills nothing and lets nothing start, a risen one does', () => {
+    handleJob(createJob(1, [createStep({ count: 9 })]));
+    expect(placeAll(2)).toHaveLength(3);
+    limit = { ...LIMIT, cpuMillis: 1000 };
+    dispatcher.applyTime(100);
+    expect(readKind('stop')).toEqual([]);
+    expect(placeAll(100)).toEqual([]);
+    limit = { ...LIMIT, cpuMillis: 5000 };
+    dispatcher.applyTime(200);
+    expect(placeAll(200)).toHaveLength(2);
+  });
+
+  it('asks no advice while nothing may start, and for no more than may', () => {
+    const [own, others] = [
+      createJob(1, [createStep({ count: 3 })]),
+      createJob(2, [createStep({ count: 40 })], { advice: ADVICE }),
+    ];
+    handleJob(own);
+    const starts = placeAll(2);
+    handleJob(others);
+    dispatcher.placeWaiting(3, 3);
+    expect(readKind('advise')).toEqual([]);
+    handleDone(starts[0]!, 400);
+    dispatcher.placeWaiting(400, 400);
+    expect(readKind('advise')).toHaveLength(1);
+  });
+
+  it('makes nobody give way for work that its limit holds', () => {
+    limit = { ...LIMIT, cpuMillis: 12_000 };
+    handleJob(createJob(1, [createStep({ count: 12, isCheckpointing: true })], { priority: 2 }));
+    expect(placeAll(2)).toHaveLength(12);
+    handleJob(
+      createJob(2, [
+        createStep({ count: 2, isGang: true, demand: { cpuMillis: 2000, memoryMb: 1, accelerators: 0 } }),
+      ]),
+    );
+    dispatcher.placeWaiting(50, 50);
+    expect(readKind('stop')).toEqual([]);
+  });
+});
--- a/tests/dispatch.test.ts
+++ b/tests/dispatch.test.ts
@@ -3,8 +3,10 @@
 import { createRandom } from '../packages/common/createRandom';
 import type { Random } from '../packages/common/Random';
 import { toId } from '../packages/common/toId';
+import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
+import type { PlacedRun } from '../packages/dispatch/PlacedRun';
 import type { EndedRow } from '../packages/dispatch/EndedRow';
 import type { EndpointProfile } from '../packages/dispatch/EndpointProfile';
 import { readStraggling } from '../packages/dispatch/readStraggling';
@@ -16,12 +18,15 @@
 import type { JobStep } from '../packages/jobs/JobStep';
 import { parseProgress } from '../packages/jobs/parseProgress';
 import type { TaskName } from '../packages/jobs/TaskName';
+import { createCustomer } from './helpers/createCustomer';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 
 const CPUS = 4000;
 const LEASE_MS = 4000;
+/** In customers' worlds: half of what the three endpoints hold. */
+const LIMIT = { cpuMillis: 6000, memoryMb: 0, accelerators: 0 };
 /** Worlds to try; more by hand, with other seeds. */
 const RUNS = Number(process.env['STAIRLINE_WORLDS'] ?? 60);
 const SEED = Number(process.env['STAIRLINE_WORLD_SEED'] ?? 20261202);
@@ -29,6 +34,16 @@
 const createJob = (number: number, steps: readonly JobStep[], attempts = 3, priority = 0): JobDefinition =>
   createJobDefinition(number, steps, { attempts, priority });
 
+type Mutation =
+  | 'none'
+  | 'noLeaseWait'
+  | 'ackBeforeRecord'
+  | 'noFence'
+  /** What earlier leaders placed is not counted against a customer's limit. */
+  | 'usageNotInherited'
+  /** A run counts as gone as soon as it is told to stop. */
+  | 'stopCountsAsEnd';
+
 interface ModelRun {
   readonly task: TaskName;
   readonly run: number;
@@ -76,9 +91,11 @@
 
   constructor(
     seed: number,
-    private readonly mutation: 'none' | 'noLeaseWait' | 'ackBeforeRecord' | 'noFence' = 'none',
+    private readonly mutation: Mutation = 'none',
     /** Jobs differ in priority, so that gangs make others give way. */
     private readonly hasPriorities = false,
+    /** Jobs belong to two customers, each of which may have half of all processors. */
+    private readonly hasCustomers = false,
   ) {
     this.random = createRandom(seed);
     for (let index = 0; index < 3; index += 1) {
@@ -134,7 +151,9 @@
         createStep({ count: 2, dependsOn: [0], isCheckpointing: this.random() < 0.5 }),
       ];
       const priority = this.hasPriorities ? this.definitions.size % 3 : 0;
-      const definition = createJob(this.definitions.size + 1, steps, 1000, priority);
+      const job = createJob(this.definitions.size + 1, steps, 1000, priority);
+      const owner = createCustomer(`customer-${this.definitions.size % 2}`, LIMIT);
+      const definition = this.hasCustomers ? { ...job, customer: owner } : job;
       this.definitions.set(definition.id, definition);
       this.dispatcher.handleJob(definition, this.readProgress(definition), this.now);
     } else if (pick < 0.12) {
@@ -157,6 +176,9 @@
     for (const definition of this.definitions.values()) {
       this.dispatcher.handleJob(definition, this.readProgress(definition), this.now);
     }
+    if (this.mutation === 'usageNotInherited') {
+      this.readBookedRuns().forEach((run) => this.dispatcher.readUsage().recordRunEnd(run));
+    }
     this.endpoints.forEach((endpoint) => {
       endpoint.lastSeen = 0;
       endpoint.lookAt = this.now;
@@ -180,10 +202,52 @@
       } else if (effect.kind === 'start') {
         starts.push(effect);
       } else if (effect.kind === 'stop') {
+        this.applyStopMutation(effect);
         this.sendStop(effect, isTroubled);
       }
     }
     starts.forEach((effect) => this.sendStart(effect, isTroubled));
+    this.checkUsage();
+  }
+
+  private readBookedRuns(): readonly PlacedRun[] {
+    return this.endpoints.flatMap(({ profile }) => [
+      ...(this.dispatcher.readBook(profile.id)?.readRuns() ?? []),
+    ]);
+  }
+
+  private applyStopMutation({ endpoint, task, run }: Extract<DispatchEffect, { kind: 'stop' }>): void {
+    const booked = this.dispatcher.readBook(endpoint)?.readRun(task, run);
+    if (this.mutation === 'stopCountsAsEnd' && booked !== undefined) {
+      this.dispatcher.readUsage().recordRunEnd(booked);
+    }
+  }
+
+  /** What the dispatcher counts for each customer must be what its books hold. */
+  private checkUsage(): void {
+    if (!this.hasCustomers || this.mutation !== 'none') {
+      return;
+    }
+    const booked = new CustomerUsage();
+    this.readBookedRuns().forEach((run) => booked.recordRun(run));
+    const [counted, expected] = [this.dispatcher.readUsage(), booked].map((usage) =>
+      JSON.stringify([...usage.readAll()].sort()),
+    );
+    if (counted !== expected) {
+      this.problems.push(`usage ${counted} for ${expected}`);
+    }
+  }
+
+  /** What runs of a customer, wherever it does, must be within its limit. */
+  private checkLimit(task: TaskName): void {
+    const readOwner = (name: string): string | undefined =>
+      this.definitions.get(name.split('.')[0] as JobId)?.customer?.name;
+    const owner = readOwner(task);
+    const running = this.endpoints.flatMap(({ runs }) => [...runs.keys()]);
+    const count = running.filter((other) => readOwner(other) === owner).length;
+    if (owner !== undefined && count * 1000 > LIMIT.cpuMillis) {
+      this.problems.push(`${owner} has ${count} tasks running`);
+    }
   }
 
   private sendStart(effect: Extract<DispatchEffect, { kind: 'start' }>, isTroubled: boolean): void {
@@ -257,6 +321,7 @@
     if (endpoint.runs.size * 1000 > CPUS) {
       this.problems.push(`${endpoint.profile.id} holds ${endpoint.runs.size} tasks`);
     }
+    this.checkLimit(task);
   }
 
   private applyStop(endpoint: ModelEndpoint, task: TaskName, run: number): void {
@@ -354,15 +419,18 @@
   seed: number,
   mutation?: ConstructorParameters<typeof World>[1],
   hasPriorities?: boolean,
+  hasCustomers?: boolean,
 ): readonly string[] => {
-  const world = new World(seed, mutation, hasPriorities);
+  const world = new World(seed, mutation, hasPriorities, hasCustomers);
   world.start(1200, 900);
   const unfinished = world.readUnfinished().map((id) => `${id} is not finished`);
   return [...world.problems, ...world.readDoubledWork(), ...unfinished];
 };
 
-const hasBrokenSeed = (mutation: ConstructorParameters<typeof World>[1]): boolean =>
-  Array.from({ length: 40 }, (_, seed) => seed).some((seed) => readBroken(seed, mutation).length > 0);
+const hasBrokenSeed = (mutation: Mutation, hasCustomers = false): boolean =>
+  Array.from({ length: 40 }, (_, seed) => seed).some(
+    (seed) => readBroken(seed, mutation, hasCustomers, hasCustomers).length > 0,
+  );
 
 describe('the dispatcher', () => {
   it(
@@ -391,6 +459,26 @@
     RUNS * 2000,
   );
 
+  it(
+    'keeps customers to their limits at any moment, and counts what their runs take',
+    () => {
+      fc.assert(
+        fc.property(fc.integer({ min: 0, max: 1_000_000 }), fc.boolean(), (seed, hasPriorities) => {
+          expect(readBroken(seed, 'none', hasPriorities, true)).toEqual([]);
+        }),
+        { numRuns: RUNS, seed: SEED },
+      );
+    },
+    RUNS * 2000,
+  );
+
+  it.each(['usageNotInherited', 'stopCountsAsEnd'] as const)(
+    'is caught when a customer is counted wrongly: %s',
+    (mutation) => {
+      expect(hasBrokenSeed(mutation, true)).toBe(true);
+    },
+  );
+
   it('finishes a gang of which one member was done and the ends of others were lost (seed that once failed)', () => {
     expect(readBroken(475780)).toEqual([]);
   });
--- a/tests/endpointSession.test.ts
+++ b/tests/endpointSession.test.ts
@@ -1,3 +1,4 @@
+import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import { describe, expect, it } from 'vitest';
 import { systemClock } from '../packages/common/systemClock';
 import { toId } from '../packages/common/toId';
@@ -18,7 +19,7 @@
 const LEASE_MS = 4000;
 const END = { number: 1, task: toId<TaskName>('0.0.0.0'), run: 1, how: 'done', checkpoint: '' } as const;
 
-const createBook = (): EndpointBook => new EndpointBook(createProfile('i-0'), 0);
+const createBook = (): EndpointBook => new EndpointBook(createProfile('i-0'), 0, new CustomerUsage());
 
 const createSession = (
   book: EndpointBook,
--- a/tests/serve/customers.test.ts
+++ b/tests/serve/customers.test.ts
@@ -111,6 +111,36 @@
     expect((await sendCount(cell.boxes[0]!, `Token ${KEYS.spare}`)).status).toBe(200);
   });
 
+  it('are held at their limit while it falls and rises, also across a change of leader', async () => {
+    const id = toJobIdText(1);
+    const body = createBody(9, '1500');
+    const box = cell.boxes[0]!;
+    expect((await cell.sendJob(box, id, body, 'jobs', KEYS.clinic)).status).toBe(200);
+    const readRunning = (): number =>
+      cell.executors.reduce((sum, { standin }) => sum + standin.readRunCount(), 0);
+    let highest = 0;
+    const watch = setInterval(() => {
+      highest = Math.max(highest, readRunning());
+    }, 5);
+    await cell.startUntil(() => Promise.resolve(readRunning() === 3));
+    const leader = await cell.startLeader();
+    leader.process.sendSignal('SIGKILL');
+    await leader.process.exit;
+    cell.startBox(leader);
+    await cell.startUntil(() => Promise.resolve(cell.witness.readTotalStarts() >= 6), 20_000);
+    expect(highest).toBe(3);
+    cell.writeConfiguration(3, ['open'], [{ ...CLINIC, cpuMillis: 1000 }, BUILDERS]);
+    await cell.startUntil(() => Promise.resolve(readRunning() <= 1), 10_000);
+    cell.writeConfiguration(4, ['open'], [{ ...CLINIC, cpuMillis: 5000 }, BUILDERS]);
+    const reader = cell.boxes.find(({ process }) => process.isAlive())!;
+    await cell.startUntil(async () => {
+      const answer = await cell.sendCall(reader, 'GET', `/jobs/${id}`, undefined, `Token ${KEYS.clinic}`);
+      return answer.body.state === 'completed';
+    }, 20_000);
+    clearInterval(watch);
+    expect(highest).toBeLessThanOrEqual(5);
+  });
+
   it('are told at once, and truthfully, what could never run', async () => {
     const send = (number: number, body: object, key: string) =>
       cell.sendJob(cell.boxes[1]!, toJobIdText(number), body, 'jobs', key);
