--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -30,6 +30,7 @@
   readonly name: string;
   readonly front: string;
   readonly ready: string;
+  readonly internal: string;
   readonly settingsFile: string;
   process: ManagedProcess;
 }
@@ -181,6 +182,12 @@
     return answer?.statusCode === 200;
   }
 
+  /** The box's own figures, in the text form that collectors read. */
+  async readMetrics(box: CellBox): Promise<string> {
+    const answer = await request(`http://${box.internal}/metrics`);
+    return answer.body.text();
+  }
+
   /** The box that leads, by its own log. */
   async startLeader(): Promise<CellBox> {
     let leader: CellBox | undefined;
@@ -277,7 +284,7 @@
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
     const process = this.createProcess(name, settingsFile);
-    this.boxes.push({ name, front, ready, settingsFile, process });
+    this.boxes.push({ name, front, ready, internal, settingsFile, process });
   }
 
   private createProcess(name: string, settingsFile: string): ManagedProcess {
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -151,6 +151,20 @@
     return this.usage;
   }
 
+  /** Tasks that could start and wait, by customer. Looks at all open jobs. */
+  readWaitingCounts(wallMs: number): ReadonlyMap<CustomerName, number> {
+    const counts = new Map<CustomerName, number>();
+    for (const job of this.jobs.values()) {
+      const name = job.definition.customer?.name;
+      if (name === undefined || job.progress.isEnded()) {
+        continue;
+      }
+      const waiting = job.readWaiting(wallMs).reduce((sum, { indexes }) => sum + indexes.length, 0);
+      counts.set(name, (counts.get(name) ?? 0) + waiting);
+    }
+    return counts;
+  }
+
   readBook(id: EndpointId): EndpointBook | undefined {
     return this.books.get(id);
   }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -8,8 +8,11 @@
 import type { AdviceClient } from '../dispatch/AdviceClient';
 import { LeaderDuty } from '../dispatch/LeaderDuty';
 import { QueueRouter } from '../gateway/QueueRouter';
+import type { CustomerFigures } from '../customers/CustomerFigures';
+import { formatCustomerFigures } from '../customers/formatCustomerFigures';
 import type { JobCaller } from '../customers/JobCaller';
 import { CallerGate } from '../gateway/CallerGate';
+import { demandSums } from '../jobs/demandSums';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
@@ -457,7 +460,7 @@
   }
 
   private formatMetrics(): string {
-    return this.metrics.formatText({
+    const text = this.metrics.formatText({
       leading: this.duty === undefined ? 0 : 1,
       liveJobs: this.duty?.readDispatcher().readJobCount() ?? 0,
       configurationVersion: this.router.readConfiguration()?.version ?? 0,
@@ -467,5 +470,23 @@
       readingJobsTopic: Number(this.jobsFollower.isFollowing()),
       knownJobs: this.replica.readJobCount(),
     });
+    return text + formatCustomerFigures(this.readCustomerFigures());
+  }
+
+  /** Customers as the leader sees them; nobody else knows what runs. */
+  private readCustomerFigures(): readonly CustomerFigures[] {
+    const dispatcher = this.duty?.readDispatcher();
+    if (dispatcher === undefined) {
+      return [];
+    }
+    const usage = dispatcher.readUsage().readAll();
+    const waiting = dispatcher.readWaitingCounts(this.options.clock.readWall());
+    return [...this.router.readCustomers().readCustomers()].map(({ name, limit }) => ({
+      name,
+      limit,
+      taken: usage.get(name)?.taken ?? demandSums.NOTHING,
+      runs: usage.get(name)?.runs ?? 0,
+      waiting: waiting.get(name) ?? 0,
+    }));
   }
 }
--- a/tests/customers.test.ts
+++ b/tests/customers.test.ts
@@ -5,6 +5,7 @@
 import { customerLimits } from '../packages/customers/customerLimits';
 import type { CustomerName } from '../packages/customers/CustomerName';
 import { CustomerUsage } from '../packages/customers/CustomerUsage';
+import { formatCustomerFigures } from '../packages/customers/formatCustomerFigures';
 import { hasAccess } from '../packages/customers/hasAccess';
 import { toKeyDigest } from '../packages/customers/toKeyDigest';
 import { configurationSchema } from '../packages/gateway/configurationSchema';
@@ -226,6 +227,28 @@
   });
 });
 
+describe('the figures of customers', () => {
+  it('are given by name, with what could break the text form escaped, for a bounded number of customers', () => {
+    const figures = {
+      name: toId<CustomerName>('a "b"\\'),
+      taken: { cpuMillis: 1500, memoryMb: 0, accelerators: 0 },
+      runs: 2,
+      waiting: 7,
+      limit: { cpuMillis: 4000, memoryMb: 0, accelerators: 0 },
+    };
+    expect(formatCustomerFigures([figures]).split('\n')).toEqual([
+      'stairline_customer_running_tasks{customer="a \\"b\\"\\\\"} 2',
+      'stairline_customer_running_cpu_millis{customer="a \\"b\\"\\\\"} 1500',
+      'stairline_customer_waiting_tasks{customer="a \\"b\\"\\\\"} 7',
+      'stairline_customer_limit_cpu_millis{customer="a \\"b\\"\\\\"} 4000',
+      '',
+    ]);
+    const many = Array.from({ length: 2000 }, (_, runs) => ({ ...figures, runs }));
+    expect(formatCustomerFigures(many).split('\n').length).toBeLessThan(1100);
+    expect(formatCustomerFigures(many)).toContain('} 1999\n');
+  });
+});
+
 describe('the usage of customers', () => {
   const run = {
     customer: toId<CustomerName>('clinic'),
--- a/tests/serve/customers.test.ts
+++ b/tests/serve/customers.test.ts
@@ -124,6 +124,9 @@
     }, 5);
     await cell.startUntil(() => Promise.resolve(readRunning() === 3));
     const leader = await cell.startLeader();
+    const figures = await cell.readMetrics(leader);
+    expect(figures).toContain('stairline_customer_running_tasks{customer="clinic"} 3\n');
+    expect(figures).toContain('stairline_customer_waiting_tasks{customer="clinic"} 6\n');
     leader.process.sendSignal('SIGKILL');
     await leader.process.exit;
     cell.startBox(leader);
