--- a/dev/bench/benchSections.ts
+++ b/dev/bench/benchSections.ts
@@ -1,5 +1,6 @@
 import type { BenchSection } from './BenchSection';
 import { controlSection } from './controlSection';
+import { customersSection } from './customersSection';
 import { decisionSection } from './decisionSection';
 import { leaderSection } from './leaderSection';
 import { memorySection } from './memorySection';
@@ -11,6 +12,7 @@
 export const benchSections: readonly BenchSection[] = [
   decisionSection,
   leaderSection,
+  customersSection,
   policySection,
   overloadSection,
   memorySection,
