Orders of placement as a table, shares of customers, and a wall clock that does not follow jumps

`--order objective` (as before, the default), `shares`, `usage` and `sharesThenUsage`; which jobs are beyond their customer's share is counted from what is kept with the jobs, the same on every leader.

--- a/dev/bench/customersSection.ts
+++ b/dev/bench/customersSection.ts
@@ -62,7 +62,9 @@
     stretch: 1.5,
     targetLatencyMs: 250,
   },
-  ...(customerCount === 0 ? {} : { customer: { name: toName(number % customerCount), limit: UNLIMITED } }),
+  ...(customerCount === 0
+    ? {}
+    : { customer: { name: toName(number % customerCount), weight: 0, limit: UNLIMITED } }),
   spec: '',
   steps: [
     {
--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -2,19 +2,31 @@
 import { createPlatformAdapter } from '../../platform/createPlatformAdapter';
 import { readPlatformSettings } from '../../platform/readPlatformSettings';
 import { wireNames } from '../../platform/wireNames';
+import { AnchoredClock } from '../common/AnchoredClock';
 import { createDecisionLog } from '../common/createDecisionLog';
+import type { Logger } from '../common/Logger';
 import { createRandom } from '../common/createRandom';
 import { systemClock } from '../common/systemClock';
 import { toErrorText } from '../common/toErrorText';
+import type { PlacementOrder } from '../dispatch/PlacementOrder';
+import { placementOrders } from '../dispatch/placementOrders';
 import type { ConfigurationSource } from '../serve/ConfigurationSource';
 import { configurationSources } from '../serve/configurationSources';
 import { ServeProcess } from '../serve/ServeProcess';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
+import { parseChoice } from './parseChoice';
 import { writeError } from './writeError';
 
 const LOG_LINES_PER_SECOND = 400;
 
+/** A clock whose time of day does not jump, with a line whenever it follows a jump that lasts. */
+const createClock = (logger: Logger): AnchoredClock =>
+  new AnchoredClock({
+    source: systemClock,
+    handleMoved: (byMs) => logger.warn('The time of day has moved.', { byMs: Math.round(byMs) }),
+  });
+
 /** Resolves once the process was told to stop and has finished. */
 const handleSignals = (serve: ServeProcess): Promise<void> =>
   new Promise((resolve) => {
@@ -25,20 +37,24 @@
   });
 
 const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
+const DEFAULT_ORDER: PlacementOrder = 'objective';
 
-const parseConfigurationSource = (text: unknown): ConfigurationSource | undefined => {
-  const sources = Object.keys(configurationSources) as ConfigurationSource[];
-  return text === undefined ? DEFAULT_SOURCE : sources.find((source) => source === text);
-};
+/** Tells what an option may be. */
+const writeChoiceError = (option: string, table: Readonly<Record<string, unknown>>): void =>
+  writeError(`--${option}: expected ${Object.keys(table).join(' or ')}.`);
 
 /** `stairline serve`: one entry process on the platform. */
 export const serveCommand: Command = {
   name: 'serve',
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
-  usage: '[--settings FILE] [--configuration log|boxes]',
+  usage: '[--settings FILE] [--configuration log|boxes] [--order NAME]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
+    order: {
+      type: 'string',
+      help: `order of placement within a priority: ${Object.keys(placementOrders).join(', ')}`,
+    },
     configuration: {
       type: 'string',
       help: 'where new versions of the configuration come from while the log is out: log alone, or other boxes (default)',
@@ -55,25 +71,33 @@
       settings.error.forEach((problem) => writeError(`Settings: ${problem}`));
       return exitCodes.usage;
     }
-    const source = parseConfigurationSource(input.values['configuration']);
+    const source = parseChoice(configurationSources, input.values['configuration'], DEFAULT_SOURCE);
+    const order = parseChoice(placementOrders, input.values['order'], DEFAULT_ORDER);
     if (source === undefined) {
-      writeError(`--configuration: expected ${Object.keys(configurationSources).join(' or ')}.`);
+      writeChoiceError('configuration', configurationSources);
+    }
+    if (order === undefined) {
+      writeChoiceError('order', placementOrders);
+    }
+    if (source === undefined || order === undefined) {
       return exitCodes.usage;
     }
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
+    const createPartLogger = createDecisionLog({
+      box: settings.value.box,
+      writeLine: (line) => void process.stdout.write(line),
+      readBacklogBytes: () => process.stdout.writableLength,
+      readNow: () => systemClock.readNow(),
+      linesPerSecond: LOG_LINES_PER_SECOND,
+    });
+    const clock = createClock(createPartLogger('clock'));
     const serve = new ServeProcess({
-      settings: { ...settings.value, configurationSource: source },
-      adapter: createPlatformAdapter(settings.value, systemClock),
-      clock: systemClock,
+      settings: { ...settings.value, configurationSource: source, placementOrder: order },
+      adapter: createPlatformAdapter(settings.value, clock),
+      clock,
       random: createRandom(randomBytes(4).readUInt32LE()),
       process: `${settings.value.box}#${incarnation}`,
-      createPartLogger: createDecisionLog({
-        box: settings.value.box,
-        writeLine: (line) => void process.stdout.write(line),
-        readBacklogBytes: () => process.stdout.writableLength,
-        readNow: () => systemClock.readNow(),
-        linesPerSecond: LOG_LINES_PER_SECOND,
-      }),
+      createPartLogger,
     });
     // A collector that goes away must not end the box: lines are then lost.
     process.stdout.on('error', () => undefined);
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -1,5 +1,6 @@
 import type { CustomerName } from '../customers/CustomerName';
 import { CustomerUsage } from '../customers/CustomerUsage';
+import { ShareMeter } from '../customers/ShareMeter';
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
@@ -15,6 +16,8 @@
 import { LimitView } from './LimitView';
 import { LiveJob } from './LiveJob';
 import type { OrderAnswer } from './OrderAnswer';
+import type { PlacementOrder } from './PlacementOrder';
+import { placementOrders } from './placementOrders';
 import type { PlacedRun } from './PlacedRun';
 import { Preemptor } from './Preemptor';
 import { RoomReservations } from './RoomReservations';
@@ -32,7 +35,6 @@
 import { RunOrders } from './RunOrders';
 import { StepPlacer } from './StepPlacer';
 import { toStepName } from './toStepName';
-import { toPlacementOrder } from './toPlacementOrder';
 import type { WaitingStep } from './WaitingStep';
 
 interface DispatcherOptions {
@@ -42,10 +44,12 @@
   readonly unheardUntil: number;
   /** The limit of a customer in the configuration in force; where there is none, that kept with the job counts. */
   readonly readLimit?: (customer: CustomerName) => TaskDemand | undefined;
+  readonly placementOrder?: PlacementOrder;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
+const DEFAULT_ORDER: PlacementOrder = 'objective';
 const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
 
 /**
@@ -57,6 +61,7 @@
   private readonly jobs = new Map<JobId, LiveJob>();
   /** What each customer has running; every book tells it of its runs. */
   private readonly usage = new CustomerUsage();
+  private readonly shares = new ShareMeter();
   private effects: DispatchEffect[] = [];
   private readonly changed = new Set<JobId>();
   private readonly placer: StepPlacer;
@@ -169,12 +174,20 @@
     return this.books.get(id);
   }
 
-  /** Takes a job in. What its progress shows as placed may be running until its endpoint has been heard. */
+  /**
+   * Takes a job in. Jobs come in the order of acceptance, also those that have ended, since they count against their customer's
+   * share. What its progress shows as placed may be running until its endpoint has been heard.
+   */
   handleJob(definition: JobDefinition, progress: JobProgress, now: number): void {
-    if (this.jobs.has(definition.id) || progress.isEnded()) {
+    if (this.jobs.has(definition.id)) {
+      return;
+    }
+    const { customer, acceptedAtMs } = definition;
+    const isBeyondShare = customer !== undefined && this.shares.recordJob(customer, acceptedAtMs);
+    if (progress.isEnded()) {
       return;
     }
-    const job = new LiveJob(definition, progress, now);
+    const job = new LiveJob(definition, progress, now, isBeyondShare);
     this.jobs.set(definition.id, job);
     this.room.recordQueue(definition.queue);
     this.hasNews = true;
@@ -355,7 +368,8 @@
         waiting.push(...job.readWaiting(wallMs));
       }
     }
-    return toPlacementOrder(waiting, wallMs);
+    const order = this.options.placementOrder ?? DEFAULT_ORDER;
+    return placementOrders[order].toOrder(waiting, { wallMs, usage: this.usage });
   }
 
   private sendEarlyQuestions(now: number, wallMs: number): void {
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -1,5 +1,6 @@
 import type { CustomerName } from '../customers/CustomerName';
 import type { TaskDemand } from '../jobs/TaskDemand';
+import type { PlacementOrder } from './PlacementOrder';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
@@ -45,6 +46,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly placementOrder: PlacementOrder;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   readonly parseEndpoint: (id: string, text: string) => EndpointProfile | undefined;
@@ -107,6 +109,7 @@
       unheardUntil: options.earlierLeasesEndAt,
       readDefinition: (id) => replica.readDefinition(id),
       readLimit: options.readLimit,
+      placementOrder: options.placementOrder,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.journal = new LeaderJournal({
@@ -242,7 +245,7 @@
     }
     const { replica, clock, logger, epoch } = this.options;
     this.hasTakenOver = true;
-    for (const definition of replica.readDefinitions()) {
+    for (const definition of replica.readDefinitionsInOrder()) {
       this.applyJob(definition);
       if (replica.isCancelled(definition.id)) {
         this.dispatcher.handleCancel(definition.id, clock.readWall());
--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/LiveJob.ts
@@ -51,6 +51,8 @@
     readonly progress: JobProgress,
     /** Monotonic time at which a task may last have become able to start: the job was taken in, or a run ended. */
     public changedAt: number,
+    /** The customer had sent more than it is owed when it sent this job. */
+    readonly isBeyondShare = false,
   ) {
     this.chainMs = measureChain(definition);
   }
--- /dev/null
+++ b/packages/dispatch/placementOrders.ts
@@ -0,0 +1,66 @@
+import type { CustomerUsage } from '../customers/CustomerUsage';
+import type { PlacementOrder } from './PlacementOrder';
+import type { WaitingStep } from './WaitingStep';
+
+interface OrderInput {
+  readonly wallMs: number;
+  readonly usage: CustomerUsage;
+}
+
+/** Negative when the left step goes first, 0 when the rule does not tell. */
+type Rule = (left: WaitingStep, right: WaitingStep, input: OrderInput) => number;
+
+const measurePriority: Rule = (left, right) =>
+  left.job.definition.queue.priority - right.job.definition.queue.priority;
+
+const measureLateness: Rule = (left, right, { wallMs }) =>
+  Number(left.objectiveAtMs < wallMs) - Number(right.objectiveAtMs < wallMs);
+
+const measureObjective: Rule = (left, right) => left.objectiveAtMs - right.objectiveAtMs;
+
+const measureShare: Rule = (left, right) => Number(left.job.isBeyondShare) - Number(right.job.isBeyondShare);
+
+/** Processors that a step's customer has running for each unit of its weight; 0 for jobs of no customer. */
+const readWeightedUsage = ({ job }: WaitingStep, usage: CustomerUsage): number => {
+  const { customer } = job.definition;
+  return customer === undefined || customer.weight === 0
+    ? 0
+    : usage.readTaken(customer.name).cpuMillis / customer.weight;
+};
+
+const measureUsage: Rule = (left, right, { usage }) =>
+  readWeightedUsage(left, usage) - readWeightedUsage(right, usage);
+
+/** Rules of each order, the first that tells decides. */
+const RULES: Readonly<Record<PlacementOrder, readonly Rule[]>> = {
+  objective: [measurePriority, measureLateness, measureObjective],
+  shares: [measurePriority, measureShare, measureLateness, measureObjective],
+  usage: [measurePriority, measureUsage, measureLateness, measureObjective],
+  sharesThenUsage: [measurePriority, measureShare, measureUsage, measureLateness, measureObjective],
+};
+
+const toSorter =
+  (rules: readonly Rule[]) =>
+  (waiting: readonly WaitingStep[], input: OrderInput): readonly WaitingStep[] =>
+    [...waiting].sort((left, right) => {
+      for (const rule of rules) {
+        const difference = rule(left, right, input);
+        if (difference !== 0) {
+          return difference;
+        }
+      }
+      return 0;
+    });
+
+/** Sorts waiting steps for placement, by order. */
+export const placementOrders: Readonly<
+  Record<
+    PlacementOrder,
+    { readonly toOrder: (waiting: readonly WaitingStep[], input: OrderInput) => readonly WaitingStep[] }
+  >
+> = {
+  objective: { toOrder: toSorter(RULES.objective) },
+  shares: { toOrder: toSorter(RULES.shares) },
+  usage: { toOrder: toSorter(RULES.usage) },
+  sharesThenUsage: { toOrder: toSorter(RULES.sharesThenUsage) },
+};
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -89,8 +89,11 @@
     return this.definitions.size;
   }
 
-  readDefinitions(): Iterable<JobDefinition> {
-    return this.definitions.values();
+  /** All jobs in the order of acceptance, the same in every process that has read them. */
+  readDefinitionsInOrder(): readonly JobDefinition[] {
+    return [...this.definitions.values()].sort(
+      (left, right) => left.acceptedAtMs - right.acceptedAtMs || (left.id < right.id ? -1 : 1),
+    );
   }
 
   isCancelled(id: JobId): boolean {
--- a/packages/jobs/definitionSchema.ts
+++ b/packages/jobs/definitionSchema.ts
@@ -35,6 +35,7 @@
 
 const customerSchema = z.object({
   name: z.string().transform((text) => toId<CustomerName>(text)),
+  weight: amount.default(0),
   limit: z.object({ cpuMillis: amount, memoryMb: amount, accelerators: amount }),
 });
 
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -4,6 +4,7 @@
 import type { CustomerPolicy } from '../customers/CustomerPolicy';
 import { hasAccess } from '../customers/hasAccess';
 import type { JobCaller } from '../customers/JobCaller';
+import type { JobCustomer } from '../customers/JobCustomer';
 import type { JobOutcome } from '../gateway/JobOutcome';
 import type { JobService } from '../gateway/JobService';
 import type { JobSubmission } from '../gateway/JobSubmission';
@@ -101,7 +102,7 @@
     const definition: JobDefinition = {
       id,
       queue,
-      ...(customer === undefined ? {} : { customer: { name: customer.name, limit: customer.limit } }),
+      ...(customer === undefined ? {} : { customer: this.toJobCustomer(customer) }),
       ...submission,
       acceptedAtMs: Math.round(clock.readWall()),
     };
@@ -127,6 +128,10 @@
     return ACCEPTED;
   }
 
+  private toJobCustomer({ name, weight, limit }: CustomerPolicy): JobCustomer {
+    return { name, weight, limit };
+  }
+
   /** The answer for an id that a job has: its own caller is told that it was accepted, nobody else. */
   private toKnownAnswer(
     known: JobDefinition,
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -411,6 +411,7 @@
       clock,
       random,
       logger: this.options.createPartLogger('leader'),
+      placementOrder: settings.placementOrder,
       readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile) => adapter.createEndpointClient(profile, epoch),
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,3 +1,4 @@
+import type { PlacementOrder } from '../dispatch/PlacementOrder';
 import type { ConfigurationSource } from './ConfigurationSource';
 
 /** What one entry process needs to know at its start. */
@@ -16,6 +17,8 @@
   readonly log: string;
   /** Host and port of the advice service; empty where there is none. */
   readonly advice: string;
+  /** In which order the leader places what waits. */
+  readonly placementOrder: PlacementOrder;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
   /**
--- a/tests/helpers/createCustomer.ts
+++ b/tests/helpers/createCustomer.ts
@@ -4,7 +4,8 @@
 import type { TaskDemand } from '../../packages/jobs/TaskDemand';
 
 /** A customer of a job, with a limit in thousandths of a core or more dimensions; what is left out is not limited. */
-export const createCustomer = (name: string, limit: Partial<TaskDemand> = {}): JobCustomer => ({
+export const createCustomer = (name: string, limit: Partial<TaskDemand> = {}, weight = 0): JobCustomer => ({
   name: toId<CustomerName>(name),
+  weight,
   limit: { cpuMillis: 0, memoryMb: 0, accelerators: 0, ...limit },
 });
--- /dev/null
+++ b/tests/placementOrders.test.ts
@@ -0,0 +1,110 @@
+import { describe, expect, it } from 'vitest';
+import { CustomerUsage } from '../packages/customers/CustomerUsage';
+import { ShareMeter } from '../packages/customers/ShareMeter';
+import { LiveJob } from '../packages/dispatch/LiveJob';
+import type { PlacementOrder } from '../packages/dispatch/PlacementOrder';
+import { placementOrders } from '../packages/dispatch/placementOrders';
+import type { WaitingStep } from '../packages/dispatch/WaitingStep';
+import { JobProgress } from '../packages/jobs/JobProgress';
+import { JobReplica } from '../packages/jobs/JobReplica';
+import { createCustomer } from './helpers/createCustomer';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createStep } from './helpers/createStep';
+
+describe('shares of customers', () => {
+  const clinic = createCustomer('clinic', {}, 2);
+
+  const readBeyond = (meter: ShareMeter, times: readonly number[], customer = clinic): readonly boolean[] =>
+    times.map((atMs) => meter.recordJob(customer, atMs));
+
+  it('cover what a customer sends at its rate, and a second of it at once', () => {
+    const meter = new ShareMeter();
+    expect(readBeyond(meter, [0, 0, 0, 100, 500, 1000, 1100, 1500])).toEqual([
+      false,
+      false,
+      true,
+      true,
+      false,
+      false,
+      true,
+      false,
+    ]);
+  });
+
+  it('do not grow with what other customers send, and cover everything without a weight', () => {
+    const meter = new ShareMeter();
+    const flood = createCustomer('builders', {}, 1);
+    expect(readBeyond(meter, Array<number>(50).fill(0), flood).filter((isBeyond) => !isBeyond)).toHaveLength(
+      1,
+    );
+    expect(readBeyond(meter, [0, 0])).toEqual([false, false]);
+    expect(readBeyond(meter, [0, 0, 0], createCustomer('old'))).toEqual([false, false, false]);
+  });
+
+  it('are not filled twice by boxes whose clocks are apart', () => {
+    const meter = new ShareMeter();
+    expect(readBeyond(meter, [1000, 1000, 0, 900, 1000, 100, 1000])).toEqual([
+      false,
+      false,
+      true,
+      true,
+      true,
+      true,
+      true,
+    ]);
+  });
+
+  it('come out the same for every leader, however it came to know the jobs', () => {
+    const jobs = Array.from({ length: 40 }, (_, index) => ({
+      ...createJobDefinition(index + 1, [createStep()]),
+      acceptedAtMs: 1000 + Math.floor(index / 3) * 250,
+      customer: clinic,
+    }));
+    const readLeader = (known: typeof jobs): readonly boolean[] => {
+      const replica = new JobReplica();
+      known.forEach((job) => replica.recordDefinition(job));
+      const meter = new ShareMeter();
+      return replica
+        .readDefinitionsInOrder()
+        .map(({ customer, acceptedAtMs }) => meter.recordJob(customer!, acceptedAtMs));
+    };
+    expect(readLeader([...jobs].reverse())).toEqual(readLeader(jobs));
+    expect(readLeader(jobs)).toContain(true);
+  });
+});
+
+describe('the order of placement', () => {
+  const [light, heavy] = [createCustomer('light', {}, 4), createCustomer('heavy', {}, 4)];
+
+  const createWaiting = (
+    name: string,
+    fields: { objectiveAtMs?: number; isBeyondShare?: boolean; priority?: number; customer?: typeof light },
+  ): WaitingStep & { readonly name: string } => {
+    const shape = createStep();
+    const { customer = light, priority = 0 } = fields;
+    const definition = { ...createJobDefinition(1, [shape], { priority }), customer };
+    const job = new LiveJob(definition, new JobProgress(definition), 0, fields.isBeyondShare);
+    return { name, job, time: 0, step: 0, shape, indexes: [0], objectiveAtMs: fields.objectiveAtMs ?? 1000 };
+  };
+
+  const usage = new CustomerUsage();
+  usage.recordRun({ customer: heavy.name, charge: { cpuMillis: 8000, memoryMb: 0, accelerators: 0 } });
+
+  const waiting = [
+    createWaiting('batch', { priority: 1 }),
+    createWaiting('late', { objectiveAtMs: 10 }),
+    createWaiting('beyond', { objectiveAtMs: 600, isBeyondShare: true }),
+    createWaiting('heavy', { objectiveAtMs: 700, customer: heavy }),
+    createWaiting('light', { objectiveAtMs: 900 }),
+  ];
+
+  it.each([
+    ['objective', ['beyond', 'heavy', 'light', 'late', 'batch']],
+    ['shares', ['heavy', 'light', 'late', 'beyond', 'batch']],
+    ['usage', ['beyond', 'light', 'late', 'heavy', 'batch']],
+    ['sharesThenUsage', ['light', 'late', 'heavy', 'beyond', 'batch']],
+  ] satisfies readonly (readonly [PlacementOrder, readonly string[]])[])('by %s', (order, expected) => {
+    const sorted = placementOrders[order].toOrder(waiting, { wallMs: 100, usage });
+    expect(sorted.map((step) => (step as (typeof waiting)[number]).name)).toEqual(expected);
+  });
+});
