The leader's box appends the jobs of all boxes; each box writes by itself where that does not do

Cause: a partition of the log takes one append after the other. Ruled out: the leader's own appends (it led all the while), room (244 of 245 endpoints at rest).

`--writing leader` (default) sends each accepted job and cancel to the leader's box, which gathers them into its next append and takes the job in without reading it from the log; without an answer, or on a refusal, the box writes by itself and passes the leader by for 1 s. `--writing own` is as before.

A box that the log turns away takes jobs through the leader.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -16,6 +16,8 @@
   readonly roomPerExecutor: number;
   /** So many of the first boxes have four cores; the others have one. */
   readonly strongBoxes?: number;
+  /** Further arguments of each entry process. */
+  readonly args?: readonly string[];
 }
 
 /** A customer in the cell's configuration. */
@@ -290,7 +292,7 @@
   private createProcess(name: string, settingsFile: string): ManagedProcess {
     return new ManagedProcess({
       name,
-      args: [PROGRAM, 'serve', '--settings', settingsFile],
+      args: [PROGRAM, 'serve', '--settings', settingsFile, ...(this.options.args ?? [])],
       logFile: join(this.folder, `${name}.log`),
     });
   }
--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -8,15 +8,19 @@
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
 
+import type { LogWrite } from '../store/LogWrite';
+import type { WriteOutcome } from '../store/WriteOutcome';
 import type { ConfigurationAnswer } from './ConfigurationAnswer';
 
 const CONNECTIONS = 3;
+const WRITE_CONNECTIONS = 4;
 const SHORT_CALL_MS = 200;
 
 const stateAnswerSchema = z.object({
   state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled', 'absent']),
 });
 
+const writeAnswerSchema = z.object({ outcome: z.enum(['written', 'refused', 'unknown']) });
 const configurationAnswerSchema: z.ZodType<ConfigurationAnswer> = z.object({
   ageMs: z.number().min(0),
   configuration: configurationSchema.optional(),
@@ -25,9 +29,12 @@
 /** Calls another entry box: for its turn at the advice service, for what a leader knows, and to hand leadership over. */
 export class BoxClient implements AdviceClient {
   private readonly caller: HttpCaller;
+  /** Writes take as long as the log does, and must not keep short questions waiting. */
+  private readonly writes: HttpCaller;
 
   constructor(readonly address: string) {
     this.caller = new HttpCaller({ address, connections: CONNECTIONS });
+    this.writes = new HttpCaller({ address, connections: WRITE_CONNECTIONS });
   }
 
   async sendQuestion(
@@ -49,6 +56,12 @@
     return stateAnswerSchema.safeParse(answer).data?.state;
   }
 
+  /** Has the box append a record of a job; undefined when it gives no answer: it may have done it. */
+  async sendWrite(write: LogWrite, timeoutMs: number): Promise<WriteOutcome | undefined> {
+    const answer = await this.writes.sendJson('/write', { ...write, timeoutMs }, timeoutMs);
+    return writeAnswerSchema.safeParse(answer).data?.outcome;
+  }
+
   /** What the box knows of the configuration, whole if it is newer than a version; undefined when it does not answer. */
   async sendConfigurationQuestion(
     knownVersion: number,
@@ -70,6 +83,6 @@
   }
 
   async stop(): Promise<void> {
-    await this.caller.stop();
+    await Promise.all([this.caller.stop(), this.writes.stop()]);
   }
 }
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -10,6 +10,8 @@
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
+import type { LogWrite } from '../store/LogWrite';
+import type { WriteOutcome } from '../store/WriteOutcome';
 import type { ConfigurationAnswer } from './ConfigurationAnswer';
 
 interface BoxServerOptions {
@@ -25,13 +27,16 @@
     caller: JobCaller,
     timeoutMs: number,
   ) => Promise<JobState | 'absent' | undefined>;
+  /** Appends a record of a job for another box. */
+  readonly writeForOther: (write: LogWrite, timeoutMs: number) => Promise<WriteOutcome>;
   /** What this box knows of the configuration, for one that has a version. */
   readonly readConfiguration: (knownVersion: number) => ConfigurationAnswer;
   /** The leader of an epoch has stopped and asks this box to lead next. */
   readonly handleHandOver: (epoch: number) => void;
 }
 
-const BODY_LIMIT_BYTES = 65_536;
+/** Above the largest record of the platform's log. */
+const BODY_LIMIT_BYTES = 524_288;
 const questionSchema = z.object({
   step: z.string(),
   endpoints: z.array(z.string()),
@@ -52,6 +57,7 @@
   caller: callerSchema,
   timeoutMs: z.number().positive(),
 });
+const writeSchema = z.object({ key: z.string(), value: z.string(), timeoutMs: z.number().positive() });
 const configurationQuestionSchema = z.object({ knownVersion: z.number() });
 const handOverSchema = z.object({ epoch: z.number() });
 
@@ -77,6 +83,14 @@
       const state = await options.readLeaderState(toId<JobId>(id), caller, timeoutMs);
       return state === undefined ? reply.code(503).send({}) : reply.send({ state });
     });
+    this.app.post('/write', async (request, reply) => {
+      const parsed = writeSchema.safeParse(readBody(request));
+      if (!parsed.success) {
+        return reply.code(400).send({ error: 'malformed write' });
+      }
+      const { key, value, timeoutMs } = parsed.data;
+      return reply.send({ outcome: await options.writeForOther({ key, value }, timeoutMs) });
+    });
     this.app.post('/configuration', (request, reply) => {
       const question = configurationQuestionSchema.safeParse(readBody(request));
       return question.success
--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -12,6 +12,8 @@
 import { placementOrders } from '../dispatch/placementOrders';
 import type { ConfigurationSource } from '../serve/ConfigurationSource';
 import { configurationSources } from '../serve/configurationSources';
+import type { JobWriting } from '../serve/JobWriting';
+import { jobWritings } from '../serve/jobWritings';
 import { ServeProcess } from '../serve/ServeProcess';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
@@ -37,6 +39,7 @@
   });
 
 const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
+const DEFAULT_WRITING: JobWriting = 'leader';
 const DEFAULT_ORDER: PlacementOrder = 'objective';
 
 /** Tells what an option may be. */
@@ -48,13 +51,14 @@
   name: 'serve',
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
-  usage: '[--settings FILE] [--configuration log|boxes] [--order NAME]',
+  usage: '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
     order: {
       type: 'string',
       help: `order of placement within a priority: ${Object.keys(placementOrders).join(', ')}`,
     },
+    writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
     configuration: {
       type: 'string',
       help: 'where new versions of the configuration come from while the log is out: log alone, or other boxes (default)',
@@ -73,13 +77,17 @@
     }
     const source = parseChoice(configurationSources, input.values['configuration'], DEFAULT_SOURCE);
     const order = parseChoice(placementOrders, input.values['order'], DEFAULT_ORDER);
+    const writing = parseChoice(jobWritings, input.values['writing'], DEFAULT_WRITING);
     if (source === undefined) {
       writeChoiceError('configuration', configurationSources);
     }
     if (order === undefined) {
       writeChoiceError('order', placementOrders);
     }
-    if (source === undefined || order === undefined) {
+    if (writing === undefined) {
+      writeChoiceError('writing', jobWritings);
+    }
+    if (source === undefined || order === undefined || writing === undefined) {
       return exitCodes.usage;
     }
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
@@ -92,7 +100,12 @@
     });
     const clock = createClock(createPartLogger('clock'));
     const serve = new ServeProcess({
-      settings: { ...settings.value, configurationSource: source, placementOrder: order },
+      settings: {
+        ...settings.value,
+        configurationSource: source,
+        placementOrder: order,
+        jobWriting: writing,
+      },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
       random: createRandom(randomBytes(4).readUInt32LE()),
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -1,4 +1,5 @@
 import type { LogRecord } from '../store/LogRecord';
+import type { LogWrite } from '../store/LogWrite';
 import { definitionSchema } from './definitionSchema';
 import type { JobDefinition } from './JobDefinition';
 import type { JobId } from './JobId';
@@ -19,7 +20,7 @@
   private readonly states = new Map<JobId, JobState>();
 
   /** Folds records of the jobs' topic; tells what is new. Folding a record twice is harmless. */
-  foldJobRecords(records: readonly LogRecord[]): ReplicaChange {
+  foldJobRecords(records: readonly LogWrite[]): ReplicaChange {
     const accepted: JobDefinition[] = [];
     const cancelled: JobId[] = [];
     for (const record of records) {
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -17,12 +17,12 @@
 import type { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
 import type { LogFollower } from '../store/LogFollower';
-import type { LogWriter } from '../store/LogWriter';
+import type { RecordWriter } from '../store/RecordWriter';
 import type { ServeMetrics } from './ServeMetrics';
 
 interface JobDeskOptions {
   readonly replica: JobReplica;
-  readonly writer: LogWriter;
+  readonly writer: RecordWriter;
   readonly jobsFollower: LogFollower;
   readonly statesFollower: LogFollower;
   readonly clock: Clock;
--- /dev/null
+++ b/packages/serve/LeaderWriter.ts
@@ -0,0 +1,93 @@
+import type { BoxClient } from '../boxes/BoxClient';
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+import type { LogWrite } from '../store/LogWrite';
+import type { RecordWriter } from '../store/RecordWriter';
+import type { WriteOutcome } from '../store/WriteOutcome';
+
+interface LeaderWriterOptions {
+  /** This box's own way to the log. */
+  readonly own: RecordWriter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** The leader's box; undefined while none is known, or this box leads. */
+  readonly readLeader: () => BoxClient | undefined;
+}
+
+/**
+ * A leader that has not answered for so long is passed by. It gathers what comes during one append into the next, so that it answers
+ * within two appends; the slowest log seen took 240 ms for one.
+ */
+const FIRST_ANSWER_MS = 600;
+/** The limit follows the answers that came: a log that is slower still must not make every box write by itself. */
+const ANSWER_FACTOR = 3;
+/** A leader without an answer is not asked again for so long: about the time until another is known. */
+const AVOID_MS = 1000;
+/** Beside a log that has not taken this box's own writes for so long, a write would only keep its caller waiting. */
+const OWN_OUTAGE_MS = 400;
+
+/**
+ * Has the leader's box append records along with its own, and writes by itself where that gives no answer or a refusal.
+ *
+ * A partition of the log takes one append after the other. With 29 boxes that each append by themselves, a log that takes 112 ms for
+ * one has more asked of it than it can do: no job was accepted for 6 s, and 1,272 calls were refused. Gathered by one box the same jobs
+ * need a few appends a second. The leader also hears of each job without reading it from the log.
+ */
+export class LeaderWriter implements RecordWriter {
+  private askFrom = -Infinity;
+  private answerMs = FIRST_ANSWER_MS;
+
+  constructor(private readonly options: LeaderWriterOptions) {}
+
+  async writeRecord(write: LogWrite, deadline: number): Promise<WriteOutcome> {
+    const leader = this.readLeader();
+    if (leader === undefined) {
+      return this.options.own.writeRecord(write, deadline);
+    }
+    const outcome = await this.sendToLeader(leader, write, deadline);
+    if (outcome === 'written') {
+      return 'written';
+    }
+    const own = await this.writeOwn(write, deadline);
+    // What the leader may have written cannot be called refused.
+    return own === 'refused' && outcome === 'unknown' ? 'unknown' : own;
+  }
+
+  /** While a leader can be asked it takes writes that this box cannot make. */
+  readFailingMs(): number {
+    return this.readLeader() === undefined ? this.options.own.readFailingMs() : 0;
+  }
+
+  private readLeader(): BoxClient | undefined {
+    const { clock, readLeader } = this.options;
+    return clock.readNow() < this.askFrom ? undefined : readLeader();
+  }
+
+  private async sendToLeader(leader: BoxClient, write: LogWrite, deadline: number): Promise<WriteOutcome> {
+    const { clock, logger } = this.options;
+    const sentAt = clock.readNow();
+    const timeoutMs = Math.max(1, Math.min(this.answerMs, deadline - sentAt));
+    const outcome = await leader.sendWrite(write, timeoutMs);
+    const tookMs = clock.readNow() - sentAt;
+    if (outcome === undefined) {
+      this.askFrom = clock.readNow() + AVOID_MS;
+      logger.info('The leader gives no answer about a write.', {
+        key: write.key,
+        box: leader.address,
+        tookMs: Math.round(tookMs),
+      });
+      return 'unknown';
+    }
+    if (outcome === 'written') {
+      this.answerMs = Math.max(FIRST_ANSWER_MS, ANSWER_FACTOR * tookMs);
+    }
+    return outcome;
+  }
+
+  private writeOwn(write: LogWrite, deadline: number): Promise<WriteOutcome> {
+    const { own } = this.options;
+    return own.readFailingMs() > OWN_OUTAGE_MS
+      ? Promise.resolve('refused')
+      : own.writeRecord(write, deadline);
+  }
+}
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -1,3 +1,4 @@
+import type { BoxClient } from '../boxes/BoxClient';
 import { BoxClients } from '../boxes/BoxClients';
 import { BoxDirectory } from '../boxes/BoxDirectory';
 import { BoxServer } from '../boxes/BoxServer';
@@ -24,8 +25,10 @@
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
 import { LogWriter } from '../store/LogWriter';
+import type { WriteOutcome } from '../store/WriteOutcome';
 import { ConfigurationDesk } from './ConfigurationDesk';
 import { JobDesk } from './JobDesk';
+import { jobWritings } from './jobWritings';
 import { LeaderHandOver } from './LeaderHandOver';
 import type { ServeAdapter } from './ServeAdapter';
 import { ServeMetrics } from './ServeMetrics';
@@ -62,6 +65,8 @@
 /** Time for the read that shows whether a box can use the log; below the limit of the question itself. */
 const FRESH_LOG_MS = 150;
 const GATHER_MS = 2;
+/** Of the time that another box waits for its write; the rest is for the way back. */
+const FORWARDED_SHARE = 0.9;
 /** The balancer notices within two of its questions, one a second. */
 const LEAVE_NOTICE_MS = 2600;
 /** A leader whose writes have failed for so long sends callers elsewhere. */
@@ -158,6 +163,7 @@
       formatMetrics: () => this.formatMetrics(),
       isLogUsable: () => this.isLogUsable(),
       readLeaderState: (id, caller, timeoutMs) => this.readLeaderState(id, caller, timeoutMs),
+      writeForOther: (write, timeoutMs) => this.writeForOther(write, timeoutMs),
       readConfiguration: (knownVersion) => this.configuration.readAnswer(knownVersion),
       handleHandOver: (epoch) => this.leadership.handleHandOver(epoch),
     });
@@ -242,17 +248,39 @@
     caller: JobCaller,
     timeoutMs: number,
   ): Promise<JobState | 'absent' | undefined> {
+    return this.readLeaderClient()?.sendStateQuestion(id, caller, timeoutMs);
+  }
+
+  /** The leader's box; undefined while none is known, or this box leads. */
+  private readLeaderClient(): BoxClient | undefined {
     const leader = this.leadership.readRecord()?.box;
-    if (leader === undefined || leader === this.options.settings.box) {
-      return undefined;
+    return leader === undefined || leader === this.options.settings.box
+      ? undefined
+      : this.boxes.readClientOf(leader);
+  }
+
+  /** Appends a record for another box along with this one's own, and takes it in. */
+  private async writeForOther(write: LogWrite, timeoutMs: number): Promise<WriteOutcome> {
+    if (this.isStopping || this.writer.readFailingMs() > LOG_OUT_MS) {
+      return 'refused';
+    }
+    const deadline = this.options.clock.readNow() + timeoutMs * FORWARDED_SHARE;
+    const outcome = await this.writer.writeRecord(write, deadline);
+    if (outcome === 'written') {
+      this.handleJobWrites([write]);
     }
-    return this.boxes.readClientOf(leader)?.sendStateQuestion(id, caller, timeoutMs);
+    return outcome;
   }
 
   private createJobDesk(): JobDesk {
     return new JobDesk({
       replica: this.replica,
-      writer: this.writer,
+      writer: jobWritings[this.options.settings.jobWriting]({
+        own: this.writer,
+        clock: this.options.clock,
+        logger: this.options.createPartLogger('jobs'),
+        readLeader: () => this.readLeaderClient(),
+      }),
       jobsFollower: this.jobsFollower,
       statesFollower: this.statesFollower,
       clock: this.options.clock,
@@ -340,6 +368,10 @@
 
   private handleJobRecords(records: readonly LogRecord[]): void {
     this.directory.foldRecords(records);
+    this.handleJobWrites(records);
+  }
+
+  private handleJobWrites(records: readonly LogWrite[]): void {
     const { accepted, cancelled } = this.replica.foldJobRecords(records);
     accepted.forEach((definition) => this.duty?.handleJob(definition));
     cancelled.forEach((id) => this.duty?.handleCancel(id));
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,5 +1,6 @@
 import type { PlacementOrder } from '../dispatch/PlacementOrder';
 import type { ConfigurationSource } from './ConfigurationSource';
+import type { JobWriting } from './JobWriting';
 
 /** What one entry process needs to know at its start. */
 export interface ServeSettings {
@@ -17,6 +18,8 @@
   readonly log: string;
   /** Host and port of the advice service; empty where there is none. */
   readonly advice: string;
+  /** Who appends the records of jobs that this box takes in. */
+  readonly jobWriting: JobWriting;
   /** In which order the leader places what waits. */
   readonly placementOrder: PlacementOrder;
   /** Where the box hears of new versions of the configuration. */
--- a/packages/standins/platform/LogStandin.ts
+++ b/packages/standins/platform/LogStandin.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { startDelay } from '../../common/startDelay';
 import { sendJson } from '../sendJson';
 import { startListening } from '../startListening';
 import { KeyedTopic } from './KeyedTopic';
@@ -19,6 +20,7 @@
 
 const PAGE_ITEMS = 500;
 const LENGTH_BYTES = 4;
+const MAX_APPEND_WAIT_MS = 2000;
 
 /** Stands in for the platform's log over HTTP: keyed topics of one partition, in the form of the platform's pages. */
 export class LogStandin {
@@ -28,6 +30,10 @@
   private readonly links = new Map<string, NarrowLink>();
   /** Reads that wait for a record, by door. */
   private readonly waiting = new Map<ServerResponse, string>();
+  /** How long one append takes, and at least each answer of a read, in milliseconds. */
+  private slowMs = 0;
+  /** Until when a topic is busy with the appends that it has taken in; it makes one after the other. */
+  private readonly busyUntil = new Map<string, number>();
   private callCount = 0;
   private readonly sockets = new SilentSockets();
 
@@ -79,6 +85,11 @@
     this.links.forEach((link) => link.applyRate(megabits));
   }
 
+  /** Sets how long each call takes, in milliseconds; a topic makes one append after the other, and refuses with over 2 s waiting. */
+  applySlowness(slowMs: number): void {
+    this.slowMs = slowMs;
+  }
+
   readCallCount(): number {
     return this.callCount;
   }
@@ -145,13 +156,34 @@
             epoch: Number(searchParams.get('epoch')),
             sequence: Number(searchParams.get('call-seq')),
           };
-    const answer = this.readTopic(searchParams.get('topic') ?? '').append(Buffer.concat(chunks), writer);
+    const topic = searchParams.get('topic') ?? '';
+    if (!(await this.startAppendTurn(topic))) {
+      sendJson(response, 503, {});
+      return;
+    }
+    const answer = this.readTopic(topic).append(Buffer.concat(chunks), writer);
     if (!isAnswerLost) {
       sendJson(response, answer.status, answer.body);
     }
   }
 
+  /** Waits until the topic has made all earlier appends and this one; false when too many wait. */
+  private async startAppendTurn(topic: string): Promise<boolean> {
+    if (this.slowMs === 0) {
+      return true;
+    }
+    const now = performance.now();
+    const startsAt = Math.max(now, this.busyUntil.get(topic) ?? 0);
+    if (startsAt - now > MAX_APPEND_WAIT_MS) {
+      return false;
+    }
+    this.busyUntil.set(topic, startsAt + this.slowMs);
+    await startDelay(startsAt + this.slowMs - now);
+    return true;
+  }
+
   private async handleRead({ url, response, link }: LogCall): Promise<void> {
+    await startDelay(this.slowMs);
     const topic = this.readTopic(url.searchParams.get('topic') ?? '');
     const from = Number(url.searchParams.get('from-rev'));
     const waitMs = Number(url.searchParams.get('wait-ms') ?? 0);
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -6,6 +6,8 @@
 import type { LogClient } from './LogClient';
 import type { LogError } from './LogError';
 import type { LogWrite } from './LogWrite';
+import type { RecordWriter } from './RecordWriter';
+import type { WriteOutcome } from './WriteOutcome';
 
 interface LogWriterOptions {
   readonly client: LogClient;
@@ -20,9 +22,6 @@
   readonly probe: LogWrite;
 }
 
-/** How a write ended: `unknown` may still land. */
-type WriteOutcome = 'written' | 'refused' | 'unknown';
-
 interface QueuedWrite {
   readonly write: LogWrite;
   readonly deadline: number;
@@ -37,7 +36,7 @@
  * Appends records of many callers with few calls: one append at a time, and all that came meanwhile goes into the next.
  * The records must bear being appended twice, since an append without an answer is tried again.
  */
-export class LogWriter {
+export class LogWriter implements RecordWriter {
   private readonly queued: QueuedWrite[] = [];
   private isSending = false;
   private timeoutMs: number = appendRules.firstTimeoutMs;
--- /dev/null
+++ b/packages/store/WriteOutcome.ts
@@ -0,0 +1,2 @@
+/** How a write ended: `refused` never lands, `unknown` may still do. */
+export type WriteOutcome = 'written' | 'refused' | 'unknown';
