Claims after a silent leader wait from the read that shows the silence; a leader without signs is not asked to write

All boxes read the log at the same moments, 850 ms apart, and the random waits counted from the leader's last sign, 1,300 ms and up to 400 ms: at 1,700 ms they were over for all, strong or weak, and eight boxes claimed within 50 ms. They count from that read now.

Tests fail before: "waits from the read that showed it" in tests/leadership.test.ts.

--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -76,11 +76,11 @@
   /** Monotonic time at which this process noticed that. */
   private endedAt = -Infinity;
   private readonly leases = new LeaseHistory();
-  private readonly silenceLimitMs: number;
+  /** Monotonic time at which reads first showed the leader silent; undefined while they do not. */
+  private silenceSeenAt: number | undefined;
   private readonly shortJitter: number;
 
   constructor(private readonly options: LeadershipOptions) {
-    this.silenceLimitMs = leaderTimings.silenceMs + options.random() * leaderTimings.claimJitterMs;
     this.shortJitter = options.random();
   }
 
@@ -196,7 +196,22 @@
       return 'an earlier process of this box led';
     }
     const silentMs = follower.readLastOkAt() - Math.max(this.signAt, this.readableSince);
-    return silentMs > this.silenceLimitMs + patienceMs ? 'leader is silent' : undefined;
+    if (silentMs <= leaderTimings.silenceMs) {
+      this.silenceSeenAt = undefined;
+      return undefined;
+    }
+    // The waits count from the read that showed it. All boxes read at the same moments, 850 ms apart: waits that counted from the last
+    // sign were over together, and of eight claims within 50 ms that of a weak box won (0.32 cores; 2 s with few starts).
+    this.silenceSeenAt ??= now;
+    const waitedMs = now - this.silenceSeenAt;
+    return waitedMs >= this.shortJitter * leaderTimings.claimJitterMs + patienceMs
+      ? 'leader is silent'
+      : undefined;
+  }
+
+  /** True while the leader has shown a sign within a time, and after a moment. Both are monotonic milliseconds. */
+  hasSignSince(after: number, withinMs: number): boolean {
+    return this.signAt > after && this.options.clock.readNow() - this.signAt <= withinMs;
   }
 
   private async sendClaim(reason: ClaimReason): Promise<void> {
--- a/packages/serve/LeaderWriter.ts
+++ b/packages/serve/LeaderWriter.ts
@@ -12,6 +12,10 @@
   readonly logger: Logger;
   /** The leader's box; undefined while none is known, or this box leads. */
   readonly readLeader: () => BoxClient | undefined;
+  /** True while the leader has shown a sign within a time, and after a moment. Both are monotonic milliseconds. */
+  readonly hasSignSince: (after: number, withinMs: number) => boolean;
+  /** False while the log does not answer this box, so that it can see no signs of the leader. */
+  readonly isReadingSigns: () => boolean;
 }
 
 /**
@@ -21,7 +25,12 @@
 const FIRST_ANSWER_MS = 600;
 /** The limit follows the answers that came: a log that is slower still must not make every box write by itself. */
 const ANSWER_FACTOR = 3;
-/** A leader without an answer is not asked again for so long: about the time until another is known. */
+/**
+ * A leader is asked only while its newest sign is younger than this. It shows one every 400 ms, and boxes read them every 850 ms at the
+ * latest.
+ */
+const SIGN_AGE_MS = 1250;
+/** A leader without an answer is not asked for so long at least: a box that the log turns away sees no signs. */
 const AVOID_MS = 1000;
 /** Beside a log that has not taken this box's own writes for so long, a write would only keep its caller waiting. */
 const OWN_OUTAGE_MS = 400;
@@ -34,7 +43,8 @@
  * need a few appends a second. The leader also hears of each job without reading it from the log.
  */
 export class LeaderWriter implements RecordWriter {
-  private askFrom = -Infinity;
+  /** Monotonic time at which the leader last failed to answer: it is asked again once it has shown a sign since. */
+  private unansweredAt = -Infinity;
   private answerMs = FIRST_ANSWER_MS;
 
   constructor(private readonly options: LeaderWriterOptions) {}
@@ -59,8 +69,10 @@
   }
 
   private readLeader(): BoxClient | undefined {
-    const { clock, readLeader } = this.options;
-    return clock.readNow() < this.askFrom ? undefined : readLeader();
+    const { clock, hasSignSince, isReadingSigns, readLeader } = this.options;
+    const isAvoided = clock.readNow() - this.unansweredAt < AVOID_MS;
+    const isAlive = !isReadingSigns() || hasSignSince(this.unansweredAt, SIGN_AGE_MS);
+    return isAlive && !isAvoided ? readLeader() : undefined;
   }
 
   private async sendToLeader(leader: BoxClient, write: LogWrite, deadline: number): Promise<WriteOutcome> {
@@ -70,7 +82,7 @@
     const outcome = await leader.sendWrite(write, timeoutMs);
     const tookMs = clock.readNow() - sentAt;
     if (outcome === undefined) {
-      this.askFrom = clock.readNow() + AVOID_MS;
+      this.unansweredAt = clock.readNow();
       logger.info('The leader gives no answer about a write.', {
         key: write.key,
         box: leader.address,
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -280,6 +280,8 @@
         clock: this.options.clock,
         logger: this.options.createPartLogger('jobs'),
         readLeader: () => this.readLeaderClient(),
+        isReadingSigns: () => this.statesFollower.isFollowing(),
+        hasSignSince: (after, withinMs) => this.leadership.hasSignSince(after, withinMs),
       }),
       jobsFollower: this.jobsFollower,
       statesFollower: this.statesFollower,
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -74,6 +74,46 @@
   });
 });
 
+describe('a box whose reads show the leader silent', () => {
+  /** Reads are answered so far apart, for all boxes at the same moments. */
+  const CYCLE_MS = 850;
+
+  /** Time from the last sign to the claim. */
+  const measureClaimMs = (isOutranked: boolean, random: number): number => {
+    let now = 1000;
+    let lastOkAt = now;
+    const clock = { readNow: () => now, readWall: () => now };
+    const claims: number[] = [];
+    const follower = { readLastOkAt: () => lastOkAt, isFollowing: () => true, readOffset: () => 0 };
+    const leadership = new Leadership({
+      client: createLog(claims, clock.readNow),
+      topic: 'keyed.states',
+      follower: follower as unknown as LogFollower,
+      box: 'box-1',
+      process: 'box-1#1',
+      clock,
+      random: () => random,
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      isOutranked: () => isOutranked,
+      handleElected: () => undefined,
+    });
+    leadership.handleConnection(true);
+    leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(LEADER) }]);
+    for (; claims.length === 0 && now < 5000; now += 10) {
+      lastOkAt = 1000 + Math.floor((now - 1000) / CYCLE_MS) * CYCLE_MS;
+      leadership.applyTime();
+    }
+    return claims[0]! - 1000;
+  };
+
+  it('waits from the read that showed it, so that boxes that read at the same moments claim one after the other', () => {
+    const strong = [0, 0.3, 0.8].map((random) => measureClaimMs(false, random));
+    expect(strong).toEqual([1700, 1820, 2020]);
+    const weak = [0, 0.3, 0.8].map((random) => measureClaimMs(true, random));
+    expect(Math.min(...weak)).toBeGreaterThan(strong[1]! + 200);
+  });
+});
+
 describe('the boxes that may lead next', () => {
   it('are first those not clearly weaker', () => {
     const directory = new BoxDirectory();
