Fast kinds of endpoints for the most urgent work, slow kinds for the rest: learnt from the runs, by label

Cause: a third of the endpoints take 1.3 times as long, and urgent steps of ten tasks were placed blind, so that nearly each had a task on a slow one: its chain took 1.3 times as long where the objective leaves half of it for everything.

`--speeds kinds` (default) against `--speeds blind` (as before). Slow kinds count as slow, not as sick.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -12,6 +12,8 @@
 import { placementOrders } from '../dispatch/placementOrders';
 import type { ConfigurationSource } from '../serve/ConfigurationSource';
 import { configurationSources } from '../serve/configurationSources';
+import type { SpeedChoice } from '../dispatch/SpeedChoice';
+import { speedChoices } from '../dispatch/speedChoices';
 import type { JobWriting } from '../serve/JobWriting';
 import { jobWritings } from '../serve/jobWritings';
 import { ServeProcess } from '../serve/ServeProcess';
@@ -40,6 +42,7 @@
 
 const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
 const DEFAULT_WRITING: JobWriting = 'leader';
+const DEFAULT_SPEEDS: SpeedChoice = 'kinds';
 const DEFAULT_ORDER: PlacementOrder = 'objective';
 
 /** Tells what an option may be. */
@@ -51,13 +54,15 @@
   name: 'serve',
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
-  usage: '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader]',
+  usage:
+    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
     order: {
       type: 'string',
       help: `order of placement within a priority: ${Object.keys(placementOrders).join(', ')}`,
     },
+    speeds: { type: 'string', help: 'how the speed of kinds of endpoints counts: blind, or kinds (default)' },
     writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
     configuration: {
       type: 'string',
@@ -87,7 +92,11 @@
     if (writing === undefined) {
       writeChoiceError('writing', jobWritings);
     }
-    if (source === undefined || order === undefined || writing === undefined) {
+    const speeds = parseChoice(speedChoices, input.values['speeds'], DEFAULT_SPEEDS);
+    if (speeds === undefined) {
+      writeChoiceError('speeds', speedChoices);
+    }
+    if (source === undefined || order === undefined || writing === undefined || speeds === undefined) {
       return exitCodes.usage;
     }
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
@@ -105,6 +114,7 @@
         configurationSource: source,
         placementOrder: order,
         jobWriting: writing,
+        speedChoice: speeds,
       },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
--- a/packages/dispatch/AdviceCandidates.ts
+++ b/packages/dispatch/AdviceCandidates.ts
@@ -3,6 +3,7 @@
 import type { EndpointBook } from './EndpointBook';
 import type { Preemptor } from './Preemptor';
 import type { RoomView } from './RoomView';
+import type { SpeedPreference } from './SpeedPreference';
 import type { WaitingStep } from './WaitingStep';
 
 /** Room asked about for each task that is missing, refusals taken off: other steps take some of it meanwhile. */
@@ -18,6 +19,7 @@
     private readonly room: RoomView,
     private readonly preemptor: Preemptor,
     private readonly history: AdviceHistory,
+    private readonly speeds: SpeedPreference,
   ) {}
 
   chooseNamed(
@@ -34,7 +36,7 @@
 
   /**
    * Those with room now. Those allowed before come first, and alone where they are enough. Of the others so many as the tasks are
-   * likely to need, first those about which no other step is asking: a shorter question is answered sooner, and steps that ask
+   * likely to need, first those of the kinds that suit the step, then those about which no other step is asking: a shorter question is answered sooner, and steps that ask
    * at the same time do not count on the same room.
    */
   private chooseForSmall(
@@ -56,6 +58,7 @@
     }
     const ranked = [...roomy].sort(
       (left, right) =>
+        this.speeds.measureCost(step, left) - this.speeds.measureCost(step, right) ||
         this.readUnderWay(left) - this.readUnderWay(right) ||
         right.readFreeCpuMillis() - left.readFreeCpuMillis(),
     );
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -13,6 +13,7 @@
 import type { DispatchEffect } from './DispatchEffect';
 import { EndpointBook } from './EndpointBook';
 import type { EndpointProfile } from './EndpointProfile';
+import { KindSpeeds } from './KindSpeeds';
 import { LimitView } from './LimitView';
 import { LiveJob } from './LiveJob';
 import type { OrderAnswer } from './OrderAnswer';
@@ -33,6 +34,8 @@
 import { RunLedger } from './RunLedger';
 import { RunMover } from './RunMover';
 import { RunOrders } from './RunOrders';
+import type { SpeedChoice } from './SpeedChoice';
+import { SpeedPreference } from './SpeedPreference';
 import { StepPlacer } from './StepPlacer';
 import { toStepName } from './toStepName';
 import type { WaitingStep } from './WaitingStep';
@@ -45,11 +48,13 @@
   /** The limit of a customer in the configuration in force; where there is none, that kept with the job counts. */
   readonly readLimit?: (customer: CustomerName) => TaskDemand | undefined;
   readonly placementOrder?: PlacementOrder;
+  readonly speedChoice?: SpeedChoice;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
 const DEFAULT_ORDER: PlacementOrder = 'objective';
+const DEFAULT_SPEED_CHOICE: SpeedChoice = 'kinds';
 const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
 
 /**
@@ -98,7 +103,9 @@
       handlePreempted: (book, run, step) => this.handlePreempted(book, run, step),
     });
     const limits = new LimitView(this.usage, options.readLimit ?? (() => undefined));
-    const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory);
+    const kinds = new KindSpeeds();
+    const speeds = new SpeedPreference(kinds, this.room, options.speedChoice ?? DEFAULT_SPEED_CHOICE);
+    const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory, speeds);
     this.questions = new AdviceQuestions(
       this.books,
       this.room,
@@ -113,11 +120,13 @@
       questions: this.questions,
       preemptor,
       reservations,
+      speeds,
       sendEffect,
     });
     this.mover = new RunMover({
       books: this.books,
       jobs: this.jobs,
+      kinds,
       handleMove: (book, run, reason) => this.handleMove(book, run, reason),
     });
     this.orders = new RunOrders({
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -1,6 +1,7 @@
 import type { CustomerName } from '../customers/CustomerName';
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { PlacementOrder } from './PlacementOrder';
+import type { SpeedChoice } from './SpeedChoice';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
@@ -47,6 +48,7 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly placementOrder: PlacementOrder;
+  readonly speedChoice: SpeedChoice;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   readonly parseEndpoint: (id: string, text: string) => EndpointProfile | undefined;
@@ -110,6 +112,7 @@
       readDefinition: (id) => replica.readDefinition(id),
       readLimit: options.readLimit,
       placementOrder: options.placementOrder,
+      speedChoice: options.speedChoice,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.journal = new LeaderJournal({
--- a/packages/dispatch/RoomView.ts
+++ b/packages/dispatch/RoomView.ts
@@ -36,6 +36,11 @@
     this.mostUrgent.set(service, Math.min(priority, this.mostUrgent.get(service) ?? Infinity));
   }
 
+  /** True when no more urgent queue has been seen that uses the same service. */
+  isMostUrgent({ service, priority }: JobQueue): boolean {
+    return priority <= (this.mostUrgent.get(service) ?? priority);
+  }
+
   /**
    * True for steps that would find room by chance only rarely: gangs and tasks that take much of an endpoint, while there is little
    * room on endpoints that may run them.
@@ -142,13 +147,13 @@
 
   /** Processor time that this step may take before it touches what is kept for the most urgent. */
   readReserveLeft(step: WaitingStep): number {
-    const { service, priority } = step.job.definition.queue;
-    if (priority <= (this.mostUrgent.get(service) ?? priority)) {
+    const { queue } = step.job.definition;
+    if (this.isMostUrgent(queue)) {
       return Infinity;
     }
     let free = 0;
     let capacity = 0;
-    for (const book of this.readUsable(service, '')) {
+    for (const book of this.readUsable(queue.service, '')) {
       free += book.readFreeCpuMillis();
       capacity += book.readProfile().capacity.cpuMillis;
     }
--- a/packages/dispatch/RunMover.ts
+++ b/packages/dispatch/RunMover.ts
@@ -2,6 +2,7 @@
 import type { JobId } from '../jobs/JobId';
 import type { JobStep } from '../jobs/JobStep';
 import type { EndpointBook } from './EndpointBook';
+import type { KindSpeeds } from './KindSpeeds';
 import type { LiveJob } from './LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import { readStraggling } from './readStraggling';
@@ -11,6 +12,7 @@
 interface RunMoverOptions {
   readonly books: ReadonlyMap<EndpointId, EndpointBook>;
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
+  readonly kinds: KindSpeeds;
   readonly handleMove: (book: EndpointBook, run: PlacedRun, reason: MoveReason) => void;
 }
 
@@ -41,6 +43,7 @@
   /** Takes in that a run was done. */
   recordDone(book: EndpointBook, run: PlacedRun, now: number): void {
     this.recordPace(book, run, (now - run.confirmedAt) / WHOLE, now);
+    this.recordKind(book, run, (now - run.confirmedAt) / WHOLE);
   }
 
   private recordPace(book: EndpointBook, run: PlacedRun, pace: number, now: number): void {
@@ -51,7 +54,17 @@
     speeds.recordPace(run.address.index, pace);
     const median = speeds.readMedian();
     if (median !== undefined) {
-      book.recordSlowness(pace / median, now);
+      // An endpoint of a slow kind is slow, not sick.
+      const usualRatio = this.options.kinds.readRatio(book.readProfile().labels);
+      book.recordSlowness(pace / median / usualRatio, now);
+    }
+  }
+
+  /** Only whole runs tell of an endpoint's kind: the pace of a run under way is rough. */
+  private recordKind(book: EndpointBook, run: PlacedRun, pace: number): void {
+    const median = this.readJob(run)?.readSpeeds(run.address.time, run.address.step).readMedian();
+    if (median !== undefined && median > 0 && this.isMeasurable(run)) {
+      this.options.kinds.recordRun(book.readProfile().labels, pace / median);
     }
   }
 
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/StepPlacer.ts
@@ -9,6 +9,7 @@
 import { rankingRules } from './rankingRules';
 import type { RoomReservations } from './RoomReservations';
 import type { RoomView } from './RoomView';
+import type { SpeedPreference } from './SpeedPreference';
 import { toRoundedTimes } from './toRoundedTimes';
 import { toStepName } from './toStepName';
 import type { WaitingStep } from './WaitingStep';
@@ -27,6 +28,7 @@
   readonly questions: AdviceQuestions;
   readonly preemptor: Preemptor;
   readonly reservations: RoomReservations;
+  readonly speeds: SpeedPreference;
   readonly sendEffect: (effect: PlacerEffect) => void;
 }
 
@@ -172,7 +174,7 @@
       if (!book.hasRoom(demand) || this.room.isCrowded(step, book)) {
         continue;
       }
-      const fit = rules.measureFit(step, book, now);
+      const fit = rules.measureFit(step, book, now) + this.options.speeds.measureCost(step, book);
       if (fit < bestFit) {
         bestFit = fit;
         best = book;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -446,6 +446,7 @@
       random,
       logger: this.options.createPartLogger('leader'),
       placementOrder: settings.placementOrder,
+      speedChoice: settings.speedChoice,
       readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile) => adapter.createEndpointClient(profile, epoch),
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,4 +1,5 @@
 import type { PlacementOrder } from '../dispatch/PlacementOrder';
+import type { SpeedChoice } from '../dispatch/SpeedChoice';
 import type { ConfigurationSource } from './ConfigurationSource';
 import type { JobWriting } from './JobWriting';
 
@@ -22,6 +23,8 @@
   readonly jobWriting: JobWriting;
   /** In which order the leader places what waits. */
   readonly placementOrder: PlacementOrder;
+  /** How the speed of endpoints' kinds counts when they are chosen. */
+  readonly speedChoice: SpeedChoice;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
   /**
