A box that reaches neither the log nor the leader says so truthfully, instead of "unknown"

While it reads no signs a box asks the leader a question that can do no harm first, for 200 ms.

Test: "reaches neither the log nor the leader" of tests/serve/slowLog.test.ts (503 with a time to return, within 0.5 s).

--- a/packages/serve/LeaderWriter.ts
+++ b/packages/serve/LeaderWriter.ts
@@ -76,7 +76,13 @@
   }
 
   private async sendToLeader(leader: BoxClient, write: LogWrite, deadline: number): Promise<WriteOutcome> {
-    const { clock, logger } = this.options;
+    const { clock, logger, isReadingSigns } = this.options;
+    // A box in a hall that is cut off reaches neither the log nor the leader. A question that can do no harm finds out, so that its
+    // caller is told truthfully that nothing was taken, and after 0.2 s.
+    if (!isReadingSigns() && !(await leader.isLogUsable())) {
+      this.unansweredAt = clock.readNow();
+      return 'refused';
+    }
     const sentAt = clock.readNow();
     const timeoutMs = Math.max(1, Math.min(this.answerMs, deadline - sentAt));
     const outcome = await leader.sendWrite(write, timeoutMs);
--- a/tests/serve/slowLog.test.ts
+++ b/tests/serve/slowLog.test.ts
@@ -88,6 +88,26 @@
     expect(cell.witness.readTotalStarts()).toBe(1);
   });
 
+  it('has a box that reaches neither the log nor the leader say at once, and truthfully, that it took nothing', async () => {
+    const leader = await cell.startLeader();
+    const away = cell.boxes.find((one) => one !== leader)!;
+    cell.log.applyFault('busy', away.name);
+    await startWait(2500);
+    leader.process.sendSignal('SIGSTOP');
+    const body = { spec: '20', steps: [{ count: 1, cpu: 1000, 'mem-mb': 100 }] };
+    // The first write finds out that the log takes none.
+    expect((await cell.sendJob(away, toJobIdText(99), body)).status).toBe(503);
+    const answers = [];
+    for (let number = 1; number <= 4; number += 1) {
+      const answer = await cell.sendJob(away, toJobIdText(number), body);
+      answers.push([answer.status, answer.tookMs < 500, answer.retryAfter]);
+      await startWait(600);
+    }
+    leader.process.sendSignal('SIGCONT');
+    expect(answers).toEqual(Array(4).fill([503, true, 1]));
+    expect(cell.witness.readTotalStarts()).toBe(0);
+  });
+
   it('lets a box that the log turns away take jobs, through the leader', async () => {
     const leader = await cell.startLeader();
     const away = cell.boxes.find((one) => one !== leader)!;
