--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -3,7 +3,7 @@
 import { parseJson } from '../common/parseJson';
 import { toHostPort } from '../common/toHostPort';
 import { toId } from '../common/toId';
-import type { AdviceClient } from '../dispatch/AdviceClient';
+import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import type { CustomerName } from '../customers/CustomerName';
 import type { JobCaller } from '../customers/JobCaller';
 import { createBufferApp } from '../gateway/createBufferApp';
--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -1,8 +1,8 @@
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
 import type { TaskName } from '../jobs/TaskName';
-import type { StartOrder } from './StartOrder';
-import type { WaitTimes } from './WaitTimes';
+import type { StartOrder } from './endpoints/StartOrder';
+import type { WaitTimes } from './waiting/WaitTimes';
 
 /** What the dispatcher wants done. */
 export type DispatchEffect =
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -1,8 +1,8 @@
 import type { CustomerName } from '../customers/CustomerName';
 import type { TaskDemand } from '../jobs/TaskDemand';
-import type { PlacementOrder } from './PlacementOrder';
-import type { HallChoice } from './HallChoice';
-import type { SpeedChoice } from './SpeedChoice';
+import type { PlacementOrder } from './waiting/PlacementOrder';
+import type { HallChoice } from './placing/HallChoice';
+import type { SpeedChoice } from './placing/SpeedChoice';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
@@ -12,18 +12,18 @@
 import type { JobReplica } from '../jobs/JobReplica';
 import { leaderTimings } from '../leadership/leaderTimings';
 import type { LogClient } from '../store/LogClient';
-import { AdviceDesk } from './AdviceDesk';
-import { AnswerTimeout } from './AnswerTimeout';
+import { AdviceDesk } from './advice/AdviceDesk';
+import { AnswerTimeout } from './endpoints/AnswerTimeout';
 import type { DispatchEffect } from './DispatchEffect';
 import { Dispatcher } from './Dispatcher';
-import type { EndpointClient } from './EndpointClient';
-import type { EndpointProfile } from './EndpointProfile';
-import { EndpointSessions } from './EndpointSessions';
+import type { EndpointClient } from './endpoints/EndpointClient';
+import type { EndpointProfile } from './endpoints/EndpointProfile';
+import { EndpointSessions } from './endpoints/EndpointSessions';
 import { LeaderJournal } from './LeaderJournal';
-import type { OrderAnswer } from './OrderAnswer';
+import type { OrderAnswer } from './endpoints/OrderAnswer';
 import { ProgressInheritance } from './ProgressInheritance';
-import { RoundPacer } from './RoundPacer';
-import type { WaitCause } from './WaitCause';
+import { RoundPacer } from './placing/RoundPacer';
+import type { WaitCause } from './waiting/WaitCause';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 /** Times that a leader measures: `start` is the answer to a start order, the others are parts of the wait for it. */
--- a/packages/dispatch/AdviceBook.ts
+++ b/packages/dispatch/advice/AdviceBook.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from '../jobs/EndpointId';
+import type { EndpointId } from '../../jobs/EndpointId';
 
 interface Ticket {
   readonly text: string;
--- a/packages/dispatch/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -1,10 +1,10 @@
-import { demandSums } from '../jobs/demandSums';
+import { demandSums } from '../../jobs/demandSums';
 import type { AdviceHistory } from './AdviceHistory';
-import type { EndpointBook } from './EndpointBook';
-import type { Preemptor } from './Preemptor';
-import type { RoomView } from './RoomView';
-import type { EndpointPreference } from './EndpointPreference';
-import type { WaitingStep } from './WaitingStep';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { Preemptor } from '../placing/Preemptor';
+import type { RoomView } from '../placing/RoomView';
+import type { EndpointPreference } from '../placing/EndpointPreference';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Room asked about for each task that is missing, refusals taken off: other steps take some of it meanwhile. */
 const COVER_FACTOR = 2;
--- a/packages/dispatch/AdviceClient.ts
+++ b/packages/dispatch/advice/AdviceClient.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from '../jobs/EndpointId';
+import type { EndpointId } from '../../jobs/EndpointId';
 
 /** Asks the advice service which of some endpoints may run a step. */
 export interface AdviceClient {
--- a/packages/dispatch/AdviceDesk.ts
+++ b/packages/dispatch/advice/AdviceDesk.ts
@@ -1,8 +1,8 @@
-import type { Clock } from '../common/Clock';
-import type { EndpointId } from '../jobs/EndpointId';
+import type { Clock } from '../../common/Clock';
+import type { EndpointId } from '../../jobs/EndpointId';
 import type { AdviceClient } from './AdviceClient';
 import type { AdviceTurns } from './AdviceTurns';
-import type { DispatchEffect } from './DispatchEffect';
+import type { DispatchEffect } from '../DispatchEffect';
 
 type Question = Extract<DispatchEffect, { kind: 'advise' }>;
 type Answer = ReadonlyMap<EndpointId, string> | undefined;
--- a/packages/dispatch/AdviceHistory.ts
+++ b/packages/dispatch/advice/AdviceHistory.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from '../jobs/EndpointId';
+import type { EndpointId } from '../../jobs/EndpointId';
 
 /** Share of the endpoints named that may run a step, before any answer was seen. */
 const FIRST_SHARE = 0.5;
--- a/packages/dispatch/AdviceQuestions.ts
+++ b/packages/dispatch/advice/AdviceQuestions.ts
@@ -1,17 +1,17 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import { toTaskName } from '../jobs/toTaskName';
+import type { EndpointId } from '../../jobs/EndpointId';
+import { toTaskName } from '../../jobs/toTaskName';
 import type { AdviceCandidates } from './AdviceCandidates';
 import type { AdviceHistory } from './AdviceHistory';
 import type { AdviceTurns } from './AdviceTurns';
-import type { DispatchEffect } from './DispatchEffect';
-import type { EndpointBook } from './EndpointBook';
-import type { LimitView } from './LimitView';
-import type { LiveJob } from './LiveJob';
-import type { PlacedRun } from './PlacedRun';
-import type { RoomView } from './RoomView';
-import { toStepName } from './toStepName';
-import type { WaitCause } from './WaitCause';
-import type { WaitingStep } from './WaitingStep';
+import type { DispatchEffect } from '../DispatchEffect';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { LimitView } from '../placing/LimitView';
+import type { LiveJob } from '../waiting/LiveJob';
+import type { PlacedRun } from '../runs/PlacedRun';
+import type { RoomView } from '../placing/RoomView';
+import { toStepName } from '../waiting/toStepName';
+import type { WaitCause } from '../waiting/WaitCause';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Endpoints named in one question; so many are counted in a job's objective. */
 const MAX_NAMED = 30;
--- a/packages/dispatch/toTickets.ts
+++ b/packages/dispatch/advice/toTickets.ts
@@ -1,5 +1,5 @@
-import { toId } from '../common/toId';
-import type { EndpointId } from '../jobs/EndpointId';
+import { toId } from '../../common/toId';
+import type { EndpointId } from '../../jobs/EndpointId';
 
 interface GoodAnswer {
   readonly good?: readonly (readonly [id: string, ticket: string])[];
--- a/packages/dispatch/EndedRow.ts
+++ b/packages/dispatch/endpoints/EndedRow.ts
@@ -1,4 +1,4 @@
-import type { TaskName } from '../jobs/TaskName';
+import type { TaskName } from '../../jobs/TaskName';
 
 /** One end that an endpoint reports until it is acknowledged. */
 export interface EndedRow {
--- a/packages/dispatch/EndpointBook.ts
+++ b/packages/dispatch/endpoints/EndpointBook.ts
@@ -1,9 +1,9 @@
-import type { CustomerUsage } from '../customers/CustomerUsage';
-import type { TaskDemand } from '../jobs/TaskDemand';
-import type { TaskName } from '../jobs/TaskName';
-import { demandSums } from '../jobs/demandSums';
+import type { CustomerUsage } from '../../customers/CustomerUsage';
+import type { TaskDemand } from '../../jobs/TaskDemand';
+import type { TaskName } from '../../jobs/TaskName';
+import { demandSums } from '../../jobs/demandSums';
 import type { EndpointProfile } from './EndpointProfile';
-import type { PlacedRun } from './PlacedRun';
+import type { PlacedRun } from '../runs/PlacedRun';
 
 /** Weight of the newest run in the failure rate. */
 const FAILURE_WEIGHT = 0.25;
--- a/packages/dispatch/EndpointClient.ts
+++ b/packages/dispatch/endpoints/EndpointClient.ts
@@ -1,4 +1,4 @@
-import type { TaskName } from '../jobs/TaskName';
+import type { TaskName } from '../../jobs/TaskName';
 import type { HoldAnswer } from './HoldAnswer';
 import type { OrderAnswer } from './OrderAnswer';
 import type { StartOrder } from './StartOrder';
--- a/packages/dispatch/EndpointProfile.ts
+++ b/packages/dispatch/endpoints/EndpointProfile.ts
@@ -1,6 +1,6 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { ServiceName } from '../jobs/ServiceName';
-import type { TaskDemand } from '../jobs/TaskDemand';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { ServiceName } from '../../jobs/ServiceName';
+import type { TaskDemand } from '../../jobs/TaskDemand';
 
 /** What an endpoint's record says of it. */
 export interface EndpointProfile {
--- a/packages/dispatch/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '../common/Clock';
-import { startBounded } from '../common/startBounded';
-import { startDelay } from '../common/startDelay';
-import { leaderTimings } from '../leadership/leaderTimings';
+import type { Clock } from '../../common/Clock';
+import { startBounded } from '../../common/startBounded';
+import { startDelay } from '../../common/startDelay';
+import { leaderTimings } from '../../leadership/leaderTimings';
 import type { EndpointBook } from './EndpointBook';
 import type { EndpointClient } from './EndpointClient';
 import type { HoldAnswer } from './HoldAnswer';
--- a/packages/dispatch/LookAnswer.ts
+++ b/packages/dispatch/endpoints/LookAnswer.ts
@@ -1,4 +1,4 @@
-import type { EndpointId } from '../jobs/EndpointId';
+import type { EndpointId } from '../../jobs/EndpointId';
 import type { EndedRow } from './EndedRow';
 import type { RunningRow } from './RunningRow';
 
--- a/packages/dispatch/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -1,16 +1,16 @@
-import type { JobDefinition } from '../jobs/JobDefinition';
-import type { JobId } from '../jobs/JobId';
-import { parseTaskName } from '../jobs/parseTaskName';
-import type { RunOutcome } from '../jobs/RunOutcome';
-import { createPlacedRun } from './createPlacedRun';
-import { createStrangeRun } from './createStrangeRun';
+import type { JobDefinition } from '../../jobs/JobDefinition';
+import type { JobId } from '../../jobs/JobId';
+import { parseTaskName } from '../../jobs/parseTaskName';
+import type { RunOutcome } from '../../jobs/RunOutcome';
+import { createPlacedRun } from '../runs/createPlacedRun';
+import { createStrangeRun } from '../runs/createStrangeRun';
 import type { EndedRow } from './EndedRow';
 import type { EndpointBook } from './EndpointBook';
-import type { LiveJob } from './LiveJob';
+import type { LiveJob } from '../waiting/LiveJob';
 import type { LookAnswer } from './LookAnswer';
-import type { PlacedRun } from './PlacedRun';
-import type { RunLedger } from './RunLedger';
-import type { RunMover } from './RunMover';
+import type { PlacedRun } from '../runs/PlacedRun';
+import type { RunLedger } from '../runs/RunLedger';
+import type { RunMover } from '../runs/RunMover';
 import type { RunningRow } from './RunningRow';
 
 interface LookReaderOptions {
--- a/packages/dispatch/RunningRow.ts
+++ b/packages/dispatch/endpoints/RunningRow.ts
@@ -1,4 +1,4 @@
-import type { TaskName } from '../jobs/TaskName';
+import type { TaskName } from '../../jobs/TaskName';
 
 /** One task that an endpoint says it runs. */
 export interface RunningRow {
--- a/packages/dispatch/StartOrder.ts
+++ b/packages/dispatch/endpoints/StartOrder.ts
@@ -1,4 +1,4 @@
-import type { TaskName } from '../jobs/TaskName';
+import type { TaskName } from '../../jobs/TaskName';
 
 /** An order to start one run of a task. */
 export interface StartOrder {
--- a/packages/dispatch/EndpointPreference.ts
+++ b/packages/dispatch/placing/EndpointPreference.ts
@@ -1,11 +1,11 @@
-import type { EndpointBook } from './EndpointBook';
+import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { HallChoice } from './HallChoice';
 import { hallChoices } from './hallChoices';
 import type { KindSpeeds } from './KindSpeeds';
 import type { RoomView } from './RoomView';
 import type { SpeedChoice } from './SpeedChoice';
 import { speedChoices } from './speedChoices';
-import type { WaitingStep } from './WaitingStep';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 interface EndpointPreferenceOptions {
   readonly kinds: KindSpeeds;
--- a/packages/dispatch/LimitView.ts
+++ b/packages/dispatch/placing/LimitView.ts
@@ -1,9 +1,9 @@
-import { customerLimits } from '../customers/customerLimits';
-import type { CustomerName } from '../customers/CustomerName';
-import type { CustomerUsage } from '../customers/CustomerUsage';
-import { demandSums } from '../jobs/demandSums';
-import type { TaskDemand } from '../jobs/TaskDemand';
-import type { WaitingStep } from './WaitingStep';
+import { customerLimits } from '../../customers/customerLimits';
+import type { CustomerName } from '../../customers/CustomerName';
+import type { CustomerUsage } from '../../customers/CustomerUsage';
+import { demandSums } from '../../jobs/demandSums';
+import type { TaskDemand } from '../../jobs/TaskDemand';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** How much of a step its customer's limit lets start. Changes nothing; a question costs the same however much runs. */
 export class LimitView {
--- a/packages/dispatch/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -1,11 +1,11 @@
-import type { JobId } from '../jobs/JobId';
-import type { TaskDemand } from '../jobs/TaskDemand';
-import { demandSums } from '../jobs/demandSums';
-import type { EndpointBook } from './EndpointBook';
-import type { LiveJob } from './LiveJob';
-import type { PlacedRun } from './PlacedRun';
+import type { JobId } from '../../jobs/JobId';
+import type { TaskDemand } from '../../jobs/TaskDemand';
+import { demandSums } from '../../jobs/demandSums';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { LiveJob } from '../waiting/LiveJob';
+import type { PlacedRun } from '../runs/PlacedRun';
 import type { RoomReservations } from './RoomReservations';
-import type { WaitingStep } from './WaitingStep';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 interface PreemptorOptions {
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
--- a/packages/dispatch/RankingRule.ts
+++ b/packages/dispatch/placing/RankingRule.ts
@@ -1,5 +1,5 @@
-import type { EndpointBook } from './EndpointBook';
-import type { WaitingStep } from './WaitingStep';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** What differs between kinds of steps when an endpoint is chosen. */
 export interface RankingRule {
--- a/packages/dispatch/RoomReservations.ts
+++ b/packages/dispatch/placing/RoomReservations.ts
@@ -1,6 +1,6 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import { toStepName } from './toStepName';
-import type { WaitingStep } from './WaitingStep';
+import type { EndpointId } from '../../jobs/EndpointId';
+import { toStepName } from '../waiting/toStepName';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 interface Reservation {
   /** `JOB.TIME.STEP` for which room is kept. */
--- a/packages/dispatch/RoomView.ts
+++ b/packages/dispatch/placing/RoomView.ts
@@ -1,12 +1,12 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { JobQueue } from '../jobs/JobQueue';
-import type { JobStep } from '../jobs/JobStep';
-import type { ServiceName } from '../jobs/ServiceName';
-import type { TaskDemand } from '../jobs/TaskDemand';
-import { demandSums } from '../jobs/demandSums';
-import type { EndpointBook } from './EndpointBook';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobQueue } from '../../jobs/JobQueue';
+import type { JobStep } from '../../jobs/JobStep';
+import type { ServiceName } from '../../jobs/ServiceName';
+import type { TaskDemand } from '../../jobs/TaskDemand';
+import { demandSums } from '../../jobs/demandSums';
+import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { RoomReservations } from './RoomReservations';
-import type { WaitingStep } from './WaitingStep';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Share of a service's processors that only the most urgent queues seen there may take. */
 const RESERVED_SHARE = 0.08;
--- a/packages/dispatch/RoundPacer.ts
+++ b/packages/dispatch/placing/RoundPacer.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../common/Clock';
+import type { Clock } from '../../common/Clock';
 
 interface RoundPacerOptions {
   readonly clock: Clock;
--- a/packages/dispatch/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -1,18 +1,18 @@
-import { createPlacedRun } from './createPlacedRun';
-import type { DispatchEffect } from './DispatchEffect';
-import type { AdviceQuestions } from './AdviceQuestions';
-import type { EndpointBook } from './EndpointBook';
+import { createPlacedRun } from '../runs/createPlacedRun';
+import type { DispatchEffect } from '../DispatchEffect';
+import type { AdviceQuestions } from '../advice/AdviceQuestions';
+import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { LimitView } from './LimitView';
-import type { LiveJob } from './LiveJob';
-import type { PlacedRun } from './PlacedRun';
+import type { LiveJob } from '../waiting/LiveJob';
+import type { PlacedRun } from '../runs/PlacedRun';
 import type { Preemptor } from './Preemptor';
 import { rankingRules } from './rankingRules';
 import type { RoomReservations } from './RoomReservations';
 import type { RoomView } from './RoomView';
 import type { EndpointPreference } from './EndpointPreference';
-import { toRoundedTimes } from './toRoundedTimes';
-import { toStepName } from './toStepName';
-import type { WaitingStep } from './WaitingStep';
+import { toRoundedTimes } from '../waiting/toRoundedTimes';
+import { toStepName } from '../waiting/toStepName';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 interface Choice {
   readonly book: EndpointBook;
--- a/packages/dispatch/rankingRules.ts
+++ b/packages/dispatch/placing/rankingRules.ts
@@ -1,6 +1,6 @@
-import type { EndpointBook } from './EndpointBook';
+import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { RankingRule } from './RankingRule';
-import type { WaitingStep } from './WaitingStep';
+import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Costs outweigh each other in this order; within one the tightest fit wins. */
 const FAILED_HERE_COST = 1000;
--- a/packages/dispatch/GangWatch.ts
+++ b/packages/dispatch/runs/GangWatch.ts
@@ -1,8 +1,8 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { JobId } from '../jobs/JobId';
-import { toTaskName } from '../jobs/toTaskName';
-import type { EndpointBook } from './EndpointBook';
-import type { LiveJob } from './LiveJob';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobId } from '../../jobs/JobId';
+import { toTaskName } from '../../jobs/toTaskName';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 
 /** Keeps gangs whole. */
--- a/packages/dispatch/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -1,8 +1,8 @@
-import type { CustomerName } from '../customers/CustomerName';
-import type { JobId } from '../jobs/JobId';
-import type { TaskAddress } from '../jobs/TaskAddress';
-import type { TaskDemand } from '../jobs/TaskDemand';
-import type { TaskName } from '../jobs/TaskName';
+import type { CustomerName } from '../../customers/CustomerName';
+import type { JobId } from '../../jobs/JobId';
+import type { TaskAddress } from '../../jobs/TaskAddress';
+import type { TaskDemand } from '../../jobs/TaskDemand';
+import type { TaskName } from '../../jobs/TaskName';
 
 /**
  * Where a run stands.
--- a/packages/dispatch/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -1,9 +1,9 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { JobId } from '../jobs/JobId';
-import type { RunOutcome } from '../jobs/RunOutcome';
-import type { DispatchEffect } from './DispatchEffect';
-import type { EndpointBook } from './EndpointBook';
-import type { LiveJob } from './LiveJob';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobId } from '../../jobs/JobId';
+import type { RunOutcome } from '../../jobs/RunOutcome';
+import type { DispatchEffect } from '../DispatchEffect';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 
 interface LedgerSinks {
--- a/packages/dispatch/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -1,9 +1,9 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { JobId } from '../jobs/JobId';
-import type { JobStep } from '../jobs/JobStep';
-import type { EndpointBook } from './EndpointBook';
-import type { KindSpeeds } from './KindSpeeds';
-import type { LiveJob } from './LiveJob';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobId } from '../../jobs/JobId';
+import type { JobStep } from '../../jobs/JobStep';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { KindSpeeds } from '../placing/KindSpeeds';
+import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import { readStraggling } from './readStraggling';
 
--- a/packages/dispatch/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -1,10 +1,10 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { JobId } from '../jobs/JobId';
-import type { TaskName } from '../jobs/TaskName';
-import type { DispatchEffect } from './DispatchEffect';
-import type { EndpointBook } from './EndpointBook';
-import type { LiveJob } from './LiveJob';
-import type { OrderAnswer } from './OrderAnswer';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobId } from '../../jobs/JobId';
+import type { TaskName } from '../../jobs/TaskName';
+import type { DispatchEffect } from '../DispatchEffect';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { LiveJob } from '../waiting/LiveJob';
+import type { OrderAnswer } from '../endpoints/OrderAnswer';
 import type { PlacedRun } from './PlacedRun';
 import type { RunLedger } from './RunLedger';
 
--- a/packages/dispatch/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -1,6 +1,6 @@
-import type { JobDefinition } from '../jobs/JobDefinition';
-import type { TaskAddress } from '../jobs/TaskAddress';
-import { toTaskName } from '../jobs/toTaskName';
+import type { JobDefinition } from '../../jobs/JobDefinition';
+import type { TaskAddress } from '../../jobs/TaskAddress';
+import { toTaskName } from '../../jobs/toTaskName';
 import type { PlacedRun } from './PlacedRun';
 
 /** Creates the book entry of a run that is about to be placed. */
--- a/packages/dispatch/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -1,8 +1,8 @@
-import { toId } from '../common/toId';
-import type { JobId } from '../jobs/JobId';
-import { demandSums } from '../jobs/demandSums';
+import { toId } from '../../common/toId';
+import type { JobId } from '../../jobs/JobId';
+import { demandSums } from '../../jobs/demandSums';
 import type { PlacedRun } from './PlacedRun';
-import type { RunningRow } from './RunningRow';
+import type { RunningRow } from '../endpoints/RunningRow';
 
 /** Creates the book entry of a run whose job is not known: its room is not known either, but it is stopped at once. */
 export const createStrangeRun = (row: RunningRow, now: number): PlacedRun => ({
--- a/packages/dispatch/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -1,8 +1,8 @@
-import type { EndpointId } from '../jobs/EndpointId';
-import type { JobDefinition } from '../jobs/JobDefinition';
-import type { JobProgress } from '../jobs/JobProgress';
-import type { TaskName } from '../jobs/TaskName';
-import { AdviceBook } from './AdviceBook';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobDefinition } from '../../jobs/JobDefinition';
+import type { JobProgress } from '../../jobs/JobProgress';
+import type { TaskName } from '../../jobs/TaskName';
+import { AdviceBook } from '../advice/AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
 import { readWaitingSteps } from './readWaitingSteps';
--- a/packages/dispatch/WaitingStep.ts
+++ b/packages/dispatch/waiting/WaitingStep.ts
@@ -1,4 +1,4 @@
-import type { JobStep } from '../jobs/JobStep';
+import type { JobStep } from '../../jobs/JobStep';
 import type { LiveJob } from './LiveJob';
 
 /** A step with tasks that may start now. */
--- a/packages/dispatch/placementOrders.ts
+++ b/packages/dispatch/waiting/placementOrders.ts
@@ -1,4 +1,4 @@
-import type { CustomerUsage } from '../customers/CustomerUsage';
+import type { CustomerUsage } from '../../customers/CustomerUsage';
 import type { PlacementOrder } from './PlacementOrder';
 import type { WaitingStep } from './WaitingStep';
 
--- a/packages/serve/ServeAdapter.ts
+++ b/packages/serve/ServeAdapter.ts
@@ -1,8 +1,8 @@
 import type { Result } from '../common/Result';
-import type { AdviceClient } from '../dispatch/AdviceClient';
+import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import type { CallerGate } from '../gateway/CallerGate';
-import type { EndpointClient } from '../dispatch/EndpointClient';
-import type { EndpointProfile } from '../dispatch/EndpointProfile';
+import type { EndpointClient } from '../dispatch/endpoints/EndpointClient';
+import type { EndpointProfile } from '../dispatch/endpoints/EndpointProfile';
 import type { JobService } from '../gateway/JobService';
 import type { QueueConfiguration } from '../gateway/QueueConfiguration';
 import type { QueueRouter } from '../gateway/QueueRouter';
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
-import type { AdviceClient } from '../dispatch/AdviceClient';
+import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import { LeaderDuty } from '../dispatch/LeaderDuty';
 import { QueueRouter } from '../gateway/QueueRouter';
 import type { CustomerFigures } from '../customers/CustomerFigures';
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,6 +1,6 @@
-import type { HallChoice } from '../dispatch/HallChoice';
-import type { PlacementOrder } from '../dispatch/PlacementOrder';
-import type { SpeedChoice } from '../dispatch/SpeedChoice';
+import type { HallChoice } from '../dispatch/placing/HallChoice';
+import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
+import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
 import type { ConfigurationSource } from './ConfigurationSource';
 import type { JobWriting } from './JobWriting';
 
--- a/tests/endpointSession.test.ts
+++ b/tests/endpointSession.test.ts
@@ -2,10 +2,10 @@
 import { describe, expect, it } from 'vitest';
 import { systemClock } from '../packages/common/systemClock';
 import { toId } from '../packages/common/toId';
-import { EndpointBook } from '../packages/dispatch/EndpointBook';
-import type { EndpointClient } from '../packages/dispatch/EndpointClient';
-import { EndpointSession } from '../packages/dispatch/EndpointSession';
-import type { HoldAnswer } from '../packages/dispatch/HoldAnswer';
+import { EndpointBook } from '../packages/dispatch/endpoints/EndpointBook';
+import type { EndpointClient } from '../packages/dispatch/endpoints/EndpointClient';
+import { EndpointSession } from '../packages/dispatch/endpoints/EndpointSession';
+import type { HoldAnswer } from '../packages/dispatch/endpoints/HoldAnswer';
 import type { TaskName } from '../packages/jobs/TaskName';
 import { createProfile } from './helpers/createProfile';
 
--- a/tests/hallChoices.test.ts
+++ b/tests/hallChoices.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
-import type { HallChoice } from '../packages/dispatch/HallChoice';
+import type { HallChoice } from '../packages/dispatch/placing/HallChoice';
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import type { JobId } from '../packages/jobs/JobId';
 import { JobProgress } from '../packages/jobs/JobProgress';
--- a/tests/helpers/createProfile.ts
+++ b/tests/helpers/createProfile.ts
@@ -1,5 +1,5 @@
 import { toId } from '../../packages/common/toId';
-import type { EndpointProfile } from '../../packages/dispatch/EndpointProfile';
+import type { EndpointProfile } from '../../packages/dispatch/endpoints/EndpointProfile';
 import type { EndpointId } from '../../packages/jobs/EndpointId';
 import type { ServiceName } from '../../packages/jobs/ServiceName';
 
--- a/tests/lapsedRecords.test.ts
+++ b/tests/lapsedRecords.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { toId } from '../packages/common/toId';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
-import type { EndpointClient } from '../packages/dispatch/EndpointClient';
-import { EndpointSessions } from '../packages/dispatch/EndpointSessions';
+import type { EndpointClient } from '../packages/dispatch/endpoints/EndpointClient';
+import { EndpointSessions } from '../packages/dispatch/endpoints/EndpointSessions';
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import type { LogClient } from '../packages/store/LogClient';
 import { createProfile } from './helpers/createProfile';
--- a/tests/makingRoom.test.ts
+++ b/tests/makingRoom.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { toId } from '../packages/common/toId';
-import { AnswerTimeout } from '../packages/dispatch/AnswerTimeout';
+import { AnswerTimeout } from '../packages/dispatch/endpoints/AnswerTimeout';
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndpointId } from '../packages/jobs/EndpointId';
--- a/tests/placementOrders.test.ts
+++ b/tests/placementOrders.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, it } from 'vitest';
 import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import { ShareMeter } from '../packages/customers/ShareMeter';
-import { LiveJob } from '../packages/dispatch/LiveJob';
-import type { PlacementOrder } from '../packages/dispatch/PlacementOrder';
-import { placementOrders } from '../packages/dispatch/placementOrders';
-import type { WaitingStep } from '../packages/dispatch/WaitingStep';
+import { LiveJob } from '../packages/dispatch/waiting/LiveJob';
+import type { PlacementOrder } from '../packages/dispatch/waiting/PlacementOrder';
+import { placementOrders } from '../packages/dispatch/waiting/placementOrders';
+import type { WaitingStep } from '../packages/dispatch/waiting/WaitingStep';
 import { JobProgress } from '../packages/jobs/JobProgress';
 import { JobReplica } from '../packages/jobs/JobReplica';
 import { createCustomer } from './helpers/createCustomer';
