--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -9,11 +9,9 @@
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import { LeaderDuty } from '../dispatch/LeaderDuty';
 import { QueueRouter } from '../gateway/QueueRouter';
-import type { CustomerFigures } from '../customers/CustomerFigures';
 import { formatCustomerFigures } from '../customers/formatCustomerFigures';
 import type { JobCaller } from '../customers/JobCaller';
 import { CallerGate } from '../gateway/CallerGate';
-import { demandSums } from '../jobs/demandSums';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
@@ -30,6 +28,7 @@
 import { JobDesk } from './JobDesk';
 import { jobWritings } from './jobWritings';
 import { LeaderHandOver } from './LeaderHandOver';
+import { readCustomerFigures } from './readCustomerFigures';
 import type { ServeAdapter } from './ServeAdapter';
 import { ServeMetrics } from './ServeMetrics';
 import type { ServeSettings } from './ServeSettings';
@@ -507,23 +506,15 @@
       readingJobsTopic: Number(this.jobsFollower.isFollowing()),
       knownJobs: this.replica.readJobCount(),
     });
-    return text + formatCustomerFigures(this.readCustomerFigures());
+    return text + this.formatCustomers();
   }
 
-  /** Customers as the leader sees them; nobody else knows what runs. */
-  private readCustomerFigures(): readonly CustomerFigures[] {
+  /** Nobody but the leader knows what runs. */
+  private formatCustomers(): string {
     const dispatcher = this.duty?.readDispatcher();
-    if (dispatcher === undefined) {
-      return [];
-    }
-    const usage = dispatcher.readUsage().readAll();
-    const waiting = dispatcher.readWaitingCounts(this.options.clock.readWall());
-    return [...this.router.readCustomers().readCustomers()].map(({ name, limit }) => ({
-      name,
-      limit,
-      taken: usage.get(name)?.taken ?? demandSums.NOTHING,
-      runs: usage.get(name)?.runs ?? 0,
-      waiting: waiting.get(name) ?? 0,
-    }));
+    const wallMs = this.options.clock.readWall();
+    return dispatcher === undefined
+      ? ''
+      : formatCustomerFigures(readCustomerFigures(this.router.readCustomers(), dispatcher, wallMs));
   }
 }
