A weak box waits longer behind a silent leader: strong ones may see the silence up to a read later

Weak boxes wait 900 ms for strong ones now where the leader fell silent; where its end was seen 350 ms as before.

Test fails before: "sees the silence earlier" in tests/leadership.test.ts.

--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -41,6 +41,11 @@
 const ENDED_JITTER_MS = 250;
 /** A box that knows of stronger ones leaves them so long to claim first. */
 const OUTRANKED_WAIT_MS = 350;
+/**
+ * The same behind a silent leader: boxes read up to 850 ms apart, so that a strong one may see the silence so much later. A box of 0.324
+ * cores took 2.3 s from its claim to its first order, a strong one 0.3 s (245 endpoints).
+ */
+const OUTRANKED_SILENT_WAIT_MS = 900;
 
 const recordSchema = z.object({
   epoch: z.number(),
@@ -204,9 +209,9 @@
     // sign were over together, and of eight claims within 50 ms that of a weak box won (0.32 cores; 2 s with few starts).
     this.silenceSeenAt ??= now;
     const waitedMs = now - this.silenceSeenAt;
-    return waitedMs >= this.shortJitter * leaderTimings.claimJitterMs + patienceMs
-      ? 'leader is silent'
-      : undefined;
+    const silentPatienceMs = patienceMs === 0 ? 0 : OUTRANKED_SILENT_WAIT_MS;
+    const dueMs = this.shortJitter * leaderTimings.claimJitterMs + silentPatienceMs;
+    return waitedMs >= dueMs ? 'leader is silent' : undefined;
   }
 
   /** True while the leader has shown a sign within a time, and after a moment. Both are monotonic milliseconds. */
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -79,7 +79,7 @@
   const CYCLE_MS = 850;
 
   /** Time from the last sign to the claim. */
-  const measureClaimMs = (isOutranked: boolean, random: number): number => {
+  const measureClaimMs = (isOutranked: boolean, random: number, readsEarlierMs = 0): number => {
     let now = 1000;
     let lastOkAt = now;
     const clock = { readNow: () => now, readWall: () => now };
@@ -100,7 +100,8 @@
     leadership.handleConnection(true);
     leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(LEADER) }]);
     for (; claims.length === 0 && now < 5000; now += 10) {
-      lastOkAt = 1000 + Math.floor((now - 1000) / CYCLE_MS) * CYCLE_MS;
+      const readCount = Math.floor((now - 1000 + readsEarlierMs) / CYCLE_MS);
+      lastOkAt = Math.max(1000, 1000 + readCount * CYCLE_MS - readsEarlierMs);
       leadership.applyTime();
     }
     return claims[0]! - 1000;
@@ -111,6 +112,8 @@
     expect(strong).toEqual([1700, 1820, 2020]);
     const weak = [0, 0.3, 0.8].map((random) => measureClaimMs(true, random));
     expect(Math.min(...weak)).toBeGreaterThan(strong[1]! + 200);
+    // A weak box that sees the silence earlier than the strong ones still leaves them the first claim.
+    expect(measureClaimMs(true, 0, 390)).toBeGreaterThan(strong[2]!);
   });
 });
 
