--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -46,7 +46,7 @@
 const DEFAULT_WRITING: JobWriting = 'leader';
 const DEFAULT_SPEEDS: SpeedChoice = 'kinds';
 const DEFAULT_HALLS: HallChoice = 'together';
-const DEFAULT_ORDER: PlacementOrder = 'objective';
+const DEFAULT_ORDER: PlacementOrder = 'shares';
 
 /** Tells what an option may be. */
 const writeChoiceError = (option: string, table: Readonly<Record<string, unknown>>): void =>
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -55,7 +55,7 @@
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
-const DEFAULT_ORDER: PlacementOrder = 'objective';
+const DEFAULT_ORDER: PlacementOrder = 'shares';
 const DEFAULT_SPEED_CHOICE: SpeedChoice = 'kinds';
 const DEFAULT_HALL_CHOICE: HallChoice = 'together';
 const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
