--- a/packages/serve/LeaderWriter.ts
+++ b/packages/serve/LeaderWriter.ts
@@ -90,7 +90,7 @@
     if (outcome === undefined) {
       this.unansweredAt = clock.readNow();
       logger.info('The leader gives no answer about a write.', {
-        key: write.key,
+        record: write.key,
         box: leader.address,
         tookMs: Math.round(tookMs),
       });
