--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -36,8 +36,8 @@
 
   /**
    * Those with room now. Those allowed before come first, and alone where they are enough. Of the others so many as the tasks are
-   * likely to need, first those of the kinds that suit the step, then those about which no other step is asking: a shorter question is answered sooner, and steps that ask
-   * at the same time do not count on the same room.
+   * likely to need: first those of the kinds and the hall that suit the step, of these those about which no other step is asking.
+   * A shorter question is answered sooner, and steps that ask at the same time do not count on the same room.
    */
   private chooseForSmall(
     step: WaitingStep,
