Endpoint costs are worked out once a step, and the defaults of deciding stand in one place

The cost of an endpoint, with the job's home hall, was built anew for each task of a step; nothing in it changes within a step. The three defaults stood in the dispatcher and in the command.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -8,13 +8,11 @@
 import { createRandom } from '../common/createRandom';
 import { systemClock } from '../common/systemClock';
 import { toErrorText } from '../common/toErrorText';
-import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
+import { dispatchDefaults } from '../dispatch/dispatchDefaults';
 import { placementOrders } from '../dispatch/waiting/placementOrders';
 import type { ConfigurationSource } from '../serve/ConfigurationSource';
 import { configurationSources } from '../serve/configurationSources';
-import type { HallChoice } from '../dispatch/placing/HallChoice';
 import { hallChoices } from '../dispatch/placing/hallChoices';
-import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
 import { speedChoices } from '../dispatch/placing/speedChoices';
 import type { JobWriting } from '../serve/JobWriting';
 import { jobWritings } from '../serve/jobWritings';
@@ -44,9 +42,6 @@
 
 const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
 const DEFAULT_WRITING: JobWriting = 'leader';
-const DEFAULT_SPEEDS: SpeedChoice = 'kinds';
-const DEFAULT_HALLS: HallChoice = 'together';
-const DEFAULT_ORDER: PlacementOrder = 'shares';
 
 /** Tells what an option may be. */
 const writeChoiceError = (option: string, table: Readonly<Record<string, unknown>>): void =>
@@ -85,7 +80,7 @@
       return exitCodes.usage;
     }
     const source = parseChoice(configurationSources, input.values['configuration'], DEFAULT_SOURCE);
-    const order = parseChoice(placementOrders, input.values['order'], DEFAULT_ORDER);
+    const order = parseChoice(placementOrders, input.values['order'], dispatchDefaults.placementOrder);
     const writing = parseChoice(jobWritings, input.values['writing'], DEFAULT_WRITING);
     if (source === undefined) {
       writeChoiceError('configuration', configurationSources);
@@ -96,11 +91,11 @@
     if (writing === undefined) {
       writeChoiceError('writing', jobWritings);
     }
-    const halls = parseChoice(hallChoices, input.values['halls'], DEFAULT_HALLS);
+    const halls = parseChoice(hallChoices, input.values['halls'], dispatchDefaults.hallChoice);
     if (halls === undefined) {
       writeChoiceError('halls', hallChoices);
     }
-    const speeds = parseChoice(speedChoices, input.values['speeds'], DEFAULT_SPEEDS);
+    const speeds = parseChoice(speedChoices, input.values['speeds'], dispatchDefaults.speedChoice);
     if (speeds === undefined) {
       writeChoiceError('speeds', speedChoices);
     }
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -10,6 +10,7 @@
 import type { TaskName } from '../jobs/TaskName';
 import type { TaskProgress } from '../jobs/TaskProgress';
 import { demandSums } from '../jobs/demandSums';
+import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
 import { EndpointBook } from './endpoints/EndpointBook';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
@@ -55,9 +56,6 @@
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
-const DEFAULT_ORDER: PlacementOrder = 'shares';
-const DEFAULT_SPEED_CHOICE: SpeedChoice = 'kinds';
-const DEFAULT_HALL_CHOICE: HallChoice = 'together';
 const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
 
 /**
@@ -110,8 +108,8 @@
     const preference = new EndpointPreference({
       kinds,
       room: this.room,
-      speedChoice: options.speedChoice ?? DEFAULT_SPEED_CHOICE,
-      hallChoice: options.hallChoice ?? DEFAULT_HALL_CHOICE,
+      speedChoice: options.speedChoice ?? dispatchDefaults.speedChoice,
+      hallChoice: options.hallChoice ?? dispatchDefaults.hallChoice,
     });
     const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory, preference);
     this.questions = new AdviceQuestions(
@@ -385,7 +383,7 @@
         waiting.push(...job.readWaiting(wallMs));
       }
     }
-    const order = this.options.placementOrder ?? DEFAULT_ORDER;
+    const order = this.options.placementOrder ?? dispatchDefaults.placementOrder;
     return placementOrders[order].toOrder(waiting, { wallMs, usage: this.usage });
   }
 
--- /dev/null
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -0,0 +1,16 @@
+import type { HallChoice } from './placing/HallChoice';
+import type { SpeedChoice } from './placing/SpeedChoice';
+import type { PlacementOrder } from './waiting/PlacementOrder';
+
+interface DispatchDefaults {
+  readonly placementOrder: PlacementOrder;
+  readonly speedChoice: SpeedChoice;
+  readonly hallChoice: HallChoice;
+}
+
+/** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
+export const dispatchDefaults: DispatchDefaults = {
+  placementOrder: 'shares',
+  speedChoice: 'kinds',
+  hallChoice: 'together',
+};
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -139,11 +139,12 @@
     }
     let reserveLeft = this.room.readReserveLeft(step);
     const runNumber = this.readNextRun(step);
+    const readCost = this.options.preference.createCostOf(step);
     for (const index of step.indexes) {
       if (step.shape.demand.cpuMillis > reserveLeft && !step.shape.isFiller) {
         break;
       }
-      const book = this.chooseEndpoint(step, allowed, now);
+      const book = this.chooseEndpoint(step, allowed, readCost, now);
       if (book === undefined) {
         break;
       }
@@ -163,11 +164,11 @@
   private chooseEndpoint(
     step: WaitingStep,
     allowed: readonly EndpointBook[],
+    readCost: (book: EndpointBook) => number,
     now: number,
   ): EndpointBook | undefined {
     const { shape } = step;
     const demand = this.room.toCountedDemand(shape);
-    const readCost = this.options.preference.createCostOf(step);
     const rules = rankingRules[shape.isFiller ? 'filler' : shape.isLongRunning ? 'serving' : 'batch'];
     let best: EndpointBook | undefined;
     let bestFit = Infinity;
