--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -1,6 +1,7 @@
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
 import type { TaskName } from '../jobs/TaskName';
+import type { DispatchCount } from './DispatchCount';
 import type { StartOrder } from './endpoints/StartOrder';
 import type { WaitTimes } from './waiting/WaitTimes';
 
@@ -32,5 +33,7 @@
       readonly expectedMs: number;
       readonly isLong: boolean;
     }
+  /** Counts something for the metrics. */
+  | { readonly kind: 'count'; readonly name: DispatchCount; readonly amount: number }
   /** A line for the log. */
   | { readonly kind: 'tell'; readonly sentence: string; readonly fields: Readonly<Record<string, unknown>> };
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -13,6 +13,7 @@
 import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
 import { EndpointBook } from './endpoints/EndpointBook';
+import { formatLifeEnd } from './endpoints/formatLifeEnd';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
 import type { HallChoice } from './placing/HallChoice';
 import { KindSpeeds } from './placing/KindSpeeds';
@@ -33,6 +34,7 @@
 import type { LookAnswer } from './endpoints/LookAnswer';
 import { LookReader } from './endpoints/LookReader';
 import { RoomView } from './placing/RoomView';
+import type { RunEnd } from './runs/RunEnd';
 import { RunLedger } from './runs/RunLedger';
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
@@ -56,6 +58,8 @@
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
+const LIFE_OVER: RunEnd = { outcome: 'interrupted', cause: 'lifeOver', checkpoint: '' };
+const LEASE_OVER: RunEnd = { outcome: 'interrupted', cause: 'leaseOver', checkpoint: '' };
 const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
 
 /**
@@ -252,8 +256,12 @@
     if (book === undefined) {
       return;
     }
-    for (const run of [...book.readRuns()]) {
-      this.ledger.recordRunEnd(book, run, 'interrupted', run.checkpoint, now);
+    const runs = [...book.readRuns()];
+    this.ledger.sendTell('Endpoint life is over.', formatLifeEnd(book, runs, now));
+    this.ledger.sendCount('lifeEnds');
+    this.ledger.sendCount('runsLost', runs.length);
+    for (const run of runs) {
+      this.ledger.recordRunEnd(book, run, LIFE_OVER, now);
     }
     this.books.delete(id);
   }
@@ -447,7 +455,8 @@
   private applyLapse(book: EndpointBook, now: number): void {
     for (const run of [...book.readRuns()]) {
       if (run.stage !== 'recording') {
-        this.ledger.recordRunEnd(book, run, 'interrupted', run.checkpoint, now);
+        this.ledger.sendCount('runsLapsed');
+        this.ledger.recordRunEnd(book, run, LEASE_OVER, now);
       }
     }
   }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -14,6 +14,7 @@
 import type { LogClient } from '../store/LogClient';
 import { AdviceDesk } from './advice/AdviceDesk';
 import { AnswerTimeout } from './endpoints/AnswerTimeout';
+import type { DispatchCount } from './DispatchCount';
 import type { DispatchEffect } from './DispatchEffect';
 import { Dispatcher } from './Dispatcher';
 import type { EndpointClient } from './endpoints/EndpointClient';
@@ -62,7 +63,7 @@
   /** The log has answered, after it had not, a call that was sent at a monotonic time. */
   readonly handleLogBack: (answeredSentAt: number) => void;
   readonly recordCount: (
-    name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered',
+    name: 'starts' | 'ends' | 'stops' | 'questions' | 'unanswered' | DispatchCount,
     amount?: number,
   ) => void;
   readonly recordTime: (name: LeaderTime, valueMs: number) => void;
@@ -379,6 +380,9 @@
         this.options.recordCount('questions');
         void this.desk.sendQuestion(effect);
         return;
+      case 'count':
+        this.options.recordCount(effect.name, effect.amount);
+        return;
       case 'tell':
         this.options.logger.info(effect.sentence, effect.fields);
         return;
--- a/packages/dispatch/endpoints/EndpointBook.ts
+++ b/packages/dispatch/endpoints/EndpointBook.ts
@@ -32,6 +32,8 @@
   private isListed = true;
   /** Since when the endpoint has not answered; undefined while it does. */
   private silentSince: number | undefined;
+  /** Monotonic time of the newest answer to a look; undefined before the first. */
+  private answeredAt: number | undefined;
   /** Monotonic time after which nothing that was ever leased there can run. */
   private leasedUntil: number;
 
@@ -107,16 +109,26 @@
     return this.isListed && this.settled && this.silentSince === undefined && !this.profile.isDraining;
   }
 
+  /** False once the endpoint's record has gone. */
+  hasRecord(): boolean {
+    return this.isListed;
+  }
+
   isSettled(): boolean {
     return this.settled;
   }
 
+  readAnsweredAt(): number | undefined {
+    return this.answeredAt;
+  }
+
   readSilentSince(): number | undefined {
     return this.silentSince;
   }
 
   /** Records an answer to a look. */
-  recordAnswer(): void {
+  recordAnswer(now: number): void {
+    this.answeredAt = now;
     this.settled = true;
     this.silentSince = undefined;
   }
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -242,7 +242,6 @@
   }
 
   private handleGone(id: EndpointId): void {
-    this.options.logger.info('Endpoint life is over.', { endpoint: id });
     this.sessions.get(id)?.stop();
     this.sessions.delete(id);
     this.options.dispatcher.handleEndpointGone(id, this.options.clock.readNow());
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -9,6 +9,7 @@
 import type { LiveJob } from '../waiting/LiveJob';
 import type { LookAnswer } from './LookAnswer';
 import type { PlacedRun } from '../runs/PlacedRun';
+import type { RunEnd } from '../runs/RunEnd';
 import type { RunLedger } from '../runs/RunLedger';
 import type { RunMover } from '../runs/RunMover';
 import type { RunningRow } from './RunningRow';
@@ -30,6 +31,7 @@
   broken: 'interrupted',
   alone: 'interrupted',
 };
+const NOT_LISTED: RunEnd = { outcome: 'interrupted', cause: 'notListed', checkpoint: '' };
 /** An endpoint gives at most so many ends in one answer; a full list may not be the whole. */
 const FULL_END_LIST = 500;
 
@@ -39,7 +41,7 @@
 
   /** Takes an answer in: ends first, then what runs, then what is proved not to run. */
   handleLook(book: EndpointBook, answer: LookAnswer, now: number, wallMs: number): void {
-    book.recordAnswer();
+    book.recordAnswer(now);
     for (const row of answer.ended) {
       this.handleEnd(book, row, now, wallMs);
     }
@@ -62,7 +64,12 @@
     if (outcome === 'done') {
       this.options.mover.recordDone(book, run, now);
     }
-    this.options.ledger.recordRunEnd(book, run, outcome, row.checkpoint, now);
+    this.options.ledger.recordRunEnd(
+      book,
+      run,
+      { outcome, cause: 'listed', checkpoint: row.checkpoint },
+      now,
+    );
     const job = this.options.jobs.get(run.job);
     if (job !== undefined) {
       this.options.ledger.checkJobEnd(job, run, outcome, book.readProfile().id, wallMs);
@@ -116,7 +123,7 @@
   ): void {
     for (const run of [...book.readRuns()]) {
       if (!listed.has(run) && this.isProvedAbsent(run, sentAt)) {
-        this.options.ledger.recordRunEnd(book, run, 'interrupted', run.checkpoint, now);
+        this.options.ledger.recordRunEnd(book, run, NOT_LISTED, now);
       }
     }
   }
--- /dev/null
+++ b/packages/dispatch/runs/RunEnd.ts
@@ -0,0 +1,10 @@
+import type { RunOutcome } from '../../jobs/RunOutcome';
+import type { RunEndCause } from './RunEndCause';
+
+/** How a run ended, as the leader takes it into its books. */
+export interface RunEnd {
+  readonly outcome: RunOutcome;
+  readonly cause: RunEndCause;
+  /** What the run left to go on from; empty where nothing newer is known than its books have. */
+  readonly checkpoint: string;
+}
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -1,10 +1,12 @@
 import type { EndpointId } from '../../jobs/EndpointId';
 import type { JobId } from '../../jobs/JobId';
 import type { RunOutcome } from '../../jobs/RunOutcome';
+import type { DispatchCount } from '../DispatchCount';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
+import type { RunEnd } from './RunEnd';
 
 interface LedgerSinks {
   /** Room has become free. */
@@ -28,13 +30,8 @@
   ) {}
 
   /** Frees the room of a run and carries its end into the job's progress. */
-  recordRunEnd(
-    book: EndpointBook,
-    run: PlacedRun,
-    outcome: RunOutcome,
-    checkpoint: string,
-    now: number,
-  ): void {
+  recordRunEnd(book: EndpointBook, run: PlacedRun, end: RunEnd, now: number): void {
+    const { outcome, cause, checkpoint } = end;
     book.recordRunEnd(run);
     this.sinks.handleFreed();
     const job = this.jobs.get(run.job);
@@ -48,6 +45,7 @@
         run: run.run,
         endpoint: book.readProfile().id,
         outcome,
+        cause,
         stage: run.stage,
         ageMs: Math.round(now - run.placedAt),
         recordMs: Math.round(run.recordedAt - run.placedAt),
@@ -131,6 +129,10 @@
     }
   }
 
+  sendCount(name: DispatchCount, amount = 1): void {
+    this.sinks.sendEffect({ kind: 'count', name, amount });
+  }
+
   sendTell(sentence: string, fields: Readonly<Record<string, unknown>>): void {
     this.sinks.sendEffect({ kind: 'tell', sentence, fields });
   }
--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -6,6 +6,7 @@
 import type { LiveJob } from '../waiting/LiveJob';
 import type { OrderAnswer } from '../endpoints/OrderAnswer';
 import type { PlacedRun } from './PlacedRun';
+import type { RunEnd } from './RunEnd';
 import type { RunLedger } from './RunLedger';
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -18,6 +19,10 @@
   readonly handleGone: (id: EndpointId, now: number) => void;
 }
 
+const NOT_SENT: RunEnd = { outcome: 'interrupted', cause: 'notSent', checkpoint: '' };
+const TURNED_DOWN: RunEnd = { outcome: 'interrupted', cause: 'turnedDown', checkpoint: '' };
+const UNHEALTHY: RunEnd = { outcome: 'interrupted', cause: 'unhealthy', checkpoint: '' };
+
 /** Orders on their way to endpoints: which starts may leave once they are recorded, and what the answers mean. */
 export class RunOrders {
   constructor(private readonly options: RunOrdersOptions) {}
@@ -36,7 +41,7 @@
     const job = jobs.get(run.job);
     const isWanted = job !== undefined && !job.progress.isEnded() && book.isUsable();
     if (!isWanted || !this.hasTicket(job, run, effect, now)) {
-      ledger.recordRunEnd(book, run, 'interrupted', '', now);
+      ledger.recordRunEnd(book, run, NOT_SENT, now);
       return false;
     }
     run.stage = 'ordered';
@@ -55,7 +60,7 @@
     for (const book of this.options.books.values()) {
       for (const run of [...book.readRuns()]) {
         if (run.stage === 'recording') {
-          this.options.ledger.recordRunEnd(book, run, 'interrupted', run.checkpoint, now);
+          this.options.ledger.recordRunEnd(book, run, NOT_SENT, now);
         }
       }
     }
@@ -65,7 +70,7 @@
   handleUnsent(effect: StartEffect, now: number): void {
     const placed = this.readPlaced(effect.endpoint, effect.order.task, effect.order.run);
     if (placed !== undefined) {
-      this.options.ledger.recordRunEnd(placed.book, placed.run, 'interrupted', '', now);
+      this.options.ledger.recordRunEnd(placed.book, placed.run, NOT_SENT, now);
     }
   }
 
@@ -129,11 +134,11 @@
         if (answer.reason === 'ticket') {
           jobs.get(run.job)?.readAdvice(run.address.time, run.address.step).revokeTicket(id);
         }
-        ledger.recordRunEnd(book, run, 'interrupted', '', now);
+        ledger.recordRunEnd(book, run, TURNED_DOWN, now);
         return;
       case 'unhealthy':
         book.recordOutcome(true, now);
-        ledger.recordRunEnd(book, run, 'interrupted', '', now);
+        ledger.recordRunEnd(book, run, UNHEALTHY, now);
         return;
     }
   }
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -14,6 +14,9 @@
   'questions',
   'unanswered',
   'elections',
+  'lifeEnds',
+  'runsLost',
+  'runsLapsed',
 ] as const;
 const QUANTILES = [50, 90, 99, 99.9] as const;
 const MICROS_PER_MS = 1000;
--- a/tests/endpointSession.test.ts
+++ b/tests/endpointSession.test.ts
@@ -71,7 +71,7 @@
 describe('the session with an endpoint whose end is not durable yet', () => {
   it('goes on renewing the lease, acknowledges nothing before, and tells the end once', async () => {
     const book = createBook();
-    book.recordAnswer();
+    book.recordAnswer(0);
     const looks: { readonly request: HoldRequest; readonly at: number }[] = [];
     const newEnds: number[] = [];
     let startDurable: () => void = () => undefined;
