--- a/packages/dispatch/DispatchCount.ts
+++ b/packages/dispatch/DispatchCount.ts
@@ -3,5 +3,7 @@
  * - `lifeEnds`: lives of endpoints that ended.
  * - `runsLost`: runs that ended with the life of their endpoint.
  * - `runsLapsed`: runs whose lease ran out on an endpoint that was silent.
+ * - `crashesCharged`: charges of tasks with the end of an endpoint; one end may be charged to several.
+ * - `tasksGivenUp`: tasks that are not started any more, since endpoints ended under them.
  */
-export type DispatchCount = 'lifeEnds' | 'runsLost' | 'runsLapsed';
+export type DispatchCount = 'lifeEnds' | 'runsLost' | 'runsLapsed' | 'crashesCharged' | 'tasksGivenUp';
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -1,3 +1,5 @@
+import { CrashLedger } from './crashes/CrashLedger';
+import { isUnderSuspicion } from './crashes/isUnderSuspicion';
 import type { CustomerName } from '../customers/CustomerName';
 import { CustomerUsage } from '../customers/CustomerUsage';
 import { ShareMeter } from '../customers/ShareMeter';
@@ -40,6 +42,7 @@
 import { RunOrders } from './runs/RunOrders';
 import type { SpeedChoice } from './placing/SpeedChoice';
 import { EndpointPreference } from './placing/EndpointPreference';
+import { SuspicionCosts } from './placing/SuspicionCosts';
 import { StepPlacer } from './placing/StepPlacer';
 import { toStepName } from './waiting/toStepName';
 import type { WaitingStep } from './waiting/WaitingStep';
@@ -82,6 +85,7 @@
   private readonly adviceHistory = new AdviceHistory();
   private readonly mover: RunMover;
   private readonly gangs: GangWatch;
+  private readonly crashes: CrashLedger;
   /** True when something has happened since the last round that may let work start. */
   private hasNews = false;
   /** True when the last round only asked for tickets, so that the next one has to look at all that waits. */
@@ -100,6 +104,11 @@
       handleChanged: (job) => this.changed.add(job),
       sendEffect,
     });
+    this.crashes = new CrashLedger({
+      jobs: this.jobs,
+      ledger: this.ledger,
+      handleChanged: (job) => this.changed.add(job),
+    });
     const { reservations } = this;
     this.room = new RoomView(this.books, reservations);
     const preemptor = new Preemptor({
@@ -131,6 +140,7 @@
       preemptor,
       reservations,
       preference,
+      suspicion: new SuspicionCosts(this.books, this.crashes),
       sendEffect,
     });
     this.mover = new RunMover({
@@ -149,6 +159,7 @@
       jobs: this.jobs,
       ledger: this.ledger,
       mover: this.mover,
+      crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
     this.gangs = new GangWatch(this.books, this.jobs, (book, run) => this.ledger.sendStop(book, run));
@@ -213,8 +224,10 @@
     for (let time = 0; time < definition.times; time += 1) {
       for (const [step] of definition.steps.entries()) {
         for (const [index, task] of progress.readTasks(time, step).entries()) {
+          const address = { time, step, index };
+          this.crashes.recordInherited(job, address, now);
           if (task.phase === 'placed') {
-            this.recordInherited(job, { time, step, index }, task, now);
+            this.recordInherited(job, address, task, now);
           }
         }
       }
@@ -260,15 +273,28 @@
     this.ledger.sendTell('Endpoint life is over.', formatLifeEnd(book, runs, now));
     this.ledger.sendCount('lifeEnds');
     this.ledger.sendCount('runsLost', runs.length);
+    this.crashes.handleLifeOver(book, runs, now);
     for (const run of runs) {
       this.ledger.recordRunEnd(book, run, LIFE_OVER, now);
     }
     this.books.delete(id);
   }
 
+  /** True while a look at an endpoint that fell silent for good may still tell whether it crashed. */
+  isAwaited(id: EndpointId, now: number): boolean {
+    return this.crashes.isAwaited(id, now);
+  }
+
   /** The endpoint did not answer a look. */
   handleSilence(id: EndpointId, now: number): void {
-    this.books.get(id)?.recordSilence(now);
+    const book = this.books.get(id);
+    if (book === undefined) {
+      return;
+    }
+    if (book.readSilentSince() === undefined) {
+      this.crashes.handleSilence(book, now);
+    }
+    book.recordSilence(now);
   }
 
   /** The endpoint answered a look: what it does not list, and was asked for after the order was answered, does not run. */
@@ -349,7 +375,7 @@
       return;
     }
     this.hasAskedAhead = false;
-    for (const step of this.startRound(wallMs, turns)) {
+    for (const step of this.startRound(now, wallMs, turns)) {
       if (this.placer.placeStep(step, now)) {
         this.changed.add(step.job.definition.id);
       }
@@ -369,7 +395,7 @@
       return;
     }
     this.hasAskedAhead = true;
-    for (const step of this.startRound(wallMs, turns)) {
+    for (const step of this.startRound(now, wallMs, turns)) {
       this.placer.sendQuestionAhead(step, now);
     }
     this.placer.revokeBooked();
@@ -381,7 +407,8 @@
   }
 
   /** Begins a round; gives what waits, in the order of placement. */
-  private startRound(wallMs: number, turns: AdviceTurns): readonly WaitingStep[] {
+  private startRound(now: number, wallMs: number, turns: AdviceTurns): readonly WaitingStep[] {
+    this.crashes.applyGivenUp(now, wallMs);
     this.hasNews = false;
     this.room.startRound();
     this.questions.startRound(turns);
@@ -446,18 +473,20 @@
       book = new EndpointBook(profile, this.options.unheardUntil, this.usage);
       this.books.set(task.endpoint, book);
     }
-    const run = createPlacedRun(definition, address, task.run, now);
+    const run = createPlacedRun(definition, address, task.run, now, {
+      isSuspect: isUnderSuspicion(task.crashes),
+    });
     run.stage = 'unconfirmed';
     run.checkpoint = task.checkpoint;
     book.recordRun(run);
   }
 
   private applyLapse(book: EndpointBook, now: number): void {
-    for (const run of [...book.readRuns()]) {
-      if (run.stage !== 'recording') {
-        this.ledger.sendCount('runsLapsed');
-        this.ledger.recordRunEnd(book, run, LEASE_OVER, now);
-      }
+    const runs = [...book.readRuns()].filter(({ stage }) => stage !== 'recording');
+    this.crashes.handleLapse(book, runs, now);
+    for (const run of runs) {
+      this.ledger.sendCount('runsLapsed');
+      this.ledger.recordRunEnd(book, run, LEASE_OVER, now);
     }
   }
 
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -76,6 +76,7 @@
   answer: 'waitAnswerMs',
   room: 'waitRoomMs',
   limit: 'waitLimitMs',
+  pause: 'waitPauseMs',
 } as const satisfies Readonly<Record<WaitCause, string>>;
 const WAIT_CAUSES = Object.keys(WAIT_TIMES) as WaitCause[];
 /** Rounds that hold the process up for longer are worth a line. */
--- /dev/null
+++ b/packages/dispatch/crashes/CrashLedger.ts
@@ -0,0 +1,218 @@
+import type { CrashBlame } from '../../jobs/CrashBlame';
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { JobId } from '../../jobs/JobId';
+import type { TaskAddress } from '../../jobs/TaskAddress';
+import type { TaskCrash } from '../../jobs/TaskCrash';
+import { toTaskName } from '../../jobs/toTaskName';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { PlacedRun } from '../runs/PlacedRun';
+import type { RunLedger } from '../runs/RunLedger';
+import type { LiveJob } from '../waiting/LiveJob';
+import { chooseBlames } from './chooseBlames';
+import { crashLimits } from './crashLimits';
+import { isGivenUp } from './isGivenUp';
+import { isUnderSuspicion } from './isUnderSuspicion';
+import { OutageWatch } from './OutageWatch';
+import { readPauseMs } from './readPauseMs';
+
+interface CrashLedgerOptions {
+  readonly jobs: ReadonlyMap<JobId, LiveJob>;
+  readonly ledger: RunLedger;
+  /** The progress of a job has changed and must be recorded. */
+  readonly handleChanged: (job: JobId) => void;
+}
+
+/** A task that ran on an endpoint which has not been heard since its lease ran out. */
+interface Doubt {
+  readonly job: JobId;
+  readonly address: TaskAddress;
+  /** Monotonic time from which nothing has been known. */
+  readonly since: number;
+  /** What it is charged with once the endpoint is known to have crashed. */
+  readonly blame: CrashBlame;
+}
+
+/**
+ * Endpoints that ended, charged to the tasks that may have ended them. An end of an endpoint counts unless it was planned: a task that
+ * ends its endpoint leaves nobody to say that it failed, and was started some 30 times in a day when such ends counted against nothing.
+ * The charges are part of a job's progress, so that each leader goes on from those of the one before.
+ */
+export class CrashLedger {
+  private readonly doubts = new Map<EndpointId, Doubt[]>();
+  private readonly outages = new OutageWatch();
+  /** When machines last crashed, by address. */
+  private readonly crashedAt = new Map<string, number>();
+  /** Jobs with a task that is not started any more. */
+  private readonly givenUp = new Map<JobId, TaskAddress>();
+
+  constructor(private readonly options: CrashLedgerOptions) {}
+
+  /** Takes in the charges of a job that earlier leaders left: waits begin anew, and doubts go on. */
+  recordInherited(job: LiveJob, address: TaskAddress, now: number): void {
+    const crashes = job.progress.readTask(address)?.crashes ?? [];
+    if (crashes.length === 0) {
+      return;
+    }
+    for (const { endpoint, blame } of crashes) {
+      if (blame === 'unproved') {
+        this.recordDoubt(endpoint, { job: job.definition.id, address, since: now, blame: 'shared' });
+      }
+    }
+    this.applyCharges(job, address, now);
+  }
+
+  /** An endpoint's life is over; `runs` were there, or may have been. */
+  handleLifeOver(book: EndpointBook, runs: readonly PlacedRun[], now: number): void {
+    const { id, address } = book.readProfile();
+    const doubts = this.doubts.get(id) ?? [];
+    this.doubts.delete(id);
+    if (book.isLeaving()) {
+      doubts.forEach((doubt) => this.revokeDoubt(doubt, id, now));
+      return;
+    }
+    this.crashedAt.set(address, now);
+    for (const { job, address: task, blame } of doubts) {
+      this.recordCrash(job, task, { endpoint: id, blame }, now);
+    }
+    for (const { run, blame } of this.readCharges(book, runs)) {
+      this.recordCrash(run.job, run.address, { endpoint: id, blame }, now);
+    }
+  }
+
+  /** The lease of an endpoint that was silent has run out, and with it `runs`: it crashed, or is cut off. */
+  handleLapse(book: EndpointBook, runs: readonly PlacedRun[], now: number): void {
+    if (book.isLeaving()) {
+      return;
+    }
+    const { id } = book.readProfile();
+    for (const { run, blame } of this.readCharges(book, runs)) {
+      this.recordDoubt(id, { job: run.job, address: run.address, since: now, blame });
+      if (blame !== 'present') {
+        this.recordCrash(run.job, run.address, { endpoint: id, blame: 'unproved' }, now);
+      }
+    }
+  }
+
+  /** An endpoint that answered until now has fallen silent. */
+  handleSilence(book: EndpointBook, now: number): void {
+    this.outages.handleSilence(book, now);
+  }
+
+  /** The endpoint is heard: it has not crashed. */
+  handleHeard(id: EndpointId, now: number): void {
+    this.outages.handleHeard(id);
+    const doubts = this.doubts.get(id);
+    if (doubts !== undefined) {
+      this.doubts.delete(id);
+      doubts.forEach((doubt) => this.revokeDoubt(doubt, id, now));
+    }
+  }
+
+  /** A look has listed a run: one that has worked for long clears its task. */
+  handleListed(run: PlacedRun): void {
+    const isCleared = run.seenAt - run.confirmedAt >= crashLimits.clearedAgeMs;
+    if (isCleared && this.options.jobs.get(run.job)?.progress.revokeCrashes(run.address) === true) {
+      this.options.handleChanged(run.job);
+      this.sendTell('Task is cleared of crashes.', run.job, run.address, []);
+    }
+  }
+
+  /** True while it is worth asking at the address of an endpoint that fell silent for good. */
+  isAwaited(id: EndpointId, now: number): boolean {
+    return this.doubts.get(id)?.some(({ since }) => now - since < crashLimits.awaitedMs) ?? false;
+  }
+
+  /** Tells whether a machine has crashed so lately that the next crash there would tell little of a task. */
+  hasCrashedLately(address: string, now: number): boolean {
+    return now - (this.crashedAt.get(address) ?? -Infinity) < crashLimits.recentCrashMs;
+  }
+
+  /** Ends the jobs with tasks that are not started any more, and forgets what is too old to tell anything. */
+  applyGivenUp(now: number, wallMs: number): void {
+    for (const [id, address] of this.givenUp) {
+      const job = this.options.jobs.get(id);
+      if (job !== undefined && !job.progress.isEnded()) {
+        const crashes = job.progress.readTask(address)?.crashes ?? [];
+        this.sendTell('Task is given up: endpoints ended under it.', id, address, crashes);
+        this.options.ledger.sendCount('tasksGivenUp');
+        this.options.ledger.recordJobEnd(job, 'failed', wallMs);
+      }
+    }
+    this.givenUp.clear();
+    this.applyAge(now);
+  }
+
+  private applyAge(now: number): void {
+    for (const [address, at] of this.crashedAt) {
+      if (now - at >= crashLimits.recentCrashMs) {
+        this.crashedAt.delete(address);
+      }
+    }
+    for (const id of this.doubts.keys()) {
+      if (!this.isAwaited(id, now)) {
+        this.doubts.delete(id);
+      }
+    }
+  }
+
+  /** Charges for the end of an endpoint; an order that still waits for its record cannot have ended anything. */
+  private readCharges(book: EndpointBook, runs: readonly PlacedRun[]): ReturnType<typeof chooseBlames> {
+    const { jobs } = this.options;
+    return chooseBlames({
+      runs: runs.filter(({ stage }) => stage !== 'recording'),
+      isOutage: this.outages.isPartOfOutage(book),
+      isSuspect: (run) => isUnderSuspicion(jobs.get(run.job)?.progress.readTask(run.address)?.crashes ?? []),
+      toGroup: ({ job, address, task }) => {
+        const isGang = jobs.get(job)?.definition.steps[address.step]?.isGang === true;
+        return isGang ? `${job}.${address.time}.${address.step}` : task;
+      },
+    });
+  }
+
+  private recordDoubt(id: EndpointId, doubt: Doubt): void {
+    this.doubts.set(id, [...(this.doubts.get(id) ?? []), doubt]);
+  }
+
+  private revokeDoubt({ job: id, address }: Doubt, endpoint: EndpointId, now: number): void {
+    const job = this.options.jobs.get(id);
+    if (job?.progress.revokeCrash(address, endpoint) === true) {
+      this.options.handleChanged(id);
+      this.applyCharges(job, address, now);
+      this.sendTell('Crash is taken back.', id, address, [{ endpoint, blame: 'unproved' }]);
+    }
+  }
+
+  private recordCrash(id: JobId, address: TaskAddress, crash: TaskCrash, now: number): void {
+    const job = this.options.jobs.get(id);
+    const task = job?.progress.readTask(address);
+    if (job === undefined || task === undefined || task.phase === 'done' || job.progress.isEnded()) {
+      return;
+    }
+    job.progress.recordCrash(address, crash);
+    this.options.handleChanged(id);
+    this.options.ledger.sendCount('crashesCharged');
+    this.sendTell('Crash is charged.', id, address, [crash]);
+    this.applyCharges(job, address, now);
+  }
+
+  /** Draws the consequences of a task's charges: a pause before its next start, or none any more. */
+  private applyCharges(job: LiveJob, address: TaskAddress, now: number): void {
+    const { crashes } = job.progress.readTask(address)!;
+    const pauseMs = readPauseMs(crashes);
+    if (pauseMs > 0) {
+      job.recordPause(address, now + pauseMs);
+    }
+    if (isGivenUp(crashes)) {
+      this.givenUp.set(job.definition.id, address);
+    }
+  }
+
+  private sendTell(sentence: string, job: JobId, address: TaskAddress, crashes: readonly TaskCrash[]): void {
+    this.options.ledger.sendTell(sentence, {
+      job,
+      task: toTaskName(job, address),
+      crashes: crashes.map(({ endpoint, blame }) => ({ endpoint, blame })),
+      charged: this.options.jobs.get(job)?.progress.readTask(address)?.crashes.length ?? 0,
+    });
+  }
+}
--- /dev/null
+++ b/packages/dispatch/crashes/OutageWatch.ts
@@ -0,0 +1,51 @@
+import type { EndpointId } from '../../jobs/EndpointId';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import { isProven } from './isProven';
+
+interface Silence {
+  readonly endpoint: EndpointId;
+  /** Monotonic time at which it was noticed. */
+  readonly at: number;
+  /** Some run had just begun there, and may be its cause. */
+  readonly hasBegunRun: boolean;
+}
+
+/** Endpoints that are ended together are noticed within this time: a look waits up to 400 ms, and refused ones show at once. */
+const SAME_MOMENT_MS = 300;
+/** Longer than it takes until the end of an endpoint is known: its machine is back, or its lease has run out. */
+const KEPT_MS = 60_000;
+
+/**
+ * Tells outages that strike several endpoints from endpoints that a task has ended: where another one fell silent at the same moment on
+ * which nothing had just begun, the cause lies outside.
+ */
+export class OutageWatch {
+  private silences: Silence[] = [];
+
+  /** An endpoint that answered until now has fallen silent. */
+  handleSilence(book: EndpointBook, now: number): void {
+    this.silences = this.silences.filter(({ at }) => now - at < KEPT_MS);
+    const hasBegunRun = [...book.readRuns()].some((run) => run.stage !== 'recording' && !isProven(run));
+    this.silences.push({ endpoint: book.readProfile().id, at: now, hasBegunRun });
+  }
+
+  /** The endpoint is heard again: its silence was none that ended it. */
+  handleHeard(id: EndpointId): void {
+    if (this.silences.length > 0) {
+      this.silences = this.silences.filter(({ endpoint }) => endpoint !== id);
+    }
+  }
+
+  /** True when the endpoint fell silent with others in an outage. */
+  isPartOfOutage(book: EndpointBook): boolean {
+    const { id } = book.readProfile();
+    const silentSince = book.readSilentSince();
+    return (
+      silentSince !== undefined &&
+      this.silences.some(
+        ({ endpoint, at, hasBegunRun }) =>
+          endpoint !== id && !hasBegunRun && Math.abs(at - silentSince) <= SAME_MOMENT_MS,
+      )
+    );
+  }
+}
--- /dev/null
+++ b/packages/dispatch/crashes/chooseBlames.ts
@@ -0,0 +1,36 @@
+import type { CrashBlame } from '../../jobs/CrashBlame';
+import type { PlacedRun } from '../runs/PlacedRun';
+import { isProven } from './isProven';
+
+interface Charge {
+  readonly run: PlacedRun;
+  readonly blame: CrashBlame;
+}
+
+interface BlamesInput {
+  /** All that may have run on the endpoint when it ended. */
+  readonly runs: readonly PlacedRun[];
+  /** Others that nothing had just begun on fell silent at the same moment. */
+  readonly isOutage: boolean;
+  /** Tells whether the run's task is under suspicion for an earlier crash. */
+  readonly isSuspect: (run: PlacedRun) => boolean;
+  /** Members of a gang start together and count as one. */
+  readonly toGroup: (run: PlacedRun) => string;
+}
+
+/**
+ * Shares out the blame for an endpoint that ended. Tasks end their endpoints as they start, and are rare: of the runs that had just begun
+ * those under suspicion are likelier than the others, which are then not charged. Runs that had worked for a while, and all in an outage,
+ * are noted as present, for the task that ends its endpoint late. Whoever charges all that ran there gives up sound work: see docs/decisions/0015.
+ */
+export const chooseBlames = ({ runs, isOutage, isSuspect, toGroup }: BlamesInput): readonly Charge[] => {
+  const begun = isOutage ? [] : runs.filter((run) => !isProven(run));
+  const suspects = begun.filter(isSuspect);
+  const likely = suspects.length > 0 ? suspects : begun;
+  const blame = new Set(likely.map(toGroup)).size === 1 ? 'sole' : 'shared';
+  const charges = likely.map((run): Charge => ({ run, blame }));
+  const present = runs
+    .filter((run) => isOutage || isProven(run))
+    .map((run): Charge => ({ run, blame: 'present' }));
+  return [...charges, ...present];
+};
--- /dev/null
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -0,0 +1,27 @@
+/**
+ * What is made of endpoints that end under a task. Such a task is started five times at most by the users' rules: they lose an endpoint
+ * and all that runs there with each start. The figures of giving up and of probation are compared in docs/decisions/0015.
+ */
+export const crashLimits = {
+  /** A task is given up once so many endpoints ended with its run as the only one that had just begun. */
+  maxSole: 2,
+  /** The same for all that it may have ended by starting, also shared and unproved ones: the fence where evidence is late. */
+  maxLikely: 4,
+  /** The same for all endpoints that ended while it ran there. */
+  maxAll: 5,
+  /** A run that a look listed at this age or later did not end its endpoint by starting, in milliseconds. */
+  provenAgeMs: 300,
+  /** A run that was listed at this age clears its task of earlier crashes, in milliseconds. */
+  clearedAgeMs: 10_000,
+  /** Wait before the next start of a task that was the only one to blame, in milliseconds; doubles with each crash. */
+  firstPauseMs: 500,
+  /** Longest such wait: a job that has nothing running for 3 s counts as lost. */
+  maxPauseMs: 2000,
+  /**
+   * An endpoint that fell silent for good is looked at for so long after its lease, also without a record, in milliseconds: if another life
+   * answers there, it crashed.
+   */
+  awaitedMs: 15_000,
+  /** A machine that crashed so lately is left to others than tasks under suspicion, in milliseconds. */
+  recentCrashMs: 30_000,
+} as const;
--- a/packages/dispatch/endpoints/EndpointBook.ts
+++ b/packages/dispatch/endpoints/EndpointBook.ts
@@ -30,6 +30,10 @@
   /** True once the endpoint has answered this leader, so that no older leader's order can reach it any more. */
   private settled = false;
   private isListed = true;
+  /** The endpoint has answered a look after its record had gone. */
+  private hasAnsweredUnlisted = false;
+  /** Runs of tasks under suspicion that are not proven yet. */
+  private readonly probation = new Set<PlacedRun>();
   /** Since when the endpoint has not answered; undefined while it does. */
   private silentSince: number | undefined;
   /** Monotonic time of the newest answer to a look; undefined before the first. */
@@ -53,6 +57,7 @@
   applyProfile(profile: EndpointProfile): void {
     this.profile = profile;
     this.isListed = true;
+    this.hasAnsweredUnlisted = false;
   }
 
   /** The endpoint's record has gone. What runs there may go on, since the record alone tells little. */
@@ -77,16 +82,30 @@
     this.runs.set(`${run.task}#${run.run}`, run);
     this.used = demandSums.toSum(this.used, run.demand);
     this.usage.recordRun(run);
+    if (run.isSuspect) {
+      this.probation.add(run);
+    }
   }
 
   /** Frees the room of a run that is known to have ended. */
   recordRunEnd(run: PlacedRun): void {
+    this.probation.delete(run);
     if (this.runs.delete(`${run.task}#${run.run}`)) {
       this.used = demandSums.toDifference(this.used, run.demand);
       this.usage.recordRunEnd(run);
     }
   }
 
+  /** Runs of tasks under suspicion whose start may still end the endpoint. */
+  readProbation(): ReadonlySet<PlacedRun> {
+    return this.probation;
+  }
+
+  /** A look has listed a run long enough after its start. */
+  recordProven(run: PlacedRun): void {
+    this.probation.delete(run);
+  }
+
   readFree(): TaskDemand {
     return demandSums.toDifference(this.profile.capacity, this.used);
   }
@@ -114,6 +133,14 @@
     return this.isListed;
   }
 
+  /**
+   * True when the end of the endpoint is planned: it has said that it drains, or serves on without a record. One that crashes falls silent
+   * before its record goes.
+   */
+  isLeaving(): boolean {
+    return this.profile.isDraining || this.hasAnsweredUnlisted;
+  }
+
   isSettled(): boolean {
     return this.settled;
   }
@@ -129,6 +156,7 @@
   /** Records an answer to a look. */
   recordAnswer(now: number): void {
     this.answeredAt = now;
+    this.hasAnsweredUnlisted ||= !this.isListed;
     this.settled = true;
     this.silentSince = undefined;
   }
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -233,9 +233,11 @@
       logger.info('Endpoint does not answer.', { endpoint: id, detail });
     }
     handleSilent();
-    dispatcher.handleSilence(id, clock.readNow());
-    // One that has left and runs nothing any more needs no look.
-    if (book === undefined || (!this.profiles.has(id) && book.readRunCount() === 0)) {
+    const now = clock.readNow();
+    dispatcher.handleSilence(id, now);
+    // One that has left and runs nothing any more needs no look, unless it may have crashed.
+    const isAwaited = book !== undefined && (book.readRunCount() > 0 || dispatcher.isAwaited(id, now));
+    if (!this.profiles.has(id) && !isAwaited) {
       this.sessions.get(id)?.stop();
       this.sessions.delete(id);
     }
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -4,6 +4,8 @@
 import type { RunOutcome } from '../../jobs/RunOutcome';
 import { createPlacedRun } from '../runs/createPlacedRun';
 import { createStrangeRun } from '../runs/createStrangeRun';
+import type { CrashLedger } from '../crashes/CrashLedger';
+import { isProven } from '../crashes/isProven';
 import type { EndedRow } from './EndedRow';
 import type { EndpointBook } from './EndpointBook';
 import type { LiveJob } from '../waiting/LiveJob';
@@ -18,6 +20,7 @@
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly ledger: RunLedger;
   readonly mover: RunMover;
+  readonly crashes: CrashLedger;
   /** Definition of any job, also of one that has ended. */
   readonly readDefinition: (id: JobId) => JobDefinition | undefined;
 }
@@ -42,6 +45,7 @@
   /** Takes an answer in: ends first, then what runs, then what is proved not to run. */
   handleLook(book: EndpointBook, answer: LookAnswer, now: number, wallMs: number): void {
     book.recordAnswer(now);
+    this.options.crashes.handleHeard(answer.endpoint, now);
     for (const row of answer.ended) {
       this.handleEnd(book, row, now, wallMs);
     }
@@ -83,6 +87,10 @@
       run.confirmedAt = now;
     }
     run.seenAt = now;
+    if (isProven(run)) {
+      book.recordProven(run);
+      this.options.crashes.handleListed(run);
+    }
     if (row.percent > run.percent) {
       run.percent = row.percent;
       run.progressedAt = now;
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -9,6 +9,8 @@
 import { rankingRules } from './rankingRules';
 import type { RoomReservations } from './RoomReservations';
 import type { RoomView } from './RoomView';
+import { isUnderSuspicion } from '../crashes/isUnderSuspicion';
+import type { SuspicionCosts } from './SuspicionCosts';
 import type { EndpointPreference } from './EndpointPreference';
 import { toRoundedTimes } from '../waiting/toRoundedTimes';
 import { toStepName } from '../waiting/toStepName';
@@ -29,6 +31,7 @@
   readonly preemptor: Preemptor;
   readonly reservations: RoomReservations;
   readonly preference: EndpointPreference;
+  readonly suspicion: SuspicionCosts;
   readonly sendEffect: (effect: PlacerEffect) => void;
 }
 
@@ -48,7 +51,12 @@
   /** Places what can be placed of a step; returns whether anything was. */
   placeStep(whole: WaitingStep, now: number): boolean {
     const wait = whole.job.readWait(whole.time, whole.step);
-    const step = this.options.limits.readStartable(whole);
+    const due = this.readDue(whole, now);
+    if (due === undefined) {
+      wait.recordCause('pause', now);
+      return false;
+    }
+    const step = this.options.limits.readStartable(due);
     if (step === undefined) {
       wait.recordCause('limit', now);
       return false;
@@ -80,7 +88,8 @@
    * what it would take until `revokeBooked`, so that less urgent steps are asked about for the room that is left.
    */
   sendQuestionAhead(whole: WaitingStep, now: number): void {
-    const step = this.options.limits.readStartable(whole);
+    const due = this.readDue(whole, now);
+    const step = due === undefined ? undefined : this.options.limits.readStartable(due);
     if (step === undefined) {
       return;
     }
@@ -102,6 +111,16 @@
     this.booked.splice(0).forEach((choice) => this.revokeChoice(choice));
   }
 
+  /** The tasks of a step that need not pause; undefined when there is none, or when a gang would not be whole. */
+  private readDue(whole: WaitingStep, now: number): WaitingStep | undefined {
+    const { job, time, step } = whole;
+    const indexes = whole.indexes.filter((index) => !job.isPaused({ time, step, index }, now));
+    if (indexes.length === whole.indexes.length) {
+      return whole;
+    }
+    return indexes.length === 0 || whole.shape.isGang ? undefined : { ...whole, indexes };
+  }
+
   private startMakingRoom(step: WaitingStep, eligible: readonly EndpointBook[], now: number): void {
     const allowed = this.readAllowed(step, eligible, now + MAKE_ROOM_MS);
     this.options.preemptor.startMakingRoom(step, allowed, now);
@@ -140,21 +159,33 @@
     let reserveLeft = this.room.readReserveLeft(step);
     const runNumber = this.readNextRun(step);
     const readCost = this.options.preference.createCostOf(step);
+    let hasSuspectBegun = this.options.suspicion.hasSiblingOnProbation(step);
     for (const index of step.indexes) {
       if (step.shape.demand.cpuMillis > reserveLeft && !step.shape.isFiller) {
         break;
       }
-      const book = this.chooseEndpoint(step, allowed, readCost, now);
+      const address = { time: step.time, step: step.step, index };
+      const previous = step.job.progress.readTask(address);
+      if (previous === undefined) {
+        continue;
+      }
+      const isSuspect = isUnderSuspicion(previous.crashes);
+      if (isSuspect && hasSuspectBegun) {
+        continue;
+      }
+      const book = this.chooseEndpoint(step, allowed, isSuspect, readCost, now);
+      if (book === undefined && isSuspect) {
+        // Its siblings need not wait until another task under suspicion is proven.
+        continue;
+      }
       if (book === undefined) {
         break;
       }
-      const { time, step: number } = step;
-      const previous = step.job.progress.readTask({ time, step: number, index });
-      const nextRun = step.shape.isGang ? runNumber : (previous?.run ?? 0) + 1;
-      const isFromStart = (previous?.checkpoint ?? '') === '';
-      const address = { time, step: number, index };
-      const run = createPlacedRun(step.job.definition, address, nextRun, now, isFromStart);
+      const nextRun = step.shape.isGang ? runNumber : previous.run + 1;
+      const isFromStart = previous.checkpoint === '';
+      const run = createPlacedRun(step.job.definition, address, nextRun, now, { isFromStart, isSuspect });
       book.recordRun(run);
+      hasSuspectBegun ||= isSuspect && !step.shape.isGang;
       reserveLeft -= step.shape.demand.cpuMillis;
       choices.push({ book, run, ticket: advice?.readTicket(book.readProfile().id, now) ?? '' });
     }
@@ -164,6 +195,7 @@
   private chooseEndpoint(
     step: WaitingStep,
     allowed: readonly EndpointBook[],
+    isSuspect: boolean,
     readCost: (book: EndpointBook) => number,
     now: number,
   ): EndpointBook | undefined {
@@ -176,7 +208,8 @@
       if (!book.hasRoom(demand) || this.room.isCrowded(step, book)) {
         continue;
       }
-      const fit = rules.measureFit(step, book, now) + readCost(book);
+      const suspicion = this.options.suspicion.measureCost(step, isSuspect, book, now);
+      const fit = rules.measureFit(step, book, now) + readCost(book) + suspicion;
       if (fit < bestFit) {
         bestFit = fit;
         best = book;
--- /dev/null
+++ b/packages/dispatch/placing/SuspicionCosts.ts
@@ -0,0 +1,83 @@
+import type { EndpointId } from '../../jobs/EndpointId';
+import { toTaskName } from '../../jobs/toTaskName';
+import type { CrashLedger } from '../crashes/CrashLedger';
+import { isUnderSuspicion } from '../crashes/isUnderSuspicion';
+import { isProven } from '../crashes/isProven';
+import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { PlacedRun } from '../runs/PlacedRun';
+import type { WaitingStep } from '../waiting/WaitingStep';
+
+/** Beside a run that has just begun the next crash tells little, and beside one that serves it does most harm. */
+const BEGUN_NEIGHBOUR_COST = 2000;
+const CRASHED_LATELY_COST = 1500;
+const SERVING_NEIGHBOUR_COST = 300;
+const NEIGHBOUR_COST = 30;
+/** For sound tasks: an endpoint on which a task under suspicion has just begun is taken when there is no other. */
+const SUSPECT_NEIGHBOUR_COST = 1500;
+
+/**
+ * Keeps tasks under suspicion apart, so that the next crash tells which of them ended the endpoint, and takes little with it. Each begins
+ * where no other one is about to show what it does, for at most as long as it takes to be proven.
+ */
+export class SuspicionCosts {
+  constructor(
+    private readonly books: ReadonlyMap<EndpointId, EndpointBook>,
+    private readonly crashes: CrashLedger,
+  ) {}
+
+  /**
+   * True while a sibling under suspicion has just begun: tasks of one step are likely to behave alike, so each waits for what the one before
+   * it shows. A step of 20 harmful tasks cost 5 endpoints of 33, and 42 where all began at once (tests/crashes, virtual time).
+   */
+  hasSiblingOnProbation({ job, time, step, shape }: WaitingStep): boolean {
+    if (shape.isGang) {
+      return false;
+    }
+    return job.progress.readTasks(time, step).some((task, index) => {
+      if (task.phase !== 'placed' || !isUnderSuspicion(task.crashes)) {
+        return false;
+      }
+      const name = toTaskName(job.definition.id, { time, step, index });
+      const run = this.books.get(task.endpoint)?.readRun(name, task.run);
+      return run !== undefined && !isProven(run);
+    });
+  }
+
+  /** Cost of an endpoint for a task of a step; Infinity where it must not begin now. */
+  measureCost(step: WaitingStep, isSuspect: boolean, book: EndpointBook, now: number): number {
+    const hasOthers = this.hasOthersOnProbation(step, book);
+    if (!isSuspect) {
+      return hasOthers ? SUSPECT_NEIGHBOUR_COST : 0;
+    }
+    if (hasOthers) {
+      return Infinity;
+    }
+    const isCrashed = this.crashes.hasCrashedLately(book.readProfile().address, now);
+    let cost = isCrashed ? CRASHED_LATELY_COST : 0;
+    for (const run of book.readRuns()) {
+      cost += this.measureNeighbour(step, run);
+    }
+    return cost;
+  }
+
+  private measureNeighbour(step: WaitingStep, run: PlacedRun): number {
+    const begunCost = isProven(run) || this.isOfGang(step, run) ? 0 : BEGUN_NEIGHBOUR_COST;
+    return begunCost + (run.isServing ? SERVING_NEIGHBOUR_COST : NEIGHBOUR_COST);
+  }
+
+  private hasOthersOnProbation(step: WaitingStep, book: EndpointBook): boolean {
+    for (const run of book.readProbation()) {
+      if (!this.isOfGang(step, run)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Members of a gang start together, and are charged as one. */
+  private isOfGang(step: WaitingStep, { job, address }: PlacedRun): boolean {
+    const isSameStep =
+      job === step.job.definition.id && address.time === step.time && address.step === step.step;
+    return step.shape.isGang && isSameStep;
+  }
+}
--- a/packages/dispatch/runs/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -30,6 +30,8 @@
   /** A long-running task that serves users of its own. */
   readonly isServing: boolean;
   readonly priority: number;
+  /** An endpoint has ended under its task, which may be what ended it. */
+  readonly isSuspect: boolean;
   /** False when it continues from a checkpoint. */
   readonly isFromStart: boolean;
   stage: RunStage;
--- a/packages/dispatch/runs/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -92,7 +92,9 @@
     const isDone = (this.moveCounts.get(run.task) ?? 0) >= MAX_MOVES;
     // What was seen last counts, not what time has passed since.
     const seenMs = run.seenAt - run.confirmedAt;
-    if (isDone || !this.isMeasurable(run) || seenMs < KNOWN_AFTER_MS) {
+    // A run of a task under which an endpoint has ended is to show whether it does so again.
+    const hasCrashed = (this.readJob(run)?.progress.readTask(run.address)?.crashes.length ?? 0) > 0;
+    if (isDone || hasCrashed || !this.isMeasurable(run) || seenMs < KNOWN_AFTER_MS) {
       return undefined;
     }
     const median = this.readJob(run)?.readSpeeds(run.address.time, run.address.step).readMedian();
--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -20,6 +20,7 @@
 }
 
 const NOT_SENT: RunEnd = { outcome: 'interrupted', cause: 'notSent', checkpoint: '' };
+const NOT_DELIVERED: RunEnd = { outcome: 'interrupted', cause: 'notDelivered', checkpoint: '' };
 const TURNED_DOWN: RunEnd = { outcome: 'interrupted', cause: 'turnedDown', checkpoint: '' };
 const UNHEALTHY: RunEnd = { outcome: 'interrupted', cause: 'unhealthy', checkpoint: '' };
 
@@ -121,6 +122,12 @@
         run.stage = 'running';
         run.confirmedAt = now;
         return;
+      case 'undelivered':
+        book.recordOutcome(true, now);
+        book.recordSilence(now);
+        // It never was there: its task need not wait for the endpoint, and is not charged with what becomes of it.
+        ledger.recordRunEnd(book, run, NOT_DELIVERED, now);
+        return;
       case 'unanswered':
         book.recordOutcome(true, now);
         // Nothing more goes there until a look is answered: on an endpoint that is cut off each start would wait for its lease.
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -3,13 +3,19 @@
 import { toTaskName } from '../../jobs/toTaskName';
 import type { PlacedRun } from './PlacedRun';
 
+interface RunHistory {
+  /** The run begins at nothing, not at a checkpoint. */
+  readonly isFromStart?: boolean;
+  readonly isSuspect?: boolean;
+}
+
 /** Creates the book entry of a run that is about to be placed. */
 export const createPlacedRun = (
   definition: JobDefinition,
   address: TaskAddress,
   run: number,
   now: number,
-  isFromStart = false,
+  { isFromStart = false, isSuspect = false }: RunHistory = {},
 ): PlacedRun => {
   const shape = definition.steps[address.step]!;
   return {
@@ -23,6 +29,7 @@
     isFiller: shape.isFiller,
     isServing: shape.isLongRunning && !shape.isFiller,
     priority: definition.queue.priority,
+    isSuspect,
     isFromStart,
     stage: 'recording',
     placedAt: now,
--- a/packages/dispatch/runs/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -16,6 +16,7 @@
   isFiller: false,
   isServing: false,
   priority: 0,
+  isSuspect: false,
   isFromStart: false,
   stage: 'running',
   placedAt: now,
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -1,7 +1,9 @@
 import type { EndpointId } from '../../jobs/EndpointId';
 import type { JobDefinition } from '../../jobs/JobDefinition';
 import type { JobProgress } from '../../jobs/JobProgress';
+import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
+import { toTaskName } from '../../jobs/toTaskName';
 import { AdviceBook } from '../advice/AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
@@ -44,6 +46,8 @@
   private readonly chainMs: number;
   private waiting: KnownWaiting | undefined;
   private readonly preemptions = new Map<TaskName, number>();
+  /** Monotonic times before which tasks are not started. */
+  private readonly pauses = new Map<TaskName, number>();
   isCancelled = false;
 
   constructor(
@@ -118,6 +122,16 @@
     this.preemptions.set(task, this.readPreemptions(task) + 1);
   }
 
+  /** A task is not started before a monotonic time. */
+  recordPause(address: TaskAddress, until: number): void {
+    this.pauses.set(toTaskName(this.definition.id, address), until);
+  }
+
+  /** True while the task waits after it ended an endpoint. */
+  isPaused(address: TaskAddress, now: number): boolean {
+    return this.pauses.size > 0 && now < (this.pauses.get(toTaskName(this.definition.id, address)) ?? now);
+  }
+
   private readStepMemory(time: number, step: number): StepMemory {
     const key = `${time}.${step}`;
     const known = this.stepMemories.get(key);
--- a/packages/dispatch/waiting/StepWait.ts
+++ b/packages/dispatch/waiting/StepWait.ts
@@ -4,7 +4,14 @@
 /** For how long tasks of one step have waited, by cause, since the last of its tasks was placed. */
 export class StepWait {
   private cause: WaitCause = 'round';
-  private readonly times: Record<WaitCause, number> = { round: 0, turn: 0, answer: 0, room: 0, limit: 0 };
+  private readonly times: Record<WaitCause, number> = {
+    round: 0,
+    turn: 0,
+    answer: 0,
+    room: 0,
+    limit: 0,
+    pause: 0,
+  };
 
   /** `since` is the monotonic time from which tasks could have been placed. */
   constructor(private since: number) {}
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -4,10 +4,18 @@
 import type { JobState } from './JobState';
 import type { RunOutcome } from './RunOutcome';
 import type { TaskAddress } from './TaskAddress';
+import type { TaskCrash } from './TaskCrash';
 import type { TaskProgress } from './TaskProgress';
 
 const NOWHERE = toId<EndpointId>('');
-const UNTOUCHED: TaskProgress = { phase: 'waiting', run: 0, failures: 0, endpoint: NOWHERE, checkpoint: '' };
+const UNTOUCHED: TaskProgress = {
+  phase: 'waiting',
+  run: 0,
+  failures: 0,
+  endpoint: NOWHERE,
+  checkpoint: '',
+  crashes: [],
+};
 
 /**
  * Progress of one job: a task table [time][step][index] and the job's own end.
@@ -128,6 +136,36 @@
     }
   }
 
+  /** Records that an endpoint ended under a task, or what is newly known of that. */
+  recordCrash(address: TaskAddress, crash: TaskCrash): void {
+    const task = this.readTask(address);
+    if (task !== undefined && task.phase !== 'done') {
+      const others = task.crashes.filter(({ endpoint }) => endpoint !== crash.endpoint);
+      this.writeTask(address, { ...task, crashes: [...others, crash] });
+    }
+  }
+
+  /** Takes back what was recorded of one endpoint. Returns false when there was nothing. */
+  revokeCrash(address: TaskAddress, endpoint: EndpointId): boolean {
+    const task = this.readTask(address);
+    const kept = task?.crashes.filter((crash) => crash.endpoint !== endpoint) ?? [];
+    if (task === undefined || kept.length === task.crashes.length) {
+      return false;
+    }
+    this.writeTask(address, { ...task, crashes: kept });
+    return true;
+  }
+
+  /** Takes back all that was recorded of endpoints. Returns false when there was nothing. */
+  revokeCrashes(address: TaskAddress): boolean {
+    const task = this.readTask(address);
+    if (task === undefined || task.crashes.length === 0) {
+      return false;
+    }
+    this.writeTask(address, { ...task, crashes: [] });
+    return true;
+  }
+
   /** Records the end of the job as a whole. The first end stands. */
   recordJobEnd(ending: 'completed' | 'failed' | 'cancelled', atMs: number): void {
     if (this.ending === undefined) {
@@ -137,7 +175,7 @@
   }
 
   private writeDone(address: TaskAddress, task: TaskProgress): void {
-    this.writeTask(address, { ...task, phase: 'done', checkpoint: '' });
+    this.writeTask(address, { ...task, phase: 'done', checkpoint: '', crashes: [] });
     const steps = this.open[address.time]!;
     steps[address.step] = steps[address.step]! - 1;
     this.openTotal -= 1;
--- a/packages/jobs/TaskProgress.ts
+++ b/packages/jobs/TaskProgress.ts
@@ -1,4 +1,5 @@
 import type { EndpointId } from './EndpointId';
+import type { TaskCrash } from './TaskCrash';
 import type { TaskPhase } from './TaskPhase';
 
 /** Progress of one task. Changed only by `JobProgress`. */
@@ -12,4 +13,6 @@
   readonly endpoint: EndpointId;
   /** Newest checkpoint; empty for none. */
   readonly checkpoint: string;
+  /** Endpoints that ended under the task, since it last worked for a while. */
+  readonly crashes: readonly TaskCrash[];
 }
--- a/packages/jobs/formatProgress.ts
+++ b/packages/jobs/formatProgress.ts
@@ -1,19 +1,43 @@
+import type { CrashBlame } from './CrashBlame';
 import type { JobDefinition } from './JobDefinition';
 import type { JobProgress } from './JobProgress';
+import type { TaskProgress } from './TaskProgress';
 
-/** Formats the progress of a job as the JSON text of its log record. `parseProgress` reads it back. */
-export const formatProgress = (definition: JobDefinition, progress: JobProgress): string => {
-  const rows: (readonly [number, number, number, string, number, number, string, string])[] = [];
+type Touched = readonly [time: number, step: number, index: number, task: TaskProgress];
+
+/** Tasks of which a run was placed. */
+const readTouched = (definition: JobDefinition, progress: JobProgress): readonly Touched[] => {
+  const touched: Touched[] = [];
   for (let time = 0; time < definition.times; time += 1) {
     for (const [step] of definition.steps.entries()) {
       for (const [index, task] of progress.readTasks(time, step).entries()) {
         if (task.run > 0) {
-          const { phase, run, failures, endpoint, checkpoint } = task;
-          rows.push([time, step, index, phase[0]!, run, failures, endpoint, checkpoint]);
+          touched.push([time, step, index, task]);
         }
       }
     }
   }
+  return touched;
+};
+
+/** Formats the progress of a job as the JSON text of its log record. `parseProgress` reads it back. */
+export const formatProgress = (definition: JobDefinition, progress: JobProgress): string => {
+  const rows: (readonly [number, number, number, string, number, number, string, string])[] = [];
+  for (const [time, step, index, task] of readTouched(definition, progress)) {
+    const { phase, run, failures, endpoint, checkpoint } = task;
+    rows.push([time, step, index, phase[0]!, run, failures, endpoint, checkpoint]);
+  }
+  const crashes: (readonly [number, number, number, readonly (readonly [string, CrashBlame])[]])[] = [];
+  for (const [time, step, index, task] of readTouched(definition, progress)) {
+    if (task.crashes.length > 0) {
+      crashes.push([time, step, index, task.crashes.map(({ endpoint, blame }) => [endpoint, blame])]);
+    }
+  }
   const ending = progress.isEnded() ? progress.readState() : undefined;
-  return JSON.stringify({ ending, endedAtMs: progress.readEndedAtMs(), tasks: rows });
+  return JSON.stringify({
+    ending,
+    endedAtMs: progress.readEndedAtMs(),
+    tasks: rows,
+    ...(crashes.length === 0 ? {} : { crashes }),
+  });
 };
--- a/packages/jobs/parseProgress.ts
+++ b/packages/jobs/parseProgress.ts
@@ -19,6 +19,17 @@
       z.string(),
     ]),
   ),
+  /** Apart from the tasks: processes that do not know it pass it over, and records without it have none. */
+  crashes: z
+    .array(
+      z.tuple([
+        z.number(),
+        z.number(),
+        z.number(),
+        z.array(z.tuple([z.string(), z.enum(['sole', 'shared', 'present', 'unproved'])])),
+      ]),
+    )
+    .default([]),
 });
 
 /** Reads the log record of a job's progress; undefined when the text is none. */
@@ -44,6 +55,11 @@
     }
     progress.recordFailures(address, failures);
   }
+  for (const [time, step, index, rows] of parsed.data.crashes) {
+    for (const [endpoint, blame] of rows) {
+      progress.recordCrash({ time, step, index }, { endpoint: toId<EndpointId>(endpoint), blame });
+    }
+  }
   if (parsed.data.ending !== undefined) {
     progress.recordJobEnd(parsed.data.ending, parsed.data.endedAtMs);
   }
--- a/packages/ledger/LedgerCause.ts
+++ b/packages/ledger/LedgerCause.ts
@@ -2,7 +2,7 @@
  * What a job's time went into.
  * - `accept`: until the job was durable.
  * - `handOver`: until the leader had it.
- * - `round`, `turn`, `answer`, `room`, `limit`: a task could start and was not placed; see `WaitCause`.
+ * - `round`, `turn`, `answer`, `room`, `limit`, `pause`: a task could start and was not placed; see `WaitCause`.
  * - `record`: until the placement was durable.
  * - `start`: until the endpoint had answered the order to start.
  * - `running`: a run that ended in success.
@@ -18,6 +18,7 @@
   | 'answer'
   | 'room'
   | 'limit'
+  | 'pause'
   | 'record'
   | 'start'
   | 'running'
--- a/packages/ledger/ledgerCauses.ts
+++ b/packages/ledger/ledgerCauses.ts
@@ -9,6 +9,7 @@
   'answer',
   'room',
   'limit',
+  'pause',
   'record',
   'start',
   'running',
--- a/packages/ledger/readCriticalPath.ts
+++ b/packages/ledger/readCriticalPath.ts
@@ -4,7 +4,7 @@
 import type { RunAccount } from './RunAccount';
 
 /** Waits before a placement, the one nearest to it first. */
-const WAITS: readonly LedgerCause[] = ['limit', 'room', 'answer', 'turn', 'round'];
+const WAITS: readonly LedgerCause[] = ['pause', 'limit', 'room', 'answer', 'turn', 'round'];
 /** The line of an end may come so much later than that of what it made possible: both are written in one turn. */
 const SAME_TURN_MS = 2;
 
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -17,6 +17,8 @@
   'lifeEnds',
   'runsLost',
   'runsLapsed',
+  'crashesCharged',
+  'tasksGivenUp',
 ] as const;
 const QUANTILES = [50, 90, 99, 99.9] as const;
 const MICROS_PER_MS = 1000;
@@ -32,7 +34,8 @@
   | 'waitTurnMs'
   | 'waitAnswerMs'
   | 'waitRoomMs'
-  | 'waitLimitMs';
+  | 'waitLimitMs'
+  | 'waitPauseMs';
 
 const toMetricName = (name: string): string => name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
 
--- a/tests/crashes.test.ts
+++ b/tests/crashes.test.ts
@@ -22,15 +22,18 @@
 
 /** Starts of one such task that its users bear: three endpoints lost, and two starts more. */
 const MAX_STARTS = 5;
+/** So many starts after the third endpoint was lost are too many. */
+const STARTS_TOO_MANY = 3;
 const CRASH_AFTER_MS = 10;
 const SOUND = { runMs: 800 };
+const SOUND_LONG = { runMs: 4800 };
 const HARMFUL = { runMs: 800, crashAfterMs: CRASH_AFTER_MS };
 const WORLD = { seed: 20261202, endpoints: 12, cpuMillis: 16_000, returnMs: 3000 };
 const SOUND_JOBS = 24;
 
-const createJob = (number: number, count: number): JobDefinition =>
+const createJob = (number: number, count: number, isGang = false): JobDefinition =>
   createJobDefinition(number, [
-    createStep({ count, demand: { cpuMillis: 1300, memoryMb: 100, accelerators: 0 } }),
+    createStep({ count, isGang, demand: { cpuMillis: 1300, memoryMb: 100, accelerators: 0 } }),
   ]);
 
 const toFirstTask = ({ id }: JobDefinition): TaskName => toId<TaskName>(`${id}.0.0.0`);
@@ -56,3 +59,125 @@
     }
   });
 });
+
+/** Trouble from outside beside the tasks. */
+type Outside = 'none' | 'share' | 'byTurns';
+
+interface Scenario {
+  readonly harmful: number;
+  /** Tasks of each harmful job. */
+  readonly width?: number;
+  readonly isGang?: boolean;
+  readonly crashAfterMs?: number;
+  readonly runMs?: number;
+  readonly outside?: Outside;
+  readonly leaderEveryMs?: number;
+  readonly isDark?: boolean;
+  readonly isAnswerLost?: boolean;
+  readonly returnMs?: number;
+  readonly seed?: number;
+}
+
+interface Figures {
+  /** Endpoints ended by tasks. */
+  readonly crashes: number;
+  /** Most starts of one task after three endpoints had ended under it. */
+  readonly mostAfterThird: number;
+  /** Harmful jobs that were not given up. */
+  readonly harmfulLeft: number;
+  /** Sound jobs that were given up, and that did not end. */
+  readonly soundFailed: number;
+  readonly soundLeft: number;
+  /** From acceptance to the end of sound jobs. */
+  readonly soundP50Ms: number;
+  readonly soundP99Ms: number;
+}
+
+const LOAD_EVERY_MS = 100;
+const LOAD_MS = 30_000;
+const SETTLE_MS = 40_000;
+const SITE = { endpoints: 33, cpuMillis: 16_000, returnMs: 3000 };
+const HARM_AT_MS = 5000;
+const OUTSIDE_AT_MS = 7000;
+const BY_TURNS_EVERY_MS = 2000;
+
+/** A site of 33 endpoints under a fifth of its load, with harmful jobs that all come at once, and trouble from outside. */
+const measureScenario = (scenario: Scenario): Figures => {
+  const { harmful, width = 1, isGang = false, crashAfterMs = CRASH_AFTER_MS, runMs = 800 } = scenario;
+  const { outside = 'none', leaderEveryMs, isDark = false, isAnswerLost = false, seed = 1 } = scenario;
+  const { returnMs = SITE.returnMs } = scenario;
+  const leaders = leaderEveryMs === undefined ? {} : { leaderEveryMs };
+  const world = new CrashWorld({ ...SITE, returnMs, seed, isDark, isAnswerLost, ...leaders });
+  const harmfulJobs: JobDefinition[] = [];
+  let sent = 0;
+  const handleTick = (now: number): void => {
+    if (now % LOAD_EVERY_MS === 0 && now < LOAD_MS) {
+      sent += 1;
+      world.handleJob(createJob(1000 + sent, 10), SOUND);
+      if (sent % 10 === 0) {
+        world.handleJob(createJob(5000 + sent, 20), SOUND_LONG);
+      }
+    }
+    if (now === HARM_AT_MS) {
+      for (let number = 1; number <= harmful; number += 1) {
+        const job = createJob(number, width, isGang);
+        harmfulJobs.push(job);
+        world.handleJob(job, { runMs, crashAfterMs });
+      }
+    }
+    if (outside === 'share' && now === OUTSIDE_AT_MS) {
+      world.applyOutsideCrash(0.15);
+    }
+    if (outside === 'byTurns' && now >= HARM_AT_MS && now < LOAD_MS && now % BY_TURNS_EVERY_MS === 0) {
+      world.applyOutsideCrash(0.08);
+    }
+  };
+  world.start(LOAD_MS + SETTLE_MS, handleTick);
+  const sound = world.readJobIds().filter((id) => !harmfulJobs.some((job) => job.id === id));
+  const took = sound.map((id) => world.readTookMs(id)).sort((left, right) => left - right);
+  return {
+    crashes: world.crashCount,
+    mostAfterThird: world.readMostAfterThird(),
+    harmfulLeft: harmfulJobs.filter(({ id }) => world.readState(id) !== 'failed').length,
+    soundFailed: sound.filter((id) => world.readState(id) === 'failed').length,
+    soundLeft: sound.filter((id) => !['failed', 'completed'].includes(world.readState(id))).length,
+    soundP50Ms: took[Math.floor(took.length / 2)]!,
+    soundP99Ms: took[Math.floor(took.length * 0.99)]!,
+  };
+};
+
+describe('harmful tasks of many kinds, and endpoints that end for other reasons', () => {
+  const SCENARIOS: Readonly<Record<string, Scenario>> = {
+    'nothing harmful': { harmful: 0 },
+    'one task': { harmful: 1 },
+    'five tasks': { harmful: 5 },
+    'twenty tasks': { harmful: 20 },
+    'a wide step': { harmful: 1, width: 20 },
+    'a gang': { harmful: 1, width: 6, isGang: true },
+    'twenty tasks while leaders change': { harmful: 20, leaderEveryMs: 2700 },
+    'five on endpoints that say nothing': { harmful: 5, isDark: true },
+    'five on endpoints that come back after their leases': { harmful: 5, isDark: true, returnMs: 6000 },
+    'five whose starts have no answer': { harmful: 5, isAnswerLost: true },
+    'five that work for 2 s first': { harmful: 5, crashAfterMs: 2000, runMs: 4000 },
+    'endpoints lost together': { harmful: 0, outside: 'share' },
+    'five tasks, and endpoints lost together': { harmful: 5, outside: 'share' },
+    'endpoints lost by turns': { harmful: 0, outside: 'byTurns' },
+    'five tasks, and endpoints lost by turns': { harmful: 5, outside: 'byTurns' },
+    'twenty tasks, and endpoints lost by turns': { harmful: 20, outside: 'byTurns' },
+  };
+
+  it.each(Object.entries(SCENARIOS))(
+    '%s: all that is harmful is given up, and nothing else',
+    (_name, scenario) => {
+      for (const seed of scenario.outside === undefined ? [1] : [1, 2, 3]) {
+        const figures = measureScenario({ ...scenario, seed });
+        expect(figures).toMatchObject({ harmfulLeft: 0, soundFailed: 0, soundLeft: 0 });
+        expect(figures.mostAfterThird).toBeLessThan(STARTS_TOO_MANY);
+      }
+    },
+  );
+
+  it('costs a step of twenty harmful tasks five endpoints, for 42 where all of them begin at once', () => {
+    expect(measureScenario({ harmful: 1, width: 20 }).crashes).toBeLessThanOrEqual(5);
+  });
+});
--- a/tests/helpers/CrashWorld.ts
+++ b/tests/helpers/CrashWorld.ts
@@ -40,6 +40,7 @@
 interface ModelRun {
   readonly task: TaskName;
   readonly run: number;
+  readonly startedAt: number;
   readonly endsAt: number;
   readonly crashesAt: number;
 }
@@ -75,6 +76,7 @@
 /** An endpoint's record goes so long after its last sign of life. */
 const RECORD_LAPSE_MS = 4500;
 const ORDER_TIMEOUT_MS = 120;
+const CRASHES_BORNE = 3;
 
 /**
  * A cell on virtual time whose endpoints are ended by what runs on them, or from outside, and come back as new lives at the same
@@ -83,6 +85,9 @@
  */
 export class CrashWorld {
   readonly startCounts = new Map<TaskName, number>();
+  /** Starts of tasks after three lives had ended under them. */
+  readonly startsAfterThird = new Map<TaskName, number>();
+  private readonly crashCounts = new Map<TaskName, number>();
   /** Lives that tasks have ended. */
   crashCount = 0;
   /** Sentences of the leaders' log, with their fields. */
@@ -119,6 +124,11 @@
     return this.now;
   }
 
+  /** Most starts of one task after three lives had ended under it. */
+  readMostAfterThird(): number {
+    return Math.max(0, ...this.startsAfterThird.values());
+  }
+
   readState(id: JobId): JobState {
     return this.readProgress(this.jobs.get(id)!.definition).readState();
   }
@@ -242,6 +252,7 @@
     for (const run of [...life.runs.values()]) {
       if (this.now >= run.crashesAt) {
         this.crashCount += 1;
+        this.crashCounts.set(run.task, (this.crashCounts.get(run.task) ?? 0) + 1);
         this.stopLife(machine);
         return;
       }
@@ -268,17 +279,26 @@
         this.dispatcher.handleEndpointGone(id, this.now);
       } else if (this.options.isDark !== true || this.now - this.darkSince.get(id)! >= DARK_NOTICE_MS) {
         this.dispatcher.handleSilence(id, this.now);
+        this.checkAwaited(id);
       }
     }
   }
 
+  /** An endpoint without a record is looked at only while that may tell something. */
+  private checkAwaited(id: EndpointId): void {
+    const runCount = this.dispatcher.readBook(id)?.readRunCount() ?? 0;
+    if (!this.leavesAt.has(id) && runCount === 0 && !this.dispatcher.isAwaited(id, this.now)) {
+      this.looked.delete(id);
+    }
+  }
+
   private handleLookAnswered(life: Life): void {
     const { id } = life.profile;
-    const running = [...life.runs.values()].map(({ task, run }) => ({
+    const running = [...life.runs.values()].map(({ task, run, startedAt, endsAt }) => ({
       task,
       run,
       checkpoint: '',
-      percent: 50,
+      percent: Math.floor(((this.now - startedAt) * 100) / (endsAt - startedAt)),
       load: 0,
     }));
     const ended = life.ends;
@@ -328,8 +348,17 @@
     }
     const { behaviour } = this.jobs.get(effect.job)!;
     const { runMs, crashAfterMs = Infinity } = behaviour;
-    life.runs.set(task, { task, run, endsAt: this.now + runMs, crashesAt: this.now + crashAfterMs });
+    life.runs.set(task, {
+      task,
+      run,
+      startedAt: this.now,
+      endsAt: this.now + runMs,
+      crashesAt: this.now + crashAfterMs,
+    });
     this.startCounts.set(task, this.readStartCount(task) + 1);
+    if ((this.crashCounts.get(task) ?? 0) >= CRASHES_BORNE) {
+      this.startsAfterThird.set(task, (this.startsAfterThird.get(task) ?? 0) + 1);
+    }
     if (crashAfterMs < LEASE_MS && this.options.isAnswerLost === true) {
       this.unanswered.push({ at: this.now + ORDER_TIMEOUT_MS, effect });
     } else {
