--- a/packages/dispatch/endpoints/EndpointBook.ts
+++ b/packages/dispatch/endpoints/EndpointBook.ts
@@ -123,6 +123,11 @@
     );
   }
 
+  /** True when all that may run there takes more than the endpoint has room for: its room has shrunk. */
+  isOverfull(): boolean {
+    return !demandSums.isWithin(this.used, this.profile.capacity);
+  }
+
   /** True when new work may be started there. */
   isUsable(): boolean {
     return this.isListed && this.settled && this.silentSince === undefined && !this.profile.isDraining;
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '../../common/Clock';
 import type { Logger } from '../../common/Logger';
 import type { Random } from '../../common/Random';
+import { demandSums } from '../../jobs/demandSums';
 import type { EndpointId } from '../../jobs/EndpointId';
+import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { LogClient } from '../../store/LogClient';
 import { LogFollower } from '../../store/LogFollower';
 import type { LogRecord } from '../../store/LogRecord';
@@ -42,6 +44,9 @@
 /** Records that lapsed while the log was away are back within this time of its return, if their endpoints live. */
 const RELISTING_MS = 2000;
 
+const isSameRoom = (left: TaskDemand, right: TaskDemand): boolean =>
+  demandSums.isWithin(left, right) && demandSums.isWithin(right, left);
+
 /** Knows the endpoints by their records, and keeps a session with each once the leader has taken over. */
 export class EndpointSessions {
   private readonly profiles = new Map<string, EndpointProfile>();
@@ -183,6 +188,9 @@
     if (known === undefined || known.isDraining !== profile.isDraining) {
       const { id, service, isDraining, remainingMs } = profile;
       this.options.logger.info('Endpoint seen.', { endpoint: id, service, isDraining, remainingMs });
+    } else if (!isSameRoom(known.capacity, profile.capacity)) {
+      const { capacity: room, id } = profile;
+      this.options.logger.info('Endpoint room changed.', { endpoint: id, room, before: known.capacity });
     }
     if (this.isOpen) {
       this.startSession(profile);
--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -29,7 +29,8 @@
   constructor(private readonly options: RunOrdersOptions) {}
 
   /**
-   * Tells whether a start whose record is durable should still be sent; if not, its room is free again. A ticket that ran out
+   * Tells whether a start whose record is durable should still be sent; if not, its room is free again. Judged anew by what is known
+   * now, since the decision is some milliseconds old. A ticket that ran out
    * while the record waited for the log is not sent: the endpoint would turn the start down.
    */
   handleRecorded(effect: StartEffect, now: number): boolean {
@@ -40,7 +41,8 @@
     }
     const { book, run } = placed;
     const job = jobs.get(run.job);
-    const isWanted = job !== undefined && !job.progress.isEnded() && book.isUsable();
+    // The room may have shrunk since the run was chosen: 4 starts left for a room of 2 when only the choice looked at it.
+    const isWanted = job !== undefined && !job.progress.isEnded() && book.isUsable() && !book.isOverfull();
     if (!isWanted || !this.hasTicket(job, run, effect, now)) {
       ledger.recordRunEnd(book, run, NOT_SENT, now);
       return false;
