--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -2,9 +2,8 @@
 import { createPlatformAdapter } from '../../platform/createPlatformAdapter';
 import { readPlatformSettings } from '../../platform/readPlatformSettings';
 import { wireNames } from '../../platform/wireNames';
-import { AnchoredClock } from '../common/AnchoredClock';
+import { createMachineClock } from '../common/createMachineClock';
 import { createDecisionLog } from '../common/createDecisionLog';
-import type { Logger } from '../common/Logger';
 import { createRandom } from '../common/createRandom';
 import { systemClock } from '../common/systemClock';
 import { toErrorText } from '../common/toErrorText';
@@ -24,13 +23,6 @@
 
 const LOG_LINES_PER_SECOND = 400;
 
-/** A clock whose time of day does not jump, with a line whenever it follows a jump that lasts. */
-const createClock = (logger: Logger): AnchoredClock =>
-  new AnchoredClock({
-    source: systemClock,
-    handleMoved: (byMs) => logger.warn('The time of day has moved.', { byMs: Math.round(byMs) }),
-  });
-
 /** Resolves once the process was told to stop and has finished. */
 const handleSignals = (serve: ServeProcess): Promise<void> =>
   new Promise((resolve) => {
@@ -116,7 +108,7 @@
       readNow: () => systemClock.readNow(),
       linesPerSecond: LOG_LINES_PER_SECOND,
     });
-    const clock = createClock(createPartLogger('clock'));
+    const clock = createMachineClock(createPartLogger('clock'));
     const serve = new ServeProcess({
       settings: {
         ...settings.value,
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -3,7 +3,7 @@
 import type { PlacementOrder } from './waiting/PlacementOrder';
 import type { HallChoice } from './placing/HallChoice';
 import type { SpeedChoice } from './placing/SpeedChoice';
-import type { Clock } from '../common/Clock';
+import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
@@ -46,7 +46,7 @@
   readonly replica: JobReplica;
   /** Reads the jobs' topic on; true once everything written before the call is in the replica. */
   readonly startJobsRefresh: () => Promise<boolean>;
-  readonly clock: Clock;
+  readonly clock: MachineClock;
   readonly random: Random;
   readonly logger: Logger;
   readonly placementOrder: PlacementOrder;
@@ -301,7 +301,7 @@
 
   /** True while this leader may give leases; the next one waits until the last of them has ended. */
   private isRenewing(): boolean {
-    return this.options.clock.readNow() - this.journal.readShownAt() < leaderTimings.unconfirmedMs;
+    return this.journal.isShownWithin(leaderTimings.unconfirmedMs);
   }
 
   private queueRound(): void {
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../common/Clock';
+import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import { formatProgress } from '../jobs/formatProgress';
 import type { JobDefinition } from '../jobs/JobDefinition';
@@ -23,7 +23,7 @@
   readonly progressTopic: string;
   readonly maxAppendBytes: number;
   readonly replica: JobReplica;
-  readonly clock: Clock;
+  readonly clock: MachineClock;
   readonly logger: Logger;
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** A newer leader has been seen. */
@@ -53,11 +53,11 @@
   }
 
   /**
-   * Monotonic time at which the newest write was sent that the other boxes can have read. The next leader counts from what it has read
-   * how long leases may last, so nothing else may lengthen them.
+   * True while so little time has certainly passed since the newest write was sent that the other boxes can have read. The next leader counts
+   * from what it has read how long leases may last, so nothing else may lengthen them; nor may a suspension of this machine.
    */
-  readShownAt(): number {
-    return this.shownAt;
+  isShownWithin(limitMs: number): boolean {
+    return this.options.clock.readLongestSince(this.shownAt) < limitMs;
   }
 
   /** How long the log has not taken writes, in milliseconds. */
--- a/packages/serve/ConfigurationDesk.ts
+++ b/packages/serve/ConfigurationDesk.ts
@@ -1,6 +1,6 @@
 import type { BoxClient } from '../boxes/BoxClient';
 import type { ConfigurationAnswer } from '../boxes/ConfigurationAnswer';
-import type { Clock } from '../common/Clock';
+import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import type { QueueConfiguration } from '../gateway/QueueConfiguration';
@@ -14,7 +14,7 @@
   readonly adapter: Pick<ServeAdapter, 'configurationKey' | 'parseConfiguration'>;
   readonly router: QueueRouter;
   readonly source: ConfigurationSource;
-  readonly clock: Clock;
+  readonly clock: MachineClock;
   readonly random: Random;
   readonly logger: Logger;
   /** Milliseconds for which a configuration counts as fresh; undefined when any age will do. */
@@ -67,10 +67,10 @@
     return maxAgeMs === undefined || this.readAgeMs() < maxAgeMs;
   }
 
-  /** Milliseconds since the version in force here was known to be the newest. */
+  /** Milliseconds since the version in force here was known to be the newest, at most. */
   readAgeMs(): number {
     const { clock, readFollowedAt } = this.options;
-    return clock.readNow() - Math.max(readFollowedAt(), this.confirmedAt);
+    return clock.readLongestSince(Math.max(readFollowedAt(), this.confirmedAt));
   }
 
   /** What this box tells another that has a version. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -2,7 +2,7 @@
 import { BoxClients } from '../boxes/BoxClients';
 import { BoxDirectory } from '../boxes/BoxDirectory';
 import { BoxServer } from '../boxes/BoxServer';
-import type { Clock } from '../common/Clock';
+import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { startDelay } from '../common/startDelay';
@@ -38,7 +38,7 @@
 interface ServeProcessOptions {
   readonly settings: ServeSettings;
   readonly adapter: ServeAdapter;
-  readonly clock: Clock;
+  readonly clock: MachineClock;
   readonly random: Random;
   /** Unique for each start of the box. */
   readonly process: string;
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -46,6 +46,11 @@
   private newest: NewestReader;
   private readonly interruption = new Interruption();
   private lastOkAt = -Infinity;
+  /**
+   * Monotonic time by which the read under way is answered. An answer that is read later has waited while this process was held up or its
+   * machine suspended: it tells nothing newer, and a box that woke took a live leader for silent by it.
+   */
+  private dueAt = -Infinity;
   /** Monotonic time at which the read under way was sent. */
   private sentAt = -Infinity;
   private pauseEnd: AbortController | undefined;
@@ -125,7 +130,7 @@
     return this.offset;
   }
 
-  /** Monotonic time at which the newest successful read was answered. */
+  /** Monotonic time of which the newest successful read tells. */
   readLastOkAt(): number {
     return this.lastOkAt;
   }
@@ -183,6 +188,7 @@
   /** Reads pages of the newest records until all have come or one fails; the next try goes on after those that came. */
   private async readFirst(): Promise<LogError | undefined> {
     while (this.offset === undefined && !this.isStopped) {
+      this.dueAt = this.options.clock.readNow() + this.timeoutMs;
       const page = await this.newest.readPage(this.timeoutMs);
       if (!page.ok) {
         return page.error;
@@ -200,6 +206,7 @@
     // After a failure no long poll, so that the return of the log is noticed soon.
     const waitMs = this.isConnected ? this.options.pollMs : 0;
     const timeoutMs = waitMs + this.timeoutMs;
+    this.dueAt = this.options.clock.readNow() + timeoutMs;
     const answer = await client.readRecords({ topic, fromOffset: offset, waitMs, timeoutMs });
     if (!answer.ok) {
       return answer.error;
@@ -228,7 +235,7 @@
   }
 
   private recordAnswered(): void {
-    this.lastOkAt = this.options.clock.readNow();
+    this.lastOkAt = Math.max(this.lastOkAt, Math.min(this.options.clock.readNow(), this.dueAt));
     this.timeoutMs = CALL_TIMEOUT_MS;
     this.hasAnswered = true;
     this.isFailing = false;
--- a/tests/configurationDesk.test.ts
+++ b/tests/configurationDesk.test.ts
@@ -35,7 +35,7 @@
       adapter: { configurationKey: KEY, parseConfiguration },
       router: this.router,
       source,
-      clock: { readNow, readWall: readNow },
+      clock: { readNow, readWall: readNow, readLongestSince: (since) => readNow() - since },
       random: createRandom(seed),
       logger: { info: record, warn: record, error: record },
       maxAgeMs,
