--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -121,6 +121,7 @@
     const { id } = book.readProfile();
     switch (answer.kind) {
       case 'done':
+        jobs.get(run.job)?.recordTaken(run.address);
         run.stage = 'running';
         run.confirmedAt = now;
         return;
@@ -143,10 +144,12 @@
         if (answer.reason === 'ticket') {
           jobs.get(run.job)?.readAdvice(run.address.time, run.address.step).revokeTicket(id);
         }
+        jobs.get(run.job)?.recordTurnedDown(run.address, now);
         ledger.recordRunEnd(book, run, TURNED_DOWN, now);
         return;
       case 'unhealthy':
         book.recordOutcome(true, now);
+        jobs.get(run.job)?.recordTurnedDown(run.address, now);
         ledger.recordRunEnd(book, run, UNHEALTHY, now);
         return;
     }
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -29,6 +29,13 @@
   readonly untilMs: number;
 }
 
+/**
+ * Pause after the second start of a task that was not taken, doubled with each one more: without it 500 starts in 10 s were sent of a task that
+ * no endpoint takes (a round every 20 ms, tests/turnedDownStarts). A job that has nothing running for 3 s counts as lost, hence the longest.
+ */
+const TURNED_DOWN_PAUSE_MS = 100;
+const MAX_TURNED_DOWN_PAUSE_MS = 2000;
+
 /** Longest chain of estimated work through the steps, in milliseconds. */
 const measureChain = (definition: JobDefinition): number => {
   const ends: number[] = [];
@@ -46,6 +53,8 @@
   private readonly chainMs: number;
   private waiting: KnownWaiting | undefined;
   private readonly preemptions = new Map<TaskName, number>();
+  /** Starts of tasks that endpoints did not take, since one was taken. */
+  private readonly turnDowns = new Map<TaskName, number>();
   /** Monotonic times before which tasks are not started. */
   private readonly pauses = new Map<TaskName, number>();
   isCancelled = false;
@@ -124,10 +133,29 @@
 
   /** A task is not started before a monotonic time. */
   recordPause(address: TaskAddress, until: number): void {
-    this.pauses.set(toTaskName(this.definition.id, address), until);
+    const task = toTaskName(this.definition.id, address);
+    this.pauses.set(task, Math.max(until, this.pauses.get(task) ?? until));
+  }
+
+  /** An endpoint did not take a start of the task: the next one follows at once, later ones ever more rarely. */
+  recordTurnedDown(address: TaskAddress, now: number): void {
+    const task = toTaskName(this.definition.id, address);
+    const count = (this.turnDowns.get(task) ?? 0) + 1;
+    this.turnDowns.set(task, count);
+    if (count > 1) {
+      const pauseMs = Math.min(MAX_TURNED_DOWN_PAUSE_MS, TURNED_DOWN_PAUSE_MS * 2 ** (count - 2));
+      this.recordPause(address, now + pauseMs);
+    }
+  }
+
+  /** An endpoint took a start of the task. */
+  recordTaken(address: TaskAddress): void {
+    if (this.turnDowns.size > 0) {
+      this.turnDowns.delete(toTaskName(this.definition.id, address));
+    }
   }
 
-  /** True while the task waits after it ended an endpoint. */
+  /** True while the task waits after it ended an endpoint, or was turned down by several. */
   isPaused(address: TaskAddress, now: number): boolean {
     return this.pauses.size > 0 && now < (this.pauses.get(toTaskName(this.definition.id, address)) ?? now);
   }
--- a/packages/dispatch/waiting/WaitCause.ts
+++ b/packages/dispatch/waiting/WaitCause.ts
@@ -5,6 +5,6 @@
  * - `answer`: its question is under way.
  * - `room`: no endpoint that may run it has room.
  * - `limit`: its customer has as much running as it may.
- * - `pause`: it may have ended its endpoint, and its next start waits.
+ * - `pause`: it may have ended its endpoint, or endpoints did not take it, and its next start waits.
  */
 export type WaitCause = 'round' | 'turn' | 'answer' | 'room' | 'limit' | 'pause';
--- a/packages/leadership/LeaderWatch.ts
+++ b/packages/leadership/LeaderWatch.ts
@@ -44,9 +44,9 @@
     const socket = connect({ host, port });
     const timer = setTimeout(() => socket.destroy(), CONNECT_LIMIT_MS);
     this.socket = socket;
-    let hasStood = false;
+    let stoodFrom = Infinity;
     socket.once('connect', () => {
-      hasStood = true;
+      stoodFrom = performance.now();
       clearTimeout(timer);
     });
     socket.once('error', (error: NodeJS.ErrnoException) => {
@@ -56,12 +56,13 @@
     });
     socket.once('close', () => {
       clearTimeout(timer);
-      void this.startAgain(watched, hasStood);
+      void this.startAgain(watched, performance.now() - stoodFrom >= RETRY_MS);
     });
   }
 
   private async startAgain(watched: Watched, hasStood: boolean): Promise<void> {
-    // A connection that had stood is opened again at once: if nobody listens any more, the process has ended.
+    // A connection that had stood is opened again at once: if nobody listens any more, the process has ended. One that is closed as soon as
+    // it stands would be opened without end.
     await startDelay(hasStood ? 0 : RETRY_MS);
     if (this.watched === watched) {
       this.startConnection(watched);
--- /dev/null
+++ b/tests/leaderWatch.test.ts
@@ -0,0 +1,41 @@
+import { createServer, type Server } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { LeaderWatch } from '../packages/leadership/LeaderWatch';
+
+const WATCHED_MS = 1000;
+/** One each 300 ms, and the first. */
+const MAX_CONNECTIONS = 5;
+
+describe('the watch of the leader', () => {
+  let server: Server;
+  let watch: LeaderWatch;
+
+  afterEach(() => {
+    watch.applyLeader(undefined);
+    server.close();
+  });
+
+  const startServer = async (handleConnection: (count: number) => void): Promise<string> => {
+    let count = 0;
+    server = createServer((socket) => {
+      count += 1;
+      handleConnection(count);
+      socket.destroy();
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  };
+
+  it('does not connect without a pause where connections are closed as soon as they stand', async () => {
+    let connections = 0;
+    const address = await startServer((count) => {
+      connections = count;
+    });
+    watch = new LeaderWatch({ handleEnded: () => undefined });
+    watch.applyLeader({ process: 'box-0#1', address });
+    await new Promise((resolve) => setTimeout(resolve, WATCHED_MS));
+    expect(connections).toBeGreaterThan(1);
+    expect(connections).toBeLessThanOrEqual(MAX_CONNECTIONS);
+  });
+});
