--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
+import { startDelay } from '../../packages/common/startDelay';
 import { AdviceStandin } from '../../packages/standins/platform/AdviceStandin';
 import { ExecutorStandin } from '../../packages/standins/platform/ExecutorStandin';
 import { LogStandin } from '../../packages/standins/platform/LogStandin';
@@ -62,12 +63,17 @@
 const STRONG_CORES = 4;
 const CORE_MILLIS = 1000;
 const MEMORY_PER_TASK_MB = 100;
+/** How long an executor is away after a crash. */
+const RETURN_MS = 1000;
 
 /** One cell on this machine: real entry processes, and stand-ins for log, endpoints and advice. */
 export class Cell {
   readonly witness: RunWitness;
   readonly boxes: CellBox[] = [];
   readonly executors: CellExecutor[] = [];
+  /** Executors that tasks have ended. */
+  crashCount = 0;
+  private isStopped = false;
   private readonly folder = mkdtempSync(join(tmpdir(), 'stairline-cell-'));
 
   private constructor(
@@ -98,6 +104,7 @@
   }
 
   async stop(): Promise<void> {
+    this.isStopped = true;
     await Promise.all(this.boxes.map(({ process }) => process.stop()));
     await Promise.all(this.executors.map(({ standin }) => standin.stop()));
     await this.advice.stop();
@@ -141,12 +148,29 @@
   }
 
   async startExecutor(id: string, address: string): Promise<void> {
-    const standin = new ExecutorStandin({ id, address, witness: this.witness });
+    const handleCrash = (): void => void this.startExecutorAgain(id);
+    const standin = new ExecutorStandin({ id, address, witness: this.witness, handleCrash });
     await standin.start();
     this.executors.push({ id, address, standin });
     this.writeExecutor(id, address, 'ready');
   }
 
+  /** Ends an executor as a crash does; another life of it is there after a while. */
+  private async startExecutorAgain(id: string): Promise<void> {
+    const index = this.executors.findIndex((executor) => executor.id === id);
+    const crashed = this.executors[index];
+    if (crashed === undefined) {
+      return;
+    }
+    this.executors.splice(index, 1);
+    this.crashCount += 1;
+    await crashed.standin.stop();
+    await startDelay(RETURN_MS);
+    if (!this.isStopped) {
+      await this.startExecutor(`${id}-again`, crashed.address);
+    }
+  }
+
   writeExecutor(id: string, address: string, state: 'ready' | 'draining'): void {
     const { roomPerExecutor } = this.options;
     this.log.writeRecord('keyed.servers', id, {
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -467,10 +467,12 @@
         hall: '',
         capacity: demandSums.NOTHING,
         labels: [],
-        isDraining: true,
+        isDraining: false,
         remainingMs: 0,
       };
       book = new EndpointBook(profile, this.options.unheardUntil, this.usage);
+      // Whether it left by plan is not known either: it may as well have crashed before this leader read the records.
+      book.recordUnlisted();
       this.books.set(task.endpoint, book);
     }
     const run = createPlacedRun(definition, address, task.run, now, {
--- a/packages/dispatch/crashes/CrashLedger.ts
+++ b/packages/dispatch/crashes/CrashLedger.ts
@@ -1,4 +1,3 @@
-import type { CrashBlame } from '../../jobs/CrashBlame';
 import type { EndpointId } from '../../jobs/EndpointId';
 import type { JobId } from '../../jobs/JobId';
 import type { TaskAddress } from '../../jobs/TaskAddress';
@@ -29,9 +28,19 @@
   /** Monotonic time from which nothing has been known. */
   readonly since: number;
   /** What it is charged with once the endpoint is known to have crashed. */
-  readonly blame: CrashBlame;
+  readonly charge: TaskCrash;
 }
 
+/** A task that was charged with the end of an endpoint, and when. */
+interface ChargedTask {
+  readonly job: JobId;
+  readonly address: TaskAddress;
+  readonly since: number;
+}
+
+/** Longer than it takes until a harmful task has been started so often that it is given up. */
+const CHARGES_KEPT_MS = 120_000;
+
 /**
  * Endpoints that ended, charged to the tasks that may have ended them. An end of an endpoint counts unless it was planned: a task that
  * ends its endpoint leaves nobody to say that it failed, and was started some 30 times in a day when such ends counted against nothing.
@@ -39,6 +48,8 @@
  */
 export class CrashLedger {
   private readonly doubts = new Map<EndpointId, Doubt[]>();
+  /** Tasks that were charged with the end of an endpoint. */
+  private readonly charged = new Map<EndpointId, ChargedTask[]>();
   private readonly outages = new OutageWatch();
   /** When machines last crashed, by address. */
   private readonly crashedAt = new Map<string, number>();
@@ -53,9 +64,11 @@
     if (crashes.length === 0) {
       return;
     }
-    for (const { endpoint, blame } of crashes) {
+    for (const { endpoint, blame, ageMs } of crashes) {
+      this.recordCharged(endpoint, { job: job.definition.id, address, since: now });
       if (blame === 'unproved') {
-        this.recordDoubt(endpoint, { job: job.definition.id, address, since: now, blame: 'shared' });
+        const charge = { endpoint, blame: 'inherited', ageMs } as const;
+        this.recordDoubt({ job: job.definition.id, address, since: now, charge });
       }
     }
     this.applyCharges(job, address, now);
@@ -67,15 +80,15 @@
     const doubts = this.doubts.get(id) ?? [];
     this.doubts.delete(id);
     if (book.isLeaving()) {
-      doubts.forEach((doubt) => this.revokeDoubt(doubt, id, now));
+      doubts.forEach((doubt) => this.revokeDoubt(doubt, now));
       return;
     }
     this.crashedAt.set(address, now);
-    for (const { job, address: task, blame } of doubts) {
-      this.recordCrash(job, task, { endpoint: id, blame }, now);
+    for (const { job, address: task, charge } of doubts) {
+      this.recordCrash(job, task, charge, now);
     }
     for (const { run, blame } of this.readCharges(book, runs)) {
-      this.recordCrash(run.job, run.address, { endpoint: id, blame }, now);
+      this.recordCrash(run.job, run.address, { endpoint: id, blame, ageMs: this.readAgeMs(run) }, now);
     }
   }
 
@@ -86,9 +99,10 @@
     }
     const { id } = book.readProfile();
     for (const { run, blame } of this.readCharges(book, runs)) {
-      this.recordDoubt(id, { job: run.job, address: run.address, since: now, blame });
+      const charge = { endpoint: id, blame, ageMs: this.readAgeMs(run) };
+      this.recordDoubt({ job: run.job, address: run.address, since: now, charge });
       if (blame !== 'present') {
-        this.recordCrash(run.job, run.address, { endpoint: id, blame: 'unproved' }, now);
+        this.recordCrash(run.job, run.address, { ...charge, blame: 'unproved' }, now);
       }
     }
   }
@@ -104,14 +118,16 @@
     const doubts = this.doubts.get(id);
     if (doubts !== undefined) {
       this.doubts.delete(id);
-      doubts.forEach((doubt) => this.revokeDoubt(doubt, id, now));
+      doubts.forEach((doubt) => this.revokeDoubt(doubt, now));
     }
   }
 
-  /** A look has listed a run: one that has worked for long clears its task. */
+  /** A look has listed a run: one that has worked for much longer than those that were lost clears its task. */
   handleListed(run: PlacedRun): void {
-    const isCleared = run.seenAt - run.confirmedAt >= crashLimits.clearedAgeMs;
-    if (isCleared && this.options.jobs.get(run.job)?.progress.revokeCrashes(run.address) === true) {
+    const { clearedAgeFactor, clearedAgeMs } = crashLimits;
+    const listedMs = run.seenAt - run.confirmedAt;
+    const isCleared = ({ ageMs }: TaskCrash): boolean => listedMs >= clearedAgeFactor * ageMs + clearedAgeMs;
+    if (this.options.jobs.get(run.job)?.progress.revokeCrashes(run.address, isCleared) === true) {
       this.options.handleChanged(run.job);
       this.sendTell('Task is cleared of crashes.', run.job, run.address, []);
     }
@@ -135,6 +151,7 @@
         const crashes = job.progress.readTask(address)?.crashes ?? [];
         this.sendTell('Task is given up: endpoints ended under it.', id, address, crashes);
         this.options.ledger.sendCount('tasksGivenUp');
+        this.applyExplained(job, address, crashes, now);
         this.options.ledger.recordJobEnd(job, 'failed', wallMs);
       }
     }
@@ -142,7 +159,39 @@
     this.applyAge(now);
   }
 
+  /**
+   * What a task has been given up for needs no other explanation: those that were charged with the same crashes are cleared of them. Without
+   * it 20 harmful tasks among endpoints that are lost every 2 s took two sound jobs with them (tests/crashes, seed 1).
+   */
+  private applyExplained(
+    guilty: LiveJob,
+    address: TaskAddress,
+    crashes: readonly TaskCrash[],
+    now: number,
+  ): void {
+    for (const { endpoint, blame } of crashes) {
+      const charged = blame === 'sole' || blame === 'shared' ? (this.charged.get(endpoint) ?? []) : [];
+      for (const other of charged) {
+        const isOther = other.job !== guilty.definition.id || other.address !== address;
+        if (isOther && !this.hasSoleCharge(other)) {
+          this.revokeCharge(other.job, other.address, endpoint, now);
+        }
+      }
+    }
+  }
+
+  /** One that was once the only one to blame may well be harmful too. */
+  private hasSoleCharge({ job, address }: ChargedTask): boolean {
+    const crashes = this.options.jobs.get(job)?.progress.readTask(address)?.crashes ?? [];
+    return crashes.some(({ blame }) => blame === 'sole');
+  }
+
   private applyAge(now: number): void {
+    for (const [id, tasks] of this.charged) {
+      if (tasks.every(({ since }) => now - since >= CHARGES_KEPT_MS)) {
+        this.charged.delete(id);
+      }
+    }
     for (const [address, at] of this.crashedAt) {
       if (now - at >= crashLimits.recentCrashMs) {
         this.crashedAt.delete(address);
@@ -169,16 +218,27 @@
     });
   }
 
-  private recordDoubt(id: EndpointId, doubt: Doubt): void {
-    this.doubts.set(id, [...(this.doubts.get(id) ?? []), doubt]);
+  /** How long a run had worked for certain when it was last heard of. */
+  private readAgeMs(run: PlacedRun): number {
+    return run.stage === 'unconfirmed' ? crashLimits.unknownAgeMs : Math.round(run.seenAt - run.confirmedAt);
   }
 
-  private revokeDoubt({ job: id, address }: Doubt, endpoint: EndpointId, now: number): void {
+  private recordDoubt(doubt: Doubt): void {
+    const { endpoint } = doubt.charge;
+    this.doubts.set(endpoint, [...(this.doubts.get(endpoint) ?? []), doubt]);
+  }
+
+  private revokeDoubt({ job, address, charge }: Doubt, now: number): void {
+    this.revokeCharge(job, address, charge.endpoint, now);
+  }
+
+  private revokeCharge(id: JobId, address: TaskAddress, revoked: EndpointId, now: number): void {
     const job = this.options.jobs.get(id);
-    if (job?.progress.revokeCrash(address, endpoint) === true) {
+    const isRevoked = ({ endpoint }: TaskCrash): boolean => endpoint === revoked;
+    if (job?.progress.revokeCrashes(address, isRevoked) === true) {
       this.options.handleChanged(id);
       this.applyCharges(job, address, now);
-      this.sendTell('Crash is taken back.', id, address, [{ endpoint, blame: 'unproved' }]);
+      this.sendTell('Crash is taken back.', id, address, [], { endpoint: revoked });
     }
   }
 
@@ -189,6 +249,7 @@
       return;
     }
     job.progress.recordCrash(address, crash);
+    this.recordCharged(crash.endpoint, { job: id, address, since: now });
     this.options.handleChanged(id);
     this.options.ledger.sendCount('crashesCharged');
     this.sendTell('Crash is charged.', id, address, [crash]);
@@ -207,11 +268,22 @@
     }
   }
 
-  private sendTell(sentence: string, job: JobId, address: TaskAddress, crashes: readonly TaskCrash[]): void {
+  private recordCharged(endpoint: EndpointId, task: ChargedTask): void {
+    this.charged.set(endpoint, [...(this.charged.get(endpoint) ?? []), task]);
+  }
+
+  private sendTell(
+    sentence: string,
+    job: JobId,
+    address: TaskAddress,
+    crashes: readonly TaskCrash[],
+    fields: Readonly<Record<string, unknown>> = {},
+  ): void {
     this.options.ledger.sendTell(sentence, {
       job,
       task: toTaskName(job, address),
-      crashes: crashes.map(({ endpoint, blame }) => ({ endpoint, blame })),
+      crashes,
+      ...fields,
       charged: this.options.jobs.get(job)?.progress.readTask(address)?.crashes.length ?? 0,
     });
   }
--- a/packages/dispatch/crashes/OutageWatch.ts
+++ b/packages/dispatch/crashes/OutageWatch.ts
@@ -22,8 +22,11 @@
 export class OutageWatch {
   private silences: Silence[] = [];
 
-  /** An endpoint that answered until now has fallen silent. */
+  /** An endpoint has fallen silent. When that was is known only of one that this leader has heard. */
   handleSilence(book: EndpointBook, now: number): void {
+    if (book.readAnsweredAt() === undefined) {
+      return;
+    }
     this.silences = this.silences.filter(({ at }) => now - at < KEPT_MS);
     const hasBegunRun = [...book.readRuns()].some((run) => run.stage !== 'recording' && !isProven(run));
     this.silences.push({ endpoint: book.readProfile().id, at: now, hasBegunRun });
@@ -38,14 +41,17 @@
 
   /** True when the endpoint fell silent with others in an outage. */
   isPartOfOutage(book: EndpointBook): boolean {
+    return this.readCompanions(book).some(({ hasBegunRun }) => !hasBegunRun);
+  }
+
+  private readCompanions(book: EndpointBook): readonly Silence[] {
     const { id } = book.readProfile();
     const silentSince = book.readSilentSince();
-    return (
-      silentSince !== undefined &&
-      this.silences.some(
-        ({ endpoint, at, hasBegunRun }) =>
-          endpoint !== id && !hasBegunRun && Math.abs(at - silentSince) <= SAME_MOMENT_MS,
-      )
+    if (silentSince === undefined || book.readAnsweredAt() === undefined) {
+      return [];
+    }
+    return this.silences.filter(
+      ({ endpoint, at }) => endpoint !== id && Math.abs(at - silentSince) <= SAME_MOMENT_MS,
     );
   }
 }
--- a/packages/dispatch/crashes/chooseBlames.ts
+++ b/packages/dispatch/crashes/chooseBlames.ts
@@ -20,17 +20,20 @@
 
 /**
  * Shares out the blame for an endpoint that ended. Tasks end their endpoints as they start, and are rare: of the runs that had just begun
- * those under suspicion are likelier than the others, which are then not charged. Runs that had worked for a while, and all in an outage,
- * are noted as present, for the task that ends its endpoint late. Whoever charges all that ran there gives up sound work: see docs/decisions/0015.
+ * those under suspicion are likelier than the others. All that are not likely are noted as present, for the task that ends its endpoint
+ * late or was beside a likelier one each time; in an outage these are all. Whoever charges all that ran there gives up sound work: see docs/decisions/0015.
  */
 export const chooseBlames = ({ runs, isOutage, isSuspect, toGroup }: BlamesInput): readonly Charge[] => {
   const begun = isOutage ? [] : runs.filter((run) => !isProven(run));
   const suspects = begun.filter(isSuspect);
   const likely = suspects.length > 0 ? suspects : begun;
   const blame = new Set(likely.map(toGroup)).size === 1 ? 'sole' : 'shared';
-  const charges = likely.map((run): Charge => ({ run, blame }));
+  const charges = likely.map((run): Charge => ({
+    run,
+    blame: run.stage === 'unconfirmed' ? 'inherited' : blame,
+  }));
   const present = runs
-    .filter((run) => isOutage || isProven(run))
+    .filter((run) => !likely.includes(run))
     .map((run): Charge => ({ run, blame: 'present' }));
   return [...charges, ...present];
 };
--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -5,14 +5,20 @@
 export const crashLimits = {
   /** A task is given up once so many endpoints ended with its run as the only one that had just begun. */
   maxSole: 2,
-  /** The same for all that it may have ended by starting, also shared and unproved ones: the fence where evidence is late. */
+  /** The same for those that it may have ended by starting, also where it was not the only one. */
   maxLikely: 4,
-  /** The same for all endpoints that ended while it ran there. */
+  /** The same for all that ended, or may have, while it ran there: the fence where evidence is late or weak. One start more is too many. */
   maxAll: 5,
   /** A run that a look listed at this age or later did not end its endpoint by starting, in milliseconds. */
   provenAgeMs: 300,
-  /** A run that was listed at this age clears its task of earlier crashes, in milliseconds. */
-  clearedAgeMs: 10_000,
+  /**
+   * A run that is listed at so many times the age at which an earlier one was last listed, and so many milliseconds more, clears its task of that
+   * crash: a task that ends its endpoints does so at about the same age.
+   */
+  clearedAgeFactor: 2,
+  clearedAgeMs: 1000,
+  /** Taken for the age of a run that an earlier leader placed. */
+  unknownAgeMs: 4500,
   /** Wait before the next start of a task that was the only one to blame, in milliseconds; doubles with each crash. */
   firstPauseMs: 500,
   /** Longest such wait: a job that has nothing running for 3 s counts as lost. */
--- a/packages/dispatch/crashes/isUnderSuspicion.ts
+++ b/packages/dispatch/crashes/isUnderSuspicion.ts
@@ -1,5 +1,8 @@
+import type { CrashBlame } from '../../jobs/CrashBlame';
 import type { TaskCrash } from '../../jobs/TaskCrash';
 
-/** True when an endpoint has certainly ended under a task that had just begun there. */
+const SUSPICIOUS: ReadonlySet<CrashBlame> = new Set<CrashBlame>(['sole', 'shared', 'inherited']);
+
+/** True when an endpoint has certainly ended under a task that had, or may have, just begun there. */
 export const isUnderSuspicion = (crashes: readonly TaskCrash[]): boolean =>
-  crashes.some(({ blame }) => blame === 'sole' || blame === 'shared');
+  crashes.some(({ blame }) => SUSPICIOUS.has(blame));
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -145,10 +145,10 @@
     }
   }
 
-  /** Takes back what was recorded of one endpoint. Returns false when there was nothing. */
-  revokeCrash(address: TaskAddress, endpoint: EndpointId): boolean {
+  /** Takes back some of what was recorded of endpoints. Returns false when there was nothing of it. */
+  revokeCrashes(address: TaskAddress, isRevoked: (crash: TaskCrash) => boolean): boolean {
     const task = this.readTask(address);
-    const kept = task?.crashes.filter((crash) => crash.endpoint !== endpoint) ?? [];
+    const kept = task?.crashes.filter((crash) => !isRevoked(crash)) ?? [];
     if (task === undefined || kept.length === task.crashes.length) {
       return false;
     }
@@ -156,16 +156,6 @@
     return true;
   }
 
-  /** Takes back all that was recorded of endpoints. Returns false when there was nothing. */
-  revokeCrashes(address: TaskAddress): boolean {
-    const task = this.readTask(address);
-    if (task === undefined || task.crashes.length === 0) {
-      return false;
-    }
-    this.writeTask(address, { ...task, crashes: [] });
-    return true;
-  }
-
   /** Records the end of the job as a whole. The first end stands. */
   recordJobEnd(ending: 'completed' | 'failed' | 'cancelled', atMs: number): void {
     if (this.ending === undefined) {
--- a/packages/jobs/TaskCrash.ts
+++ b/packages/jobs/TaskCrash.ts
@@ -5,4 +5,6 @@
 export interface TaskCrash {
   readonly endpoint: EndpointId;
   readonly blame: CrashBlame;
+  /** Age of the run when a look last listed it, in milliseconds. */
+  readonly ageMs: number;
 }
--- a/packages/jobs/formatProgress.ts
+++ b/packages/jobs/formatProgress.ts
@@ -3,6 +3,7 @@
 import type { JobProgress } from './JobProgress';
 import type { TaskProgress } from './TaskProgress';
 
+type CrashRow = readonly [endpoint: string, blame: CrashBlame, ageMs: number];
 type Touched = readonly [time: number, step: number, index: number, task: TaskProgress];
 
 /** Tasks of which a run was placed. */
@@ -27,10 +28,15 @@
     const { phase, run, failures, endpoint, checkpoint } = task;
     rows.push([time, step, index, phase[0]!, run, failures, endpoint, checkpoint]);
   }
-  const crashes: (readonly [number, number, number, readonly (readonly [string, CrashBlame])[]])[] = [];
+  const crashes: (readonly [number, number, number, readonly CrashRow[]])[] = [];
   for (const [time, step, index, task] of readTouched(definition, progress)) {
     if (task.crashes.length > 0) {
-      crashes.push([time, step, index, task.crashes.map(({ endpoint, blame }) => [endpoint, blame])]);
+      crashes.push([
+        time,
+        step,
+        index,
+        task.crashes.map(({ endpoint, blame, ageMs }) => [endpoint, blame, ageMs]),
+      ]);
     }
   }
   const ending = progress.isEnded() ? progress.readState() : undefined;
--- a/packages/jobs/parseProgress.ts
+++ b/packages/jobs/parseProgress.ts
@@ -26,7 +26,9 @@
         z.number(),
         z.number(),
         z.number(),
-        z.array(z.tuple([z.string(), z.enum(['sole', 'shared', 'present', 'unproved'])])),
+        z.array(
+          z.tuple([z.string(), z.enum(['sole', 'shared', 'inherited', 'present', 'unproved']), z.number()]),
+        ),
       ]),
     )
     .default([]),
@@ -56,8 +58,8 @@
     progress.recordFailures(address, failures);
   }
   for (const [time, step, index, rows] of parsed.data.crashes) {
-    for (const [endpoint, blame] of rows) {
-      progress.recordCrash({ time, step, index }, { endpoint: toId<EndpointId>(endpoint), blame });
+    for (const [endpoint, blame, ageMs] of rows) {
+      progress.recordCrash({ time, step, index }, { endpoint: toId<EndpointId>(endpoint), blame, ageMs });
     }
   }
   if (parsed.data.ending !== undefined) {
