--- a/packages/dispatch/crashes/CrashLedger.ts
+++ b/packages/dispatch/crashes/CrashLedger.ts
@@ -124,10 +124,14 @@
 
   /** A look has listed a run: one that has worked for much longer than those that were lost clears its task. */
   handleListed(run: PlacedRun): void {
+    const { progress } = this.options.jobs.get(run.job) ?? {};
+    if ((progress?.readTask(run.address)?.crashes.length ?? 0) === 0) {
+      return;
+    }
     const { clearedAgeFactor, clearedAgeMs } = crashLimits;
     const listedMs = run.seenAt - run.confirmedAt;
     const isCleared = ({ ageMs }: TaskCrash): boolean => listedMs >= clearedAgeFactor * ageMs + clearedAgeMs;
-    if (this.options.jobs.get(run.job)?.progress.revokeCrashes(run.address, isCleared) === true) {
+    if (progress?.revokeCrashes(run.address, isCleared) === true) {
       this.options.handleChanged(run.job);
       this.sendTell('Task is cleared of crashes.', run.job, run.address, []);
     }
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -1,3 +1,5 @@
+import type { TaskAddress } from '../../jobs/TaskAddress';
+import type { TaskProgress } from '../../jobs/TaskProgress';
 import { createPlacedRun } from '../runs/createPlacedRun';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { AdviceQuestions } from '../advice/AdviceQuestions';
@@ -22,6 +24,14 @@
   readonly ticket: string;
 }
 
+/** A task that may begin now. */
+interface Beginner {
+  readonly address: TaskAddress;
+  readonly task: TaskProgress;
+  /** It may have ended an endpoint. */
+  readonly isSuspect: boolean;
+}
+
 type PlacerEffect = Extract<DispatchEffect, { kind: 'start' | 'tell' }>;
 
 interface StepPlacerOptions {
@@ -159,20 +169,10 @@
     let reserveLeft = this.room.readReserveLeft(step);
     const runNumber = this.readNextRun(step);
     const readCost = this.options.preference.createCostOf(step);
-    let hasSuspectBegun = this.options.suspicion.hasSiblingOnProbation(step);
-    for (const index of step.indexes) {
+    for (const { address, task, isSuspect } of this.readBeginners(step)) {
       if (step.shape.demand.cpuMillis > reserveLeft && !step.shape.isFiller) {
         break;
       }
-      const address = { time: step.time, step: step.step, index };
-      const previous = step.job.progress.readTask(address);
-      if (previous === undefined) {
-        continue;
-      }
-      const isSuspect = isUnderSuspicion(previous.crashes);
-      if (isSuspect && hasSuspectBegun) {
-        continue;
-      }
       const book = this.chooseEndpoint(step, allowed, isSuspect, readCost, now);
       if (book === undefined && isSuspect) {
         // Its siblings need not wait until another task under suspicion is proven.
@@ -181,17 +181,31 @@
       if (book === undefined) {
         break;
       }
-      const nextRun = step.shape.isGang ? runNumber : previous.run + 1;
-      const isFromStart = previous.checkpoint === '';
+      const nextRun = step.shape.isGang ? runNumber : task.run + 1;
+      const isFromStart = task.checkpoint === '';
       const run = createPlacedRun(step.job.definition, address, nextRun, now, { isFromStart, isSuspect });
       book.recordRun(run);
-      hasSuspectBegun ||= isSuspect && !step.shape.isGang;
       reserveLeft -= step.shape.demand.cpuMillis;
       choices.push({ book, run, ticket: advice?.readTicket(book.readProfile().id, now) ?? '' });
     }
     return choices;
   }
 
+  /** Tasks of a step that may begin now: of those under suspicion one at a time, but members of a gang together. */
+  private readBeginners(step: WaitingStep): readonly Beginner[] {
+    const beginners = step.indexes.flatMap((index): readonly Beginner[] => {
+      const address = { time: step.time, step: step.step, index };
+      const task = step.job.progress.readTask(address);
+      return task === undefined ? [] : [{ address, task, isSuspect: isUnderSuspicion(task.crashes) }];
+    });
+    const firstSuspect = beginners.find(({ isSuspect }) => isSuspect);
+    if (firstSuspect === undefined || step.shape.isGang) {
+      return beginners;
+    }
+    const mayBegin = this.options.suspicion.hasSiblingOnProbation(step) ? undefined : firstSuspect;
+    return beginners.filter((beginner) => !beginner.isSuspect || beginner === mayBegin);
+  }
+
   private chooseEndpoint(
     step: WaitingStep,
     allowed: readonly EndpointBook[],
