--- a/packages/dispatch/crashes/CrashLedger.ts
+++ b/packages/dispatch/crashes/CrashLedger.ts
@@ -21,23 +21,31 @@
   readonly handleChanged: (job: JobId) => void;
 }
 
-/** A task that ran on an endpoint which has not been heard since its lease ran out. */
-interface Doubt {
+/** A task that is charged with the end of an endpoint. */
+interface ChargeOwner {
   readonly job: JobId;
   readonly address: TaskAddress;
+}
+
+interface Charge extends ChargeOwner {
+  readonly charge: TaskCrash;
+}
+
+/** What a task is charged with once an endpoint that has not been heard since its lease ran out is known to have crashed. */
+interface Doubt extends Charge {
   /** Monotonic time from which nothing has been known. */
   readonly since: number;
-  /** What it is charged with once the endpoint is known to have crashed. */
-  readonly charge: TaskCrash;
 }
 
-/** A task that was charged with the end of an endpoint, and when. */
-interface ChargedTask {
-  readonly job: JobId;
-  readonly address: TaskAddress;
+interface ChargedTask extends ChargeOwner {
+  /** Monotonic time of the charge. */
   readonly since: number;
 }
 
+type RevocationReason = 'left by plan' | 'heard again' | 'explained by a task that was given up';
+
+/** A line names at most so many tasks; the count is that of all. */
+const MAX_NAMED_TASKS = 20;
 /** Longer than it takes until a harmful task has been started so often that it is given up. */
 const CHARGES_KEPT_MS = 120_000;
 
@@ -80,16 +88,16 @@
     const doubts = this.doubts.get(id) ?? [];
     this.doubts.delete(id);
     if (book.isLeaving()) {
-      doubts.forEach((doubt) => this.revokeDoubt(doubt, now));
+      this.revokeCharges(id, doubts, 'left by plan', now);
       return;
     }
     this.crashedAt.set(address, now);
-    for (const { job, address: task, charge } of doubts) {
-      this.recordCrash(job, task, charge, now);
-    }
-    for (const { run, blame } of this.readCharges(book, runs)) {
-      this.recordCrash(run.job, run.address, { endpoint: id, blame, ageMs: this.readAgeMs(run) }, now);
-    }
+    const charges = this.readCharges(book, runs).map(({ run, blame }) => ({
+      job: run.job,
+      address: run.address,
+      charge: { endpoint: id, blame, ageMs: this.readAgeMs(run) },
+    }));
+    this.recordCrashes(id, [...doubts, ...charges], now);
   }
 
   /** The lease of an endpoint that was silent has run out, and with it `runs`: it crashed, or is cut off. */
@@ -98,13 +106,16 @@
       return;
     }
     const { id } = book.readProfile();
+    const unproved: Charge[] = [];
     for (const { run, blame } of this.readCharges(book, runs)) {
+      const { job, address } = run;
       const charge = { endpoint: id, blame, ageMs: this.readAgeMs(run) };
-      this.recordDoubt({ job: run.job, address: run.address, since: now, charge });
+      this.recordDoubt({ job, address, since: now, charge });
       if (blame !== 'present') {
-        this.recordCrash(run.job, run.address, { ...charge, blame: 'unproved' }, now);
+        unproved.push({ job, address, charge: { ...charge, blame: 'unproved' } });
       }
     }
+    this.recordCrashes(id, unproved, now);
   }
 
   /** An endpoint that answered until now has fallen silent. */
@@ -118,7 +129,7 @@
     const doubts = this.doubts.get(id);
     if (doubts !== undefined) {
       this.doubts.delete(id);
-      doubts.forEach((doubt) => this.revokeDoubt(doubt, now));
+      this.revokeCharges(id, doubts, 'heard again', now);
     }
   }
 
@@ -128,12 +139,18 @@
     if ((progress?.readTask(run.address)?.crashes.length ?? 0) === 0) {
       return;
     }
-    const { clearedAgeFactor, clearedAgeMs } = crashLimits;
+    const { clearedAgeFactor, clearedAgeMs, longestClearedAgeMs } = crashLimits;
     const listedMs = run.seenAt - run.confirmedAt;
-    const isCleared = ({ ageMs }: TaskCrash): boolean => listedMs >= clearedAgeFactor * ageMs + clearedAgeMs;
+    const isCleared = ({ ageMs }: TaskCrash): boolean =>
+      listedMs >= Math.min(longestClearedAgeMs, clearedAgeFactor * ageMs + clearedAgeMs);
     if (progress?.revokeCrashes(run.address, isCleared) === true) {
-      this.options.handleChanged(run.job);
-      this.sendTell('Task is cleared of crashes.', run.job, run.address, []);
+      const { job, task } = run;
+      this.options.handleChanged(job);
+      this.options.ledger.sendTell('Task is cleared of crashes.', {
+        job,
+        task,
+        listedMs: Math.round(listedMs),
+      });
     }
   }
 
@@ -151,11 +168,17 @@
   applyGivenUp(now: number, wallMs: number): void {
     for (const [id, address] of this.givenUp) {
       const job = this.options.jobs.get(id);
-      if (job !== undefined && !job.progress.isEnded()) {
-        const crashes = job.progress.readTask(address)?.crashes ?? [];
-        this.sendTell('Task is given up: endpoints ended under it.', id, address, crashes);
+      const crashes = job?.progress.readTask(address)?.crashes ?? [];
+      // Another task that was given up may have explained some of them meanwhile.
+      if (job !== undefined && !job.progress.isEnded() && isGivenUp(crashes)) {
+        const task = toTaskName(id, address);
+        this.options.ledger.sendTell('Task is given up: endpoints ended under it.', {
+          job: id,
+          task,
+          crashes,
+        });
         this.options.ledger.sendCount('tasksGivenUp');
-        this.applyExplained(job, address, crashes, now);
+        this.applyExplained({ job: id, address }, crashes, now);
         this.options.ledger.recordJobEnd(job, 'failed', wallMs);
       }
     }
@@ -167,25 +190,19 @@
    * What a task has been given up for needs no other explanation: those that were charged with the same crashes are cleared of them. Without
    * it 20 harmful tasks among endpoints that are lost every 2 s took two sound jobs with them (tests/crashes, seed 1).
    */
-  private applyExplained(
-    guilty: LiveJob,
-    address: TaskAddress,
-    crashes: readonly TaskCrash[],
-    now: number,
-  ): void {
+  private applyExplained(guilty: ChargeOwner, crashes: readonly TaskCrash[], now: number): void {
     for (const { endpoint, blame } of crashes) {
       const charged = blame === 'sole' || blame === 'shared' ? (this.charged.get(endpoint) ?? []) : [];
-      for (const other of charged) {
-        const isOther = other.job !== guilty.definition.id || other.address !== address;
-        if (isOther && !this.hasSoleCharge(other)) {
-          this.revokeCharge(other.job, other.address, endpoint, now);
-        }
-      }
+      const others = charged.filter(
+        ({ job, address }) =>
+          (job !== guilty.job || address !== guilty.address) && !this.hasSoleCharge({ job, address }),
+      );
+      this.revokeCharges(endpoint, others, 'explained by a task that was given up', now);
     }
   }
 
   /** One that was once the only one to blame may well be harmful too. */
-  private hasSoleCharge({ job, address }: ChargedTask): boolean {
+  private hasSoleCharge({ job, address }: ChargeOwner): boolean {
     const crashes = this.options.jobs.get(job)?.progress.readTask(address)?.crashes ?? [];
     return crashes.some(({ blame }) => blame === 'sole');
   }
@@ -232,32 +249,62 @@
     this.doubts.set(endpoint, [...(this.doubts.get(endpoint) ?? []), doubt]);
   }
 
-  private revokeDoubt({ job, address, charge }: Doubt, now: number): void {
-    this.revokeCharge(job, address, charge.endpoint, now);
+  private revokeCharges(
+    revoked: EndpointId,
+    owners: readonly ChargeOwner[],
+    reason: RevocationReason,
+    now: number,
+  ): void {
+    const tasks = owners.filter((owner) => this.revokeCharge(owner, revoked, now));
+    if (tasks.length > 0) {
+      const names = tasks.slice(0, MAX_NAMED_TASKS).map(({ job, address }) => toTaskName(job, address));
+      const fields = { endpoint: revoked, reason, count: tasks.length, tasks: names };
+      this.options.ledger.sendTell('Charges of a crash are taken back.', fields);
+    }
   }
 
-  private revokeCharge(id: JobId, address: TaskAddress, revoked: EndpointId, now: number): void {
+  /** Returns false when the task had no such charge. */
+  private revokeCharge({ job: id, address }: ChargeOwner, revoked: EndpointId, now: number): boolean {
     const job = this.options.jobs.get(id);
     const isRevoked = ({ endpoint }: TaskCrash): boolean => endpoint === revoked;
-    if (job?.progress.revokeCrashes(address, isRevoked) === true) {
-      this.options.handleChanged(id);
-      this.applyCharges(job, address, now);
-      this.sendTell('Crash is taken back.', id, address, [], { endpoint: revoked });
+    if (job?.progress.revokeCrashes(address, isRevoked) !== true) {
+      return false;
     }
+    this.options.handleChanged(id);
+    this.applyCharges(job, address, now);
+    return true;
   }
 
-  private recordCrash(id: JobId, address: TaskAddress, crash: TaskCrash, now: number): void {
+  private recordCrashes(endpoint: EndpointId, charges: readonly Charge[], now: number): void {
+    const recorded = charges.filter((charge) => this.recordCrash(charge, now));
+    if (recorded.length === 0) {
+      return;
+    }
+    this.options.ledger.sendCount('crashesCharged', recorded.length);
+    this.options.ledger.sendTell('Crash is charged.', {
+      endpoint,
+      count: recorded.length,
+      tasks: recorded.slice(0, MAX_NAMED_TASKS).map(({ job, address, charge }) => ({
+        task: toTaskName(job, address),
+        blame: charge.blame,
+        ageMs: charge.ageMs,
+        charged: this.options.jobs.get(job)?.progress.readTask(address)?.crashes.length,
+      })),
+    });
+  }
+
+  /** Returns false when the task is done, or its job has ended. */
+  private recordCrash({ job: id, address, charge }: Charge, now: number): boolean {
     const job = this.options.jobs.get(id);
     const task = job?.progress.readTask(address);
     if (job === undefined || task === undefined || task.phase === 'done' || job.progress.isEnded()) {
-      return;
+      return false;
     }
-    job.progress.recordCrash(address, crash);
-    this.recordCharged(crash.endpoint, { job: id, address, since: now });
+    job.progress.recordCrash(address, charge);
+    this.recordCharged(charge.endpoint, { job: id, address, since: now });
     this.options.handleChanged(id);
-    this.options.ledger.sendCount('crashesCharged');
-    this.sendTell('Crash is charged.', id, address, [crash]);
     this.applyCharges(job, address, now);
+    return true;
   }
 
   /** Draws the consequences of a task's charges: a pause before its next start, or none any more. */
@@ -275,20 +322,4 @@
   private recordCharged(endpoint: EndpointId, task: ChargedTask): void {
     this.charged.set(endpoint, [...(this.charged.get(endpoint) ?? []), task]);
   }
-
-  private sendTell(
-    sentence: string,
-    job: JobId,
-    address: TaskAddress,
-    crashes: readonly TaskCrash[],
-    fields: Readonly<Record<string, unknown>> = {},
-  ): void {
-    this.options.ledger.sendTell(sentence, {
-      job,
-      task: toTaskName(job, address),
-      crashes,
-      ...fields,
-      charged: this.options.jobs.get(job)?.progress.readTask(address)?.crashes.length ?? 0,
-    });
-  }
 }
--- a/packages/dispatch/crashes/OutageWatch.ts
+++ b/packages/dispatch/crashes/OutageWatch.ts
@@ -3,7 +3,6 @@
 import { isProven } from './isProven';
 
 interface Silence {
-  readonly endpoint: EndpointId;
   /** Monotonic time at which it was noticed. */
   readonly at: number;
   /** Some run had just begun there, and may be its cause. */
@@ -20,38 +19,38 @@
  * which nothing had just begun, the cause lies outside.
  */
 export class OutageWatch {
-  private silences: Silence[] = [];
+  /** The newest silence of each endpoint that has not been heard since. */
+  private readonly silences = new Map<EndpointId, Silence>();
 
   /** An endpoint has fallen silent. When that was is known only of one that this leader has heard. */
   handleSilence(book: EndpointBook, now: number): void {
     if (book.readAnsweredAt() === undefined) {
       return;
     }
-    this.silences = this.silences.filter(({ at }) => now - at < KEPT_MS);
+    for (const [id, { at }] of this.silences) {
+      if (now - at >= KEPT_MS) {
+        this.silences.delete(id);
+      }
+    }
     const hasBegunRun = [...book.readRuns()].some((run) => run.stage !== 'recording' && !isProven(run));
-    this.silences.push({ endpoint: book.readProfile().id, at: now, hasBegunRun });
+    this.silences.set(book.readProfile().id, { at: now, hasBegunRun });
   }
 
   /** The endpoint is heard again: its silence was none that ended it. */
   handleHeard(id: EndpointId): void {
-    if (this.silences.length > 0) {
-      this.silences = this.silences.filter(({ endpoint }) => endpoint !== id);
-    }
+    this.silences.delete(id);
   }
 
   /** True when the endpoint fell silent with others in an outage. */
   isPartOfOutage(book: EndpointBook): boolean {
-    return this.readCompanions(book).some(({ hasBegunRun }) => !hasBegunRun);
-  }
-
-  private readCompanions(book: EndpointBook): readonly Silence[] {
     const { id } = book.readProfile();
     const silentSince = book.readSilentSince();
     if (silentSince === undefined || book.readAnsweredAt() === undefined) {
-      return [];
+      return false;
     }
-    return this.silences.filter(
-      ({ endpoint, at }) => endpoint !== id && Math.abs(at - silentSince) <= SAME_MOMENT_MS,
+    return [...this.silences].some(
+      ([endpoint, { at, hasBegunRun }]) =>
+        endpoint !== id && !hasBegunRun && Math.abs(at - silentSince) <= SAME_MOMENT_MS,
     );
   }
 }
--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -17,6 +17,8 @@
    */
   clearedAgeFactor: 2,
   clearedAgeMs: 1000,
+  /** A run that is listed at this age clears its task in any case: one that lasts may live through many crashes that are not its own. */
+  longestClearedAgeMs: 60_000,
   /** Taken for the age of a run that an earlier leader placed. */
   unknownAgeMs: 4500,
   /** Wait before the next start of a task that was the only one to blame, in milliseconds; doubles with each crash. */
