--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -244,8 +244,9 @@
     const now = clock.readNow();
     dispatcher.handleSilence(id, now);
     // One that has left and runs nothing any more needs no look, unless it may have crashed.
-    const isAwaited = book !== undefined && (book.readRunCount() > 0 || dispatcher.isAwaited(id, now));
-    if (!this.profiles.has(id) && !isAwaited) {
+    const isNeeded =
+      this.profiles.has(id) || (book?.readRunCount() ?? 0) > 0 || dispatcher.isAwaited(id, now);
+    if (book === undefined || !isNeeded) {
       this.sessions.get(id)?.stop();
       this.sessions.delete(id);
     }
--- a/packages/jobs/formatProgress.ts
+++ b/packages/jobs/formatProgress.ts
@@ -1,11 +1,14 @@
 import type { CrashBlame } from './CrashBlame';
 import type { JobDefinition } from './JobDefinition';
 import type { JobProgress } from './JobProgress';
+import type { TaskCrash } from './TaskCrash';
 import type { TaskProgress } from './TaskProgress';
 
 type CrashRow = readonly [endpoint: string, blame: CrashBlame, ageMs: number];
 type Touched = readonly [time: number, step: number, index: number, task: TaskProgress];
 
+const toCrashRow = ({ endpoint, blame, ageMs }: TaskCrash): CrashRow => [endpoint, blame, ageMs];
+
 /** Tasks of which a run was placed. */
 const readTouched = (definition: JobDefinition, progress: JobProgress): readonly Touched[] => {
   const touched: Touched[] = [];
@@ -23,22 +26,14 @@
 
 /** Formats the progress of a job as the JSON text of its log record. `parseProgress` reads it back. */
 export const formatProgress = (definition: JobDefinition, progress: JobProgress): string => {
-  const rows: (readonly [number, number, number, string, number, number, string, string])[] = [];
-  for (const [time, step, index, task] of readTouched(definition, progress)) {
+  const touched = readTouched(definition, progress);
+  const rows = touched.map(([time, step, index, task]) => {
     const { phase, run, failures, endpoint, checkpoint } = task;
-    rows.push([time, step, index, phase[0]!, run, failures, endpoint, checkpoint]);
-  }
-  const crashes: (readonly [number, number, number, readonly CrashRow[]])[] = [];
-  for (const [time, step, index, task] of readTouched(definition, progress)) {
-    if (task.crashes.length > 0) {
-      crashes.push([
-        time,
-        step,
-        index,
-        task.crashes.map(({ endpoint, blame, ageMs }) => [endpoint, blame, ageMs]),
-      ]);
-    }
-  }
+    return [time, step, index, phase[0]!, run, failures, endpoint, checkpoint];
+  });
+  const crashes = touched
+    .filter(([, , , task]) => task.crashes.length > 0)
+    .map(([time, step, index, task]) => [time, step, index, task.crashes.map(toCrashRow)]);
   const ending = progress.isEnded() ? progress.readState() : undefined;
   return JSON.stringify({
     ending,
