--- a/tests/crashes.test.ts
+++ b/tests/crashes.test.ts
@@ -163,6 +163,8 @@
 const MIX_SEED = Number(process.env['STAIRLINE_CRASH_SEED'] ?? 1);
 /** The record of an endpoint had gone before the next leader read it, and its end was charged to nothing: a start too many. */
 const KEPT_SEEDS = [9, 80, 227];
+/** Two endpoints are lost from outside within 0.1 s of two starts of one sound task. */
+const UNLUCKY_SEED = 151;
 const OUTSIDES: readonly Outside[] = ['none', 'none', 'share', 'byTurns'];
 
 const createMix = (seed: number): Scenario => {
@@ -229,6 +231,10 @@
     }
   });
 
+  it('give up no sound job whose endpoints are lost from outside as it begins', () => {
+    expect(measureScenario(createMix(UNLUCKY_SEED)).soundFailedEarly).toBe(0);
+  });
+
   it('costs a step of twenty harmful tasks five endpoints, for 42 where all of them begin at once', () => {
     expect(measureScenario({ harmful: 1, width: 20 }).crashes).toBeLessThanOrEqual(5);
   });
