--- a/packages/entry/OperatorServer.ts
+++ b/packages/entry/OperatorServer.ts
@@ -1,3 +1,4 @@
+import { stopApp } from '../gateway/stopApp';
 import Fastify, { type FastifyInstance } from 'fastify';
 import { z } from 'zod';
 import type { RequestId } from '../common/RequestId';
@@ -69,7 +70,7 @@
 
   async stop(): Promise<void> {
     this.app.server.closeAllConnections();
-    await this.app.close();
+    await stopApp(this.app);
   }
 
   private createTableAnswer(): object {
--- a/packages/gateway/CallerServer.ts
+++ b/packages/gateway/CallerServer.ts
@@ -1,3 +1,4 @@
+import { stopApp } from './stopApp';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import type { RequestId } from '../common/RequestId';
 import { toId } from '../common/toId';
@@ -70,7 +71,7 @@
 
   /** Takes no new connections and resolves when all answers are out. */
   async stop(): Promise<void> {
-    await this.app.close();
+    await stopApp(this.app);
   }
 
   private async handleRequest(request: WorkloadRequest, reply: FastifyReply): Promise<FastifyReply> {
--- a/packages/peers/PeerServer.ts
+++ b/packages/peers/PeerServer.ts
@@ -1,3 +1,4 @@
+import { stopApp } from '../gateway/stopApp';
 import { applyWSSHandler } from '@trpc/server/adapters/ws';
 import type { FastifyInstance } from 'fastify';
 import { WebSocketServer } from 'ws';
@@ -69,7 +70,7 @@
     for (const socket of this.sockets.clients) {
       socket.terminate();
     }
-    await this.app.close();
+    await stopApp(this.app);
   }
 
   private createLeftSignal(response: { on(event: 'close', listener: () => void): unknown }): AbortSignal {
