--- a/packages/dispatch/crashes/chooseBlames.ts
+++ b/packages/dispatch/crashes/chooseBlames.ts
@@ -21,7 +21,8 @@
 /**
  * Shares out the blame for an endpoint that ended. Tasks end their endpoints as they start, and are rare: of the runs that had just begun
  * those under suspicion are likelier than the others. All that are not likely are noted as present, for the task that ends its endpoint
- * late or was beside a likelier one each time; in an outage these are all. Whoever charges all that ran there gives up sound work: see docs/decisions/0015.
+ * late or was beside a likelier one each time; in an outage these are all. Whoever charges all that ran there gives up sound work: see
+ * docs/decisions/0015.
  */
 export const chooseBlames = ({ runs, isOutage, isSuspect, toGroup }: BlamesInput): readonly Charge[] => {
   const begun = isOutage ? [] : runs.filter((run) => !isProven(run));
--- a/tests/crashCharges.test.ts
+++ b/tests/crashCharges.test.ts
@@ -73,6 +73,18 @@
     dispatcher.handleEndpointGone(id, now);
   };
 
+  /** A run on an endpoint that falls silent until its lease has run out; gives the endpoint. */
+  const startLapsedRun = (): EndpointId => {
+    const id = startEndpoint();
+    sendJob(createJob());
+    startRuns();
+    dispatcher.readBook(id)!.recordLease(4000);
+    dispatcher.handleSilence(id, now);
+    now = 4100;
+    dispatcher.applyTime(now);
+    return id;
+  };
+
   const readCrashes = (definition: JobDefinition): readonly Pick<TaskCrash, 'endpoint' | 'blame'>[] =>
     dispatcher
       .readJob(definition.id)!
@@ -127,26 +139,14 @@
   });
 
   it('is not known while an endpoint is only silent: heard again it takes nothing with it', () => {
-    const id = startEndpoint();
-    sendJob(createJob());
-    startRuns();
-    dispatcher.readBook(id)!.recordLease(4000);
-    dispatcher.handleSilence(id, now);
-    now = 4100;
-    dispatcher.applyTime(now);
+    const id = startLapsedRun();
     expect(readCrashes(createJob())).toEqual([{ endpoint: id, blame: 'unproved' }]);
     sendLook(id);
     expect(readCrashes(createJob())).toEqual([]);
   });
 
   it('is known later where another life answers after the lease has run out', () => {
-    const id = startEndpoint();
-    sendJob(createJob());
-    startRuns();
-    dispatcher.readBook(id)!.recordLease(4000);
-    dispatcher.handleSilence(id, now);
-    now = 4100;
-    dispatcher.applyTime(now);
+    const id = startLapsedRun();
     expect(dispatcher.isAwaited(id, now)).toBe(true);
     dispatcher.handleEndpointGone(id, now);
     expect(readCrashes(createJob())).toEqual([{ endpoint: id, blame: 'sole' }]);
