--- /dev/null
+++ b/packages/dispatch/crashes/ChargeOwner.ts
@@ -0,0 +1,8 @@
+import type { JobId } from '../../jobs/JobId';
+import type { TaskAddress } from '../../jobs/TaskAddress';
+
+/** A task that is charged with the end of an endpoint. */
+export interface ChargeOwner {
+  readonly job: JobId;
+  readonly address: TaskAddress;
+}
--- /dev/null
+++ b/packages/dispatch/crashes/ChargedTask.ts
@@ -0,0 +1,9 @@
+import type { ChargeOwner } from './ChargeOwner';
+
+/** A task that was charged with the end of an endpoint, for as long as that is remembered. */
+export interface ChargedTask extends ChargeOwner {
+  /** It may have ended the endpoint, rather than only been there. */
+  readonly isBlamed: boolean;
+  /** Monotonic time of the charge. */
+  readonly since: number;
+}
--- a/packages/dispatch/crashes/CrashLedger.ts
+++ b/packages/dispatch/crashes/CrashLedger.ts
@@ -12,6 +12,10 @@
 import { isProven } from './isProven';
 import { isGivenUp } from './isGivenUp';
 import { isUnderSuspicion } from './isUnderSuspicion';
+import type { ChargeOwner } from './ChargeOwner';
+import type { CrashCharge } from './CrashCharge';
+import { CrashDoubts } from './CrashDoubts';
+import { CrashHistory } from './CrashHistory';
 import { OutageWatch } from './OutageWatch';
 import { readPauseMs } from './readPauseMs';
 
@@ -22,57 +26,23 @@
   readonly handleChanged: (job: JobId) => void;
 }
 
-/** A task that is charged with the end of an endpoint. */
-interface ChargeOwner {
-  readonly job: JobId;
-  readonly address: TaskAddress;
-}
-
-interface Charge extends ChargeOwner {
-  readonly charge: TaskCrash;
-}
-
-/** What a task is charged with once an endpoint that has not been heard since its lease ran out is known to have crashed. */
-interface Doubt extends Charge {
-  /** Monotonic time from which nothing has been known. */
-  readonly since: number;
-}
-
-interface ChargedTask extends ChargeOwner {
-  /** It may have ended the endpoint, rather than only been there. */
-  readonly isBlamed: boolean;
-  /** Monotonic time of the charge. */
-  readonly since: number;
-}
-
 type RevocationReason =
   'left by plan' | 'heard again' | 'explained by a task that was given up' | 'its run began on the next life';
 
 /** A line names at most so many tasks; the count is that of all. */
 const MAX_NAMED_TASKS = 20;
-/** Longer than it takes until a harmful task has been started so often that it is given up. */
-const CHARGES_KEPT_MS = 120_000;
 
 /**
  * Endpoints that ended, charged to the tasks that may have ended them. An end of an endpoint counts unless it was planned: a task that
- * ends its endpoint leaves nobody to say that it failed, and was started some 30 times in a day when such ends counted against nothing.
+ * ends its endpoint leaves nobody to say that it failed, and would be started without end if such ends counted against nothing.
  * The charges are part of a job's progress, so that each leader goes on from those of the one before.
  */
 export class CrashLedger {
-  private readonly doubts = new Map<EndpointLife, Doubt[]>();
-  /** Tasks that were charged with the end of an endpoint. */
-  private readonly charged = new Map<EndpointLife, ChargedTask[]>();
+  private readonly doubts = new CrashDoubts();
+  private readonly history = new CrashHistory();
   private readonly outages = new OutageWatch();
-  /** When machines last crashed, by address. */
-  private readonly crashedAt = new Map<string, number>();
   /** Jobs with a task that is not started any more. */
   private readonly givenUp = new Map<JobId, TaskAddress>();
-  /** Jobs that were given up, with the monotonic time of it: other tasks of theirs may still end endpoints. */
-  private readonly givenUpJobs = new Map<JobId, number>();
-  /** Lives whose end is put down to a task that was given up. */
-  private readonly explained = new Set<EndpointLife>();
-  /** Monotonic time at which an endpoint was last lost with no start to blame. */
-  private unexplainedAt = -Infinity;
 
   constructor(private readonly options: CrashLedgerOptions) {}
 
@@ -84,7 +54,7 @@
       return;
     }
     for (const { endpoint, blame, ageMs } of crashes) {
-      this.recordCharged(endpoint, {
+      this.history.recordCharged(endpoint, {
         job: job.definition.id,
         address,
         isBlamed: blame !== 'present',
@@ -92,15 +62,15 @@
       });
       if (blame === 'unproved') {
         const charge = { endpoint, blame: 'inherited', ageMs } as const;
-        this.recordDoubt({ job: job.definition.id, address, since: now, charge });
+        this.doubts.recordDoubt({ job: job.definition.id, address, since: now, charge });
       }
     }
     this.applyCharges(job, address, now);
   }
 
   /**
-   * What an earlier leader waited to see is charged now: this one does not know the endpoint's address, and may never see it. Kept in memory alone
-   * such notes went with each leader, and a harmful task was started four times after the third (tests/crashes, seed 1272).
+   * What an earlier leader waited to see is charged now: this one does not know the endpoint's address, and may never see it. Without this a
+   * change of leader would let a harmful task off, and it would be started more often than it may be.
    */
   private applyInheritedDoubts(job: LiveJob, address: TaskAddress): void {
     for (const doubt of job.progress.readTask(address)?.doubts ?? []) {
@@ -112,31 +82,21 @@
   /** An endpoint's life is over; `runs` were there, or may have been. */
   handleLifeOver(book: EndpointBook, runs: readonly PlacedRun[], now: number): void {
     const { life: id, address } = book.readProfile();
-    const doubts = this.doubts.get(id) ?? [];
-    this.doubts.delete(id);
+    const doubts = this.doubts.claimAll(id);
     if (book.isLeaving()) {
       this.revokeCharges(id, doubts, 'left by plan', now);
       return;
     }
-    this.crashedAt.set(address, now);
+    this.history.recordCrashed(address, now);
     const charges = this.readCharges(book, runs).map(({ run, blame }) => ({
       job: run.job,
       address: run.address,
       charge: { endpoint: id, blame, ageMs: this.readAgeMs(run) },
     }));
-    this.recordLoss(id, [...doubts, ...charges], now);
-    this.recordCrashes(id, [...doubts, ...charges], now);
-  }
-
-  /** Notes whether an endpoint that was lost has some start to blame, or one whose job has been given up already. */
-  private recordLoss(life: EndpointLife, charges: readonly Charge[], now: number): void {
-    const blamed = charges.filter(({ charge }) => charge.blame !== 'present');
-    if (blamed.length === 0) {
-      this.unexplainedAt = now;
-    }
-    if (blamed.some(({ job }) => this.givenUpJobs.has(job))) {
-      this.explained.add(life);
-    }
+    const all = [...doubts, ...charges];
+    const blamed = all.filter(({ charge }) => charge.blame !== 'present').map(({ job }) => job);
+    this.history.recordLoss(id, blamed, now);
+    this.recordCrashes(id, all, now);
   }
 
   /** The lease of an endpoint that was silent has run out, and with it `runs`: it crashed, or is cut off. */
@@ -145,11 +105,11 @@
       return;
     }
     const { life: id } = book.readProfile();
-    const unproved: Charge[] = [];
+    const unproved: CrashCharge[] = [];
     for (const { run, blame } of this.readCharges(book, runs)) {
       const { job, address } = run;
       const charge = { endpoint: id, blame, ageMs: this.readAgeMs(run) };
-      this.recordDoubt({ job, address, since: now, charge });
+      this.doubts.recordDoubt({ job, address, since: now, charge });
       if (blame !== 'present' || this.isLastBorne(run)) {
         unproved.push({ job, address, charge: { ...charge, blame: 'unproved' } });
       } else if (!isProven(run)) {
@@ -161,8 +121,8 @@
   }
 
   /**
-   * True for a run that had just begun, and whose task is given up with one charge more: its next start must not leave before that is known
-   * (tests/crashes, seed 11: 70 ms before). To charge every such run costs 0.04 of the worth of a day with harmful tasks (six plays).
+   * True for a run that had just begun, and whose task is given up with one charge more: its next start must not leave before that is known.
+   * To charge every such run would hold up sound work beside harmful tasks.
    */
   private isLastBorne(run: PlacedRun): boolean {
     return !isProven(run) && this.readCrashes(run).length >= crashLimits.maxAll - 1;
@@ -176,11 +136,7 @@
   /** The endpoint is heard: it has not crashed. */
   handleHeard(id: EndpointLife, now: number): void {
     this.outages.handleHeard(id);
-    const doubts = this.doubts.get(id);
-    if (doubts !== undefined) {
-      this.doubts.delete(id);
-      this.revokeCharges(id, doubts, 'heard again', now);
-    }
+    this.revokeCharges(id, this.doubts.claimAll(id), 'heard again', now);
   }
 
   /** A run that was sent to a life which is over has begun on the next one: its task had no part in that end. */
@@ -212,27 +168,17 @@
 
   /** True while it is worth asking at the address of an endpoint that fell silent for good. */
   isAwaited(id: EndpointLife, now: number): boolean {
-    return this.doubts.get(id)?.some(({ since }) => now - since < crashLimits.awaitedMs) ?? false;
+    return this.doubts.isAwaited(id, now);
   }
 
   /** Tells whether a machine has crashed so lately that the next crash there would tell little of a task. */
   hasCrashedLately(address: string, now: number): boolean {
-    return now - (this.crashedAt.get(address) ?? -Infinity) < crashLimits.recentCrashMs;
+    return this.history.hasCrashedLately(address, now);
   }
 
   /** True while endpoints are lost that nothing had just begun on, or for which all that had has been done since. */
   private isAmongLosses(now: number): boolean {
-    const { unexplainedLossMs } = crashLimits;
-    return (
-      now - this.unexplainedAt < unexplainedLossMs ||
-      [...this.charged].some(
-        ([life, tasks]) =>
-          !this.explained.has(life) &&
-          tasks.every(
-            (task) => now - task.since < unexplainedLossMs && !(task.isBlamed && this.hasCharge(task, life)),
-          ),
-      )
-    );
+    return this.history.isAmongLosses(now, (task, life) => this.hasCharge(task, life));
   }
 
   private hasCharge(owner: ChargeOwner, life: EndpointLife): boolean {
@@ -258,25 +204,27 @@
           crashes,
         });
         this.options.ledger.sendCount('tasksGivenUp');
-        this.givenUpJobs.set(id, now);
-        this.recordExplained(id);
+        this.history.recordGivenUp(id, now);
         this.applyExplained({ job: id, address }, crashes, now);
         this.options.ledger.recordJobEnd(job, 'failed', wallMs);
       }
     }
     this.givenUp.clear();
-    this.applyAge(now);
+    this.history.applyAge(now);
+    // Durable with the next change of the job: until then the next leader counts them, which is the safe side.
+    for (const { job, address, charge } of this.doubts.claimOutdated(now)) {
+      this.options.jobs.get(job)?.progress.revokeDoubt(address, charge.endpoint);
+    }
   }
 
   /**
-   * What a task has been given up for needs no other explanation: those that were charged with the same crashes are cleared of them. Without it
-   * 20 harmful tasks among endpoints that are lost every 2 s took two sound jobs with them (tests/crashes, seed 1).
-   * Those that had just begun there still count as present: harmful tasks that fall together explained each other's crashes away, and one was
-   * started 6 times after the third (tests/lives, seed 8).
+   * What a task has been given up for needs no other explanation: those that were charged with the same crashes are cleared of them, or harmful
+   * tasks among endpoints that are lost from outside would take sound jobs with them.
+   * Those that had just begun there still count as present: harmful tasks that fall together would explain each other's crashes away.
    */
   private applyExplained(guilty: ChargeOwner, crashes: readonly TaskCrash[], now: number): void {
     for (const { endpoint, blame } of crashes) {
-      const charged = blame === 'sole' || blame === 'shared' ? (this.charged.get(endpoint) ?? []) : [];
+      const charged = blame === 'sole' || blame === 'shared' ? this.history.readCharged(endpoint) : [];
       const others = charged.filter(
         ({ job, address }) =>
           (job !== guilty.job || address !== guilty.address) && !this.hasSoleCharge({ job, address }),
@@ -287,15 +235,6 @@
     }
   }
 
-  /** Tasks of one job are alike: what was put down to any of them is explained too, or half the harm of a wide step would look like losses. */
-  private recordExplained(guilty: JobId): void {
-    for (const [life, tasks] of this.charged) {
-      if (tasks.some(({ job, isBlamed }) => job === guilty && isBlamed)) {
-        this.explained.add(life);
-      }
-    }
-  }
-
   /** Leaves a charge of a run that had just begun as one of presence. Returns false when there is none. */
   private applyPresence({ job: id, address }: ChargeOwner, endpoint: EndpointLife, now: number): boolean {
     const job = this.options.jobs.get(id);
@@ -316,36 +255,6 @@
     return this.readCrashes(owner).some(({ blame }) => blame === 'sole');
   }
 
-  private applyAge(now: number): void {
-    for (const [id, tasks] of this.charged) {
-      if (tasks.every(({ since }) => now - since >= CHARGES_KEPT_MS)) {
-        this.charged.delete(id);
-      }
-    }
-    for (const life of this.explained) {
-      if (!this.charged.has(life)) {
-        this.explained.delete(life);
-      }
-    }
-    for (const [job, at] of this.givenUpJobs) {
-      if (now - at >= CHARGES_KEPT_MS) {
-        this.givenUpJobs.delete(job);
-      }
-    }
-    for (const [address, at] of this.crashedAt) {
-      if (now - at >= crashLimits.recentCrashMs) {
-        this.crashedAt.delete(address);
-      }
-    }
-    for (const [id, doubts] of this.doubts) {
-      if (!this.isAwaited(id, now)) {
-        this.doubts.delete(id);
-        // Durable with the next change of the job: until then the next leader counts them, which is the safe side.
-        doubts.forEach(({ job, address }) => this.options.jobs.get(job)?.progress.revokeDoubt(address, id));
-      }
-    }
-  }
-
   /** Charges for the end of an endpoint; an order that still waits for its record cannot have ended anything. */
   private readCharges(book: EndpointBook, runs: readonly PlacedRun[]): ReturnType<typeof chooseBlames> {
     const { jobs } = this.options;
@@ -365,11 +274,6 @@
     return run.stage === 'unconfirmed' ? crashLimits.unknownAgeMs : Math.round(run.seenAt - run.confirmedAt);
   }
 
-  private recordDoubt(doubt: Doubt): void {
-    const { endpoint } = doubt.charge;
-    this.doubts.set(endpoint, [...(this.doubts.get(endpoint) ?? []), doubt]);
-  }
-
   private revokeCharges(
     revoked: EndpointLife,
     owners: readonly ChargeOwner[],
@@ -396,7 +300,7 @@
     return true;
   }
 
-  private recordCrashes(endpoint: EndpointLife, charges: readonly Charge[], now: number): void {
+  private recordCrashes(endpoint: EndpointLife, charges: readonly CrashCharge[], now: number): void {
     const recorded = charges.filter((charge) => this.recordCrash(charge, now));
     if (recorded.length === 0) {
       return;
@@ -415,14 +319,14 @@
   }
 
   /** Returns false when the task is done, or its job has ended. */
-  private recordCrash({ job: id, address, charge }: Charge, now: number): boolean {
+  private recordCrash({ job: id, address, charge }: CrashCharge, now: number): boolean {
     const job = this.options.jobs.get(id);
     const task = job?.progress.readTask(address);
     if (job === undefined || task === undefined || task.phase === 'done' || job.progress.isEnded()) {
       return false;
     }
     job.progress.recordCrash(address, charge);
-    this.recordCharged(charge.endpoint, {
+    this.history.recordCharged(charge.endpoint, {
       job: id,
       address,
       isBlamed: charge.blame !== 'present',
@@ -444,8 +348,4 @@
       this.givenUp.set(job.definition.id, address);
     }
   }
-
-  private recordCharged(endpoint: EndpointLife, task: ChargedTask): void {
-    this.charged.set(endpoint, [...(this.charged.get(endpoint) ?? []), task]);
-  }
 }
