Who leads goes by processor and link together

Cause: on a deployment whose boxes of 0.81 cores have links of 7 Mbit/s, and those of 0.675 of a core twice as fast 140 Mbit/s, the narrow ones counted as the stronger: cores were read without their factor, and the link not at all. Ruled out: slow endpoints (all were late at once), the log (it took the leader's writes). Change: boxes announce cores and link; strength is the cores that the link keeps busy; the last resort at a hand-over is the strongest box that answers, not the first. Tests: leadership (two fail with the change off; the third with the first answer taken).

--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -82,8 +82,8 @@
   }
 
   /** Tells the box who leads and where; false when it did not take it in. */
-  async sendIntroduction({ record, address, cores }: LeaderIntroduction): Promise<boolean> {
-    const body = { ...record, address, cores };
+  async sendIntroduction({ record, ...contact }: LeaderIntroduction): Promise<boolean> {
+    const body = { ...record, ...contact };
     return (await this.caller.sendJson('/leader', body, SHORT_CALL_MS)) !== undefined;
   }
 
--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -1,7 +1,9 @@
-import type { BoxDirectory } from './BoxDirectory';
 import { BoxClient } from './BoxClient';
+import type { BoxDirectory } from './BoxDirectory';
+import type { BoxPower } from './BoxPower';
+import { measureStrength } from './measureStrength';
 
-interface OtherBox {
+interface OtherBox extends BoxPower {
   readonly box: string;
   readonly client: BoxClient;
   /** Monotonic time at which its newest announcement was read from the log. */
@@ -14,7 +16,7 @@
 
   constructor(
     private readonly directory: BoxDirectory,
-    private readonly own: { readonly box: string; readonly cores: number },
+    private readonly own: BoxPower & { readonly box: string },
   ) {}
 
   /** A client of each other box. */
@@ -22,9 +24,11 @@
     return this.directory
       .readBoxes()
       .filter(({ box }) => box !== this.own.box)
-      .map(({ box, address, announcedAt }) => ({
+      .map(({ box, address, announcedAt, cores, linkMbps }) => ({
         box,
         announcedAt,
+        cores,
+        linkMbps,
         client: this.readClient(box, address),
       }));
   }
@@ -36,21 +40,21 @@
   }
 
   /**
-   * A box that says it can use the log: of the stronger ones if there is any, else of those as strong, else of all others; undefined
-   * when none does. A weak box that leads a large fleet is missed as silent (0.32 cores, 380 endpoints: within 1.5 s).
+   * A box that says it can use the log: of the stronger ones if there is any, else of those as strong, else the strongest of all others;
+   * undefined when none does. A weak box that leads a large fleet falls behind with its heartbeats and is replaced again.
    */
   async startChoosingLogUser(): Promise<BoxClient | undefined> {
-    const peers = this.directory.readPeers(this.own.cores);
+    const peers = this.directory.readPeers(this.own);
     return (
       (await this.startChoosingStronger()) ??
       (await this.startChoosingAmong(peers)) ??
-      this.startChoosing(this.readOthers())
+      this.startChoosingStrongest(this.readOthers())
     );
   }
 
   /** A box that is stronger than this one and says it can use the log; undefined when none does. */
   startChoosingStronger(): Promise<BoxClient | undefined> {
-    return this.startChoosingAmong(this.directory.readStronger(this.own.cores));
+    return this.startChoosingAmong(this.directory.readStronger(this.own));
   }
 
   private startChoosingAmong(boxes: readonly { readonly box: string }[]): Promise<BoxClient | undefined> {
@@ -70,6 +74,14 @@
     });
   }
 
+  /** The strongest of some boxes that say they can use the log. All are waited for, which their short time limit bounds. */
+  private async startChoosingStrongest(boxes: readonly OtherBox[]): Promise<BoxClient | undefined> {
+    const uses = await Promise.all(boxes.map(({ client }) => client.sendLogQuestion()));
+    const usable = boxes.filter((_box, index) => uses[index] === 'usable');
+    const ranked = usable.sort((left, right) => measureStrength(right) - measureStrength(left));
+    return ranked[0]?.client;
+  }
+
   private readClient(box: string, address: string): BoxClient {
     const known = this.clients.get(box);
     if (known?.address === address) {
--- a/packages/boxes/BoxDirectory.ts
+++ b/packages/boxes/BoxDirectory.ts
@@ -1,18 +1,23 @@
 import { z } from 'zod';
 import { parseJson } from '../common/parseJson';
 import type { LogRecord } from '../store/LogRecord';
+import type { BoxPower } from './BoxPower';
+import { measureStrength } from './measureStrength';
 
 const KEY_PREFIX = 'b/';
-const recordSchema = z.object({ address: z.string(), cores: z.number() });
-/** A box with so many times the cores of another is the stronger one. */
+/** Boxes of earlier versions do not tell their link. */
+const recordSchema = z.object({
+  address: z.string(),
+  cores: z.number(),
+  linkMbps: z.number().positive().default(Infinity),
+});
+/** A box with so many times the strength of another is the stronger one. */
 const STRONGER_RATIO = 1.5;
 
-interface KnownBox {
+interface KnownBox extends BoxPower {
   readonly box: string;
   /** Host and port for calls between boxes. */
   readonly address: string;
-  /** Processor cores that it may use. */
-  readonly cores: number;
   /** Monotonic time at which its newest announcement was read; -Infinity where it has only told of itself by a call. */
   readonly announcedAt: number;
 }
@@ -26,8 +31,8 @@
     return `${KEY_PREFIX}${box}`;
   }
 
-  static formatRecord(address: string, cores: number): string {
-    return JSON.stringify({ address, cores });
+  static formatRecord(address: string, { cores, linkMbps }: BoxPower): string {
+    return JSON.stringify({ address, cores, linkMbps });
   }
 
   /** Takes in what was read of the topic of jobs at a monotonic time. */
@@ -47,22 +52,24 @@
   }
 
   /** A box has told by a call where it is. */
-  recordBox(box: string, address: string, cores: number): void {
+  recordBox(box: string, address: string, { cores, linkMbps }: BoxPower): void {
     const announcedAt = this.boxes.get(box)?.announcedAt ?? -Infinity;
-    this.boxes.set(box, { box, address, cores, announcedAt });
+    this.boxes.set(box, { box, address, cores, linkMbps, announcedAt });
   }
 
   readBoxes(): readonly KnownBox[] {
     return [...this.boxes.values()];
   }
 
-  /** Boxes that are not clearly weaker than one with `cores`. */
-  readPeers(cores: number): readonly KnownBox[] {
-    return this.readBoxes().filter((box) => box.cores * STRONGER_RATIO > cores);
+  /** Boxes that are not clearly weaker than one with such power. */
+  readPeers(own: BoxPower): readonly KnownBox[] {
+    const strength = measureStrength(own);
+    return this.readBoxes().filter((box) => measureStrength(box) * STRONGER_RATIO > strength);
   }
 
-  /** Boxes with so much more processor that they should lead rather than one with `cores`. */
-  readStronger(cores: number): readonly KnownBox[] {
-    return this.readBoxes().filter((box) => box.cores >= cores * STRONGER_RATIO);
+  /** Boxes that can bear so much more that they should lead rather than one with such power. */
+  readStronger(own: BoxPower): readonly KnownBox[] {
+    const strength = measureStrength(own);
+    return this.readBoxes().filter((box) => measureStrength(box) >= strength * STRONGER_RATIO);
   }
 }
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -63,7 +63,11 @@
 });
 const writeSchema = z.object({ key: z.string(), value: z.string(), timeoutMs: z.number().positive() });
 const configurationQuestionSchema = z.object({ knownVersion: z.number() });
-const introductionSchema = leaderRecordSchema.extend({ address: z.string(), cores: z.number() });
+const introductionSchema = leaderRecordSchema.extend({
+  address: z.string(),
+  cores: z.number(),
+  linkMbps: z.number().positive().default(Infinity),
+});
 const handOverSchema = z.object({ epoch: z.number() });
 
 const readBody = ({ body }: FastifyRequest): unknown =>
@@ -107,8 +111,8 @@
       if (!parsed.success) {
         return reply.code(400).send({ error: 'malformed introduction' });
       }
-      const { address, cores, ...record } = parsed.data;
-      options.handleIntroduction({ record, address, cores });
+      const { address, cores, linkMbps, ...record } = parsed.data;
+      options.handleIntroduction({ record, address, cores, linkMbps });
       return reply.send({});
     });
     this.app.post('/hand-over', (request, reply) => {
--- a/packages/serve/LeaderHandOver.ts
+++ b/packages/serve/LeaderHandOver.ts
@@ -63,7 +63,7 @@
       return;
     }
     const isSettled = clock.readNow() - this.leadingSince > SETTLED_MS;
-    if (isSettled && directory.readStronger(settings.cores).length > 0) {
+    if (isSettled && directory.readStronger(settings).length > 0) {
       this.startOnce(() => this.startLeavingToStronger());
     }
   }
--- a/packages/serve/OtherBoxes.ts
+++ b/packages/serve/OtherBoxes.ts
@@ -48,8 +48,9 @@
 
   /** The record by which other boxes learn where this one can be called. */
   createAnnouncement(): LogWrite {
-    const { box, internal, cores } = this.options.settings;
-    return { key: BoxDirectory.toKey(box), value: BoxDirectory.formatRecord(internal, cores) };
+    const { settings } = this.options;
+    const value = BoxDirectory.formatRecord(settings.internal, settings);
+    return { key: BoxDirectory.toKey(settings.box), value };
   }
 
   /** Writes the announcement until the log has taken it. */
@@ -71,8 +72,8 @@
   }
 
   /** Another box says that it leads: now this one knows where it can be called. */
-  recordIntroduction({ record, address, cores }: LeaderIntroduction): void {
-    this.directory.recordBox(record.box, address, cores);
+  recordIntroduction({ record, address, cores, linkMbps }: LeaderIntroduction): void {
+    this.directory.recordBox(record.box, address, { cores, linkMbps });
   }
 
   readLeaderContact(): LeaderContact {
@@ -101,6 +102,7 @@
     const { settings, process, readLeader, isLeading } = this.options;
     const record = readLeader();
     const isOwn = record?.process === process;
-    return isOwn && isLeading() ? { record, address: settings.internal, cores: settings.cores } : undefined;
+    const { internal, cores, linkMbps } = settings;
+    return isOwn && isLeading() ? { record, address: internal, cores, linkMbps } : undefined;
   }
 }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -112,7 +112,7 @@
       clock,
       random,
       logger: options.createPartLogger('leadership'),
-      isOutranked: () => this.others.directory.readStronger(settings.cores).length > 0,
+      isOutranked: () => this.others.directory.readStronger(settings).length > 0,
       handleElected: (election) => this.startLeading(election),
     });
     this.configuration = this.createConfigurationDesk();
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -8,8 +8,10 @@
 export interface ServeSettings {
   readonly box: string;
   readonly hall: string;
-  /** Processor cores that the box may use; the box with most should lead. */
+  /** Processor cores that the box may use; with its link they say how well it can lead. */
   readonly cores: number;
+  /** Bandwidth of the box's link in Mbit/s. */
+  readonly linkMbps: number;
   /** Host and port for callers. */
   readonly front: string;
   /** Host and port for the balancer's question. */
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -1,4 +1,7 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { describe, expect, it } from 'vitest';
+import { BoxClients } from '../packages/boxes/BoxClients';
 import { BoxDirectory } from '../packages/boxes/BoxDirectory';
 import { Leadership } from '../packages/leadership/Leadership';
 import { leaderKeys } from '../packages/leadership/leaderKeys';
@@ -117,6 +120,15 @@
   });
 });
 
+/** A box that says it can use the log, whatever it is asked, after a time. */
+const startUsableBox = async (
+  delayMs: number,
+): Promise<{ readonly server: Server; readonly address: string }> => {
+  const server = createServer((_request, response) => void setTimeout(() => response.end(), delayMs));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+};
+
 describe('the boxes that may lead next', () => {
   it('are first those not clearly weaker', () => {
     const directory = new BoxDirectory();
@@ -125,11 +137,64 @@
       Object.entries(cores).map(([box, value], offset) => ({
         offset,
         key: BoxDirectory.toKey(box),
-        value: BoxDirectory.formatRecord(`${box}:80`, value),
+        value: BoxDirectory.formatRecord(`${box}:80`, { cores: value, linkMbps: 1000 }),
+      })),
+    );
+    expect(directory.readPeers({ cores: 1.35, linkMbps: 1000 }).map(({ box }) => box)).toEqual([
+      'strong',
+      'similar',
+    ]);
+    expect(directory.readPeers({ cores: 0.3, linkMbps: 1000 })).toHaveLength(3);
+  });
+
+  const createUnlikeBoxes = (): BoxDirectory => {
+    const directory = new BoxDirectory();
+    const powers = {
+      wide: { cores: 1.35, linkMbps: 140 },
+      narrow: { cores: 0.81, linkMbps: 7 },
+      small: { cores: 0.243, linkMbps: 7 },
+    };
+    directory.foldRecords(
+      Object.entries(powers).map(([box, power], offset) => ({
+        offset,
+        key: BoxDirectory.toKey(box),
+        value: BoxDirectory.formatRecord(`${box}:80`, power),
       })),
     );
-    expect(directory.readPeers(1.35).map(({ box }) => box)).toEqual(['strong', 'similar']);
-    expect(directory.readPeers(0.3)).toHaveLength(3);
+    return directory;
+  };
+
+  it('are not those whose link is narrow, however many cores they have', () => {
+    const directory = createUnlikeBoxes();
+    expect(directory.readPeers({ cores: 1.35, linkMbps: 140 }).map(({ box }) => box)).toEqual(['wide']);
+    expect(directory.readStronger({ cores: 0.81, linkMbps: 7 }).map(({ box }) => box)).toEqual(['wide']);
+    expect(directory.readStronger({ cores: 1.35, linkMbps: 140 })).toEqual([]);
+  });
+
+  it('tell by their cores alone where an earlier version announced them', () => {
+    const directory = new BoxDirectory();
+    const value = JSON.stringify({ address: 'old:80', cores: 0.81 });
+    directory.foldRecords([{ offset: 0, key: BoxDirectory.toKey('old'), value }]);
+    expect(directory.readStronger({ cores: 0.5, linkMbps: 1000 }).map(({ box }) => box)).toEqual(['old']);
+  });
+
+  it('are the strongest that the log serves, when it serves none as strong as the one that asks', async () => {
+    const directory = createUnlikeBoxes();
+    const asked: Server[] = [];
+    const boxes = [
+      { box: 'small', cores: 0.243, delayMs: 0 },
+      { box: 'narrow', cores: 0.81, delayMs: 50 },
+    ];
+    for (const { box, cores, delayMs } of boxes) {
+      const { server, address } = await startUsableBox(delayMs);
+      asked.push(server);
+      directory.recordBox(box, address, { cores, linkMbps: 7 });
+    }
+    const clients = new BoxClients(directory, { box: 'wide', cores: 1.35, linkMbps: 140 });
+    const chosen = await clients.startChoosingLogUser();
+    expect(chosen?.address).toBe(directory.readBoxes().find(({ box }) => box === 'narrow')!.address);
+    await Promise.all(clients.readOthers().map(({ client }) => client.stop()));
+    asked.forEach((server) => server.close());
   });
 });
 
