A start with no answer in time is asked about before it is stopped; the time limit of orders counts answers that do not come

Its time limit followed the answers that came within it alone, 120 to 240 ms, and so struck ever sooner. Change: such a run is looked at once; a look that lists it settles it, one that was sent later and does not list it, or 300 ms without any, stops it as before. An answer that does not come counts as one that took twice the limit, as TCP doubles its limit. Tests: unansweredStarts (three of four fail without the change; the last resort was there before); dispatch, makingRoom, customerLimits, turnedDownStarts, heldStarts, lives, crashCharges pass.

--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -411,6 +411,9 @@
       case 'stop':
         void this.sendStop(effect);
         return;
+      case 'look':
+        void this.endpoints.readSession(effect.endpoint)?.startExtraLook();
+        return;
       case 'advise':
         this.options.recordCount('questions');
         void this.desk.sendQuestion(effect);
@@ -455,7 +458,9 @@
       // The life is over, and what became of its orders is for the next one to show; that turns them down without another leader.
       return;
     }
-    if (answer.kind !== 'unanswered') {
+    if (answer.kind === 'unanswered') {
+      this.orderTimeout.recordUnanswered(now - sentAt);
+    } else {
       this.orderTimeout.recordAnswer(now - sentAt);
     }
     recordTime('startMs', now - sentAt);
--- a/packages/dispatch/endpoints/AnswerTimeout.ts
+++ b/packages/dispatch/endpoints/AnswerTimeout.ts
@@ -2,6 +2,8 @@
 const MEAN_WEIGHT = 1 / 8;
 const DEVIATION_WEIGHT = 1 / 4;
 const DEVIATION_FACTOR = 4;
+/** An answer that did not come within the limit counts as one that took so many times as long, since a full link makes all answers late. */
+const UNANSWERED_FACTOR = 2;
 /** Bounds in milliseconds. The lower one is far above an answer within a region, the upper one holds until answers are known. */
 const MIN_MS = 120;
 const MAX_MS = 500;
@@ -24,6 +26,11 @@
     this.meanMs += MEAN_WEIGHT * (tookMs - this.meanMs);
   }
 
+  /** No answer came in a time: without it the limit would follow the quick answers alone, and strike ever sooner. */
+  recordUnanswered(waitedMs: number): void {
+    this.recordAnswer(waitedMs * UNANSWERED_FACTOR);
+  }
+
   /** Time to wait, in milliseconds. */
   readTimeoutMs(): number {
     if (this.meanMs === undefined) {
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -87,6 +87,7 @@
     if (run.stage === 'ordered' || run.stage === 'unconfirmed') {
       run.stage = 'running';
       run.confirmedAt = now;
+      run.unansweredAt = undefined;
     }
     this.checkCarried(run, now);
     run.isListed = true;
@@ -142,8 +143,14 @@
     now: number,
   ): void {
     for (const run of [...book.readRuns()]) {
-      if (!listed.has(run) && this.isProvedAbsent(run, sentAt)) {
+      if (listed.has(run)) {
+        continue;
+      }
+      if (this.isProvedAbsent(run, sentAt)) {
         this.recordAbsence(book, run, now);
+      } else if (run.stage === 'ordered' && sentAt >= (run.unansweredAt ?? Infinity)) {
+        // Its order is lost, or still on its way: only a stop shuts it out.
+        this.options.ledger.sendStop(book, run);
       }
     }
   }
--- a/packages/dispatch/runs/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -46,6 +46,8 @@
   recordedAt: number;
   /** Monotonic time at which the endpoint's answer to the start came. */
   confirmedAt: number;
+  /** Monotonic time at which the time limit of its order passed without an answer; undefined otherwise. */
+  unansweredAt: number | undefined;
   /** Monotonic time from which the next repetition of the stop counts; undefined before the first check. */
   stopSentAt: number | undefined;
   /** The stop was sent again. */
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -18,6 +18,8 @@
 
 /** A stop without an answer is sent again after so long: beyond the usual time limit of one, and its task waits for it. */
 const FIRST_STOP_RETRY_MS = 200;
+/** A run whose order had no answer is stopped after so long, unless a look has listed it before. */
+const UNANSWERED_STOP_MS = 300;
 /** Between later ones, beyond the longer time limit that these have: the endpoint may be slow. */
 const STOP_RETRY_MS = 600;
 
@@ -136,8 +138,13 @@
     this.sendStopOrder(book, run);
   }
 
+  /** Repeats stops that had no answer, and stops what no look has shown since its order had none. */
   sendStopsAgain(book: EndpointBook, now: number): void {
     for (const run of book.readRuns()) {
+      if (run.stage === 'ordered' && now - (run.unansweredAt ?? now) >= UNANSWERED_STOP_MS) {
+        this.sendStop(book, run);
+        continue;
+      }
       if (run.stage !== 'stopping' || run.stopAnsweredAt !== undefined) {
         continue;
       }
@@ -151,6 +158,11 @@
     }
   }
 
+  /** Has the endpoint looked at now: something that it must show is waited for. */
+  sendLook(book: EndpointBook): void {
+    this.sinks.sendEffect({ kind: 'look', endpoint: book.readProfile().life });
+  }
+
   private sendStopOrder(book: EndpointBook, run: PlacedRun): void {
     const { task, run: number, isStopRepeated: isRepeated } = run;
     this.sinks.sendEffect({ kind: 'stop', endpoint: book.readProfile().life, task, run: number, isRepeated });
--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -135,7 +135,9 @@
         book.recordOutcome(true, now);
         // Nothing more goes there until a look is answered: on an endpoint that is cut off each start would wait for its lease.
         book.recordSilence(now);
-        ledger.sendStop(book, run);
+        // It may work there, and only its answer be late: a look tells, where a stop would throw its work away.
+        run.unansweredAt = now;
+        ledger.sendLook(book);
         return;
       case 'gone':
         handleGone(id, now);
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -37,6 +37,7 @@
     placedAt: now,
     recordedAt: now,
     confirmedAt: now,
+    unansweredAt: undefined,
     stopSentAt: undefined,
     isStopRepeated: false,
     stopAnsweredAt: undefined,
--- a/packages/dispatch/runs/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -24,6 +24,7 @@
   placedAt: now,
   recordedAt: now,
   confirmedAt: now,
+  unansweredAt: undefined,
   stopSentAt: undefined,
   isStopRepeated: false,
   stopAnsweredAt: undefined,
