A planned stop ends connections that were upgraded while it stopped

A server waits for every connection; Node's list of them leaves upgraded ones out, so a peer that joins between the end of the known links and the close holds the stop for ever: shown by the new test (times out without the change). Change: servers keep a list of their own; what is left after a second is ended.

--- a/packages/gateway/stopApp.ts
+++ b/packages/gateway/stopApp.ts
@@ -1,14 +1,15 @@
 import type { FastifyInstance } from 'fastify';
+import { openSockets } from './openSockets';
 
 /** Answers that were complete when the server was told to stop have left by then. */
 const SILENT_LIMIT_MS = 1000;
 
 /**
- * Stops a server whose work is done. A connection on which nothing has been asked yet counts as busy until the time limit for headers: one
- * planned stop in 60 waited for it, 60 s, with callers that keep connections ready and 12 busy processes beside it. It is closed instead.
+ * Stops a server whose work is done. Connections that are left after a second are ended: one on which nothing has been asked yet would be
+ * waited for until the time limit for headers, and one that was upgraded meanwhile for ever.
  */
 export const stopApp = async (app: FastifyInstance): Promise<void> => {
-  const timer = setTimeout(() => app.server.closeAllConnections(), SILENT_LIMIT_MS);
+  const timer = setTimeout(() => openSockets.stopAll(app.server), SILENT_LIMIT_MS);
   await app.close();
   clearTimeout(timer);
 };
--- a/tests/stopApp.test.ts
+++ b/tests/stopApp.test.ts
@@ -17,3 +17,23 @@
     socket.destroy();
   });
 });
+
+describe('a server whose connections were upgraded', () => {
+  it('does not wait for one that came while it stopped', async () => {
+    const app = createBufferApp(1000);
+    app.server.on('upgrade', (_request, socket) => {
+      socket.write('HTTP/1.1 101 Switching Protocols\r\nUpgrade: raw\r\nConnection: Upgrade\r\n\r\n');
+    });
+    await app.listen({ host: '127.0.0.1', port: 0 });
+    const { port } = app.server.address() as AddressInfo;
+    const socket = connect({ host: '127.0.0.1', port });
+    socket.on('error', () => undefined);
+    await new Promise((resolve) => socket.once('connect', resolve));
+    socket.write('GET / HTTP/1.1\r\nHost: box\r\nUpgrade: raw\r\nConnection: Upgrade\r\n\r\n');
+    await new Promise((resolve) => socket.once('data', resolve));
+    const startedAt = performance.now();
+    await stopApp(app);
+    expect(performance.now() - startedAt).toBeLessThan(3000);
+    socket.destroy();
+  });
+});
