--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -7,19 +7,14 @@
 import type { Logger } from '../common/Logger';
 import { systemClock } from '../common/systemClock';
 import { toErrorText } from '../common/toErrorText';
-import { dispatchDefaults } from '../dispatch/dispatchDefaults';
-import { placementOrders } from '../dispatch/waiting/placementOrders';
-import type { ConfigurationSource } from '../serve/ConfigurationSource';
-import { configurationSources } from '../serve/configurationSources';
-import { hallChoices } from '../dispatch/placing/hallChoices';
-import { speedChoices } from '../dispatch/placing/speedChoices';
-import type { JobWriting } from '../serve/JobWriting';
-import { jobWritings } from '../serve/jobWritings';
 import { ServeProcess } from '../serve/ServeProcess';
 import { DecisionLog } from '../sight/DecisionLog';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
-import { parseChoice } from './parseChoice';
+import { formatWayHelp } from './formatWayHelp';
+import { readWays } from './readWays';
+import type { WayOption } from './WayOption';
+import { wayOptions } from './wayOptions';
 import { writeError } from './writeError';
 
 const LOG_LINES_PER_SECOND = 400;
@@ -35,33 +30,19 @@
     process.on('SIGHUP', () => serve.handleReload());
   });
 
-const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
-const DEFAULT_WRITING: JobWriting = 'leader';
-
-/** Tells what an option may be. */
-const writeChoiceError = (option: string, table: Readonly<Record<string, unknown>>): void =>
-  writeError(`--${option}: expected ${Object.keys(table).join(' or ')}.`);
+const WAYS: readonly WayOption<string>[] = Object.values<WayOption<string>>(wayOptions);
 
 /** `stairline serve`: one entry process on the platform. */
 export const serveCommand: Command = {
   name: 'serve',
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
-  usage:
-    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together]',
+  usage: `[--settings FILE] ${WAYS.map(({ name }) => `[--${name} NAME]`).join(' ')}`,
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
-    order: {
-      type: 'string',
-      help: `order of placement within a priority: ${Object.keys(placementOrders).join(', ')}`,
-    },
-    halls: { type: 'string', help: 'over which halls the tasks of a job go: spread, or together (default)' },
-    speeds: { type: 'string', help: 'how the speed of kinds of endpoints counts: blind, or kinds (default)' },
-    writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
-    configuration: {
-      type: 'string',
-      help: 'where new versions of the configuration come from while the log is out: log alone, or other boxes (default)',
-    },
+    ...Object.fromEntries(
+      WAYS.map((way) => [way.name, { type: 'string', help: formatWayHelp(way) } as const]),
+    ),
   },
   start: async (input) => {
     const file = input.values['settings'] ?? process.env[wireNames.settingsVariable];
@@ -74,33 +55,9 @@
       settings.error.forEach((problem) => writeError(`Settings: ${problem}`));
       return exitCodes.usage;
     }
-    const source = parseChoice(configurationSources, input.values['configuration'], DEFAULT_SOURCE);
-    const order = parseChoice(placementOrders, input.values['order'], dispatchDefaults.placementOrder);
-    const writing = parseChoice(jobWritings, input.values['writing'], DEFAULT_WRITING);
-    if (source === undefined) {
-      writeChoiceError('configuration', configurationSources);
-    }
-    if (order === undefined) {
-      writeChoiceError('order', placementOrders);
-    }
-    if (writing === undefined) {
-      writeChoiceError('writing', jobWritings);
-    }
-    const halls = parseChoice(hallChoices, input.values['halls'], dispatchDefaults.hallChoice);
-    if (halls === undefined) {
-      writeChoiceError('halls', hallChoices);
-    }
-    const speeds = parseChoice(speedChoices, input.values['speeds'], dispatchDefaults.speedChoice);
-    if (speeds === undefined) {
-      writeChoiceError('speeds', speedChoices);
-    }
-    if (
-      source === undefined ||
-      order === undefined ||
-      writing === undefined ||
-      speeds === undefined ||
-      halls === undefined
-    ) {
+    const ways = readWays(input.values);
+    if (!ways.ok) {
+      ways.error.forEach(writeError);
       return exitCodes.usage;
     }
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
@@ -116,14 +73,7 @@
     const createPartLogger = (part: string): Logger => decisionLog.createPartLogger(part);
     const clock = createMachineClock(createPartLogger('clock'));
     const serve = new ServeProcess({
-      settings: {
-        ...settings.value,
-        configurationSource: source,
-        placementOrder: order,
-        jobWriting: writing,
-        speedChoice: speeds,
-        hallChoice: halls,
-      },
+      settings: { ...settings.value, ...ways.value },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
       random: createRandom(randomBytes(4).readUInt32LE()),
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,11 +1,7 @@
-import type { HallChoice } from '../dispatch/placing/HallChoice';
-import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
-import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
-import type { ConfigurationSource } from './ConfigurationSource';
-import type { JobWriting } from './JobWriting';
+import type { ServeWays } from './ServeWays';
 
 /** What one entry process needs to know at its start. */
-export interface ServeSettings {
+export interface ServeSettings extends ServeWays {
   readonly box: string;
   readonly hall: string;
   /** Processor cores that the box may use; with its link they say how well it can lead. */
@@ -22,16 +18,6 @@
   readonly log: string;
   /** Host and port of the advice service; empty where there is none. */
   readonly advice: string;
-  /** Who appends the records of jobs that this box takes in. */
-  readonly jobWriting: JobWriting;
-  /** In which order the leader places what waits. */
-  readonly placementOrder: PlacementOrder;
-  /** How the speed of endpoints' kinds counts when they are chosen. */
-  readonly speedChoice: SpeedChoice;
-  /** Over which halls the tasks of a job go. */
-  readonly hallChoice: HallChoice;
-  /** Where the box hears of new versions of the configuration. */
-  readonly configurationSource: ConfigurationSource;
   /**
    * Milliseconds for which a key still works after this box last knew the newest configuration; undefined when keys go on working
    * however old it is.
--- /dev/null
+++ b/packages/serve/ServeWays.ts
@@ -0,0 +1,19 @@
+import type { HallChoice } from '../dispatch/placing/HallChoice';
+import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
+import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
+import type { ConfigurationSource } from './ConfigurationSource';
+import type { JobWriting } from './JobWriting';
+
+/** The ways of deciding of one entry process, each chosen from a table. All boxes of a deployment should have the same. */
+export interface ServeWays {
+  /** Who appends the records of jobs that this box takes in. */
+  readonly jobWriting: JobWriting;
+  /** In which order the leader places what waits. */
+  readonly placementOrder: PlacementOrder;
+  /** How the speed of endpoints counts when they are chosen. */
+  readonly speedChoice: SpeedChoice;
+  /** Over which halls the tasks of a job go. */
+  readonly hallChoice: HallChoice;
+  /** Where the box hears of new versions of the configuration. */
+  readonly configurationSource: ConfigurationSource;
+}
