--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -202,7 +202,8 @@
     return this.newestBirthMs;
   }
 
-  writeExecutor(id: string, address: string, state: 'ready' | 'draining'): void {
+  /** `remainingMs` is how long a draining one stays at least. */
+  writeExecutor(id: string, address: string, state: 'ready' | 'draining', remainingMs?: number): void {
     const { roomPerExecutor } = this.options;
     const bornAtMs = this.executors.find((executor) => executor.id === id)?.bornAtMs;
     this.log.writeRecord('keyed.servers', id, {
@@ -221,6 +222,7 @@
       labels: ['a', 'r1-1'],
       'call-seq': 1,
       ...(bornAtMs === undefined ? {} : { born: bornAtMs }),
+      ...(remainingMs === undefined ? {} : { 'remaining-ms': remainingMs }),
     });
   }
 
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -7,6 +7,8 @@
   private readonly underWay = new Set<Promise<void>>();
   private readonly busyBoxes = new Set<string>();
   private version = 1;
+  /** Callers send many times as much as usual: more than there is room for. */
+  isBursting = false;
 
   constructor(
     readonly cell: Cell,
--- a/dev/soak/soakTroubles.ts
+++ b/dev/soak/soakTroubles.ts
@@ -9,6 +9,8 @@
 const DOWN_MS = 2500;
 const FAULT_MS = 3000;
 const SLOW_LOG_MS = 60;
+const SHORT_NOTICE_MS = 1000;
+const BURST_MS = 1500;
 /** After it a process that a signal has ended is gone. */
 const SETTLE_MS = 200;
 
@@ -75,6 +77,21 @@
   returnWithLateRecord: (world) => startReturn(world, world.chooseUpTo(200), world.chooseUpTo(2000)),
   silentExecutor: (world) => startExecutorFault(world, 'silent'),
   lateStarts: (world) => startExecutorFault(world, 'lateStarts'),
+  lateAnswers: (world) => startExecutorFault(world, 'lateAnswers'),
+  slowExecutor: (world) => startExecutorFault(world, 'slow'),
+  leaveAtShortNotice: async (world) => {
+    const executor = world.chooseExecutor();
+    if (executor !== undefined) {
+      world.cell.writeExecutor(executor.id, executor.address, 'draining', SHORT_NOTICE_MS);
+      await startDelay(SHORT_NOTICE_MS);
+      await world.cell.startExecutorAgain(executor.id, { downMs: world.chooseUpTo(DOWN_MS) });
+    }
+  },
+  burst: async (world) => {
+    world.isBursting = true;
+    await startDelay(BURST_MS);
+    world.isBursting = false;
+  },
   silentConnections: async (world) => {
     world.chooseExecutor()?.standin.applySilence();
     await startDelay(0);
--- a/dev/soak/startSoak.ts
+++ b/dev/soak/startSoak.ts
@@ -26,6 +26,7 @@
 
 const ROOM = 4;
 const JOB_EVERY_MS = 150;
+const BURST_JOB_EVERY_MS = 25;
 const TROUBLE_EVERY_MS = 400;
 const HARMFUL_SHARE = 0.03;
 const END_MS = 40_000;
@@ -80,7 +81,7 @@
     };
     jobs.push(job);
     sending.push(sendJob(world, job));
-    await startDelay(JOB_EVERY_MS);
+    await startDelay(world.isBursting ? BURST_JOB_EVERY_MS : JOB_EVERY_MS);
   }
   await Promise.all(sending);
   return jobs;
--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -34,6 +34,9 @@
 type Handler = (body: OrderWire, response: ServerResponse) => Promise<void> | void;
 
 const LATE_START_MS = 1500;
+/** Beyond the longest time limit of an order. */
+const LATE_ANSWER_MS = 700;
+const SLOW_FACTOR = 4;
 const LASTING = 'lasts';
 const CRASHING = 'crashes';
 const CRASH_AFTER_MS = 10;
@@ -151,7 +154,13 @@
       return;
     }
     const reason = this.startRun(body);
-    this.sendAnswer(response, reason === undefined ? 200 : 409, reason === undefined ? {} : { reason });
+    const sendAnswer = (): void =>
+      this.sendAnswer(response, reason === undefined ? 200 : 409, reason === undefined ? {} : { reason });
+    if (this.fault === 'lateAnswers') {
+      setTimeout(sendAnswer, LATE_ANSWER_MS);
+    } else {
+      sendAnswer();
+    }
   }
 
   /** Starts a run; gives the reason when it does not. */
@@ -182,7 +191,7 @@
       setTimeout(() => this.handleCrash(), CRASH_AFTER_MS);
     }
     const isEndless = spec === LASTING || spec === CRASHING || this.fault === 'hanging';
-    const runMs = isEndless ? Infinity : Number(spec);
+    const runMs = isEndless ? Infinity : Number(spec) * (this.fault === 'slow' ? SLOW_FACTOR : 1);
     const how = this.fault === 'failing' ? 'failed' : 'done';
     const timer = runMs === Infinity ? undefined : setTimeout(() => this.recordEnd(task, how), runMs);
     this.runs.set(task, { task, run, spec, startedAt: this.readClock(), runMs, timer });
