Stops: work lost is counted by cause; an unanswered start is looked for before it is stopped; stops for others and moves by price (--stops priced)

Neither endpoints nor links were at fault: nearly all endpoints answered their looks meanwhile. With priced a look comes first, and only a run that it does not show is stopped. The default stays ranked, whose decisions are as before.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -12,6 +12,7 @@
 import type { ConfigurationSource } from '../serve/ConfigurationSource';
 import { configurationSources } from '../serve/configurationSources';
 import { hallChoices } from '../dispatch/placing/hallChoices';
+import { stopChoices } from '../dispatch/stops/stopChoices';
 import { speedChoices } from '../dispatch/placing/speedChoices';
 import type { JobWriting } from '../serve/JobWriting';
 import { jobWritings } from '../serve/jobWritings';
@@ -45,7 +46,7 @@
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
   usage:
-    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together]',
+    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together] [--stops ranked|priced]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
     order: {
@@ -54,6 +55,10 @@
     },
     halls: { type: 'string', help: 'over which halls the tasks of a job go: spread, or together (default)' },
     speeds: { type: 'string', help: 'how the speed of kinds of endpoints counts: blind, or kinds (default)' },
+    stops: {
+      type: 'string',
+      help: 'what is stopped for more urgent work, or moved: ranked (default), or priced',
+    },
     writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
     configuration: {
       type: 'string',
@@ -87,6 +92,10 @@
     if (halls === undefined) {
       writeChoiceError('halls', hallChoices);
     }
+    const stops = parseChoice(stopChoices, input.values['stops'], dispatchDefaults.stopChoice);
+    if (stops === undefined) {
+      writeChoiceError('stops', stopChoices);
+    }
     const speeds = parseChoice(speedChoices, input.values['speeds'], dispatchDefaults.speedChoice);
     if (speeds === undefined) {
       writeChoiceError('speeds', speedChoices);
@@ -96,7 +105,8 @@
       order === undefined ||
       writing === undefined ||
       speeds === undefined ||
-      halls === undefined
+      halls === undefined ||
+      stops === undefined
     ) {
       return exitCodes.usage;
     }
@@ -117,6 +127,7 @@
         jobWriting: writing,
         speedChoice: speeds,
         hallChoice: halls,
+        stopChoice: stops,
       },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
--- a/packages/dispatch/DispatchCount.ts
+++ b/packages/dispatch/DispatchCount.ts
@@ -1,3 +1,5 @@
+import type { LossCount } from './stops/LossCount';
+
 /**
  * What the dispatcher counts for the metrics.
  * - `lifeEnds`: lives of endpoints that ended.
@@ -5,5 +7,7 @@
  * - `runsLapsed`: runs whose lease ran out on an endpoint that was silent.
  * - `crashesCharged`: charges of tasks with the end of an endpoint; one end may be charged to several.
  * - `tasksGivenUp`: tasks that are not started any more, since endpoints ended under them.
+ * - the rest: runs that lost work, and core-milliseconds that they lost, by cause.
  */
-export type DispatchCount = 'lifeEnds' | 'runsLost' | 'runsLapsed' | 'crashesCharged' | 'tasksGivenUp';
+export type DispatchCount =
+  'lifeEnds' | 'runsLost' | 'runsLapsed' | 'crashesCharged' | 'tasksGivenUp' | LossCount;
--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -26,6 +26,8 @@
       /** The stop was sent before and had no answer. */
       readonly isRepeated: boolean;
     }
+  /** Look at the endpoint now. */
+  | { readonly kind: 'look'; readonly endpoint: EndpointLife }
   | {
       readonly kind: 'advise';
       readonly step: string;
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -6,6 +6,7 @@
 import type { EndpointLife } from '../jobs/EndpointLife';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
+import type { JobStep } from '../jobs/JobStep';
 import type { JobProgress } from '../jobs/JobProgress';
 import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskDemand } from '../jobs/TaskDemand';
@@ -44,6 +45,11 @@
 import { RunOrders } from './runs/RunOrders';
 import type { SpeedChoice } from './placing/SpeedChoice';
 import { EndpointPreference } from './placing/EndpointPreference';
+import type { RunTimeEstimate } from './speeds/RunTimeEstimate';
+import type { MoveCandidate } from './stops/MoveCandidate';
+import type { StopChoice } from './stops/StopChoice';
+import { stopChoices } from './stops/stopChoices';
+import type { StopPrice } from './stops/StopPrice';
 import { SuspicionCosts } from './placing/SuspicionCosts';
 import { StepPlacer } from './placing/StepPlacer';
 import { toStepName } from './waiting/toStepName';
@@ -61,6 +67,9 @@
   readonly placementOrder?: PlacementOrder;
   readonly speedChoice?: SpeedChoice;
   readonly hallChoice?: HallChoice;
+  readonly stopChoice?: StopChoice;
+  /** How long a task of a queue's step runs, as far as is known. */
+  readonly readRunTime?: (queue: string, shape: JobStep) => RunTimeEstimate;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -90,6 +99,7 @@
   private readonly questions: AdviceQuestions;
   private readonly adviceHistory = new AdviceHistory();
   private readonly mover: RunMover;
+  private readonly preemptor: Preemptor;
   private readonly gangs: GangWatch;
   private readonly crashes: CrashLedger;
   /** True when something has happened since the last round that may let work start. */
@@ -117,11 +127,14 @@
     });
     const { reservations } = this;
     this.room = new RoomView(this.books, reservations);
-    const preemptor = new Preemptor({
+    const stops = stopChoices[options.stopChoice ?? dispatchDefaults.stopChoice];
+    this.preemptor = new Preemptor({
       jobs: this.jobs,
       reservations,
-      handlePreempted: (book, run, step) => this.handlePreempted(book, run, step),
+      room: stops.room,
+      handlePreempted: (book, run, step, price) => this.handlePreempted(book, run, step, price),
     });
+    const { preemptor } = this;
     const limits = new LimitView(this.usage, options.readLimit ?? (() => undefined));
     const kinds = new KindSpeeds();
     const preference = new EndpointPreference({
@@ -153,12 +166,15 @@
       books: this.books,
       jobs: this.jobs,
       kinds,
-      handleMove: (book, run, reason) => this.handleMove(book, run, reason),
+      stops,
+      readRunTime: options.readRunTime,
+      handleMove: (candidate) => this.handleMove(candidate),
     });
     this.orders = new RunOrders({
       books: this.books,
       jobs: this.jobs,
       ledger: this.ledger,
+      stops,
       handleGone: (life, now) => this.handleLifeOver(life, now),
     });
     this.looks = new LookReader({
@@ -168,7 +184,9 @@
       crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
-    this.gangs = new GangWatch(this.books, this.jobs, (book, run) => this.ledger.sendStop(book, run));
+    this.gangs = new GangWatch(this.books, this.jobs, (book, run) =>
+      this.ledger.sendStop(book, run, 'gangBroken'),
+    );
   }
 
   /** Gives, once, everything to be done since the last call, records before the starts that need them. */
@@ -447,6 +465,7 @@
     this.crashes.applyGivenUp(now, wallMs);
     this.hasNews = false;
     this.room.startRound();
+    this.preemptor.startRound(now, wallMs);
     this.questions.startRound(turns);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
@@ -464,7 +483,7 @@
     }
   }
 
-  private handleMove(book: EndpointBook, run: PlacedRun, reason: string): void {
+  private handleMove({ book, run, reason, gainMs }: MoveCandidate): void {
     const { life: id } = book.readProfile();
     this.jobs.get(run.job)?.recordFailedOn(run.address.time, run.address.step, id);
     this.ledger.sendTell('Run is moved.', {
@@ -474,11 +493,12 @@
       endpoint: id,
       reason,
       percent: run.percent,
+      gainMs: Math.round(gainMs),
     });
-    this.ledger.sendStop(book, run);
+    this.ledger.sendStop(book, run, reason);
   }
 
-  private handlePreempted(book: EndpointBook, run: PlacedRun, step: WaitingStep): void {
+  private handlePreempted(book: EndpointBook, run: PlacedRun, step: WaitingStep, price: StopPrice): void {
     this.ledger.sendTell('Run gives way.', {
       job: run.job,
       task: run.task,
@@ -487,8 +507,9 @@
       percent: run.percent,
       priority: run.priority,
       for: toStepName(step),
+      ...price,
     });
-    this.ledger.sendStop(book, run);
+    this.ledger.sendStop(book, run, 'gaveWay');
   }
 
   private recordInherited(job: LiveJob, address: TaskAddress, task: TaskProgress, now: number): void {
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -2,6 +2,7 @@
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { PlacementOrder } from './waiting/PlacementOrder';
 import type { HallChoice } from './placing/HallChoice';
+import type { StopChoice } from './stops/StopChoice';
 import type { SpeedChoice } from './placing/SpeedChoice';
 import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
@@ -55,6 +56,7 @@
   readonly placementOrder: PlacementOrder;
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
+  readonly stopChoice: StopChoice;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** On failure says what is wrong with the record. */
@@ -142,6 +144,7 @@
       placementOrder: options.placementOrder,
       speedChoice: options.speedChoice,
       hallChoice: options.hallChoice,
+      stopChoice: options.stopChoice,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.journal = new LeaderJournal({
@@ -415,6 +418,9 @@
         this.options.recordCount('questions');
         void this.desk.sendQuestion(effect);
         return;
+      case 'look':
+        void this.endpoints.readSession(effect.endpoint)?.startExtraLook();
+        return;
       case 'count':
         this.options.recordCount(effect.name, effect.amount);
         return;
--- a/packages/dispatch/dispatchDefaults.ts
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -1,4 +1,5 @@
 import type { HallChoice } from './placing/HallChoice';
+import type { StopChoice } from './stops/StopChoice';
 import type { SpeedChoice } from './placing/SpeedChoice';
 import type { PlacementOrder } from './waiting/PlacementOrder';
 
@@ -6,6 +7,7 @@
   readonly placementOrder: PlacementOrder;
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
+  readonly stopChoice: StopChoice;
 }
 
 /** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
@@ -13,4 +15,5 @@
   placementOrder: 'shares',
   speedChoice: 'kinds',
   hallChoice: 'together',
+  stopChoice: 'ranked',
 };
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -73,7 +73,7 @@
     this.options.ledger.recordRunEnd(
       book,
       run,
-      { outcome, cause: 'listed', checkpoint: row.checkpoint },
+      { outcome, cause: 'listed', checkpoint: row.checkpoint, how: row.how },
       now,
     );
     const job = this.options.jobs.get(run.job);
@@ -86,7 +86,9 @@
     const run = book.readRun(row.task, row.run) ?? this.recordStray(book, row, now);
     if (run.stage === 'ordered' || run.stage === 'unconfirmed') {
       run.stage = 'running';
-      run.confirmedAt = now;
+      // A start whose answer was missed began soon after it was sent.
+      run.confirmedAt = run.doubtedAt === undefined ? now : run.recordedAt;
+      run.doubtedAt = undefined;
     }
     this.checkCarried(run, now);
     run.isListed = true;
@@ -102,6 +104,7 @@
     this.options.mover.recordRun(book, run, now);
     if (row.checkpoint !== '' && row.checkpoint !== run.checkpoint) {
       run.checkpoint = row.checkpoint;
+      run.checkpointedAt = now;
       this.options.jobs.get(run.job)?.progress.recordCheckpoint(run.address, row.checkpoint);
     }
     return run;
@@ -125,7 +128,7 @@
       : createStrangeRun(row, now);
     run.stage = 'running';
     book.recordRun(run);
-    this.options.ledger.sendStop(book, run);
+    this.options.ledger.sendStop(book, run, 'notWanted');
     this.options.ledger.sendTell('Stopping a run that is not wanted.', {
       job: run.job,
       task: row.task,
@@ -142,8 +145,14 @@
     now: number,
   ): void {
     for (const run of [...book.readRuns()]) {
-      if (!listed.has(run) && this.isProvedAbsent(run, sentAt)) {
+      if (listed.has(run)) {
+        continue;
+      }
+      if (this.isProvedAbsent(run, sentAt)) {
         this.recordAbsence(book, run, now);
+      } else if (run.doubtedAt !== undefined && run.doubtedAt <= sentAt) {
+        // It is not there, but its order may still arrive: only a stop shuts that out.
+        this.options.ledger.sendStop(book, run, 'unanswered');
       }
     }
   }
--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -2,6 +2,11 @@
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import { demandSums } from '../../jobs/demandSums';
 import type { EndpointBook } from '../endpoints/EndpointBook';
+import { measureOutlook } from '../stops/measureOutlook';
+import { measureRoomWait } from '../stops/measureRoomWait';
+import { measureStopCost } from '../stops/measureStopCost';
+import type { RoomRule } from '../stops/RoomRule';
+import type { StopPrice } from '../stops/StopPrice';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from '../runs/PlacedRun';
 import type { RoomReservations } from './RoomReservations';
@@ -10,7 +15,8 @@
 interface PreemptorOptions {
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly reservations: RoomReservations;
-  readonly handlePreempted: (book: EndpointBook, run: PlacedRun, step: WaitingStep) => void;
+  readonly room: RoomRule;
+  readonly handlePreempted: (book: EndpointBook, run: PlacedRun, step: WaitingStep, price: StopPrice) => void;
 }
 
 /** What is to happen on one endpoint. */
@@ -18,6 +24,10 @@
   /** Room left once the victims have gone and the members chosen so far are there. */
   readonly left: TaskDemand;
   readonly victims: readonly PlacedRun[];
+  /** What the stops count, by the rule. */
+  readonly cost: number;
+  /** Tasks that find room. */
+  readonly count: number;
 }
 
 /** A task is stopped for others at most so often, so that nobody is stopped over and over. */
@@ -33,8 +43,16 @@
  * Stops only what makes a task, or a whole gang, able to start.
  */
 export class Preemptor {
+  /** Wall clock less monotonic time, in milliseconds. */
+  private wallOffsetMs = 0;
+
   constructor(private readonly options: PreemptorOptions) {}
 
+  /** Begins a round of placement. */
+  startRound(now: number, wallMs: number): void {
+    this.wallOffsetMs = wallMs - now;
+  }
+
   /** True when stopping less urgent work would make room on the endpoint for one task of the step. */
   hasRoomWithStops(step: WaitingStep, book: EndpointBook, demand: TaskDemand, now: number): boolean {
     return this.createPlan(step, book, demand, undefined, now) !== undefined;
@@ -51,15 +69,69 @@
     if (victimCount === 0) {
       return;
     }
+    const price = this.measurePrice(step, allowed, plans, now);
+    if (!this.options.room.isWorthStopping(price)) {
+      return;
+    }
     for (const [book, { victims }] of plans) {
       reservations.recordReservation(book.readProfile().life, step, now + KEEP_MS);
       for (const run of victims) {
         this.options.jobs.get(run.job)?.recordPreempted(run.task);
-        handlePreempted(book, run, step);
+        handlePreempted(book, run, step, price);
       }
     }
   }
 
+  private measurePrice(
+    step: WaitingStep,
+    allowed: readonly EndpointBook[],
+    plans: ReadonlyMap<EndpointBook, Plan>,
+    now: number,
+  ): StopPrice {
+    const { demand, estimatedMs, isGang, maxPerEndpoint } = step.shape;
+    const startCount = [...plans.values()].reduce((sum, { count }) => sum + count, 0);
+    const lostCoreMs = [...plans.values()]
+      .flatMap(({ victims }) => victims)
+      .reduce((sum, run) => sum + measureStopCost(this.toStoppable(run, now)), 0);
+    const endpoints = allowed.map((book) => ({
+      free: book.readFree(),
+      holders: [...book.readRuns()].map((run) => ({
+        demand: run.demand,
+        remainingMs: this.readRemainingMs(run, now),
+      })),
+    }));
+    return {
+      lostCoreMs,
+      roomWaitMs: measureRoomWait(
+        endpoints,
+        demand,
+        isGang ? step.indexes.length : startCount,
+        maxPerEndpoint,
+      ),
+      slackMs: step.objectiveAtMs - (now + this.wallOffsetMs) - estimatedMs,
+      waitingCpuMillis: startCount * demand.cpuMillis,
+    };
+  }
+
+  private readRemainingMs(run: PlacedRun, now: number): number {
+    const job = this.options.jobs.get(run.job);
+    const shape = job?.definition.steps[run.address.step];
+    if (job === undefined || shape === undefined || shape.isLongRunning) {
+      return Infinity;
+    }
+    const median = job.readSpeeds(run.address.time, run.address.step).readMedian();
+    return measureOutlook(run, median ?? shape.estimatedMs / WHOLE, now);
+  }
+
+  private toStoppable(run: PlacedRun, now: number): Parameters<RoomRule['measureCost']>[0] {
+    const shape = this.options.jobs.get(run.job)?.definition.steps[run.address.step];
+    return {
+      cpuMillis: run.demand.cpuMillis,
+      workedMs: now - (run.checkpointedAt ?? run.confirmedAt),
+      isSaving: shape?.isCheckpointing === true,
+    };
+  }
+
   /** One plan an endpoint, for as many tasks as find room; none for a gang that would not be whole. */
   private createPlans(
     step: WaitingStep,
@@ -72,7 +144,7 @@
       let bestPlan: Plan | undefined;
       for (const book of allowed) {
         const plan = this.createPlan(step, book, step.shape.demand, plans.get(book), now);
-        if (plan !== undefined && (bestPlan === undefined || plan.victims.length < bestPlan.victims.length)) {
+        if (plan !== undefined && (bestPlan === undefined || plan.cost < bestPlan.cost)) {
           best = book;
           bestPlan = plan;
         }
@@ -94,11 +166,12 @@
     now: number,
   ): Plan | undefined {
     let free = before?.left ?? book.readFree();
-    const victims = [...(before?.victims ?? [])];
+    const earlier = before?.victims ?? [];
+    let added: PlacedRun[] = [];
     if (!demandSums.isWithin(demand, free)) {
       for (const run of this.readCandidates(step, book, now)) {
-        if (!victims.includes(run)) {
-          victims.push(run);
+        if (!earlier.includes(run)) {
+          added.push(run);
           free = demandSums.toSum(free, run.demand);
         }
         if (demandSums.isWithin(demand, free)) {
@@ -106,9 +179,37 @@
         }
       }
     }
-    return demandSums.isWithin(demand, free)
-      ? { left: demandSums.toDifference(free, demand), victims }
-      : undefined;
+    if (!demandSums.isWithin(demand, free)) {
+      return undefined;
+    }
+    if (this.options.room.isTrimming) {
+      ({ added, free } = this.toTrimmed(added, free, demand));
+    }
+    const victims = [...earlier, ...added];
+    const cost = victims.reduce(
+      (sum, run) => sum + this.options.room.measureCost(this.toStoppable(run, now)),
+      0,
+    );
+    const count = (before?.count ?? 0) + 1;
+    return { left: demandSums.toDifference(free, demand), victims, cost, count };
+  }
+
+  /** Leaves out runs that need not go since others, chosen after them, free enough. */
+  private toTrimmed(
+    victims: readonly PlacedRun[],
+    free: TaskDemand,
+    demand: TaskDemand,
+  ): { readonly added: PlacedRun[]; readonly free: TaskDemand } {
+    const added = [...victims];
+    let left = free;
+    for (const run of victims) {
+      const without = demandSums.toDifference(left, run.demand);
+      if (demandSums.isWithin(demand, without)) {
+        added.splice(added.indexOf(run), 1);
+        left = without;
+      }
+    }
+    return { added, free: left };
   }
 
   /** Runs that may be stopped for the step: the least urgent first, and of these those that have done least. */
@@ -126,7 +227,9 @@
       return false;
     }
     const isWhole = shape.isGang || shape.isLongRunning || shape.isFiller;
-    return !isWhole && job.readPreemptions(run.task) < MAX_PREEMPTIONS && !this.isEndingSoon(run, now);
+    const preemptions = job.readPreemptions(run.task);
+    const hasWorked = preemptions === 0 || now - run.confirmedAt >= this.options.room.minWorkMs;
+    return !isWhole && preemptions < MAX_PREEMPTIONS && hasWorked && !this.isEndingSoon(run, now);
   }
 
   private isEndingSoon(run: PlacedRun, now: number): boolean {
--- a/packages/dispatch/runs/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -4,6 +4,7 @@
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskName } from '../../jobs/TaskName';
+import type { StopCause } from '../stops/StopCause';
 
 /**
  * Where a run stands.
@@ -48,6 +49,10 @@
   confirmedAt: number;
   /** Monotonic time from which the next repetition of the stop counts; undefined before the first check. */
   stopSentAt: number | undefined;
+  /** Monotonic time at which its start was given up as unanswered, until a look shows whether it is there; undefined else. */
+  doubtedAt: number | undefined;
+  /** Why it is being stopped; undefined while it is not. */
+  stopCause: StopCause | undefined;
   /** The stop was sent again. */
   isStopRepeated: boolean;
   /** Monotonic time at which the endpoint's answer to a stop came; undefined before. */
@@ -58,4 +63,6 @@
   /** Monotonic time at which `percent` last rose. */
   progressedAt: number;
   checkpoint: string;
+  /** Monotonic time at which `checkpoint` last changed; undefined while this run has kept none. */
+  checkpointedAt: number | undefined;
 }
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -4,6 +4,9 @@
 import type { DispatchCount } from '../DispatchCount';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { EndpointBook } from '../endpoints/EndpointBook';
+import { measureWorkLost } from '../stops/measureWorkLost';
+import { readLossCause } from '../stops/readLossCause';
+import type { StopCause } from '../stops/StopCause';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import type { RunEnd } from './RunEnd';
@@ -34,6 +37,7 @@
     const { outcome, cause, checkpoint } = end;
     book.recordRunEnd(run);
     this.sinks.handleFreed();
+    this.recordLoss(book, run, end, now);
     const job = this.jobs.get(run.job);
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
@@ -56,6 +60,29 @@
     this.checkEmptyBook(book);
   }
 
+  /** Counts the work that a run lost, and tells of it where it is some. */
+  private recordLoss(book: EndpointBook, run: PlacedRun, end: RunEnd, now: number): void {
+    const lostBy = readLossCause(run, end);
+    if (lostBy === undefined) {
+      return;
+    }
+    const lostCoreMs = measureWorkLost(run, end, now);
+    this.sendCount(`runsLostBy.${lostBy}`);
+    this.sendCount(`coreMsLostBy.${lostBy}`, lostCoreMs);
+    if (lostCoreMs > 0) {
+      this.sendTell('Work is lost.', {
+        job: run.job,
+        task: run.task,
+        run: run.run,
+        endpoint: book.readProfile().life,
+        by: lostBy,
+        coreMs: lostCoreMs,
+        percent: run.percent,
+        checkpointAgeMs: run.checkpointedAt === undefined ? undefined : Math.round(now - run.checkpointedAt),
+      });
+    }
+  }
+
   /**
    * Takes a run that was sent to a life which is over into the books of the next one. What was to be stopped is stopped there too; of the rest the
    * next look tells whether it is there.
@@ -118,18 +145,19 @@
     for (const book of this.books.values()) {
       for (const run of [...book.readRuns()]) {
         if (run.job === job.definition.id) {
-          this.sendStop(book, run);
+          this.sendStop(book, run, 'jobEnded');
         }
       }
     }
   }
 
-  sendStop(book: EndpointBook, run: PlacedRun): void {
+  sendStop(book: EndpointBook, run: PlacedRun, cause: StopCause): void {
     // While the record is on its way no order has left; `handleRecorded` frees the room.
     if (run.stage === 'stopping' || run.stage === 'recording') {
       return;
     }
     run.stage = 'stopping';
+    run.stopCause = cause;
     run.stopAnsweredAt = undefined;
     run.stopSentAt = undefined;
     run.isStopRepeated = false;
@@ -156,6 +184,11 @@
     this.sinks.sendEffect({ kind: 'stop', endpoint: book.readProfile().life, task, run: number, isRepeated });
   }
 
+  /** Asks the endpoint for what it runs, beside the looks that come by themselves. */
+  sendLook(book: EndpointBook): void {
+    this.sinks.sendEffect({ kind: 'look', endpoint: book.readProfile().life });
+  }
+
   checkEmptyBook(book: EndpointBook): void {
     if (book.readProfile().address === '' && book.readRunCount() === 0) {
       this.books.delete(book.readProfile().life);
--- a/packages/dispatch/runs/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -5,15 +5,21 @@
 import type { KindSpeeds } from '../placing/KindSpeeds';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
-import { readStraggling } from './readStraggling';
-
-type MoveReason = 'stalled' | 'slow' | 'endpoint leaves';
+import type { RunTimeEstimate } from '../speeds/RunTimeEstimate';
+import { chooseMoves } from '../stops/chooseMoves';
+import type { MoveCandidate } from '../stops/MoveCandidate';
+import type { MoveInput } from '../stops/MoveInput';
+import type { StopCause } from '../stops/StopCause';
+import type { StopRules } from '../stops/StopRules';
 
 interface RunMoverOptions {
   readonly books: ReadonlyMap<EndpointLife, EndpointBook>;
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly kinds: KindSpeeds;
-  readonly handleMove: (book: EndpointBook, run: PlacedRun, reason: MoveReason) => void;
+  readonly stops: StopRules;
+  /** How long a task of a queue's step runs, as far as is known. */
+  readonly readRunTime?: (queue: string, shape: JobStep) => RunTimeEstimate;
+  readonly handleMove: (candidate: MoveCandidate) => void;
 }
 
 /** Moves of one task for being slow: beyond this its siblings are the odd ones. */
@@ -22,10 +28,14 @@
 const KNOWN_AFTER_MS = 250;
 /** An estimate may be so far off; without siblings only what is far slower counts. */
 const ESTIMATE_SLACK = 3;
-/** A leaving endpoint is left so long before its time is over. */
-const LEAVE_MARGIN_MS = 700;
+/** By how much a run is slower than usual before it counts as slow: endpoints differ by up to two. */
+const SLOW_RATIO = 2.5;
+/** Without siblings, what takes so much longer than nine tenths of such tasks is slow. */
+const TAIL_RATIO = 1.3;
 const WHOLE = 100;
 
+const isSlowness = (cause: StopCause): boolean => cause === 'slow' || cause === 'stalled';
+
 /** Finds runs that would end sooner, or at all, on another endpoint. */
 export class RunMover {
   private readonly moveCounts = new Map<string, number>();
@@ -68,63 +78,107 @@
     }
   }
 
-  /** Moves what should move. */
+  /** Moves what should move: all that would be cut off, and of slow runs as many as may be on the move at once. */
   applyTime(now: number): void {
+    const candidates: MoveCandidate[] = [];
+    const counts = { runs: 0, moving: 0 };
     for (const book of this.options.books.values()) {
       for (const run of [...book.readRuns()]) {
-        const reason = run.stage === 'running' ? this.readReason(book, run, now) : undefined;
-        if (reason !== undefined && this.hasOtherRoom(book, run, now)) {
-          this.moveCounts.set(run.task, (this.moveCounts.get(run.task) ?? 0) + 1);
-          this.options.handleMove(book, run, reason);
+        counts.runs += 1;
+        counts.moving +=
+          run.stage === 'stopping' && run.stopCause !== undefined && isSlowness(run.stopCause) ? 1 : 0;
+        const candidate = run.stage === 'running' ? this.readCandidate(book, run, now) : undefined;
+        if (candidate !== undefined && this.hasOtherRoom(book, run, now)) {
+          candidates.push(candidate);
         }
       }
     }
+    const mostMoving = counts.runs * this.options.stops.movingShare;
+    const slow = candidates.filter(({ reason }) => isSlowness(reason));
+    const chosen = new Set(chooseMoves(slow, mostMoving, counts.moving));
+    candidates
+      .filter((candidate) => !isSlowness(candidate.reason) || chosen.has(candidate))
+      .forEach((candidate) => this.startMove(candidate));
   }
 
-  private readReason(book: EndpointBook, run: PlacedRun, now: number): MoveReason | undefined {
+  private startMove(candidate: MoveCandidate): void {
+    const { run } = candidate;
+    this.moveCounts.set(run.task, (this.moveCounts.get(run.task) ?? 0) + 1);
+    this.options.handleMove(candidate);
+  }
+
+  private readCandidate(book: EndpointBook, run: PlacedRun, now: number): MoveCandidate | undefined {
     const shape = this.readShape(run);
-    if (shape === undefined || shape.isGang || book.readSilentSince() !== undefined) {
+    if (shape === undefined || book.readSilentSince() !== undefined) {
       return undefined;
     }
+    const { priority } = run;
     if (book.readProfile().isDraining && book.readProfile().remainingMs > 0) {
-      return this.isCutShort(book, run, shape, now) ? 'endpoint leaves' : undefined;
+      return this.isCutShort(book, run, shape, now)
+        ? { book, run, priority, reason: 'endpointLeaves', gainMs: 0 }
+        : undefined;
     }
     const isDone = (this.moveCounts.get(run.task) ?? 0) >= MAX_MOVES;
     // What was seen last counts, not what time has passed since.
     const seenMs = run.seenAt - run.confirmedAt;
     // A run of a task under which an endpoint has ended is to show whether it does so again.
     const hasCrashed = (this.readJob(run)?.progress.readTask(run.address)?.crashes.length ?? 0) > 0;
-    if (isDone || hasCrashed || !this.isMeasurable(run) || seenMs < KNOWN_AFTER_MS) {
+    if (shape.isGang || isDone || hasCrashed || !this.isMeasurable(run) || seenMs < KNOWN_AFTER_MS) {
       return undefined;
     }
-    const median = this.readJob(run)?.readSpeeds(run.address.time, run.address.step).readMedian();
-    const usualPace = median ?? (shape.estimatedMs * ESTIMATE_SLACK) / WHOLE;
-    if (usualPace === 0) {
+    const usual = this.readUsual(run, shape);
+    if (usual.usualPace === 0) {
       return undefined;
     }
-    return readStraggling({
+    const input = {
+      ...usual,
       pace: seenMs / Math.max(1, run.percent),
-      usualPace,
       percent: run.percent,
       stalledMs: run.seenAt - run.progressedAt,
       moveMs: MOVE_MS + (this.readJob(run)?.definition.queue.advice?.decisionMs ?? 0),
-    });
+      isSaving: shape.isCheckpointing,
+    };
+    const reason = this.options.stops.readMoveReason(input);
+    const gainMs = input.pace * (WHOLE - input.percent) - input.usualPace * WHOLE - input.moveMs;
+    return reason === undefined ? undefined : { book, run, priority, reason, gainMs };
+  }
+
+  /** The pace that is usual for a step, by its other tasks, else by what is known of such tasks, else by the caller's estimate. */
+  private readUsual(run: PlacedRun, shape: JobStep): Pick<MoveInput, 'usualPace' | 'slowPace'> {
+    const job = this.readJob(run);
+    const median = job?.readSpeeds(run.address.time, run.address.step).readMedian();
+    if (median !== undefined) {
+      return { usualPace: median, slowPace: SLOW_RATIO * median };
+    }
+    const known =
+      job === undefined ? undefined : this.options.readRunTime?.(job.definition.queue.name, shape);
+    if (known?.isLearnt === true) {
+      const slowMs = Math.max(SLOW_RATIO * known.medianMs, TAIL_RATIO * known.tailMs);
+      return { usualPace: known.medianMs / WHOLE, slowPace: slowMs / WHOLE };
+    }
+    const usualPace = (shape.estimatedMs * ESTIMATE_SLACK) / WHOLE;
+    return { usualPace, slowPace: SLOW_RATIO * usualPace };
   }
 
   /** True when the endpoint leaves before the run can be done there. */
   private isCutShort(book: EndpointBook, run: PlacedRun, shape: JobStep, now: number): boolean {
+    if (shape.isGang && !this.options.stops.isMovingGangs) {
+      return false;
+    }
     if (shape.isLongRunning) {
       return true;
     }
-    const leftMs = book.readLeavesAt(now) - now;
+    return this.options.stops.isCutShort({
+      leftMs: book.readLeavesAt(now) - now,
+      remainingMs: this.readRemainingMs(run, shape),
+      isSaving: shape.isCheckpointing,
+    });
+  }
+
+  private readRemainingMs(run: PlacedRun, shape: JobStep): number {
     const seenMs = run.seenAt - run.confirmedAt;
     const pace = run.percent > 0 ? seenMs / run.percent : shape.estimatedMs / WHOLE;
-    const remainingMs = pace * (WHOLE - run.percent);
-    if (remainingMs <= leftMs) {
-      return false;
-    }
-    // What keeps checkpoints works on until shortly before the end; other work is lost whenever it stops.
-    return !shape.isCheckpointing || leftMs < LEAVE_MARGIN_MS;
+    return pace * (WHOLE - run.percent);
   }
 
   private hasOtherRoom(book: EndpointBook, run: PlacedRun, now: number): boolean {
--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -3,6 +3,7 @@
 import type { TaskName } from '../../jobs/TaskName';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { EndpointBook } from '../endpoints/EndpointBook';
+import type { StopRules } from '../stops/StopRules';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { OrderAnswer } from '../endpoints/OrderAnswer';
 import type { PlacedRun } from './PlacedRun';
@@ -15,6 +16,7 @@
   readonly books: ReadonlyMap<EndpointLife, EndpointBook>;
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly ledger: RunLedger;
+  readonly stops: StopRules;
   /** The endpoint's life is over. */
   readonly handleGone: (id: EndpointLife, now: number) => void;
 }
@@ -116,6 +118,16 @@
     return book === undefined || run === undefined ? undefined : { book, run };
   }
 
+  /** The run may be there, or come to be there later; its room is free once it is proved that it is not. */
+  private applyDoubt(book: EndpointBook, run: PlacedRun, now: number): void {
+    if (this.options.stops.doubt === 'stop') {
+      this.options.ledger.sendStop(book, run, 'unanswered');
+      return;
+    }
+    run.doubtedAt = now;
+    this.options.ledger.sendLook(book);
+  }
+
   private applyStartAnswer(book: EndpointBook, run: PlacedRun, answer: OrderAnswer, now: number): void {
     const { jobs, ledger, handleGone } = this.options;
     const { life: id } = book.readProfile();
@@ -135,7 +147,7 @@
         book.recordOutcome(true, now);
         // Nothing more goes there until a look is answered: on an endpoint that is cut off each start would wait for its lease.
         book.recordSilence(now);
-        ledger.sendStop(book, run);
+        this.applyDoubt(book, run, now);
         return;
       case 'gone':
         handleGone(id, now);
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -38,11 +38,14 @@
     recordedAt: now,
     confirmedAt: now,
     stopSentAt: undefined,
+    doubtedAt: undefined,
+    stopCause: undefined,
     isStopRepeated: false,
     stopAnsweredAt: undefined,
     percent: 0,
     seenAt: now,
     progressedAt: now,
     checkpoint: '',
+    checkpointedAt: undefined,
   };
 };
--- a/packages/dispatch/runs/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -25,10 +25,13 @@
   recordedAt: now,
   confirmedAt: now,
   stopSentAt: undefined,
+  doubtedAt: undefined,
+  stopCause: undefined,
   isStopRepeated: false,
   stopAnsweredAt: undefined,
   percent: row.percent,
   seenAt: now,
   progressedAt: now,
   checkpoint: row.checkpoint,
+  checkpointedAt: undefined,
 });
--- a/packages/dispatch/runs/readStraggling.ts
+++ b/packages/dispatch/runs/readStraggling.ts
@@ -7,6 +7,10 @@
   readonly stalledMs: number;
   /** Time that a move takes before the new run works, in milliseconds. */
   readonly moveMs: number;
+  /** Only a run with a pace beyond this is slow; by default far beyond the usual one. */
+  readonly slowPace?: number;
+  /** Percent that are to be done elsewhere; by default all. */
+  readonly freshPercent?: number;
 }
 
 const SLOW_RATIO = 2.5;
@@ -23,7 +27,8 @@
     return 'stalled';
   }
   const remainingMs = input.pace * (WHOLE - input.percent);
-  const freshMs = input.usualPace * WHOLE + input.moveMs;
-  const isSlow = input.pace > SLOW_RATIO * input.usualPace;
+  const { usualPace, slowPace = SLOW_RATIO * usualPace, freshPercent = WHOLE } = input;
+  const freshMs = usualPace * freshPercent + input.moveMs;
+  const isSlow = input.pace > slowPace;
   return isSlow && remainingMs > GAIN_SHARE * freshMs ? 'slow' : undefined;
 };
--- /dev/null
+++ b/packages/dispatch/stops/RoomRule.ts
@@ -0,0 +1,21 @@
+import type { StopPrice } from './StopPrice';
+
+/** How room is made by stopping less urgent work. */
+export interface RoomRule {
+  /** What a stop of one run counts; of the plans that make room the one with the smallest sum is taken. */
+  readonly measureCost: (run: StoppableRun) => number;
+  readonly isWorthStopping: (price: StopPrice) => boolean;
+  /** Runs that need not go after all, once others go, stay. */
+  readonly isTrimming: boolean;
+  /** A run that was stopped before has worked for so long since, in milliseconds, before it is stopped again. */
+  readonly minWorkMs: number;
+}
+
+/** A run that may be stopped. */
+interface StoppableRun {
+  readonly cpuMillis: number;
+  /** Time for which it has worked, in milliseconds. */
+  readonly workedMs: number;
+  /** A stop saves what it has done. */
+  readonly isSaving: boolean;
+}
--- /dev/null
+++ b/packages/dispatch/stops/StopPrice.ts
@@ -0,0 +1,11 @@
+/** What stopping runs for a waiting step loses, and what it gains. */
+export interface StopPrice {
+  /** Core-milliseconds that the stopped runs lose: work in no checkpoint, and their restart. */
+  readonly lostCoreMs: number;
+  /** Time until known ends would make the room that the stops make, in milliseconds. */
+  readonly roomWaitMs: number;
+  /** Time that the step may still wait and be in time, in milliseconds. */
+  readonly slackMs: number;
+  /** Thousandths of a core that start sooner. */
+  readonly waitingCpuMillis: number;
+}
--- /dev/null
+++ b/packages/dispatch/stops/StopRules.ts
@@ -0,0 +1,21 @@
+import type { LeaveInput } from './LeaveInput';
+import type { MoveInput } from './MoveInput';
+import type { MoveReason } from './MoveReason';
+import type { RoomRule } from './RoomRule';
+
+/** What is sent first when a start had no answer. */
+type DoubtRule = 'stop' | 'look';
+
+/** The rules of one way of choosing what is stopped. */
+export interface StopRules {
+  readonly doubt: DoubtRule;
+  /** True when a run, or a gang, is to be stopped now since its endpoint leaves before it can be done there. */
+  readonly isCutShort: (input: LeaveInput) => boolean;
+  /** Whether a run would end sooner if it were stopped and started elsewhere, and why. */
+  readonly readMoveReason: (input: MoveInput) => Exclude<MoveReason, 'endpointLeaves'> | undefined;
+  readonly room: RoomRule;
+  /** Gangs on endpoints that leave are stopped as a whole. */
+  readonly isMovingGangs: boolean;
+  /** Share of all runs that may be on the move at once for being slow. */
+  readonly movingShare: number;
+}
--- /dev/null
+++ b/packages/dispatch/stops/measureWorkLost.ts
@@ -0,0 +1,14 @@
+import type { PlacedRun } from '../runs/PlacedRun';
+import type { RunEnd } from '../runs/RunEnd';
+
+const MILLIS = 1000;
+
+/** Core-milliseconds of work that ended with a run and are in no checkpoint. */
+export const measureWorkLost = (run: PlacedRun, { how, checkpoint }: RunEnd, now: number): number => {
+  const isAllSaved = how === 'stopped' && checkpoint !== '';
+  if (run.stage === 'recording' || isAllSaved) {
+    return 0;
+  }
+  const savedAt = run.checkpointedAt ?? run.confirmedAt;
+  return Math.round((Math.max(0, now - savedAt) * run.demand.cpuMillis) / MILLIS);
+};
--- /dev/null
+++ b/packages/dispatch/stops/readLossCause.ts
@@ -0,0 +1,28 @@
+import type { EndedRow } from '../endpoints/EndedRow';
+import type { PlacedRun } from '../runs/PlacedRun';
+import type { RunEnd } from '../runs/RunEnd';
+import type { LossCause } from './LossCause';
+
+/** Ends that an endpoint tells and the leader has not asked for. */
+const UNASKED: Readonly<Record<EndedRow['how'], LossCause | undefined>> = {
+  done: undefined,
+  failed: undefined,
+  stopped: 'notWanted',
+  broken: 'gangBroken',
+  alone: 'alone',
+  lapsed: 'lapsed',
+};
+
+/** What an interrupted run was lost by; undefined for one that ended by itself, or never began. */
+export const readLossCause = (run: PlacedRun, { outcome, cause, how }: RunEnd): LossCause | undefined => {
+  if (outcome !== 'interrupted') {
+    return undefined;
+  }
+  if (run.stopCause !== undefined) {
+    return run.stopCause;
+  }
+  if (how !== undefined) {
+    return UNASKED[how];
+  }
+  return cause === 'lifeOver' || cause === 'leaseOver' ? 'endpointLost' : undefined;
+};
--- /dev/null
+++ b/packages/dispatch/stops/stopChoices.ts
@@ -0,0 +1,42 @@
+import { isCutShort } from './isCutShort';
+import { isWorthStopping } from './isWorthStopping';
+import { measureStopCost } from './measureStopCost';
+import { readStraggling } from '../runs/readStraggling';
+import type { StopChoice } from './StopChoice';
+import type { StopRules } from './StopRules';
+
+const WHOLE = 100;
+/** A leaving endpoint is left so long before its time is over, in milliseconds. */
+const LEAVE_MARGIN_MS = 700;
+/** A stop may take 900 ms by the platform's bounds, and one that is lost is repeated after 200 ms. */
+const SAFE_LEAVE_MARGIN_MS = 1300;
+/** Where more than this share of all runs seems slow, the whole fleet is, and moves gain nothing. */
+const MOVING_SHARE = 0.05;
+/** Less than this done since a stop, and the next one would undo what the restart cost. */
+const MIN_WORK_MS = 1000;
+
+/**
+ * The ways of choosing what is stopped.
+ *
+ * A start without an answer is cleared up by a stop, or by a look first: a stop also ends runs of which only the answer was lost or late, as it is
+ * with all endpoints at once when the leader itself is slow.
+ */
+export const stopChoices: Readonly<Record<StopChoice, StopRules>> = {
+  ranked: {
+    doubt: 'stop',
+    isCutShort: (input) => isCutShort(input, LEAVE_MARGIN_MS),
+    readMoveReason: (input) => readStraggling(input),
+    room: { measureCost: () => 1, isWorthStopping: () => true, isTrimming: false, minWorkMs: 0 },
+    isMovingGangs: false,
+    movingShare: 1,
+  },
+  priced: {
+    doubt: 'look',
+    isCutShort: (input) => isCutShort(input, SAFE_LEAVE_MARGIN_MS),
+    readMoveReason: (input) =>
+      readStraggling({ ...input, freshPercent: input.isSaving ? WHOLE - input.percent : WHOLE }),
+    room: { measureCost: measureStopCost, isWorthStopping, isTrimming: true, minWorkMs: MIN_WORK_MS },
+    isMovingGangs: true,
+    movingShare: MOVING_SHARE,
+  },
+};
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -1,4 +1,6 @@
 import { build, type Histogram } from 'hdr-histogram-js';
+import { lossCauses } from '../dispatch/stops/lossCauses';
+import type { LossCount } from '../dispatch/stops/LossCount';
 
 const COUNTS = [
   'accepted',
@@ -21,6 +23,8 @@
   'runsLapsed',
   'crashesCharged',
   'tasksGivenUp',
+  ...lossCauses.map((cause): LossCount => `runsLostBy.${cause}`),
+  ...lossCauses.map((cause): LossCount => `coreMsLostBy.${cause}`),
 ] as const;
 const QUANTILES = [50, 90, 99, 99.9] as const;
 const MICROS_PER_MS = 1000;
@@ -64,7 +68,9 @@
   formatText(gauges: Readonly<Record<string, number>>): string {
     const lines: string[] = [];
     for (const [name, value] of this.counts) {
-      lines.push(`stairline_${toMetricName(name)}_total ${value}`);
+      const [metric = name, cause] = name.split('.');
+      const label = cause === undefined ? '' : `{cause="${cause}"}`;
+      lines.push(`stairline_${toMetricName(metric)}_total${label} ${value}`);
     }
     for (const [name, histogram] of this.times) {
       const metric = `stairline_${toMetricName(name).replace('_ms', '_seconds')}`;
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,4 +1,5 @@
 import type { HallChoice } from '../dispatch/placing/HallChoice';
+import type { StopChoice } from '../dispatch/stops/StopChoice';
 import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
 import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
 import type { ConfigurationSource } from './ConfigurationSource';
@@ -28,6 +29,8 @@
   readonly speedChoice: SpeedChoice;
   /** Over which halls the tasks of a job go. */
   readonly hallChoice: HallChoice;
+  /** What is stopped for others, or moved. */
+  readonly stopChoice: StopChoice;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
   /**
