--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -46,6 +46,7 @@
 import type { SpeedChoice } from './placing/SpeedChoice';
 import { EndpointPreference } from './placing/EndpointPreference';
 import type { RunTimeEstimate } from './speeds/RunTimeEstimate';
+import { EndpointTrust } from './stops/EndpointTrust';
 import type { MoveCandidate } from './stops/MoveCandidate';
 import type { StopChoice } from './stops/StopChoice';
 import { stopChoices } from './stops/stopChoices';
@@ -100,6 +101,7 @@
   private readonly adviceHistory = new AdviceHistory();
   private readonly mover: RunMover;
   private readonly preemptor: Preemptor;
+  private readonly trust: EndpointTrust;
   private readonly gangs: GangWatch;
   private readonly crashes: CrashLedger;
   /** True when something has happened since the last round that may let work start. */
@@ -128,6 +130,7 @@
     const { reservations } = this;
     this.room = new RoomView(this.books, reservations);
     const stops = stopChoices[options.stopChoice ?? dispatchDefaults.stopChoice];
+    this.trust = new EndpointTrust(this.books, stops.isClosing);
     this.preemptor = new Preemptor({
       jobs: this.jobs,
       reservations,
@@ -160,6 +163,7 @@
       reservations,
       preference,
       suspicion: new SuspicionCosts(this.books, this.crashes),
+      trust: this.trust,
       sendEffect,
     });
     this.mover = new RunMover({
@@ -466,6 +470,7 @@
     this.hasNews = false;
     this.room.startRound();
     this.preemptor.startRound(now, wallMs);
+    this.trust.startRound();
     this.questions.startRound(turns);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
--- a/packages/dispatch/endpoints/EndpointBook.ts
+++ b/packages/dispatch/endpoints/EndpointBook.ts
@@ -4,6 +4,7 @@
 import { demandSums } from '../../jobs/demandSums';
 import type { EndpointProfile } from './EndpointProfile';
 import type { PlacedRun } from '../runs/PlacedRun';
+import { FailureStreak } from '../stops/FailureStreak';
 
 /** Weight of the newest run in the failure rate. */
 const FAILURE_WEIGHT = 0.25;
@@ -34,6 +35,7 @@
   private hasAnsweredUnlisted = false;
   /** Runs of tasks under suspicion that are not proven yet. */
   private readonly probation = new Set<PlacedRun>();
+  private readonly failureStreak = new FailureStreak();
   /** Since when the endpoint has not answered; undefined while it does. */
   private silentSince: number | undefined;
   /** Monotonic time of the newest answer to a look; undefined before the first. */
@@ -186,6 +188,11 @@
     this.failureRateAt = now;
   }
 
+  /** Whether all fails that is started there. */
+  readFailureStreak(): FailureStreak {
+    return this.failureStreak;
+  }
+
   /** Recent share of runs that failed, decaying with time. */
   readFailureRate(now: number): number {
     return this.failureRate * 0.5 ** ((now - this.failureRateAt) / FAILURE_HALF_LIFE_MS);
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -67,6 +67,7 @@
     this.checkCarried(run, now);
     const outcome = OUTCOMES[row.how];
     book.recordOutcome(outcome === 'failed', now);
+    book.readFailureStreak().recordEnd(outcome, now);
     if (outcome === 'done') {
       this.options.mover.recordDone(book, run, now);
     }
--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -34,8 +34,6 @@
 const MAX_PREEMPTIONS = 2;
 /** A run that ends by itself so soon is waited for: a stop and a new start would cost more. */
 const ENDS_SOON_MS = 700;
-/** Room that is being made is kept for so long: a stop takes up to 400 ms by the platform's bounds, then a round places. */
-const KEEP_MS = 1200;
 const WHOLE = 100;
 
 /**
@@ -58,10 +56,15 @@
     return this.createPlan(step, book, demand, undefined, now) !== undefined;
   }
 
+  /** A ticket must hold for so many milliseconds that room can be made meanwhile. */
+  readTicketMs(): number {
+    return this.options.room.ticketMs;
+  }
+
   /** Begins to make room for the waiting tasks of a step on some endpoints, unless it already does. */
   startMakingRoom(step: WaitingStep, allowed: readonly EndpointBook[], now: number): void {
     const { reservations, handlePreempted } = this.options;
-    if (reservations.hasFor(step)) {
+    if (reservations.hasFor(step) || now < step.job.readRoomRetryAt(step.time, step.step)) {
       return;
     }
     const plans = this.createPlans(step, allowed, now);
@@ -73,8 +76,9 @@
     if (!this.options.room.isWorthStopping(price)) {
       return;
     }
+    step.job.recordRoomMade(step.time, step.step, now, this.options.room.retryMs);
     for (const [book, { victims }] of plans) {
-      reservations.recordReservation(book.readProfile().life, step, now + KEEP_MS);
+      reservations.recordReservation(book.readProfile().life, step, now + this.options.room.keepMs);
       for (const run of victims) {
         this.options.jobs.get(run.job)?.recordPreempted(run.task);
         handlePreempted(book, run, step, price);
@@ -109,6 +113,7 @@
         maxPerEndpoint,
       ),
       slackMs: step.objectiveAtMs - (now + this.wallOffsetMs) - estimatedMs,
+      allowedMs: step.objectiveAtMs - step.job.definition.acceptedAtMs,
       waitingCpuMillis: startCount * demand.cpuMillis,
     };
   }
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -13,6 +13,7 @@
 import type { RoomView } from './RoomView';
 import { isUnderSuspicion } from '../crashes/isUnderSuspicion';
 import type { SuspicionCosts } from './SuspicionCosts';
+import type { EndpointTrust } from '../stops/EndpointTrust';
 import type { EndpointPreference } from './EndpointPreference';
 import { toRoundedTimes } from '../waiting/toRoundedTimes';
 import { toStepName } from '../waiting/toStepName';
@@ -42,12 +43,10 @@
   readonly reservations: RoomReservations;
   readonly preference: EndpointPreference;
   readonly suspicion: SuspicionCosts;
+  readonly trust: EndpointTrust;
   readonly sendEffect: (effect: PlacerEffect) => void;
 }
 
-/** A ticket must hold for so long that room can be made meanwhile: a stop, the look that shows its end, and the start. */
-const MAKE_ROOM_MS = 600;
-
 /** Chooses endpoints for waiting tasks and books them; asks for advice where a queue needs it. */
 export class StepPlacer {
   private readonly room: RoomView;
@@ -132,8 +131,9 @@
   }
 
   private startMakingRoom(step: WaitingStep, eligible: readonly EndpointBook[], now: number): void {
-    const allowed = this.readAllowed(step, eligible, now + MAKE_ROOM_MS);
-    this.options.preemptor.startMakingRoom(step, allowed, now);
+    const { preemptor } = this.options;
+    const allowed = this.readAllowed(step, eligible, now + preemptor.readTicketMs());
+    preemptor.startMakingRoom(step, allowed, now);
   }
 
   /** Endpoints for which no ticket is needed, or one holds until a time. */
@@ -173,7 +173,12 @@
       if (step.shape.demand.cpuMillis > reserveLeft && !step.shape.isFiller) {
         break;
       }
-      const candidate = { isSuspect, crashes: task.crashes.length };
+      const candidate = {
+        isSuspect,
+        crashes: task.crashes.length,
+        isGang: step.shape.isGang,
+        failures: task.failures,
+      };
       const book = this.chooseEndpoint(step, allowed, candidate, readCost, now);
       if (book === undefined && task.crashes.length > 0) {
         // Its siblings need not wait until another task under suspicion is proven.
@@ -210,7 +215,7 @@
   private chooseEndpoint(
     step: WaitingStep,
     allowed: readonly EndpointBook[],
-    candidate: Parameters<SuspicionCosts['measureCost']>[1],
+    candidate: Parameters<SuspicionCosts['measureCost']>[1] & Parameters<EndpointTrust['isOpenFor']>[0],
     readCost: (book: EndpointBook) => number,
     now: number,
   ): EndpointBook | undefined {
@@ -223,6 +228,9 @@
       if (!book.hasRoom(demand) || this.room.isCrowded(step, book)) {
         continue;
       }
+      if (!this.options.trust.isOpenFor(candidate, book, now)) {
+        continue;
+      }
       const suspicion = this.options.suspicion.measureCost(step, candidate, book, now);
       const fit = rules.measureFit(step, book, now) + readCost(book) + suspicion;
       if (fit < bestFit) {
--- a/packages/dispatch/stops/RoomRule.ts
+++ b/packages/dispatch/stops/RoomRule.ts
@@ -9,6 +9,12 @@
   readonly isTrimming: boolean;
   /** A run that was stopped before has worked for so long since, in milliseconds, before it is stopped again. */
   readonly minWorkMs: number;
+  /** Room that is being made is kept for so long, in milliseconds. */
+  readonly keepMs: number;
+  /** A ticket must hold for so long that room can be made meanwhile, in milliseconds. */
+  readonly ticketMs: number;
+  /** Room for a step is made again after so many milliseconds, doubled each time, when it could not start. */
+  readonly retryMs: number;
 }
 
 /** A run that may be stopped. */
--- a/packages/dispatch/stops/StopPrice.ts
+++ b/packages/dispatch/stops/StopPrice.ts
@@ -6,6 +6,8 @@
   readonly roomWaitMs: number;
   /** Time that the step may still wait and be in time, in milliseconds. */
   readonly slackMs: number;
+  /** Time from the job's acceptance to its objective, in milliseconds. */
+  readonly allowedMs: number;
   /** Thousandths of a core that start sooner. */
   readonly waitingCpuMillis: number;
 }
--- a/packages/dispatch/stops/StopRules.ts
+++ b/packages/dispatch/stops/StopRules.ts
@@ -18,4 +18,6 @@
   readonly isMovingGangs: boolean;
   /** Share of all runs that may be on the move at once for being slow. */
   readonly movingShare: number;
+  /** Endpoints that fail all they start take one run at a time. */
+  readonly isClosing: boolean;
 }
--- a/packages/dispatch/stops/stopChoices.ts
+++ b/packages/dispatch/stops/stopChoices.ts
@@ -10,6 +10,10 @@
 const LEAVE_MARGIN_MS = 700;
 /** A stop may take 900 ms by the platform's bounds, and one that is lost is repeated after 200 ms. */
 const SAFE_LEAVE_MARGIN_MS = 1300;
+/** A stop takes up to 900 ms by the platform's bounds; then come the look that shows its end, and a round. */
+const LONGEST_STOP_MS = 1200;
+/** Beyond the time for which room is kept. */
+const RETRY_MS = 3000;
 /** Where more than this share of all runs seems slow, the whole fleet is, and moves gain nothing. */
 const MOVING_SHARE = 0.05;
 /** Less than this done since a stop, and the next one would undo what the restart cost. */
@@ -26,17 +30,35 @@
     doubt: 'stop',
     isCutShort: (input) => isCutShort(input, LEAVE_MARGIN_MS),
     readMoveReason: (input) => readStraggling(input),
-    room: { measureCost: () => 1, isWorthStopping: () => true, isTrimming: false, minWorkMs: 0 },
+    room: {
+      measureCost: () => 1,
+      isWorthStopping: () => true,
+      isTrimming: false,
+      minWorkMs: 0,
+      keepMs: 1200,
+      ticketMs: 600,
+      retryMs: 0,
+    },
     isMovingGangs: false,
     movingShare: 1,
+    isClosing: false,
   },
   priced: {
     doubt: 'look',
     isCutShort: (input) => isCutShort(input, SAFE_LEAVE_MARGIN_MS),
     readMoveReason: (input) =>
       readStraggling({ ...input, freshPercent: input.isSaving ? WHOLE - input.percent : WHOLE }),
-    room: { measureCost: measureStopCost, isWorthStopping, isTrimming: true, minWorkMs: MIN_WORK_MS },
+    room: {
+      measureCost: measureStopCost,
+      isWorthStopping,
+      isTrimming: true,
+      minWorkMs: MIN_WORK_MS,
+      keepMs: 2 * LONGEST_STOP_MS,
+      ticketMs: LONGEST_STOP_MS,
+      retryMs: RETRY_MS,
+    },
     isMovingGangs: true,
     movingShare: MOVING_SHARE,
+    isClosing: true,
   },
 };
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -16,10 +16,14 @@
   readonly speeds: StepSpeeds;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointLife>;
+  /** Room was made for the step so often without a start since, and may be made again at that monotonic time. */
+  roomMade: { readonly count: number; readonly retryAt: number };
   /** Undefined while no task of the step was seen waiting since the last was placed. */
   wait: StepWait | undefined;
 }
 
+const NO_ROOM_MADE = { count: 0, retryAt: -Infinity };
+
 /** What waits, and for how long that holds. */
 interface KnownWaiting {
   readonly steps: readonly WaitingStep[];
@@ -111,9 +115,22 @@
 
   /** Tasks of the step have been placed: what waits from now on waits anew. */
   recordPlaced(time: number, step: number, now: number, hasMore: boolean): void {
+    this.readStepMemory(time, step).roomMade = NO_ROOM_MADE;
     this.readStepMemory(time, step).wait = hasMore ? new StepWait(now) : undefined;
   }
 
+  /** Monotonic time from which room may be made for a step by stops. */
+  readRoomRetryAt(time: number, step: number): number {
+    return this.readStepMemory(time, step).roomMade.retryAt;
+  }
+
+  /** Others are stopped to make room for a step; if it does not start, the next time is later, and ever more so. */
+  recordRoomMade(time: number, step: number, now: number, retryMs: number): void {
+    const memory = this.readStepMemory(time, step);
+    const { count } = memory.roomMade;
+    memory.roomMade = { count: count + 1, retryAt: now + retryMs * 2 ** count };
+  }
+
   hasFailedOn(time: number, step: number, endpoint: EndpointLife): boolean {
     return this.readStepMemory(time, step).failedOn.has(endpoint);
   }
@@ -170,6 +187,7 @@
       advice: new AdviceBook(),
       speeds: new StepSpeeds(),
       failedOn: new Set<EndpointLife>(),
+      roomMade: NO_ROOM_MADE,
       wait: undefined,
     };
     this.stepMemories.set(key, created);
