--- a/packages/cli/wayOptions.ts
+++ b/packages/cli/wayOptions.ts
@@ -1,6 +1,7 @@
 import { dispatchDefaults } from '../dispatch/dispatchDefaults';
 import { hallChoices } from '../dispatch/placing/hallChoices';
 import { speedChoices } from '../dispatch/placing/speedChoices';
+import { stopChoices } from '../dispatch/stops/stopChoices';
 import { placementOrders } from '../dispatch/waiting/placementOrders';
 import { configurationSources } from '../serve/configurationSources';
 import { jobWritings } from '../serve/jobWritings';
@@ -39,4 +40,10 @@
     defaultChoice: dispatchDefaults.hallChoice,
     help: 'over which halls the tasks of a job go',
   },
+  stopChoice: {
+    name: 'stops',
+    table: stopChoices,
+    defaultChoice: dispatchDefaults.stopChoice,
+    help: 'what is stopped for more urgent work, or moved',
+  },
 };
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -67,13 +67,14 @@
     this.checkCarried(run, now);
     const outcome = OUTCOMES[row.how];
     book.recordOutcome(outcome === 'failed', now);
+    book.readFailureStreak().recordEnd(outcome, now);
     if (outcome === 'done') {
       this.options.mover.recordDone(book, run, now);
     }
     this.options.ledger.recordRunEnd(
       book,
       run,
-      { outcome, cause: 'listed', checkpoint: row.checkpoint },
+      { outcome, cause: 'listed', checkpoint: row.checkpoint, how: row.how },
       now,
     );
     const job = this.options.jobs.get(run.job);
@@ -86,7 +87,8 @@
     const run = book.readRun(row.task, row.run) ?? this.recordStray(book, row, now);
     if (run.stage === 'ordered' || run.stage === 'unconfirmed') {
       run.stage = 'running';
-      run.confirmedAt = now;
+      // A start whose answer was missed began soon after it was sent.
+      run.confirmedAt = run.unansweredAt === undefined ? now : run.recordedAt;
       run.unansweredAt = undefined;
     }
     this.checkCarried(run, now);
@@ -103,6 +105,7 @@
     this.options.mover.recordRun(book, run, now);
     if (row.checkpoint !== '' && row.checkpoint !== run.checkpoint) {
       run.checkpoint = row.checkpoint;
+      run.checkpointedAt = now;
       this.options.jobs.get(run.job)?.progress.recordCheckpoint(run.address, row.checkpoint);
     }
     return run;
@@ -126,7 +129,7 @@
       : createStrangeRun(row, now);
     run.stage = 'running';
     book.recordRun(run);
-    this.options.ledger.sendStop(book, run);
+    this.options.ledger.sendStop(book, run, 'notWanted');
     this.options.ledger.sendTell('Stopping a run that is not wanted.', {
       job: run.job,
       task: row.task,
@@ -149,8 +152,8 @@
       if (this.isProvedAbsent(run, sentAt)) {
         this.recordAbsence(book, run, now);
       } else if (run.stage === 'ordered' && sentAt >= (run.unansweredAt ?? Infinity)) {
-        // Its order is lost, or still on its way: only a stop shuts it out.
-        this.options.ledger.sendStop(book, run);
+        // It is not there, but its order may still arrive: only a stop shuts that out.
+        this.options.ledger.sendStop(book, run, 'unanswered');
       }
     }
   }
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -39,11 +39,13 @@
     confirmedAt: now,
     unansweredAt: undefined,
     stopSentAt: undefined,
+    stopCause: undefined,
     isStopRepeated: false,
     stopAnsweredAt: undefined,
     percent: 0,
     seenAt: now,
     progressedAt: now,
     checkpoint: '',
+    checkpointedAt: undefined,
   };
 };
--- a/packages/dispatch/runs/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -26,10 +26,12 @@
   confirmedAt: now,
   unansweredAt: undefined,
   stopSentAt: undefined,
+  stopCause: undefined,
   isStopRepeated: false,
   stopAnsweredAt: undefined,
   percent: row.percent,
   seenAt: now,
   progressedAt: now,
   checkpoint: row.checkpoint,
+  checkpointedAt: undefined,
 });
--- /dev/null
+++ b/packages/dispatch/stops/stopChoices.ts
@@ -0,0 +1,57 @@
+import { isCutShort } from './isCutShort';
+import { isWorthStopping } from './isWorthStopping';
+import { measureStopCost } from './measureStopCost';
+import { readStraggling } from '../runs/readStraggling';
+import type { StopChoice } from './StopChoice';
+import type { StopRules } from './StopRules';
+
+const WHOLE = 100;
+/** A leaving endpoint is left so long before its time is over, in milliseconds. */
+const LEAVE_MARGIN_MS = 700;
+/** A stop may take 900 ms by the platform's bounds, and one that is lost is repeated after 200 ms. */
+const SAFE_LEAVE_MARGIN_MS = 1300;
+/** A stop takes up to 900 ms by the platform's bounds; then come the look that shows its end, and a round. */
+const LONGEST_STOP_MS = 1200;
+/** Beyond the time for which room is kept. */
+const RETRY_MS = 3000;
+/** Where more than this share of all runs seems slow, the whole fleet is, and moves gain nothing. */
+const MOVING_SHARE = 0.05;
+/** Less than this done since a stop, and the next one would undo what the restart cost. */
+const MIN_WORK_MS = 1000;
+
+/** The ways of choosing what is stopped. */
+export const stopChoices: Readonly<Record<StopChoice, StopRules>> = {
+  ranked: {
+    isCutShort: (input) => isCutShort(input, LEAVE_MARGIN_MS),
+    readMoveReason: (input) => readStraggling(input),
+    room: {
+      measureCost: () => 1,
+      isWorthStopping: () => true,
+      isTrimming: false,
+      minWorkMs: 0,
+      keepMs: 1200,
+      ticketMs: 600,
+      retryMs: 0,
+    },
+    isMovingGangs: false,
+    movingShare: 1,
+    isClosing: false,
+  },
+  priced: {
+    isCutShort: (input) => isCutShort(input, SAFE_LEAVE_MARGIN_MS),
+    readMoveReason: (input) =>
+      readStraggling({ ...input, freshPercent: input.isSaving ? WHOLE - input.percent : WHOLE }),
+    room: {
+      measureCost: measureStopCost,
+      isWorthStopping,
+      isTrimming: true,
+      minWorkMs: MIN_WORK_MS,
+      keepMs: 2 * LONGEST_STOP_MS,
+      ticketMs: LONGEST_STOP_MS,
+      retryMs: RETRY_MS,
+    },
+    isMovingGangs: true,
+    movingShare: MOVING_SHARE,
+    isClosing: true,
+  },
+};
--- a/packages/serve/ServeWays.ts
+++ b/packages/serve/ServeWays.ts
@@ -1,5 +1,6 @@
 import type { HallChoice } from '../dispatch/placing/HallChoice';
 import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
+import type { StopChoice } from '../dispatch/stops/StopChoice';
 import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
 import type { ConfigurationSource } from './ConfigurationSource';
 import type { JobWriting } from './JobWriting';
@@ -14,6 +15,8 @@
   readonly speedChoice: SpeedChoice;
   /** Over which halls the tasks of a job go. */
   readonly hallChoice: HallChoice;
+  /** What is stopped for others, or moved. */
+  readonly stopChoice: StopChoice;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
 }
