A job that fails or ends late is told in one line that always stays: where its time went, on which runs, and why they were stopped

With the leader's log bounded, the lines from which a late job could be explained are missing for most jobs. Run ended. has the endpoint's own word of the end and the reason of a stop; lines of endpoints have hall and labels.

stairline ledger takes that line where others are missing, sums by queue only jobs of the share that was told whole (late jobs, which are always told, by themselves), and knows more causes: failed and stopped runs, the time until the next start of a task, waits of tasks that are placed in turns. It gave what was missing before a job's end to noted.

--- a/packages/cli/ledgerCommand.ts
+++ b/packages/cli/ledgerCommand.ts
@@ -1,6 +1,7 @@
 import { createLedger } from '../ledger/createLedger';
 import { formatLedger } from '../ledger/formatLedger';
 import { readAccounts } from '../ledger/readAccounts';
+import { readToldDepth } from '../ledger/readToldDepth';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
 import { readLogFiles } from './readLogFiles';
@@ -49,6 +50,7 @@
     const isJson = values['json'] === true;
     const ledger = createLedger(accounts, {
       windowMs: windowSeconds * MS_PER_SECOND,
+      depth: readToldDepth(lines),
       worstCount: isJson ? accounts.length : worstCount,
     });
     if (isJson) {
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -42,6 +42,7 @@
 import { RunLedger } from './runs/RunLedger';
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
+import type { StopReason } from './runs/StopReason';
 import type { SpeedChoice } from './placing/SpeedChoice';
 import { EndpointPreference } from './placing/EndpointPreference';
 import { SuspicionCosts } from './placing/SuspicionCosts';
@@ -168,7 +169,9 @@
       crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
-    this.gangs = new GangWatch(this.books, this.jobs, (book, run) => this.ledger.sendStop(book, run));
+    this.gangs = new GangWatch(this.books, this.jobs, (book, run) =>
+      this.ledger.sendStop(book, run, 'gang split'),
+    );
   }
 
   /** Gives, once, everything to be done since the last call, records before the starts that need them. */
@@ -464,7 +467,7 @@
     }
   }
 
-  private handleMove(book: EndpointBook, run: PlacedRun, reason: string): void {
+  private handleMove(book: EndpointBook, run: PlacedRun, reason: StopReason): void {
     const { life: id } = book.readProfile();
     this.jobs.get(run.job)?.recordFailedOn(run.address.time, run.address.step, id);
     this.ledger.sendTell('Run is moved.', {
@@ -475,7 +478,7 @@
       reason,
       percent: run.percent,
     });
-    this.ledger.sendStop(book, run);
+    this.ledger.sendStop(book, run, reason);
   }
 
   private handlePreempted(book: EndpointBook, run: PlacedRun, step: WaitingStep): void {
@@ -488,7 +491,7 @@
       priority: run.priority,
       for: toStepName(step),
     });
-    this.ledger.sendStop(book, run);
+    this.ledger.sendStop(book, run, 'gives way');
   }
 
   private recordInherited(job: LiveJob, address: TaskAddress, task: TaskProgress, now: number): void {
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -150,9 +150,9 @@
 
   private sendProfileLine(before: EndpointProfile | undefined, profile: EndpointProfile): void {
     const { logger } = this.options;
-    const { life, service, isDraining, remainingMs, capacity: room } = profile;
+    const { life, service, isDraining, remainingMs, capacity: room, hall, labels } = profile;
     if (before === undefined || before.life !== life || before.isDraining !== isDraining) {
-      logger.info('Endpoint seen.', { endpoint: life, service, isDraining, remainingMs });
+      logger.info('Endpoint seen.', { endpoint: life, service, hall, labels, room, isDraining, remainingMs });
     } else if (!isSameRoom(before.capacity, room)) {
       logger.info('Endpoint room changed.', { endpoint: life, room, before: before.capacity });
     }
@@ -285,8 +285,11 @@
     const { clock, dispatcher, logger, handleLooked, startFlush } = this.options;
     const book = dispatcher.readBook(life);
     if (book !== undefined && (book.readSilentSince() !== undefined || !book.isSettled())) {
+      const { hall, labels } = book.readProfile();
       logger.info('Endpoint answers.', {
         endpoint: life,
+        hall,
+        labels,
         running: answer.running.length,
         ended: answer.ended.length,
       });
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -73,7 +73,7 @@
     this.options.ledger.recordRunEnd(
       book,
       run,
-      { outcome, cause: 'listed', checkpoint: row.checkpoint },
+      { outcome, cause: 'listed', how: row.how, checkpoint: row.checkpoint },
       now,
     );
     const job = this.options.jobs.get(run.job);
@@ -125,7 +125,7 @@
       : createStrangeRun(row, now);
     run.stage = 'running';
     book.recordRun(run);
-    this.options.ledger.sendStop(book, run);
+    this.options.ledger.sendStop(book, run, 'not wanted');
     this.options.ledger.sendTell('Stopping a run that is not wanted.', {
       job: run.job,
       task: row.task,
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -257,6 +257,7 @@
       const endpoint = book.readProfile().life;
       const checkpoint = shape.isGang ? gangCheckpoint : progress.readTask(address)!.checkpoint;
       progress.recordPlaced(address, run.run, endpoint);
+      run.waits = waits;
       const order = { task, run: run.run, spec: definition.spec, checkpoint, ticket };
       this.options.sendEffect({ kind: 'start', job: definition.id, endpoint, order, waits });
       return {
--- a/packages/dispatch/runs/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -4,6 +4,8 @@
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskName } from '../../jobs/TaskName';
+import type { WaitTimes } from '../waiting/WaitTimes';
+import type { StopReason } from './StopReason';
 
 /**
  * Where a run stands.
@@ -40,6 +42,10 @@
   isListed: boolean;
   /** The life that it was sent to, where it may have reached the next one; undefined once a look there has told. */
   carriedFrom: EndpointLife | undefined;
+  /** What its task had waited for until the placement; undefined for one that an earlier leader placed. */
+  waits: WaitTimes | undefined;
+  /** Why we stopped it; undefined while we did not. */
+  stopReason: StopReason | undefined;
   /** Monotonic time of the placement. */
   placedAt: number;
   /** Monotonic time at which its record was durable; `placedAt` before. */
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -4,9 +4,13 @@
 import type { DispatchCount } from '../DispatchCount';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { EndpointBook } from '../endpoints/EndpointBook';
+import { formatLateJob } from '../../sight/formatLateJob';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import type { RunEnd } from './RunEnd';
+import type { StopReason } from './StopReason';
+
+type JobEnding = 'completed' | 'failed' | 'cancelled';
 
 interface LedgerSinks {
   /** Room has become free. */
@@ -38,6 +42,7 @@
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
       job.changedAt = now;
+      job.trace.recordRun(run, book.readProfile(), end, now);
       this.sinks.handleChanged(run.job);
       this.sendTell('Run ended.', {
         job: run.job,
@@ -46,6 +51,8 @@
         endpoint: book.readProfile().life,
         outcome,
         cause,
+        how: end.how,
+        why: run.stopReason,
         stage: run.stage,
         ageMs: Math.round(now - run.placedAt),
         recordMs: Math.round(run.recordedAt - run.placedAt),
@@ -108,28 +115,30 @@
     }
   }
 
-  recordJobEnd(job: LiveJob, ending: 'completed' | 'failed' | 'cancelled', wallMs: number): void {
+  recordJobEnd(job: LiveJob, ending: JobEnding, wallMs: number): void {
     if (job.progress.isEnded()) {
       return;
     }
     job.progress.recordJobEnd(ending, wallMs);
     this.sinks.handleChanged(job.definition.id);
     this.sendTell('Job ended.', { job: job.definition.id, queue: job.definition.queue.name, ending });
+    this.checkLate(job, ending, wallMs);
     for (const book of this.books.values()) {
       for (const run of [...book.readRuns()]) {
         if (run.job === job.definition.id) {
-          this.sendStop(book, run);
+          this.sendStop(book, run, 'job ended');
         }
       }
     }
   }
 
-  sendStop(book: EndpointBook, run: PlacedRun): void {
+  sendStop(book: EndpointBook, run: PlacedRun, reason: StopReason): void {
     // While the record is on its way no order has left; `handleRecorded` frees the room.
     if (run.stage === 'stopping' || run.stage === 'recording') {
       return;
     }
     run.stage = 'stopping';
+    run.stopReason = reason;
     run.stopAnsweredAt = undefined;
     run.stopSentAt = undefined;
     run.isStopRepeated = false;
@@ -151,6 +160,16 @@
     }
   }
 
+  /** The one line that tells why a caller was served late or not at all; it stays in the log whatever the load. */
+  private checkLate(job: LiveJob, ending: JobEnding, wallMs: number): void {
+    const { definition, trace } = job;
+    const lateMs = wallMs - job.readObjectiveAtMs(definition.times - 1);
+    if (ending === 'failed' || (ending === 'completed' && lateMs > 0)) {
+      const account = trace.readAccount(definition, ending, wallMs);
+      this.sendTell('Job ended late.', formatLateJob(account, lateMs));
+    }
+  }
+
   private sendStopOrder(book: EndpointBook, run: PlacedRun): void {
     const { task, run: number, isStopRepeated: isRepeated } = run;
     this.sinks.sendEffect({ kind: 'stop', endpoint: book.readProfile().life, task, run: number, isRepeated });
--- a/packages/dispatch/runs/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -6,8 +6,9 @@
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import { readStraggling } from './readStraggling';
+import type { StopReason } from './StopReason';
 
-type MoveReason = 'stalled' | 'slow' | 'endpoint leaves';
+type MoveReason = Extract<StopReason, 'stalled' | 'slow' | 'endpoint leaves'>;
 
 interface RunMoverOptions {
   readonly books: ReadonlyMap<EndpointLife, EndpointBook>;
--- a/packages/dispatch/runs/RunOrders.ts
+++ b/packages/dispatch/runs/RunOrders.ts
@@ -135,7 +135,7 @@
         book.recordOutcome(true, now);
         // Nothing more goes there until a look is answered: on an endpoint that is cut off each start would wait for its lease.
         book.recordSilence(now);
-        ledger.sendStop(book, run);
+        ledger.sendStop(book, run, 'start unanswered');
         return;
       case 'gone':
         handleGone(id, now);
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -34,6 +34,8 @@
     stage: 'recording',
     isListed: false,
     carriedFrom: undefined,
+    waits: undefined,
+    stopReason: undefined,
     placedAt: now,
     recordedAt: now,
     confirmedAt: now,
--- a/packages/dispatch/runs/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -21,6 +21,8 @@
   stage: 'running',
   isListed: true,
   carriedFrom: undefined,
+  waits: undefined,
+  stopReason: undefined,
   placedAt: now,
   recordedAt: now,
   confirmedAt: now,
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -4,6 +4,7 @@
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
 import { toTaskName } from '../../jobs/toTaskName';
+import { JobTrace } from '../../sight/JobTrace';
 import { AdviceBook } from '../advice/AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
@@ -58,6 +59,8 @@
   /** Monotonic times before which tasks are not started. */
   private readonly pauses = new Map<TaskName, number>();
   isCancelled = false;
+  /** Where its time went, for the line about it if it ends late. */
+  readonly trace: JobTrace;
 
   constructor(
     readonly definition: JobDefinition,
@@ -68,6 +71,7 @@
     readonly isBeyondShare = false,
   ) {
     this.chainMs = measureChain(definition);
+    this.trace = new JobTrace(changedAt);
   }
 
   /** Wall clock time at which repetition `time` may start. */
--- a/packages/ledger/JobAccount.ts
+++ b/packages/ledger/JobAccount.ts
@@ -1,3 +1,4 @@
+import type { LedgerSpan } from './LedgerSpan';
 import type { RunAccount } from './RunAccount';
 
 /** One job, as the logs of all boxes tell it. Times are in milliseconds since 1970. */
@@ -15,4 +16,6 @@
   ending: string;
   /** By task and run number. */
   readonly runs: Map<string, RunAccount>;
+  /** Where its time went by its leader's one line about a job that ended late; undefined where there is none. */
+  toldPath: readonly LedgerSpan[] | undefined;
 }
--- a/packages/ledger/LedgerCause.ts
+++ b/packages/ledger/LedgerCause.ts
@@ -6,7 +6,10 @@
  * - `record`: until the placement was durable.
  * - `start`: until the endpoint had answered the order to start.
  * - `running`: a run that ended in success.
+ * - `failed`: a run that failed.
+ * - `stopped`: a run that we stopped, until its end was known.
  * - `lost`: a run that ended in any other way.
+ * - `retry`: from the end of such a run until the wait of the task's next start is known.
  * - `noted`: from the last end until the job's end was noted.
  * - `unknown`: the logs do not tell; lines may have been left out.
  */
@@ -22,6 +25,9 @@
   | 'record'
   | 'start'
   | 'running'
+  | 'failed'
+  | 'stopped'
   | 'lost'
+  | 'retry'
   | 'noted'
   | 'unknown';
--- a/packages/ledger/createLedger.ts
+++ b/packages/ledger/createLedger.ts
@@ -1,7 +1,14 @@
 import { CauseSums } from './CauseSums';
 import type { JobAccount } from './JobAccount';
 import type { LedgerSpan } from './LedgerSpan';
-import { readCriticalPath } from './readCriticalPath';
+import { readStoryDepth } from '../sight/readStoryDepth';
+import { readBestPath } from './readBestPath';
+
+interface LedgerOptions {
+  readonly windowMs: number;
+  readonly worstCount: number;
+  readonly depth?: number;
+}
 
 interface LedgerJob {
   readonly account: JobAccount;
@@ -26,7 +33,12 @@
 }
 
 interface Ledger {
+  /** Over all jobs, or over those of the smallest share that was told whole. */
   readonly queues: readonly LedgerQueue[];
+  /** Over all jobs that their leader says have ended late, whatever their share. */
+  readonly lateQueues: readonly LedgerQueue[];
+  /** One in 2^n jobs is summed by queue, where lines of the others were left out. */
+  readonly depth: number;
   readonly worst: readonly LedgerJob[];
 }
 
@@ -61,27 +73,45 @@
 };
 
 const toLedgerJob = (account: JobAccount): LedgerJob => {
-  const path = readCriticalPath(account);
+  const path = readBestPath(account);
   return { account, path, totalMs: path.reduce((sum, { from, to }) => sum + to - from, 0) };
 };
 
-/** Sums where the time of jobs went, by queue, window of acceptance and cause, and names the jobs that took longest. */
-export const createLedger = (
+/** Sums jobs by queue. */
+const createQueues = (
   accounts: readonly JobAccount[],
-  { windowMs, worstCount }: { readonly windowMs: number; readonly worstCount: number },
-): Ledger => {
-  const startedAt = accounts.reduce((first, { acceptedAt }) => Math.min(first, acceptedAt), Infinity);
-  const ended = accounts.filter(({ endedAt }) => endedAt !== undefined).map(toLedgerJob);
-  const queueNames = [...new Set(accounts.map(({ queue }) => queue))].sort();
-  const queues = queueNames.map((queue) =>
+  jobs: readonly LedgerJob[],
+  startedAt: number,
+  windowMs: number,
+): readonly LedgerQueue[] => {
+  const names = [...new Set(accounts.map(({ queue }) => queue))].sort();
+  return names.map((queue) =>
     createQueue(
       queue,
       accounts.filter((account) => account.queue === queue),
-      ended.filter(({ account }) => account.queue === queue),
+      jobs.filter(({ account }) => account.queue === queue),
       startedAt,
       windowMs,
     ),
   );
+};
+
+/**
+ * Sums where the time of jobs went, by queue, window of acceptance and cause, and names the jobs that took longest. `depth` is that of the smallest share of
+ * jobs that was told whole: a sum over jobs whose lines are partly missing, and over the late ones that are told always, would mislead.
+ */
+export const createLedger = (
+  accounts: readonly JobAccount[],
+  { windowMs, worstCount, depth = 0 }: LedgerOptions,
+): Ledger => {
+  const startedAt = accounts.reduce((first, { acceptedAt }) => Math.min(first, acceptedAt), Infinity);
+  const isInShare = ({ job }: JobAccount): boolean => readStoryDepth(job) >= depth;
+  const isLate = ({ toldPath }: JobAccount): boolean => toldPath !== undefined;
+  const ended = accounts.filter(({ endedAt }) => endedAt !== undefined).map(toLedgerJob);
+  const chosen = ended.filter(({ account }) => isInShare(account));
+  const late = ended.filter(({ account }) => isLate(account));
+  const queues = createQueues(accounts.filter(isInShare), chosen, startedAt, windowMs);
+  const lateQueues = createQueues(accounts.filter(isLate), late, startedAt, windowMs);
   const worst = [...ended].sort((left, right) => right.totalMs - left.totalMs).slice(0, worstCount);
-  return { queues, worst };
+  return { queues, lateQueues, depth, worst };
 };
--- a/packages/ledger/formatLedger.ts
+++ b/packages/ledger/formatLedger.ts
@@ -24,17 +24,22 @@
 };
 
 /** Formats a ledger for people: mean milliseconds a job, by queue, then by window, then the jobs that took longest. */
-export const formatLedger = ({ queues, worst }: Ledger): string => {
+export const formatLedger = ({ queues, lateQueues, depth, worst }: Ledger): string => {
   const heads = ['jobs', 'total', ...ledgerCauses];
   const totals = queues.map(({ queue, openCount, sums }) => [queue, openCount, ...toCells(sums)]);
+  const late = lateQueues.map(({ queue, sums }) => [queue, ...toCells(sums)]);
+  const part = depth === 0 ? '' : `, of one in ${2 ** depth} jobs: lines of others were left out`;
   const windows = queues.flatMap((one) =>
     one.windows.map(({ fromMs, sums }) => [one.queue, fromMs / MS_PER_SECOND, ...toCells(sums)]),
   );
   return [
-    'Mean milliseconds a job that has ended, by queue:',
+    `Mean milliseconds a job that has ended, by queue${part}:`,
     formatColumns(['queue', 'open', ...heads], totals),
     '',
-    'The same by time of acceptance, in seconds from the first:',
+    ...(late.length === 0
+      ? []
+      : ['Jobs that ended late or failed, all:', formatColumns(['queue', ...heads], late), '']),
+    'By time of acceptance, in seconds from the first job:',
     formatColumns(['queue', 'from', ...heads], windows),
     '',
     'The jobs that took longest:',
--- a/packages/ledger/ledgerCauses.ts
+++ b/packages/ledger/ledgerCauses.ts
@@ -13,7 +13,10 @@
   'record',
   'start',
   'running',
+  'failed',
+  'stopped',
   'lost',
+  'retry',
   'noted',
   'unknown',
 ];
--- a/packages/ledger/readAccounts.ts
+++ b/packages/ledger/readAccounts.ts
@@ -2,7 +2,11 @@
 import type { LogLine } from '../timeline/LogLine';
 import { parseLogLine } from '../timeline/parseLogLine';
 import type { JobAccount } from './JobAccount';
+import type { LedgerCause } from './LedgerCause';
+import type { LedgerSpan } from './LedgerSpan';
+import { ledgerCauses } from './ledgerCauses';
 import type { RunAccount } from './RunAccount';
+import { toRunKey } from './toRunKey';
 
 type Accounts = Map<string, JobAccount>;
 type LineHandler = (accounts: Accounts, line: LogLine, at: number) => void;
@@ -13,18 +17,37 @@
 const placedSchema = z.object({
   job: z.string(),
   waits: z.record(z.string(), z.number()),
-  placed: z.array(z.object({ task: z.string(), run: z.number() })),
+  placed: z.array(z.object({ task: z.string(), run: z.number(), endpoint: z.string().optional() })),
+});
+const lateSchema = z.object({
+  job: z.string(),
+  queue: z.string(),
+  ending: z.string(),
+  totalMs: z.number(),
+  path: z.array(z.object({ cause: z.string(), ms: z.number(), run: z.string().optional() })),
 });
 const runEndedSchema = z.object({
   job: z.string(),
   task: z.string(),
   run: z.number(),
   outcome: z.string(),
+  how: z.string().optional(),
+  why: z.string().optional(),
   recordMs: z.number().optional(),
   startMs: z.number().optional(),
 });
 
-const toRunKey = ({ task, run }: { readonly task: string; readonly run: number }): string => `${task}#${run}`;
+const createAccount = (job: string, queue: string, acceptedAt: number, acceptMs: number): JobAccount => ({
+  job,
+  queue,
+  acceptedAt,
+  acceptMs,
+  takenInAt: undefined,
+  endedAt: undefined,
+  ending: '',
+  runs: new Map<string, RunAccount>(),
+  toldPath: undefined,
+});
 
 const handleAccepted: LineHandler = (accounts, line, at) => {
   const parsed = acceptedSchema.safeParse(line).data;
@@ -32,8 +55,7 @@
     return;
   }
   const { job, queue, tookMs } = parsed;
-  const open = { takenInAt: undefined, endedAt: undefined, ending: '', runs: new Map<string, RunAccount>() };
-  accounts.set(job, { job, queue, acceptedAt: at, acceptMs: tookMs, ...open });
+  accounts.set(job, createAccount(job, queue, at, tookMs));
 };
 
 const handleTakenIn: LineHandler = (accounts, line, at) => {
@@ -49,9 +71,10 @@
   if (parsed === undefined || account === undefined) {
     return;
   }
-  for (const { task, run } of parsed.placed) {
-    const open = { endedAt: undefined, outcome: '', recordMs: 0, startMs: 0 };
-    account.runs.set(toRunKey({ task, run }), { task, run, placedAt: at, waits: parsed.waits, ...open });
+  for (const { task, run, endpoint = '' } of parsed.placed) {
+    const open = { endedAt: undefined, outcome: '', how: '', why: '', hall: '', recordMs: 0, startMs: 0 };
+    const placed = { task, run, endpoint, placedAt: at, waits: parsed.waits };
+    account.runs.set(toRunKey({ task, run }), { ...placed, ...open });
   }
 };
 
@@ -63,6 +86,8 @@
   }
   run.endedAt = at;
   run.outcome = parsed.outcome;
+  run.how = parsed.how ?? '';
+  run.why = parsed.why ?? '';
   run.recordMs = parsed.recordMs ?? 0;
   run.startMs = parsed.startMs ?? 0;
 };
@@ -76,6 +101,32 @@
   }
 };
 
+const isCause = (text: string): text is LedgerCause => ledgerCauses.some((cause) => cause === text);
+
+/** Sets the rows of a told path, which give only how long each took, on times; the last of them ends at `endedAt`. */
+const toToldPath = (rows: z.infer<typeof lateSchema>['path'], endedAt: number): readonly LedgerSpan[] => {
+  let from = endedAt - rows.reduce((sum, { ms }) => sum + ms, 0);
+  return rows.map(({ cause, ms, run = '' }) => {
+    const span = { cause: isCause(cause) ? cause : 'unknown', from, to: from + ms, run };
+    from = span.to;
+    return span;
+  });
+};
+
+/** Also for a job that no other line tells of. */
+const handleEndedLate: LineHandler = (accounts, line, at) => {
+  const parsed = lateSchema.safeParse(line).data;
+  if (parsed === undefined) {
+    return;
+  }
+  const { job, queue, ending, totalMs, path } = parsed;
+  const account = accounts.get(job) ?? createAccount(job, queue, at - totalMs, 0);
+  accounts.set(job, account);
+  account.endedAt ??= at;
+  account.ending = ending;
+  account.toldPath = toToldPath(path, account.endedAt);
+};
+
 /** Lines that tell of a job's time, by their sentence. */
 const HANDLERS: Readonly<Record<string, LineHandler>> = {
   'Job accepted.': handleAccepted,
@@ -83,6 +134,7 @@
   'Tasks placed.': handlePlaced,
   'Run ended.': handleRunEnded,
   'Job ended.': handleJobEnded,
+  'Job ended late.': handleEndedLate,
 };
 
 /** Folds the lines of all boxes' logs into one account a job, in the order in which the jobs were accepted. */
--- a/packages/ledger/readCriticalPath.ts
+++ b/packages/ledger/readCriticalPath.ts
@@ -2,11 +2,14 @@
 import type { LedgerCause } from './LedgerCause';
 import type { LedgerSpan } from './LedgerSpan';
 import type { RunAccount } from './RunAccount';
+import { toRunName } from './toRunName';
 
 /** Waits before a placement, the one nearest to it first. */
 const WAITS: readonly LedgerCause[] = ['pause', 'limit', 'room', 'answer', 'turn', 'round'];
 /** The line of an end may come so much later than that of what it made possible: both are written in one turn. */
 const SAME_TURN_MS = 2;
+/** A job's end is noted with the end of its last run, or with the leader's next look at the time: after more, the line of a run's end is missing. */
+const LONGEST_NOTED_MS = 150;
 
 /** Builds the path from its end back to its beginning; spans may not overlap, so each ends where the later one begins. */
 class PathBuilder {
@@ -31,15 +34,70 @@
   }
 }
 
+const toRunCause = ({ outcome, why }: RunAccount): LedgerCause => {
+  if (outcome === 'done' || outcome === 'failed') {
+    return outcome === 'done' ? 'running' : 'failed';
+  }
+  return why === '' ? 'lost' : 'stopped';
+};
+
+/** The run of the same task before this one; undefined for the first, and where its end has no line. */
+const readEarlierTry = (runs: Iterable<RunAccount>, later: RunAccount): RunAccount | undefined => {
+  let earlier: RunAccount | undefined;
+  for (const run of runs) {
+    const isEarlier = run.task === later.task && run.run < later.run && run.endedAt !== undefined;
+    if (isEarlier && run.run > (earlier?.run ?? 0)) {
+      earlier = run;
+    }
+  }
+  return earlier;
+};
+
+const toStep = ({ task }: RunAccount): string => task.slice(0, task.lastIndexOf('.'));
+
+/** Tasks of the same step that were placed just when the wait of others was counted anew. */
+const readEarlierBatch = (
+  runs: Iterable<RunAccount>,
+  later: RunAccount,
+  at: number,
+): RunAccount | undefined => {
+  for (const run of runs) {
+    const isAtOnce = Math.abs(run.placedAt - at) <= SAME_TURN_MS && run.placedAt < later.placedAt;
+    if (isAtOnce && toStep(run) === toStep(later)) {
+      return run;
+    }
+  }
+  return undefined;
+};
+
+/**
+ * What a run's task waited for before it was placed, at the longest back to a time. Where tasks of a step are placed in turns, each turn tells only what was
+ * waited since the one before.
+ */
+const recordWaits = (
+  path: PathBuilder,
+  run: RunAccount,
+  runs: readonly RunAccount[],
+  notBefore: number,
+): void => {
+  const name = toRunName(run);
+  let batch: RunAccount | undefined = run;
+  while (batch !== undefined) {
+    let from = batch.placedAt;
+    for (const cause of WAITS) {
+      from -= batch.waits[cause] ?? 0;
+      path.recordSpan(cause, Math.max(from, notBefore), name);
+    }
+    batch = readEarlierBatch(runs, batch, from);
+  }
+};
+
 const recordRun = (path: PathBuilder, account: RunAccount): void => {
-  const name = `${account.task} run ${account.run}`;
+  const name = toRunName(account);
   const recordedAt = account.placedAt + account.recordMs;
-  path.recordSpan(account.outcome === 'done' ? 'running' : 'lost', recordedAt + account.startMs, name);
+  path.recordSpan(toRunCause(account), recordedAt + account.startMs, name);
   path.recordSpan('start', recordedAt, name);
   path.recordSpan('record', account.placedAt, name);
-  for (const cause of WAITS) {
-    path.recordSpan(cause, path.readAt() - (account.waits[cause] ?? 0), name);
-  }
 };
 
 /** The run that ended last before a time: what happened next had to wait for it. */
@@ -67,12 +125,17 @@
   const path = new PathBuilder(account.endedAt, beginsAt);
   const open = new Set(account.runs.values());
   let run = readLastEnded([...open], path.readAt());
-  path.recordSpan('noted', run?.endedAt ?? account.endedAt);
+  const lastEndedAt = run?.endedAt ?? account.endedAt;
+  const isNoted = account.endedAt - lastEndedAt <= LONGEST_NOTED_MS;
+  path.recordSpan(isNoted ? 'noted' : 'unknown', lastEndedAt);
   while (run !== undefined) {
     open.delete(run);
     path.recordSpan('unknown', run.endedAt!);
+    const earlier = readEarlierTry(open, run);
     recordRun(path, run);
-    run = readLastEnded([...open], path.readAt());
+    recordWaits(path, run, [...account.runs.values()], earlier?.endedAt ?? -Infinity);
+    path.recordSpan('retry', earlier?.endedAt ?? path.readAt(), toRunName(run));
+    run = earlier ?? readLastEnded([...open], path.readAt());
   }
   path.recordSpan('unknown', account.takenInAt ?? account.acceptedAt);
   path.recordSpan('handOver', account.acceptedAt);
--- a/tests/ledger.test.ts
+++ b/tests/ledger.test.ts
@@ -3,6 +3,8 @@
 import { formatLedger } from '../packages/ledger/formatLedger';
 import { readAccounts } from '../packages/ledger/readAccounts';
 import { readCriticalPath } from '../packages/ledger/readCriticalPath';
+import { readToldDepth } from '../packages/ledger/readToldDepth';
+import { readStoryDepth } from '../packages/sight/readStoryDepth';
 
 const START = Date.parse('2026-01-01T00:00:00.000Z');
 
@@ -90,7 +92,8 @@
       '{"time":"x","message":"Job accepted."}',
     ];
     const accounts = readAccounts([...lines].reverse());
-    const { queues, worst } = createLedger(accounts, { windowMs: 2000, worstCount: 1 });
+    const ledger = createLedger(accounts, { windowMs: 2000, worstCount: 1 });
+    const { queues, worst } = ledger;
     const shown = queues.map(({ queue, openCount, windows }) => [queue, openCount, windows.length]);
     expect(shown).toEqual([
       ['jobs', 0, 2],
@@ -101,7 +104,104 @@
     // Without the line that the leader has it, the 5 ms before the round are given to nobody in particular.
     expect(queues[0]!.windows[0]!.sums.readMean('unknown')).toBe(5);
     expect(queues[0]!.windows[0]!.sums.readMeanTotal()).toBe(701);
-    expect(formatLedger({ queues, worst })).toMatch(/jobs +0 +2 +701/);
+    expect(formatLedger(ledger)).toMatch(/jobs +0 +2 +701/);
+  });
+
+  it('gives the time between an unsuccessful run and the next start to the retry, and tells how such runs ended', () => {
+    const job = 'a';
+    const task = `${job}.0.0.0`;
+    const [placed, ended] = ['Tasks placed.', 'Run ended.'];
+    const toRun = (run: number) => ({ job, waits: { room: 500 }, placed: [{ task, run, endpoint: 'i-1' }] });
+    const lines = [
+      createLine(10, 'Job accepted.', { job, queue: 'jobs', tookMs: 10 }),
+      createLine(10, 'Job taken in.', { job, queue: 'jobs' }),
+      createLine(510, placed, toRun(1)),
+      createLine(700, ended, { job, task, run: 1, outcome: 'failed', how: 'failed' }),
+      // The step has waited for room since long before this task did so.
+      createLine(900, placed, toRun(2)),
+      createLine(1000, ended, { job, task, run: 2, outcome: 'interrupted', how: 'stopped', why: 'slow' }),
+      createLine(1800, placed, toRun(3)),
+      createLine(2000, ended, { job, task, run: 3, outcome: 'done', how: 'done' }),
+      createLine(2000, 'Job ended.', { job, queue: 'jobs', ending: 'completed' }),
+    ];
+    const path = readCriticalPath(readAccounts(lines)[0]!).map(({ cause, from, to }) => [cause, to - from]);
+    expect(path).toEqual([
+      ['accept', 10],
+      ['room', 500],
+      ['failed', 190],
+      ['room', 200],
+      ['stopped', 100],
+      ['retry', 300],
+      ['room', 500],
+      ['running', 200],
+    ]);
+  });
+
+  it('adds up what tasks waited for that are placed in turns', () => {
+    const job = 'a';
+    const toTurn = (index: number, atMs: number, waits: object): string =>
+      createLine(atMs, 'Tasks placed.', { job, waits, placed: [{ task: `${job}.0.0.${index}`, run: 1 }] });
+    const lines = [
+      createLine(10, 'Job accepted.', { job, queue: 'jobs', tookMs: 10 }),
+      createLine(10, 'Job taken in.', { job, queue: 'jobs' }),
+      toTurn(0, 100, { answer: 90 }),
+      toTurn(1, 300, { room: 200 }),
+      toTurn(2, 600, { limit: 300 }),
+      ...[0, 1, 2].map((index) =>
+        createLine(800 + index, 'Run ended.', { job, task: `${job}.0.0.${index}`, run: 1, outcome: 'done' }),
+      ),
+      createLine(802, 'Job ended.', { job, queue: 'jobs', ending: 'completed' }),
+    ];
+    const path = readCriticalPath(readAccounts(lines)[0]!).map(({ cause, from, to }) => [cause, to - from]);
+    expect(path).toEqual([
+      ['accept', 10],
+      ['answer', 90],
+      ['room', 200],
+      ['limit', 300],
+      ['running', 202],
+    ]);
+  });
+
+  it('does not give to the end what is missing before it', () => {
+    const lines = createJobLines('a', 0).filter((line) => !line.includes('"run":2'));
+    const sums = createLedger(readAccounts(lines), { windowMs: 2000, worstCount: 1 }).queues[0]!.sums;
+    expect(sums.readMean('noted')).toBe(0);
+    expect(sums.readMean('unknown')).toBe(201);
+  });
+
+  it('takes the one line about a late job where others are missing, and sums the jobs of the told share by queue', () => {
+    const ids = [...'0123456789abcdef'];
+    const late = {
+      job: '3',
+      queue: 'jobs',
+      ending: 'completed',
+      lateMs: 100,
+      totalMs: 900,
+      path: [
+        { cause: 'room', ms: 700, run: '3.0.0.0 run 1' },
+        { cause: 'running', ms: 200, run: '3.0.0.0 run 1' },
+      ],
+    };
+    const lines = [
+      ...ids.flatMap((id) =>
+        createJobLines(id, 0).filter((line) => id !== '3' || line.includes('Job accepted')),
+      ),
+      createLine(915, 'Job ended late.', late),
+      createLine(1000, 'Lines left out.', { total: 5, share: '1/2', counts: { 'Run ended.': 5 } }),
+    ];
+    const depth = readToldDepth(lines);
+    expect(depth).toBe(1);
+    const { queues, lateQueues } = createLedger(readAccounts(lines), {
+      windowMs: 2000,
+      worstCount: 1,
+      depth,
+    });
+    expect(lateQueues.map(({ sums }) => sums.readJobCount())).toEqual([1]);
+    expect(lateQueues[0]!.sums.readMean('room')).toBe(700);
+    expect(lateQueues[0]!.sums.readMean('accept')).toBe(15);
+    const chosen = ids.filter((id) => readStoryDepth(id) >= 1);
+    expect(chosen).toEqual(['b', 'd', 'f']);
+    expect(queues[0]!.sums.readJobCount()).toBe(chosen.length);
   });
 
   it('gives nothing for logs without jobs', () => {
