Waits are told while they last, and stops and starts in doubt in one line for each moment

A step that waits is now told after 1, 2, 4 ... s, and the time that no leader told has a cause of its own, leader. An end that two leaders told counts as the later one told it: the first was not durable.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -49,6 +49,7 @@
 import { StepPlacer } from './placing/StepPlacer';
 import { toStepName } from './waiting/toStepName';
 import type { WaitingStep } from './waiting/WaitingStep';
+import { WaitTeller } from './waiting/WaitTeller';
 
 interface DispatcherOptions {
   /** Definition of any job, also of one that has ended. */
@@ -92,6 +93,7 @@
   private readonly adviceHistory = new AdviceHistory();
   private readonly mover: RunMover;
   private readonly gangs: GangWatch;
+  private readonly waits: WaitTeller;
   private readonly crashes: CrashLedger;
   /** True when something has happened since the last round that may let work start. */
   private hasNews = false;
@@ -169,6 +171,7 @@
       crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
+    this.waits = new WaitTeller(this.jobs, (sentence, fields) => this.ledger.sendTell(sentence, fields));
     this.gangs = new GangWatch(this.books, this.jobs, (book, run) =>
       this.ledger.sendStop(book, run, 'gang split'),
     );
@@ -404,6 +407,7 @@
     }
     this.reservations.applyTime(now);
     this.mover.applyTime(now);
+    this.waits.applyTime(now);
     this.gangs.checkAll();
     this.applyRemovals();
   }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -24,6 +24,7 @@
 import type { EndpointProfile } from './endpoints/EndpointProfile';
 import { EndpointSessions } from './endpoints/EndpointSessions';
 import { LeaderJournal } from './LeaderJournal';
+import { LineGatherer } from '../sight/LineGatherer';
 import type { OrderAnswer } from './endpoints/OrderAnswer';
 import { ProgressInheritance } from './ProgressInheritance';
 import { RoundPacer } from './placing/RoundPacer';
@@ -120,6 +121,7 @@
   private readonly inheritance: ProgressInheritance;
   private readonly endpoints: EndpointSessions;
   private readonly desk: AdviceDesk;
+  private readonly lines: LineGatherer;
   private readonly orderTimeout = new AnswerTimeout();
   /** Services of the jobs that were taken in: their endpoints are needed also where the configuration has dropped them. */
   private readonly services = new Set<ServiceName>();
@@ -134,6 +136,7 @@
 
   constructor(private readonly options: LeaderDutyOptions) {
     const { clock, client, epoch, replica } = options;
+    this.lines = new LineGatherer(options.logger);
     this.dispatcher = new Dispatcher({
       unheardUntil: options.earlierLeasesEndAt,
       longestLeaseMs: options.longestLeaseMs,
@@ -207,6 +210,7 @@
   stop(): void {
     this.isStopped = true;
     clearInterval(this.timer);
+    this.lines.stop();
     this.inheritance.stop();
     this.journal.stop();
     this.endpoints.stop();
@@ -326,6 +330,7 @@
   private applyTime(): void {
     const now = this.options.clock.readNow();
     this.journal.applyTime(now);
+    this.lines.applyTime(now);
     if (this.hasTakenOver) {
       this.endpoints.applyTime();
       this.dispatcher.applyTime(now);
@@ -419,7 +424,7 @@
         this.options.recordCount(effect.name, effect.amount);
         return;
       case 'tell':
-        this.options.logger.info(effect.sentence, effect.fields);
+        this.lines.recordLine(effect.sentence, effect.fields, this.options.clock.readNow());
         return;
     }
   }
@@ -432,7 +437,7 @@
   }
 
   private async sendStart(effect: StartEffect): Promise<void> {
-    const { clock, recordCount, recordTime, logger } = this.options;
+    const { clock, recordCount, recordTime } = this.options;
     const { endpoint, order } = effect;
     const session = this.endpoints.readSession(endpoint);
     const isWanted = !this.isStopped && this.dispatcher.handleRecorded(effect, clock.readNow());
@@ -460,13 +465,8 @@
     }
     recordTime('startMs', now - sentAt);
     if (answer.kind !== 'done') {
-      logger.info('Start not confirmed.', {
-        job: effect.job,
-        task: order.task,
-        run: order.run,
-        endpoint,
-        ...answer,
-      });
+      const { task, run } = order;
+      this.lines.recordLine('Start not confirmed.', { job: effect.job, task, run, endpoint, ...answer }, now);
     }
     if (this.isFence(answer)) {
       return;
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -113,6 +113,11 @@
     return memory.wait;
   }
 
+  /** The waits that go on, by the step's `TIME.STEP`. */
+  readWaits(): readonly (readonly [string, StepWait])[] {
+    return [...this.stepMemories].flatMap(([name, { wait }]) => (wait === undefined ? [] : [[name, wait]]));
+  }
+
   /** Tasks of the step have been placed: what waits from now on waits anew. */
   recordPlaced(time: number, step: number, now: number, hasMore: boolean): void {
     this.readStepMemory(time, step).wait = hasMore ? new StepWait(now) : undefined;
--- a/packages/ledger/LedgerCause.ts
+++ b/packages/ledger/LedgerCause.ts
@@ -11,6 +11,7 @@
  * - `lost`: a run that ended in any other way.
  * - `retry`: from the end of such a run until the wait of the task's next start is known.
  * - `noted`: from the last end until the job's end was noted.
+ * - `leader`: it waited under a leader that went before it had told for what, or for the next leader.
  * - `unknown`: the logs do not tell; lines may have been left out.
  */
 export type LedgerCause =
@@ -30,4 +31,5 @@
   | 'lost'
   | 'retry'
   | 'noted'
+  | 'leader'
   | 'unknown';
--- a/packages/ledger/ledgerCauses.ts
+++ b/packages/ledger/ledgerCauses.ts
@@ -18,5 +18,6 @@
   'lost',
   'retry',
   'noted',
+  'leader',
   'unknown',
 ];
--- a/packages/ledger/readAccounts.ts
+++ b/packages/ledger/readAccounts.ts
@@ -7,9 +7,11 @@
 import { ledgerCauses } from './ledgerCauses';
 import type { RunAccount } from './RunAccount';
 import { toRunKey } from './toRunKey';
+import type { WaitNote } from './WaitNote';
 
-type Accounts = Map<string, JobAccount>;
-type LineHandler = (accounts: Accounts, line: LogLine, at: number) => void;
+type Account = JobAccount & { readonly notes: WaitNote[] };
+type Accounts = Map<string, Account>;
+type LineHandler = (accounts: Accounts, line: LogLine, at: number, takeOvers: readonly number[]) => void;
 
 const acceptedSchema = z.object({ job: z.string(), queue: z.string(), tookMs: z.number() });
 const jobSchema = z.object({ job: z.string() });
@@ -19,6 +21,7 @@
   waits: z.record(z.string(), z.number()),
   placed: z.array(z.object({ task: z.string(), run: z.number(), endpoint: z.string().optional() })),
 });
+const waitsSchema = z.object({ job: z.string(), waits: z.record(z.string(), z.number()) });
 const lateSchema = z.object({
   job: z.string(),
   queue: z.string(),
@@ -37,25 +40,25 @@
   startMs: z.number().optional(),
 });
 
-const createAccount = (job: string, queue: string, acceptedAt: number, acceptMs: number): JobAccount => ({
-  job,
-  queue,
-  acceptedAt,
-  acceptMs,
+const createAccount = (
+  known: Pick<Account, 'job' | 'queue' | 'acceptedAt' | 'acceptMs' | 'takeOvers'>,
+): Account => ({
+  ...known,
   takenInAt: undefined,
   endedAt: undefined,
   ending: '',
   runs: new Map<string, RunAccount>(),
+  notes: [],
   toldPath: undefined,
 });
 
-const handleAccepted: LineHandler = (accounts, line, at) => {
+const handleAccepted: LineHandler = (accounts, line, at, takeOvers) => {
   const parsed = acceptedSchema.safeParse(line).data;
   if (parsed === undefined || accounts.has(parsed.job)) {
     return;
   }
   const { job, queue, tookMs } = parsed;
-  accounts.set(job, createAccount(job, queue, at, tookMs));
+  accounts.set(job, createAccount({ job, queue, acceptedAt: at, acceptMs: tookMs, takeOvers }));
 };
 
 const handleTakenIn: LineHandler = (accounts, line, at) => {
@@ -92,11 +95,19 @@
   run.startMs = parsed.startMs ?? 0;
 };
 
+const handleWaits: LineHandler = (accounts, line, at) => {
+  const parsed = waitsSchema.safeParse(line).data;
+  if (parsed !== undefined) {
+    accounts.get(parsed.job)?.notes.push({ at, waits: parsed.waits });
+  }
+};
+
 const handleJobEnded: LineHandler = (accounts, line, at) => {
   const parsed = jobEndedSchema.safeParse(line).data;
   const account = accounts.get(parsed?.job ?? '');
   if (parsed !== undefined && account !== undefined) {
-    account.endedAt ??= at;
+    // A leader that went before the end was durable told it too soon: the next one's word counts.
+    account.endedAt = at;
     account.ending = parsed.ending;
   }
 };
@@ -114,23 +125,28 @@
 };
 
 /** Also for a job that no other line tells of. */
-const handleEndedLate: LineHandler = (accounts, line, at) => {
+const handleEndedLate: LineHandler = (accounts, line, at, takeOvers) => {
   const parsed = lateSchema.safeParse(line).data;
   if (parsed === undefined) {
     return;
   }
   const { job, queue, ending, totalMs, path } = parsed;
-  const account = accounts.get(job) ?? createAccount(job, queue, at - totalMs, 0);
+  const account =
+    accounts.get(job) ?? createAccount({ job, queue, acceptedAt: at - totalMs, acceptMs: 0, takeOvers });
   accounts.set(job, account);
-  account.endedAt ??= at;
+  account.endedAt = at;
   account.ending = ending;
   account.toldPath = toToldPath(path, account.endedAt);
 };
 
+/** The line of a leader that has taken over. */
+const TAKE_OVER_SENTENCE = 'Leading.';
+
 /** Lines that tell of a job's time, by their sentence. */
 const HANDLERS: Readonly<Record<string, LineHandler>> = {
   'Job accepted.': handleAccepted,
   'Job taken in.': handleTakenIn,
+  'Step waits.': handleWaits,
   'Tasks placed.': handlePlaced,
   'Run ended.': handleRunEnded,
   'Job ended.': handleJobEnded,
@@ -140,18 +156,22 @@
 /** Folds the lines of all boxes' logs into one account a job, in the order in which the jobs were accepted. */
 export const readAccounts = (texts: Iterable<string>): readonly JobAccount[] => {
   const lines: { readonly line: LogLine; readonly at: number }[] = [];
+  const takeOvers: number[] = [];
   for (const text of texts) {
     const line = parseLogLine(text);
-    if (line !== undefined && HANDLERS[line.message] !== undefined) {
+    if (line?.message === TAKE_OVER_SENTENCE) {
+      takeOvers.push(Date.parse(line.time));
+    } else if (line !== undefined && HANDLERS[line.message] !== undefined) {
       lines.push({ line, at: Date.parse(line.time) });
     }
   }
   // Clocks of boxes differ by milliseconds: a job's acceptance must come before what the leader says of it.
   const toRank = ({ line }: { readonly line: LogLine }): number => (line.message === 'Job accepted.' ? 0 : 1);
   lines.sort((left, right) => toRank(left) - toRank(right) || left.at - right.at);
+  takeOvers.sort((left, right) => left - right);
   const accounts: Accounts = new Map();
   for (const { line, at } of lines) {
-    HANDLERS[line.message]?.(accounts, line, at);
+    HANDLERS[line.message]?.(accounts, line, at, takeOvers);
   }
   return [...accounts.values()];
 };
--- a/packages/ledger/readCriticalPath.ts
+++ b/packages/ledger/readCriticalPath.ts
@@ -3,6 +3,7 @@
 import type { LedgerSpan } from './LedgerSpan';
 import type { RunAccount } from './RunAccount';
 import { toRunName } from './toRunName';
+import type { WaitNote } from './WaitNote';
 
 /** Waits before a placement, the one nearest to it first. */
 const WAITS: readonly LedgerCause[] = ['pause', 'limit', 'room', 'answer', 'turn', 'round'];
@@ -70,6 +71,22 @@
   return undefined;
 };
 
+/** Gives the time before `at` to what was waited for until then; returns when that began. */
+const recordTimes = (
+  path: PathBuilder,
+  at: number,
+  waits: RunAccount['waits'],
+  notBefore: number,
+  run = '',
+): number => {
+  let from = at;
+  for (const cause of WAITS) {
+    from -= waits[cause] ?? 0;
+    path.recordSpan(cause, Math.max(from, notBefore), run);
+  }
+  return from;
+};
+
 /**
  * What a run's task waited for before it was placed, at the longest back to a time. Where tasks of a step are placed in turns, each turn tells only what was
  * waited since the one before.
@@ -83,11 +100,7 @@
   const name = toRunName(run);
   let batch: RunAccount | undefined = run;
   while (batch !== undefined) {
-    let from = batch.placedAt;
-    for (const cause of WAITS) {
-      from -= batch.waits[cause] ?? 0;
-      path.recordSpan(cause, Math.max(from, notBefore), name);
-    }
+    const from = recordTimes(path, batch.placedAt, batch.waits, notBefore, name);
     batch = readEarlierBatch(runs, batch, from);
   }
 };
@@ -113,6 +126,27 @@
   return last;
 };
 
+const readLastNote = ({ notes }: JobAccount, from: number, to: number): WaitNote | undefined =>
+  notes.findLast(({ at }) => at > from && at <= to + SAME_TURN_MS);
+
+/** Time of which no run's line tells: by what leaders told of the wait while it went on, and by the change of leader that ended their telling. */
+const recordGap = (
+  path: PathBuilder,
+  account: JobAccount,
+  from: number,
+  { otherwise = 'unknown', run = '' }: { readonly otherwise?: LedgerCause; readonly run?: string } = {},
+): void => {
+  const isTakenOver = account.takeOvers.some((at) => at > from && at <= path.readAt());
+  const cause = isTakenOver ? 'leader' : otherwise;
+  let note = readLastNote(account, from, path.readAt());
+  while (note !== undefined) {
+    path.recordSpan(cause, note.at, run);
+    recordTimes(path, note.at, note.waits, from, run);
+    note = readLastNote(account, from, path.readAt() - 2 * SAME_TURN_MS);
+  }
+  path.recordSpan(cause, from, run);
+};
+
 /**
  * The chain of what a job that has ended waited for, from its acceptance to its end, without gaps: of tasks that ran side by side
  * only the one on which the rest waited counts.
@@ -126,18 +160,20 @@
   const open = new Set(account.runs.values());
   let run = readLastEnded([...open], path.readAt());
   const lastEndedAt = run?.endedAt ?? account.endedAt;
-  const isNoted = account.endedAt - lastEndedAt <= LONGEST_NOTED_MS;
-  path.recordSpan(isNoted ? 'noted' : 'unknown', lastEndedAt);
+  if (account.endedAt - lastEndedAt <= LONGEST_NOTED_MS) {
+    path.recordSpan('noted', lastEndedAt);
+  }
   while (run !== undefined) {
     open.delete(run);
-    path.recordSpan('unknown', run.endedAt!);
+    recordGap(path, account, run.endedAt!);
     const earlier = readEarlierTry(open, run);
     recordRun(path, run);
     recordWaits(path, run, [...account.runs.values()], earlier?.endedAt ?? -Infinity);
-    path.recordSpan('retry', earlier?.endedAt ?? path.readAt(), toRunName(run));
+    const retriedFrom = earlier?.endedAt ?? path.readAt();
+    recordGap(path, account, retriedFrom, { otherwise: 'retry', run: toRunName(run) });
     run = earlier ?? readLastEnded([...open], path.readAt());
   }
-  path.recordSpan('unknown', account.takenInAt ?? account.acceptedAt);
+  recordGap(path, account, account.takenInAt ?? account.acceptedAt);
   path.recordSpan('handOver', account.acceptedAt);
   path.recordSpan('accept', beginsAt);
   return path.spans;
--- a/packages/sight/LineRates.ts
+++ b/packages/sight/LineRates.ts
@@ -8,7 +8,7 @@
   otherLines: number;
 }
 
-/** How many lines came in the fullest of the last seconds, written or not. */
+/** How many lines came in the last seconds, written or not. */
 export class LineRates {
   /** Newest last. */
   private slots: Slot[] = [];
@@ -22,14 +22,15 @@
     }
   }
 
-  /** Lines of jobs a second. */
+  /** Lines of jobs a second, in the fullest of these seconds. */
   readStoryRate(): number {
     return Math.max(0, ...this.slots.map(({ storyLines }) => storyLines));
   }
 
-  /** All other lines a second. */
+  /** All other lines a second, in the mean of these seconds: the burst that the log may hold takes their peaks. */
   readOtherRate(): number {
-    return Math.max(0, ...this.slots.map(({ otherLines }) => otherLines));
+    const sum = this.slots.reduce((total, { otherLines }) => total + otherLines, 0);
+    return sum / Math.max(1, this.slots.length);
   }
 
   private readSlot(now: number): Slot {
--- /dev/null
+++ b/packages/sight/formatLateJob.ts
@@ -0,0 +1,70 @@
+import type { JobAccount } from '../ledger/JobAccount';
+import type { LedgerSpan } from '../ledger/LedgerSpan';
+import { readCriticalPath } from '../ledger/readCriticalPath';
+import type { RunAccount } from '../ledger/RunAccount';
+import { toRunName } from '../ledger/toRunName';
+import type { LineFields } from './LineFields';
+
+/** Rows of one line: it stays below some kilobytes. */
+const MAX_SPANS = 40;
+const MAX_RUNS = 12;
+
+const toDurationMs = ({ placedAt, endedAt = placedAt }: RunAccount): number => endedAt - placedAt;
+
+/** The spans worth a row, in order; of too many the longest. */
+const choosePathRows = (path: readonly LedgerSpan[]): readonly LineFields[] => {
+  const shortest = path.map(({ from, to }) => to - from).sort((left, right) => right - left)[MAX_SPANS - 1];
+  const isShown = ({ from, to }: LedgerSpan): boolean => to - from >= (shortest ?? 0);
+  return path
+    .filter(isShown)
+    .slice(0, MAX_SPANS)
+    .map(({ cause, from, to, run }) => ({
+      cause,
+      ms: Math.round(to - from),
+      ...(run === '' ? {} : { run }),
+    }));
+};
+
+const readCauseSums = (path: readonly LedgerSpan[]): Readonly<Record<string, number>> => {
+  const sums: Record<string, number> = {};
+  for (const { cause, from, to } of path) {
+    sums[cause] = (sums[cause] ?? 0) + to - from;
+  }
+  return Object.fromEntries(Object.entries(sums).map(([cause, ms]) => [cause, Math.round(ms)]));
+};
+
+/** The runs on the path, with where and how they ended; of too many the longest. */
+const chooseRunRows = (account: JobAccount, path: readonly LedgerSpan[]): readonly LineFields[] => {
+  const names = new Set(path.map(({ run }) => run));
+  const runs = [...account.runs.values()].filter((run) => names.has(toRunName(run)));
+  const longest = [...runs]
+    .sort((left, right) => toDurationMs(right) - toDurationMs(left))
+    .slice(0, MAX_RUNS);
+  return runs
+    .filter((run) => longest.includes(run))
+    .map((run) => ({
+      run: toRunName(run),
+      endpoint: run.endpoint,
+      hall: run.hall,
+      outcome: run.outcome,
+      ...(run.how === '' ? {} : { how: run.how }),
+      ...(run.why === '' ? {} : { why: run.why }),
+      ms: Math.round(toDurationMs(run)),
+    }));
+};
+
+/** The line about a job that failed or ended after its objective: where its time went, and the runs on which the rest waited. */
+export const formatLateJob = (account: JobAccount, lateMs: number): LineFields => {
+  const { job, queue, ending, acceptedAt, endedAt = acceptedAt } = account;
+  const path = readCriticalPath(account);
+  return {
+    job,
+    queue,
+    ending,
+    lateMs: Math.round(lateMs),
+    totalMs: Math.round(endedAt - acceptedAt),
+    causes: readCauseSums(path),
+    path: choosePathRows(path),
+    runs: chooseRunRows(account, path),
+  };
+};
--- a/packages/sight/lineClasses.ts
+++ b/packages/sight/lineClasses.ts
@@ -1,7 +1,7 @@
 import type { LineClass } from './LineClass';
 
 /**
- * Classes of lines that name a job, by their sentence; any other is `story`. Lines that name none are `vital` without an entry here.
+ * Classes of lines by their sentence. Any other line is `story` if it names a job, and `vital` if it names none.
  * Those of a caller that was not served, and of a job that ended badly, are the first that are looked for.
  */
 export const lineClasses: Readonly<Record<string, Extract<LineClass, 'vital' | 'notable'>>> = {
@@ -18,5 +18,6 @@
   'Run is moved.': 'notable',
   'Run may have reached the next life.': 'notable',
   'Start not confirmed.': 'notable',
+  'Step waits.': 'notable',
   'Stopping a run that is not wanted.': 'notable',
 };
--- a/packages/sight/readLineClass.ts
+++ b/packages/sight/readLineClass.ts
@@ -13,8 +13,6 @@
   if (level === 'error') {
     return 'error';
   }
-  if (level === 'warn' || readLineJob(fields) === undefined) {
-    return 'vital';
-  }
-  return lineClasses[sentence] ?? 'story';
+  const byDefault = readLineJob(fields) === undefined ? 'vital' : 'story';
+  return level === 'warn' ? 'vital' : (lineClasses[sentence] ?? byDefault);
 };
--- a/packages/timeline/LogLine.ts
+++ b/packages/timeline/LogLine.ts
@@ -8,6 +8,8 @@
   readonly job?: string;
   readonly task?: string;
   readonly endpoint?: string;
+  /** What a line tells of each of several runs. */
+  readonly rows?: readonly { readonly job?: string; readonly task?: string; readonly endpoint?: string }[];
   /** Where tasks were placed, in a line that tells of several. */
   readonly placed?: readonly { readonly endpoint: string }[];
 }
--- a/packages/timeline/readJobStory.ts
+++ b/packages/timeline/readJobStory.ts
@@ -4,18 +4,30 @@
 /** Parts whose lines concern every job while it lives: who leads, and whether the log answers. */
 const SHARED_PARTS = new Set(['leadership', 'serve']);
 
-const readEndpoints = ({ endpoint, placed = [] }: LogLine): readonly string[] => [
+const readEndpoints = ({ endpoint, placed = [], rows = [] }: LogLine): readonly string[] => [
   ...(endpoint === undefined ? [] : [endpoint]),
   ...placed.map((row) => row.endpoint),
+  ...rows.flatMap((row) => row.endpoint ?? []),
 ];
 
+/** A line with rows, with only the rows about the job. */
+const toOwnRows = (line: LogLine, job: string): LogLine => {
+  const rows = line.rows?.filter((row) => row.job === job);
+  return rows === undefined || rows.length === 0 ? line : { ...line, rows };
+};
+
+const isAbout = (line: LogLine, job: string): boolean =>
+  line.job === job ||
+  line.task?.startsWith(`${job}.`) === true ||
+  line.rows?.some((row) => row.job === job) === true;
+
 /**
  * Gives the lines that tell what happened to a job, in order of time: its own, those of the endpoints it ran on, and changes of
  * leadership and of the log's reach, between its first line and its last.
  */
 export const readJobStory = (texts: Iterable<string>, job: string): readonly LogLine[] => {
   const lines = [...texts].map(parseLogLine).filter((line) => line !== undefined);
-  const own = lines.filter((line) => line.job === job || line.task?.startsWith(`${job}.`) === true);
+  const own = lines.filter((line) => isAbout(line, job)).map((line) => toOwnRows(line, job));
   const times = own.map(({ time }) => time).sort();
   const [first, last] = [times[0], times[times.length - 1]];
   if (first === undefined || last === undefined) {
--- a/tests/ledger.test.ts
+++ b/tests/ledger.test.ts
@@ -162,6 +162,43 @@
     ]);
   });
 
+  it('tells what a job waited for under a leader that went, as far as that told, and what it took to follow it', () => {
+    const job = 'a';
+    const task = `${job}.0.0.0`;
+    const lines = [
+      createLine(10, 'Job accepted.', { job, queue: 'jobs', tookMs: 10 }),
+      createLine(10, 'Job taken in.', { job, queue: 'jobs' }),
+      createLine(1010, 'Step waits.', { job, step: `${job}.0.0`, waits: { room: 1000 } }),
+      createLine(2010, 'Step waits.', { job, step: `${job}.0.0`, waits: { room: 1400, turn: 600 } }),
+      createLine(2500, 'Leading.', { epoch: 2 }),
+      createLine(2600, 'Tasks placed.', { job, waits: { answer: 90 }, placed: [{ task, run: 1 }] }),
+      createLine(3000, 'Run ended.', { job, task, run: 1, outcome: 'done' }),
+      createLine(3000, 'Job ended.', { job, queue: 'jobs', ending: 'completed' }),
+    ];
+    const path = readCriticalPath(readAccounts(lines)[0]!).map(({ cause, from, to }) => [cause, to - from]);
+    expect(path).toEqual([
+      ['accept', 10],
+      ['turn', 600],
+      ['room', 1400],
+      ['leader', 500],
+      ['answer', 90],
+      ['running', 400],
+    ]);
+  });
+
+  it('takes the end that the later of two leaders told: the earlier could not make it durable', () => {
+    const again = [
+      createLine(900, 'Leading.', { epoch: 2 }),
+      createLine(950, 'Run ended.', { job: 'a', task: 'a.0.0.0', run: 2, outcome: 'done' }),
+      createLine(950, 'Job ended.', { job: 'a', queue: 'jobs', ending: 'completed' }),
+    ];
+    const sums = createLedger(readAccounts([...createJobLines('a', 0), ...again]), {
+      windowMs: 2000,
+      worstCount: 1,
+    }).queues[0]!.sums;
+    expect([sums.readMeanTotal(), sums.readMean('unknown')]).toEqual([950, 0]);
+  });
+
   it('does not give to the end what is missing before it', () => {
     const lines = createJobLines('a', 0).filter((line) => !line.includes('"run":2'));
     const sums = createLedger(readAccounts(lines), { windowMs: 2000, worstCount: 1 }).queues[0]!.sums;
--- a/tests/sight.test.ts
+++ b/tests/sight.test.ts
@@ -1,9 +1,11 @@
 import { describe, expect, it } from 'vitest';
 import { createRandom } from '../packages/common/createRandom';
 import { DecisionLog } from '../packages/sight/DecisionLog';
+import { LineGatherer } from '../packages/sight/LineGatherer';
 import { readLineClass } from '../packages/sight/readLineClass';
 import { readLineJob } from '../packages/sight/readLineJob';
 import { readStoryDepth } from '../packages/sight/readStoryDepth';
+import { readJobStory } from '../packages/timeline/readJobStory';
 
 const BOUND = 400;
 const BURST = 4 * BOUND;
@@ -154,6 +156,7 @@
     expect(readLineClass('info', 'Leader changed.', { epoch: 2 })).toBe('vital');
     expect(readLineClass('info', 'Job ended late.', { job: 'a' })).toBe('vital');
     expect(readLineClass('info', 'Run is moved.', { job: 'a' })).toBe('notable');
+    expect(readLineClass('info', 'Run is moved.', { rows: [] })).toBe('notable');
     expect(readLineClass('info', 'Never heard of.', { job: 'a' })).toBe('story');
     expect(readLineClass('info', 'Never heard of.', { step: 'a.0.1' })).toBe('story');
     expect(readLineClass('info', 'Never heard of.', undefined)).toBe('vital');
@@ -167,6 +170,45 @@
   });
 });
 
+describe('lines that come by the dozen', () => {
+  const toFields = (job: string, step: string) => ({
+    job,
+    task: `${job}.0.0.0`,
+    run: 1,
+    endpoint: 'i-1',
+    percent: 5,
+    for: step,
+  });
+
+  it('are one with a row for each of one moment, and a single one is like any other', () => {
+    const bench = new LogBench();
+    const gatherer = new LineGatherer(bench.logger);
+    ['a', 'b', 'c'].forEach((job) => gatherer.recordLine('Run gives way.', toFields(job, 'x.0.0'), 0));
+    gatherer.recordLine('Run gives way.', toFields('d', 'y.0.0'), 0);
+    gatherer.recordLine('Job ended.', { job: 'a' }, 0);
+    gatherer.applyTime(20);
+    expect(bench.readMessages()).toEqual(['Job ended.']);
+    gatherer.applyTime(100);
+    const [whole, single] = bench.readLines('Run gives way.');
+    expect(whole).toMatchObject({ for: 'x.0.0', rows: [{ job: 'a' }, { job: 'b' }, { job: 'c' }] });
+    expect(single).toMatchObject({ for: 'y.0.0', job: 'd', percent: 5 });
+  });
+
+  it('are written at once when there are many, all of them when the leader stops, and each job has its row', () => {
+    const bench = new LogBench();
+    const gatherer = new LineGatherer(bench.logger);
+    const jobs = Array.from({ length: 100 }, (_, number) => `job-${number}`);
+    jobs.forEach((job) => gatherer.recordLine('Run is moved.', { ...toFields(job, 'x'), reason: 'slow' }, 0));
+    expect(bench.written).toHaveLength(2);
+    gatherer.stop();
+    expect(bench.written).toHaveLength(3);
+    const texts = bench.written.map((line) => JSON.stringify(line));
+    expect(
+      jobs.map((job) => readJobStory(texts, job).map(({ rows }) => rows?.map((row) => row.job))),
+    ).toEqual(jobs.map((job) => [[job]]));
+  });
+});
+
 describe('the choice of stories', () => {
   it('halves the jobs with each depth, by the id alone, also for ids that count up', () => {
     const counted = Array.from({ length: 8192 }, (_, index) => index.toString(16).padStart(16, '0'));
