--- a/packages/dispatch/runs/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -5,6 +5,7 @@
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskName } from '../../jobs/TaskName';
 import type { StopCause } from '../stops/StopCause';
+import type { WaitTimes } from '../waiting/WaitTimes';
 
 /**
  * Where a run stands.
@@ -41,6 +42,8 @@
   isListed: boolean;
   /** The life that it was sent to, where it may have reached the next one; undefined once a look there has told. */
   carriedFrom: EndpointLife | undefined;
+  /** What its task had waited for until the placement; undefined for one that an earlier leader placed. */
+  waits: WaitTimes | undefined;
   /** Monotonic time of the placement. */
   placedAt: number;
   /** Monotonic time at which its record was durable; `placedAt` before. */
--- a/packages/dispatch/runs/RunEnd.ts
+++ b/packages/dispatch/runs/RunEnd.ts
@@ -6,8 +6,8 @@
 export interface RunEnd {
   readonly outcome: RunOutcome;
   readonly cause: RunEndCause;
+  /** The endpoint's own word; undefined where it gave none. */
+  readonly how?: EndedRow['how'];
   /** What the run left to go on from; empty where nothing newer is known than its books have. */
   readonly checkpoint: string;
-  /** How the endpoint said that it ended; undefined when it said nothing of it. */
-  readonly how?: EndedRow['how'];
 }
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -7,10 +7,13 @@
 import { measureWorkLost } from '../stops/measureWorkLost';
 import { readLossCause } from '../stops/readLossCause';
 import type { StopCause } from '../stops/StopCause';
+import { formatLateJob } from '../../sight/formatLateJob';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import type { RunEnd } from './RunEnd';
 
+type JobEnding = 'completed' | 'failed' | 'cancelled';
+
 interface LedgerSinks {
   /** Room has become free. */
   readonly handleFreed: () => void;
@@ -44,6 +47,7 @@
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
       job.changedAt = now;
+      job.trace.recordRun(run, book.readProfile(), end, now);
       this.sinks.handleChanged(run.job);
       this.sendTell('Run ended.', {
         job: run.job,
@@ -52,6 +56,8 @@
         endpoint: book.readProfile().life,
         outcome,
         cause,
+        how: end.how,
+        why: run.stopCause,
         stage: run.stage,
         ageMs: Math.round(now - run.placedAt),
         recordMs: Math.round(run.recordedAt - run.placedAt),
@@ -137,13 +143,14 @@
     }
   }
 
-  recordJobEnd(job: LiveJob, ending: 'completed' | 'failed' | 'cancelled', wallMs: number): void {
+  recordJobEnd(job: LiveJob, ending: JobEnding, wallMs: number): void {
     if (job.progress.isEnded()) {
       return;
     }
     job.progress.recordJobEnd(ending, wallMs);
     this.sinks.handleChanged(job.definition.id);
     this.sendTell('Job ended.', { job: job.definition.id, queue: job.definition.queue.name, ending });
+    this.checkLate(job, ending, wallMs);
     for (const book of this.books.values()) {
       for (const run of [...book.readRuns()]) {
         if (run.job === job.definition.id) {
@@ -191,6 +198,16 @@
     this.sinks.sendEffect({ kind: 'look', endpoint: book.readProfile().life });
   }
 
+  /** The one line that tells why a caller was served late or not at all; it stays in the log whatever the load. */
+  private checkLate(job: LiveJob, ending: JobEnding, wallMs: number): void {
+    const { definition, trace } = job;
+    const lateMs = wallMs - job.readObjectiveAtMs(definition.times - 1);
+    if (ending === 'failed' || (ending === 'completed' && lateMs > 0)) {
+      const account = trace.readAccount(definition, ending, wallMs);
+      this.sendTell('Job ended late.', formatLateJob(account, lateMs));
+    }
+  }
+
   private sendStopOrder(book: EndpointBook, run: PlacedRun): void {
     const { task, run: number, isStopRepeated: isRepeated } = run;
     this.sinks.sendEffect({ kind: 'stop', endpoint: book.readProfile().life, task, run: number, isRepeated });
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -34,6 +34,7 @@
     stage: 'recording',
     isListed: false,
     carriedFrom: undefined,
+    waits: undefined,
     placedAt: now,
     recordedAt: now,
     confirmedAt: now,
--- a/packages/dispatch/runs/createStrangeRun.ts
+++ b/packages/dispatch/runs/createStrangeRun.ts
@@ -21,6 +21,7 @@
   stage: 'running',
   isListed: true,
   carriedFrom: undefined,
+  waits: undefined,
   placedAt: now,
   recordedAt: now,
   confirmedAt: now,
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -4,6 +4,7 @@
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
 import { toTaskName } from '../../jobs/toTaskName';
+import { JobTrace } from '../../sight/JobTrace';
 import { AdviceBook } from '../advice/AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
@@ -62,6 +63,8 @@
   /** Monotonic times before which tasks are not started. */
   private readonly pauses = new Map<TaskName, number>();
   isCancelled = false;
+  /** Where its time went, for the line about it if it ends late. */
+  readonly trace: JobTrace;
 
   constructor(
     readonly definition: JobDefinition,
@@ -72,6 +75,7 @@
     readonly isBeyondShare = false,
   ) {
     this.chainMs = measureChain(definition);
+    this.trace = new JobTrace(changedAt);
   }
 
   /** Wall clock time at which repetition `time` may start. */
@@ -113,6 +117,11 @@
     return memory.wait;
   }
 
+  /** The waits that go on, by the step's `TIME.STEP`. */
+  readWaits(): readonly (readonly [string, StepWait])[] {
+    return [...this.stepMemories].flatMap(([name, { wait }]) => (wait === undefined ? [] : [[name, wait]]));
+  }
+
   /** Tasks of the step have been placed: what waits from now on waits anew. */
   recordPlaced(time: number, step: number, now: number, hasMore: boolean): void {
     this.readStepMemory(time, step).roomMade = NO_ROOM_MADE;
