--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -67,7 +67,7 @@
     this.checkCarried(run, now);
     const outcome = OUTCOMES[row.how];
     book.recordOutcome(outcome === 'failed', now);
-    book.readFailureStreak().recordEnd(outcome, now);
+    this.recordStreak(book, outcome, now);
     if (outcome === 'done') {
       this.options.mover.recordDone(book, run, now);
     }
@@ -89,7 +89,10 @@
       run.stage = 'running';
       // A start whose answer was missed began soon after it was sent.
       run.confirmedAt = run.doubtedAt === undefined ? now : run.recordedAt;
-      run.doubtedAt = undefined;
+      if (run.doubtedAt !== undefined) {
+        this.sendDoubtTell('Run is there, though its start had no answer.', book, run, now);
+        run.doubtedAt = undefined;
+      }
     }
     this.checkCarried(run, now);
     run.isListed = true;
@@ -111,6 +114,26 @@
     return run;
   }
 
+  private sendDoubtTell(sentence: string, book: EndpointBook, run: PlacedRun, now: number): void {
+    this.options.ledger.sendTell(sentence, {
+      job: run.job,
+      task: run.task,
+      run: run.run,
+      endpoint: book.readProfile().life,
+      doubtedMs: Math.round(now - (run.doubtedAt ?? now)),
+    });
+  }
+
+  private recordStreak(book: EndpointBook, outcome: RunOutcome, now: number): void {
+    const streak = book.readFailureStreak();
+    const wasBroken = streak.isBroken();
+    streak.recordEnd(outcome, now);
+    if (streak.isBroken() !== wasBroken) {
+      const sentence = wasBroken ? 'Endpoint works again.' : 'Endpoint fails what it starts.';
+      this.options.ledger.sendTell(sentence, { endpoint: book.readProfile().life });
+    }
+  }
+
   /** A run that began on this life cannot have ended the one before. */
   private checkCarried(run: PlacedRun, now: number): void {
     if (run.carriedFrom !== undefined) {
@@ -153,6 +176,7 @@
         this.recordAbsence(book, run, now);
       } else if (run.doubtedAt !== undefined && run.doubtedAt <= sentAt) {
         // It is not there, but its order may still arrive: only a stop shuts that out.
+        this.sendDoubtTell('Start without an answer is stopped: the run is not there.', book, run, now);
         this.options.ledger.sendStop(book, run, 'unanswered');
       }
     }
--- a/tests/helpers/StopWorld.ts
+++ b/tests/helpers/StopWorld.ts
@@ -38,8 +38,9 @@
 interface WorldOptions {
   readonly stopChoice: StopChoice;
   readonly endpoints: number;
-  /** Work of a task in milliseconds. */
-  readonly readWorkMs: (job: JobDefinition, task: TaskName) => number;
+  /** Work of a run in milliseconds. */
+  readonly readWorkMs: (job: JobDefinition, task: TaskName, run: number) => number;
+  readonly readRunTime?: ConstructorParameters<typeof Dispatcher>[0]['readRunTime'];
   readonly stopMs: (endpoint: number, now: number) => number;
   /** True when the answer to a start comes too late, though it was carried out. */
   readonly isAnswerLate?: (now: number) => boolean;
@@ -73,11 +74,12 @@
   readonly dispatcher: Dispatcher;
 
   constructor(private readonly options: WorldOptions) {
-    const { stopChoice } = options;
+    const { stopChoice, readRunTime } = options;
     this.dispatcher = new Dispatcher({
       readDefinition: (id) => this.jobs.get(id),
       unheardUntil: 0,
       stopChoice,
+      readRunTime,
     });
     for (let number = 0; number < options.endpoints; number += 1) {
       const profile = createProfile(`i-${number}`, { capacity: CAPACITY });
@@ -235,7 +237,7 @@
       task,
       run,
       job,
-      workMs: this.options.readWorkMs(job, task),
+      workMs: this.options.readWorkMs(job, task, run),
       isSaving: isCheckpointing,
       isGang,
       cores: demand.cpuMillis / 1000,
--- a/tests/stops.test.ts
+++ b/tests/stops.test.ts
@@ -102,6 +102,37 @@
   });
 });
 
+describe('single tasks of which one in ten takes seven times as long', () => {
+  const USUAL_MS = 700;
+  const known = { medianMs: USUAL_MS, tailMs: 1.3 * USUAL_MS, isLearnt: true };
+
+  /** Urgent jobs of one task, so that no sibling tells what is usual. */
+  const startLoad = (isKnown: boolean) => {
+    const world = new StopWorld({
+      stopChoice: 'priced',
+      endpoints: 4,
+      readWorkMs: (job, _task, run) => (run === 1 && job.acceptedAtMs % 1000 === 0 ? 7 : 1) * USUAL_MS,
+      stopMs: () => 300,
+      ...(isKnown ? { readRunTime: () => known } : {}),
+    });
+    const sentAt = new Map<string, number>();
+    for (let number = 1; number <= 50; number += 1) {
+      world.applyTime(number * 100);
+      const job = createJob(number, URGENT, world.now, 10, { count: 1, estimatedMs: USUAL_MS });
+      sentAt.set(job.id, world.now);
+      world.sendJob(job);
+    }
+    world.applyTime(15_000);
+    const tookMs = [...world.finishedAt].map(([id, at]) => at - sentAt.get(id)!);
+    return { inTime: tookMs.filter((ms) => ms <= 1000 + 1.5 * USUAL_MS).length, stops: world.stops };
+  };
+
+  it('are caught by what is known of such tasks: 50 of 50 are in time with five moves, for 45', () => {
+    expect(startLoad(false)).toEqual({ inTime: 45, stops: 0 });
+    expect(startLoad(true)).toEqual({ inTime: 50, stops: 5 });
+  });
+});
+
 describe('starts whose answers are late, since the leader is slow', () => {
   /** Urgent jobs on a fleet with room; the answers to all starts of two seconds come after the time limit. */
   const startLoad = (stopChoice: StopChoice) => {
