--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -12,6 +12,7 @@
 import type { ConfigurationSource } from '../serve/ConfigurationSource';
 import { configurationSources } from '../serve/configurationSources';
 import { hallChoices } from '../dispatch/placing/hallChoices';
+import { turnChoices } from '../dispatch/advice/turnChoices';
 import { speedChoices } from '../dispatch/placing/speedChoices';
 import type { JobWriting } from '../serve/JobWriting';
 import { jobWritings } from '../serve/jobWritings';
@@ -45,7 +46,7 @@
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
   usage:
-    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together]',
+    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together] [--turns asked|planned]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
     order: {
@@ -53,6 +54,10 @@
       help: `order of placement within a priority: ${Object.keys(placementOrders).join(', ')}`,
     },
     halls: { type: 'string', help: 'over which halls the tasks of a job go: spread, or together (default)' },
+    turns: {
+      type: 'string',
+      help: 'when turns at the advice service are taken: asked (default), or planned by the room that is expected',
+    },
     speeds: { type: 'string', help: 'how the speed of kinds of endpoints counts: blind, or kinds (default)' },
     writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
     configuration: {
@@ -91,12 +96,17 @@
     if (speeds === undefined) {
       writeChoiceError('speeds', speedChoices);
     }
+    const turns = parseChoice(turnChoices, input.values['turns'], dispatchDefaults.turnChoice);
+    if (turns === undefined) {
+      writeChoiceError('turns', turnChoices);
+    }
     if (
       source === undefined ||
       order === undefined ||
       writing === undefined ||
       speeds === undefined ||
-      halls === undefined
+      halls === undefined ||
+      turns === undefined
     ) {
       return exitCodes.usage;
     }
@@ -117,6 +127,7 @@
         jobWriting: writing,
         speedChoice: speeds,
         hallChoice: halls,
+        turnChoice: turns,
       },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -1,6 +1,7 @@
 import type { EndpointLife } from '../jobs/EndpointLife';
 import type { JobId } from '../jobs/JobId';
 import type { TaskName } from '../jobs/TaskName';
+import type { QuestionCause } from './advice/QuestionCause';
 import type { DispatchCount } from './DispatchCount';
 import type { StartOrder } from './endpoints/StartOrder';
 import type { WaitTimes } from './waiting/WaitTimes';
@@ -32,6 +33,7 @@
       readonly endpoints: readonly EndpointLife[];
       readonly expectedMs: number;
       readonly isLong: boolean;
+      readonly cause: QuestionCause;
     }
   /** Counts something for the metrics. */
   | { readonly kind: 'count'; readonly name: DispatchCount; readonly amount: number }
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -30,10 +30,13 @@
 import { Preemptor } from './placing/Preemptor';
 import { RoomReservations } from './placing/RoomReservations';
 import { createPlacedRun } from './runs/createPlacedRun';
-import { AdviceCandidates } from './advice/AdviceCandidates';
 import { AdviceHistory } from './advice/AdviceHistory';
 import { AdviceQuestions } from './advice/AdviceQuestions';
 import type { AdviceTurns } from './advice/AdviceTurns';
+import { RoomClaims } from './advice/RoomClaims';
+import { TurnAccount } from './advice/TurnAccount';
+import type { TurnChoice } from './advice/TurnChoice';
+import { turnChoices } from './advice/turnChoices';
 import { GangWatch } from './runs/GangWatch';
 import type { LookAnswer } from './endpoints/LookAnswer';
 import { LookReader } from './endpoints/LookReader';
@@ -61,6 +64,7 @@
   readonly placementOrder?: PlacementOrder;
   readonly speedChoice?: SpeedChoice;
   readonly hallChoice?: HallChoice;
+  readonly turnChoice?: TurnChoice;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -89,6 +93,8 @@
   private readonly looks: LookReader;
   private readonly questions: AdviceQuestions;
   private readonly adviceHistory = new AdviceHistory();
+  private readonly turnAccount: TurnAccount;
+  private readonly roomClaims: RoomClaims;
   private readonly mover: RunMover;
   private readonly gangs: GangWatch;
   private readonly crashes: CrashLedger;
@@ -130,15 +136,22 @@
       speedChoice: options.speedChoice ?? dispatchDefaults.speedChoice,
       hallChoice: options.hallChoice ?? dispatchDefaults.hallChoice,
     });
-    const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory, preference);
-    this.questions = new AdviceQuestions(
-      this.books,
-      this.room,
+    const { room, adviceHistory: history } = this;
+    const way = turnChoices[options.turnChoice ?? dispatchDefaults.turnChoice];
+    const claims = new RoomClaims(room);
+    this.roomClaims = claims;
+    this.turnAccount = new TurnAccount((name, amount) => sendEffect({ kind: 'count', name, amount }));
+    this.questions = new AdviceQuestions({
+      books: this.books,
+      room,
       limits,
-      candidates,
-      this.adviceHistory,
+      way,
+      candidates: way.createCandidates({ room, preemptor, history, preference, claims }),
+      history,
+      claims,
+      account: this.turnAccount,
       sendEffect,
-    );
+    });
     this.placer = new StepPlacer({
       room: this.room,
       limits,
@@ -373,8 +386,15 @@
     const [id, time, number] = step.split('.');
     const job = this.jobs.get(id as JobId);
     this.adviceHistory.recordAnswer(job?.definition.queue.name ?? '', asked, good?.size);
+    this.roomClaims.recordAnswer(step, asked);
     const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
-    job?.readAdvice(Number(time), Number(number)).recordAnswer(asked, good, now, validityMs);
+    const book = job?.readAdvice(Number(time), Number(number));
+    const tookMs = book === undefined ? 0 : now - book.readAskedAt();
+    if (good === undefined) {
+      this.turnAccount.recordUnanswered(tookMs);
+    }
+    const source = good && this.turnAccount.recordAnswer(tookMs, now + validityMs);
+    book?.recordAnswer(asked, good, now, validityMs, source);
     this.hasNews = true;
   }
 
@@ -400,6 +420,7 @@
       this.ledger.sendStopsAgain(book, now);
     }
     this.reservations.applyTime(now);
+    this.turnAccount.applyTime(now);
     this.mover.applyTime(now);
     this.gangs.checkAll();
     this.applyRemovals();
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -15,7 +15,10 @@
 import { leaderTimings } from '../leadership/leaderTimings';
 import { appendRules } from '../store/appendRules';
 import type { LogClient } from '../store/LogClient';
-import { AdviceDesk } from './advice/AdviceDesk';
+import { adviceDesks } from './advice/adviceDesks';
+import type { QuestionDesk } from './advice/QuestionDesk';
+import type { QuestionDeskOptions } from './advice/QuestionDeskOptions';
+import type { TurnChoice } from './advice/TurnChoice';
 import { AnswerTimeout } from './endpoints/AnswerTimeout';
 import type { DispatchCount } from './DispatchCount';
 import type { DispatchEffect } from './DispatchEffect';
@@ -55,6 +58,7 @@
   readonly placementOrder: PlacementOrder;
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
+  readonly turnChoice: TurnChoice;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** On failure says what is wrong with the record. */
@@ -64,7 +68,7 @@
   readonly isServiceRouted: (service: ServiceName) => boolean;
   /** Longest lease that an endpoint grants, in milliseconds. */
   readonly longestLeaseMs: number;
-  readonly readAskers: () => ReturnType<ConstructorParameters<typeof AdviceDesk>[0]['readAskers']>;
+  readonly readAskers: QuestionDeskOptions['readAskers'];
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** A newer leader has been seen: this duty gives no more orders. */
   readonly handleDeposed: (detail: string) => void;
@@ -119,7 +123,7 @@
   private readonly journal: LeaderJournal;
   private readonly inheritance: ProgressInheritance;
   private readonly endpoints: EndpointSessions;
-  private readonly desk: AdviceDesk;
+  private readonly desk: QuestionDesk;
   private readonly orderTimeout = new AnswerTimeout();
   /** Services of the jobs that were taken in: their endpoints are needed also where the configuration has dropped them. */
   private readonly services = new Set<ServiceName>();
@@ -142,6 +146,7 @@
       placementOrder: options.placementOrder,
       speedChoice: options.speedChoice,
       hallChoice: options.hallChoice,
+      turnChoice: options.turnChoice,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.journal = new LeaderJournal({
@@ -177,15 +182,17 @@
       handleFenced: (detail) => this.handleDeposed(detail),
       handleLogBack: options.handleLogBack,
     });
-    this.desk = new AdviceDesk({
+    this.desk = adviceDesks[options.turnChoice]({
       clock,
       readAskers: options.readAskers,
       handleAnswer: (question, answer, tookMs) => {
         options.logger.info('Advice answered.', {
           step: question.step,
+          cause: question.cause,
           asked: question.endpoints.length,
           allowed: answer?.size ?? 'no answer',
           tookMs,
+          expectedMs: Math.round(question.expectedMs),
         });
         this.dispatcher.handleAdvice(question.step, question.endpoints, answer, clock.readNow());
         this.queueRound();
--- /dev/null
+++ b/packages/dispatch/advice/AdviceAsker.ts
@@ -0,0 +1,8 @@
+import type { AdviceClient } from './AdviceClient';
+
+/** A box that can ask the advice service, one question at a time. */
+export interface AdviceAsker {
+  readonly box: string;
+  readonly isOwn: boolean;
+  readonly client: AdviceClient;
+}
--- a/packages/dispatch/advice/AdviceBook.ts
+++ b/packages/dispatch/advice/AdviceBook.ts
@@ -1,9 +1,14 @@
 import type { EndpointLife } from '../../jobs/EndpointLife';
+import type { TurnAccount } from './TurnAccount';
+
+type AnsweredQuestion = ReturnType<TurnAccount['recordAnswer']>;
 
 interface Ticket {
   readonly text: string;
   /** Monotonic time after which it is not used any more. */
   readonly usableUntil: number;
+  /** The question that gave it. */
+  readonly source: AnsweredQuestion | undefined;
 }
 
 /** Time that a start takes from its choice to the endpoint, taken off a ticket's life. */
@@ -20,6 +25,10 @@
   private isAsking = false;
   /** Monotonic time from which the next question may be asked. */
   private askableFrom = -Infinity;
+  /** Monotonic time before which it is not worked out again whether a question is worth its turn. */
+  private idleUntil = -Infinity;
+  /** Monotonic time of the newest question. */
+  private askedAt = 0;
 
   /** The ticket for an endpoint, or undefined when there is none that holds long enough. */
   readTicket(endpoint: EndpointLife, now: number): string | undefined {
@@ -55,8 +64,33 @@
     return !this.isAsking && now >= this.askableFrom;
   }
 
-  recordQuestion(): void {
+  /** True once the service has said something of the step. */
+  isAnswered(): boolean {
+    return this.tickets.size > 0 || this.refused.size > 0;
+  }
+
+  /** True for a while after no question was worth its turn. */
+  isIdle(now: number): boolean {
+    return now < this.idleUntil;
+  }
+
+  recordIdle(until: number): void {
+    this.idleUntil = until;
+  }
+
+  recordQuestion(now: number): void {
     this.isAsking = true;
+    this.askedAt = now;
+  }
+
+  /** Monotonic time of the newest question. */
+  readAskedAt(): number {
+    return this.askedAt;
+  }
+
+  /** The question that gave the ticket for an endpoint. */
+  readSource(endpoint: EndpointLife): AnsweredQuestion | undefined {
+    return this.tickets.get(endpoint)?.source;
   }
 
   recordAnswer(
@@ -64,6 +98,7 @@
     good: ReadonlyMap<EndpointLife, string> | undefined,
     now: number,
     validityMs: number,
+    source?: AnsweredQuestion,
   ): void {
     this.isAsking = false;
     if (good === undefined) {
@@ -75,7 +110,7 @@
       if (text === undefined) {
         this.refused.add(endpoint);
       } else {
-        this.tickets.set(endpoint, { text, usableUntil: now + validityMs - USE_MARGIN_MS });
+        this.tickets.set(endpoint, { text, usableUntil: now + validityMs - USE_MARGIN_MS, source });
       }
     }
   }
--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -1,5 +1,6 @@
 import { demandSums } from '../../jobs/demandSums';
 import type { AdviceHistory } from './AdviceHistory';
+import type { CandidateChoice } from './CandidateChoice';
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { Preemptor } from '../placing/Preemptor';
 import type { RoomView } from '../placing/RoomView';
@@ -13,8 +14,8 @@
 
 const toSum = (counts: readonly number[]): number => counts.reduce((sum, count) => sum + count, 0);
 
-/** Chooses the endpoints about which the advice service is asked for a step, the most useful first. */
-export class AdviceCandidates {
+/** Asks whenever tickets are lacking: about endpoints with room, or, for what rarely finds any, about all. */
+export class AdviceCandidates implements CandidateChoice {
   constructor(
     private readonly room: RoomView,
     private readonly preemptor: Preemptor,
@@ -22,6 +23,10 @@
     private readonly preference: EndpointPreference,
   ) {}
 
+  startRound(): void {
+    // Keeps nothing from one question to the next.
+  }
+
   chooseNamed(
     step: WaitingStep,
     eligible: readonly EndpointBook[],
--- a/packages/dispatch/advice/AdviceDesk.ts
+++ b/packages/dispatch/advice/AdviceDesk.ts
@@ -1,27 +1,11 @@
-import type { Clock } from '../../common/Clock';
-import type { EndpointLife } from '../../jobs/EndpointLife';
-import { endpointLives } from '../../jobs/endpointLives';
-import type { AdviceClient } from './AdviceClient';
+import type { AdviceAsker } from './AdviceAsker';
 import type { AdviceTurns } from './AdviceTurns';
+import type { QuestionDesk } from './QuestionDesk';
+import type { QuestionDeskOptions } from './QuestionDeskOptions';
+import { sendToAsker } from './sendToAsker';
 import type { DispatchEffect } from '../DispatchEffect';
 
 type Question = Extract<DispatchEffect, { kind: 'advise' }>;
-/** Tickets hold for one life of an endpoint. */
-type Answer = ReadonlyMap<EndpointLife, string> | undefined;
-
-interface AdviceDeskOptions {
-  readonly clock: Clock;
-  /** The boxes that can ask, this one first. Read anew for each question. */
-  readonly readAskers: () => readonly AdviceAsker[];
-  readonly handleAnswer: (question: Question, answer: Answer, tookMs: number) => void;
-}
-
-/** A box that can ask the advice service, one question at a time. */
-interface AdviceAsker {
-  readonly box: string;
-  readonly isOwn: boolean;
-  readonly client: AdviceClient;
-}
 
 interface AskerLoad {
   isBusy: boolean;
@@ -32,12 +16,12 @@
 const ANSWER_MARGIN_MS = 1200;
 const AVOID_MS = 2500;
 
-/** Spreads questions to the advice service over the boxes, since the service takes those of one box in turn: one at a time each. */
-export class AdviceDesk {
+/** Keeps the leader's own box for short questions, and gives any question to the first box that is free. */
+export class AdviceDesk implements QuestionDesk {
   private readonly loads = new Map<string, AskerLoad>();
   private isStopped = false;
 
-  constructor(private readonly options: AdviceDeskOptions) {}
+  constructor(private readonly options: QuestionDeskOptions) {}
 
   /** How many questions could be asked now. */
   readFreeTurns(): AdviceTurns {
@@ -61,7 +45,7 @@
     load.isBusy = true;
     const askedAt = this.options.clock.readNow();
     const timeoutMs = question.expectedMs + ANSWER_MARGIN_MS;
-    const answer = await this.sendToAsker(asker, question, timeoutMs);
+    const answer = await sendToAsker(asker, question, timeoutMs);
     load.isBusy = false;
     if (this.isStopped) {
       return;
@@ -77,21 +61,6 @@
     this.isStopped = true;
   }
 
-  /** The service knows endpoints by their ids. */
-  private async sendToAsker(asker: AdviceAsker, question: Question, timeoutMs: number): Promise<Answer> {
-    const lives = new Map(question.endpoints.map((life) => [endpointLives.readEndpoint(life), life]));
-    const answer = await asker.client.sendQuestion(question.step, [...lives.keys()], timeoutMs);
-    return (
-      answer &&
-      new Map(
-        [...answer].flatMap(([id, ticket]) => {
-          const life = lives.get(id);
-          return life === undefined ? [] : [[life, ticket] as const];
-        }),
-      )
-    );
-  }
-
   /** True when the box has no question under way. */
   private isFree({ box }: AdviceAsker): boolean {
     return this.loads.get(box)?.isBusy !== true && !this.isAvoided(box);
--- a/packages/dispatch/advice/AdviceQuestions.ts
+++ b/packages/dispatch/advice/AdviceQuestions.ts
@@ -1,41 +1,46 @@
 import type { EndpointLife } from '../../jobs/EndpointLife';
 import { toTaskName } from '../../jobs/toTaskName';
-import type { AdviceCandidates } from './AdviceCandidates';
+import type { AdviceBook } from './AdviceBook';
 import type { AdviceHistory } from './AdviceHistory';
 import type { AdviceTurns } from './AdviceTurns';
+import type { CandidateChoice } from './CandidateChoice';
+import type { QuestionCause } from './QuestionCause';
+import type { RoomClaims } from './RoomClaims';
+import type { TurnAccount } from './TurnAccount';
+import type { TurnWay } from './TurnWay';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { LimitView } from '../placing/LimitView';
 import type { LiveJob } from '../waiting/LiveJob';
-import type { PlacedRun } from '../runs/PlacedRun';
+import { readRemainingMs } from '../runs/readRemainingMs';
 import type { RoomView } from '../placing/RoomView';
 import { toStepName } from '../waiting/toStepName';
 import type { WaitCause } from '../waiting/WaitCause';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
-/** Endpoints named in one question; so many are counted in a job's objective. */
+/** A question that names so many endpoints is counted in a job's objective; the time of its answer is foreseen for that. */
 const MAX_NAMED = 30;
 /** From the answer to a question to a start that uses it. */
 const USE_ANSWER_MS = 120;
 /** A question for a later step is sent so long before it is expected to be ready, beyond the question's own time. */
 const EARLY_MARGIN_MS = 150;
-/** Questions longer than this are long ones. */
-const LONG_QUESTION_MS = 150;
-/** Percent below which a run's speed is not known. */
-const KNOWN_SPEED_PERCENT = 5;
+interface AdviceQuestionsOptions {
+  readonly books: ReadonlyMap<EndpointLife, EndpointBook>;
+  readonly room: RoomView;
+  readonly limits: LimitView;
+  readonly way: TurnWay;
+  readonly candidates: CandidateChoice;
+  readonly history: AdviceHistory;
+  readonly claims: RoomClaims;
+  readonly account: TurnAccount;
+  readonly sendEffect: (effect: Extract<DispatchEffect, { kind: 'advise' }>) => void;
+}
 
 /** Decides when to ask the advice service, and about which endpoints. */
 export class AdviceQuestions {
   private turns: AdviceTurns = { all: 0, long: 0 };
 
-  constructor(
-    private readonly books: ReadonlyMap<EndpointLife, EndpointBook>,
-    private readonly room: RoomView,
-    private readonly limits: LimitView,
-    private readonly candidates: AdviceCandidates,
-    private readonly history: AdviceHistory,
-    private readonly sendEffect: (effect: Extract<DispatchEffect, { kind: 'advise' }>) => void,
-  ) {}
+  constructor(private readonly options: AdviceQuestionsOptions) {}
 
   /**
    * Sets how many questions this round may ask. What finds no turn is asked in a later round if it still has to be, in the order
@@ -43,6 +48,7 @@
    */
   startRound(turns: AdviceTurns): void {
     this.turns = turns;
+    this.options.candidates.startRound();
   }
 
   /**
@@ -55,37 +61,55 @@
     missing: number,
     now: number,
     neededUntil = now,
+    isEarly = false,
   ): WaitCause {
     const { advice } = step.job.definition.queue;
     const book = step.job.readAdvice(step.time, step.step);
-    if (advice === undefined) {
+    if (advice === undefined || book.isIdle(now)) {
       return 'room';
     }
     if (!book.isAskable(now)) {
       return 'answer';
     }
-    const isLong = advice.decisionMs + advice.perEndpointMs * MAX_NAMED > LONG_QUESTION_MS;
+    const { room, way, candidates } = this.options;
+    const isLong = way.isLong(advice, room.isMostUrgent(step.job.definition.queue));
     if (!this.hasTurn(isLong)) {
       return 'turn';
     }
-    const named = this.candidates.chooseNamed(step, eligible, missing, neededUntil).slice(0, MAX_NAMED);
+    const named = candidates.chooseNamed(step, eligible, missing, neededUntil, now).slice(0, way.maxNamed);
     if (named.length === 0) {
+      book.recordIdle(now + way.idleMs);
       return 'room';
     }
-    book.recordQuestion();
-    const endpoints = named.map((endpoint) => endpoint.readProfile().life);
-    this.history.recordQuestion(endpoints);
     this.turns = { all: this.turns.all - 1, long: this.turns.long - (isLong ? 1 : 0) };
-    this.sendEffect({
-      kind: 'advise',
-      step: toStepName(step),
-      endpoints,
-      expectedMs: advice.decisionMs + advice.perEndpointMs * named.length,
-      isLong,
-    });
+    const endpoints = named.map((endpoint) => endpoint.readProfile().life);
+    const cause = isEarly ? 'early' : this.readCause(book, endpoints);
+    const name = toStepName(step);
+    const { history, claims, account, sendEffect } = this.options;
+    book.recordQuestion(now);
+    history.recordQuestion(endpoints);
+    claims.recordQuestion(step, name, named, missing);
+    account.recordQuestion(cause);
+    const expectedMs = advice.decisionMs + advice.perEndpointMs * named.length;
+    sendEffect({ kind: 'advise', step: name, endpoints, expectedMs, isLong, cause });
     return 'answer';
   }
 
+  private readCause(book: AdviceBook, endpoints: readonly EndpointLife[]): QuestionCause {
+    if (!book.isAnswered()) {
+      return 'first';
+    }
+    return endpoints.every((life) => book.hasBeenAllowed(life)) ? 'again' : 'more';
+  }
+
+  /** A task of the step is started on an endpoint, with the ticket for it if it needs one. */
+  recordUse({ job, time, step }: WaitingStep, endpoint: EndpointLife): void {
+    const source = job.readAdvice(time, step).readSource(endpoint);
+    if (source !== undefined) {
+      this.options.account.recordUse(source);
+    }
+  }
+
   /** Time from a question about the step to its answer, in milliseconds; 0 where none is needed. */
   readAnswerMs({ job }: WaitingStep): number {
     const { advice } = job.definition.queue;
@@ -122,9 +146,10 @@
   }
 
   private sendEarlyQuestion(whole: WaitingStep, now: number): void {
-    const step = this.limits.readEverStartable(whole);
+    const { limits, room } = this.options;
+    const step = limits.readEverStartable(whole);
     if (step !== undefined) {
-      this.sendQuestion(step, this.room.readEligible(step), step.indexes.length, now);
+      this.sendQuestion(step, room.readEligible(step), step.indexes.length, now, now, true);
     }
   }
 
@@ -138,24 +163,12 @@
         }
         if (task.phase === 'placed') {
           const name = toTaskName(job.definition.id, { time, step: earlier, index });
-          const run = this.books.get(task.endpoint)?.readRun(name, task.run);
+          const run = this.options.books.get(task.endpoint)?.readRun(name, task.run);
           const estimatedMs = job.definition.steps[earlier]!.estimatedMs;
-          readyInMs = Math.max(
-            readyInMs,
-            run === undefined ? 0 : this.readRemainingMs(run, estimatedMs, now),
-          );
+          readyInMs = Math.max(readyInMs, run === undefined ? 0 : readRemainingMs(run, estimatedMs, now));
         }
       }
     }
     return readyInMs;
   }
-
-  private readRemainingMs(run: PlacedRun, estimatedMs: number, now: number): number {
-    const ageMs = now - run.placedAt;
-    if (run.percent < KNOWN_SPEED_PERCENT) {
-      return Math.max(0, estimatedMs - ageMs);
-    }
-    const wholeMs = ((run.progressedAt - run.placedAt) * 100) / run.percent;
-    return Math.max(0, wholeMs - ageMs);
-  }
 }
--- /dev/null
+++ b/packages/dispatch/advice/AskerLoad.ts
@@ -0,0 +1,76 @@
+/** How much of a new delay counts in the mean and the deviation, as in TCP's timer. */
+const MEAN_WEIGHT = 1 / 8;
+const DEVIATION_WEIGHT = 1 / 4;
+/** So many deviations above the mean an answer is late. */
+const LATE_DEVIATIONS = 4;
+/** Before an answer was seen, and at most, an answer may take so much longer than the service needs. */
+const MOST_DELAY_MS = 1200;
+/** A question goes to a second box no sooner, since that takes a second turn. */
+const LEAST_DELAY_MS = 80;
+/** What is known of a box counts half after so long, so that one that was slow is tried again. */
+const HALF_LIFE_MS = 10_000;
+
+/** What one box can bear of questions: how much longer than the service needs its answers take, and whether they come. */
+export class AskerLoad {
+  /** Undefined while it has no question under way. */
+  private question: { readonly isLong: boolean } | undefined;
+  private meanMs: number | undefined;
+  private deviationMs = 0;
+  private answeredAt = 0;
+  /** It failed to answer; until this monotonic time others are asked. */
+  private avoidedUntil = -Infinity;
+
+  isBusy(): boolean {
+    return this.question !== undefined;
+  }
+
+  isBusyWithShort(): boolean {
+    return this.question?.isLong === false;
+  }
+
+  isAvoided(now: number): boolean {
+    return now < this.avoidedUntil;
+  }
+
+  /** How much longer than the service needs the next answer is likely to take, in milliseconds. */
+  readDelayMs(now: number): number {
+    return (this.meanMs ?? 0) * 0.5 ** ((now - this.answeredAt) / HALF_LIFE_MS);
+  }
+
+  /** How much longer than the service needs an answer takes at most, unless something is wrong. */
+  readLateMs(): number {
+    if (this.meanMs === undefined) {
+      return MOST_DELAY_MS;
+    }
+    const lateMs = this.meanMs + LATE_DEVIATIONS * this.deviationMs;
+    return Math.min(MOST_DELAY_MS, Math.max(LEAST_DELAY_MS, lateMs));
+  }
+
+  recordQuestion(isLong: boolean): void {
+    this.question = { isLong };
+  }
+
+  recordAnswer(delayMs: number, now: number): void {
+    this.question = undefined;
+    this.avoidedUntil = -Infinity;
+    this.answeredAt = now;
+    if (this.meanMs === undefined) {
+      this.meanMs = delayMs;
+      this.deviationMs = delayMs / 2;
+      return;
+    }
+    this.deviationMs += DEVIATION_WEIGHT * (Math.abs(delayMs - this.meanMs) - this.deviationMs);
+    this.meanMs += MEAN_WEIGHT * (delayMs - this.meanMs);
+  }
+
+  /** An answer is late; it may still come. */
+  recordLate(avoidedUntil: number): void {
+    this.avoidedUntil = avoidedUntil;
+  }
+
+  /** The question under way is over without an answer. */
+  recordUnanswered(avoidedUntil: number): void {
+    this.question = undefined;
+    this.avoidedUntil = avoidedUntil;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/advice/TurnChoice.ts
@@ -0,0 +1,6 @@
+/**
+ * When turns at the advice service are taken.
+ * - `asked`: whenever a step lacks a ticket and a box is free to ask.
+ * - `planned`: when the answer is expected to find room.
+ */
+export type TurnChoice = 'asked' | 'planned';
--- /dev/null
+++ b/packages/dispatch/advice/turnChoices.ts
@@ -0,0 +1,31 @@
+import { AdviceCandidates } from './AdviceCandidates';
+import { PlannedCandidates } from './PlannedCandidates';
+import type { TurnChoice } from './TurnChoice';
+import type { TurnWay } from './TurnWay';
+
+/** Endpoints named in one question; so many are counted in a job's objective. */
+const COUNTED_NAMED = 30;
+/** Most endpoints that the service takes in one call. */
+const LARGEST_CALL = 100;
+/** Questions longer than this are long ones. */
+const LONG_QUESTION_MS = 150;
+/** Rounds follow each message; room that a question needs does not come with every one of them. */
+const IDLE_MS = 20;
+
+/** Ways of taking turns, by choice. */
+export const turnChoices: Readonly<Record<TurnChoice, TurnWay>> = {
+  asked: {
+    maxNamed: COUNTED_NAMED,
+    idleMs: 0,
+    isLong: (advice) => advice.decisionMs + advice.perEndpointMs * COUNTED_NAMED > LONG_QUESTION_MS,
+    createCandidates: ({ room, preemptor, history, preference }) =>
+      new AdviceCandidates(room, preemptor, history, preference),
+  },
+  planned: {
+    maxNamed: LARGEST_CALL,
+    idleMs: IDLE_MS,
+    isLong: (advice, isMostUrgent) =>
+      !isMostUrgent || advice.decisionMs + advice.perEndpointMs * COUNTED_NAMED > LONG_QUESTION_MS,
+    createCandidates: (parts) => new PlannedCandidates(parts),
+  },
+};
--- a/packages/dispatch/dispatchDefaults.ts
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -1,11 +1,13 @@
 import type { HallChoice } from './placing/HallChoice';
 import type { SpeedChoice } from './placing/SpeedChoice';
+import type { TurnChoice } from './advice/TurnChoice';
 import type { PlacementOrder } from './waiting/PlacementOrder';
 
 interface DispatchDefaults {
   readonly placementOrder: PlacementOrder;
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
+  readonly turnChoice: TurnChoice;
 }
 
 /** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
@@ -13,4 +15,5 @@
   placementOrder: 'shares',
   speedChoice: 'kinds',
   hallChoice: 'together',
+  turnChoice: 'asked',
 };
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -258,6 +258,7 @@
       const checkpoint = shape.isGang ? gangCheckpoint : progress.readTask(address)!.checkpoint;
       progress.recordPlaced(address, run.run, endpoint);
       const order = { task, run: run.run, spec: definition.spec, checkpoint, ticket };
+      this.options.questions.recordUse(step, endpoint);
       this.options.sendEffect({ kind: 'start', job: definition.id, endpoint, order, waits });
       return {
         task,
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -21,6 +21,16 @@
   'runsLapsed',
   'crashesCharged',
   'tasksGivenUp',
+  'questionsFirst',
+  'questionsMore',
+  'questionsAgain',
+  'questionsEarly',
+  'turnsUsed',
+  'turnsWasted',
+  'turnsUnanswered',
+  'turnUsedMs',
+  'turnWastedMs',
+  'turnUnansweredMs',
 ] as const;
 const QUANTILES = [50, 90, 99, 99.9] as const;
 const MICROS_PER_MS = 1000;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -376,6 +376,7 @@
       placementOrder: settings.placementOrder,
       speedChoice: settings.speedChoice,
       hallChoice: settings.hallChoice,
+      turnChoice: settings.turnChoice,
       readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile, readToken) => adapter.createEndpointClient(profile, readToken),
