--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -33,7 +33,7 @@
 import { AdviceHistory } from './advice/AdviceHistory';
 import { AdviceQuestions } from './advice/AdviceQuestions';
 import type { AdviceTurns } from './advice/AdviceTurns';
-import { RoomClaims } from './advice/RoomClaims';
+import type { CandidateChoice } from './advice/CandidateChoice';
 import { TurnAccount } from './advice/TurnAccount';
 import type { TurnChoice } from './advice/TurnChoice';
 import { turnChoices } from './advice/turnChoices';
@@ -94,7 +94,7 @@
   private readonly questions: AdviceQuestions;
   private readonly adviceHistory = new AdviceHistory();
   private readonly turnAccount: TurnAccount;
-  private readonly roomClaims: RoomClaims;
+  private readonly adviceCandidates: CandidateChoice;
   private readonly mover: RunMover;
   private readonly gangs: GangWatch;
   private readonly crashes: CrashLedger;
@@ -138,17 +138,16 @@
     });
     const { room, adviceHistory: history } = this;
     const way = turnChoices[options.turnChoice ?? dispatchDefaults.turnChoice];
-    const claims = new RoomClaims(room);
-    this.roomClaims = claims;
+    const candidates = way.createCandidates({ room, preemptor, history, preference });
+    this.adviceCandidates = candidates;
     this.turnAccount = new TurnAccount((name, amount) => sendEffect({ kind: 'count', name, amount }));
     this.questions = new AdviceQuestions({
       books: this.books,
       room,
       limits,
       way,
-      candidates: way.createCandidates({ room, preemptor, history, preference, claims }),
+      candidates,
       history,
-      claims,
       account: this.turnAccount,
       sendEffect,
     });
@@ -386,7 +385,7 @@
     const [id, time, number] = step.split('.');
     const job = this.jobs.get(id as JobId);
     this.adviceHistory.recordAnswer(job?.definition.queue.name ?? '', asked, good?.size);
-    this.roomClaims.recordAnswer(step, asked);
+    this.adviceCandidates.recordAnswer(step, asked);
     const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
     const book = job?.readAdvice(Number(time), Number(number));
     const tookMs = book === undefined ? 0 : now - book.readAskedAt();
--- a/packages/dispatch/advice/AdviceBook.ts
+++ b/packages/dispatch/advice/AdviceBook.ts
@@ -27,8 +27,12 @@
   private askableFrom = -Infinity;
   /** Monotonic time before which it is not worked out again whether a question is worth its turn. */
   private idleUntil = -Infinity;
+  /** Monotonic time since which no question was worth its turn; undefined when the last one was. */
+  private idleSince: number | undefined;
   /** Monotonic time of the newest question. */
   private askedAt = 0;
+  /** Monotonic time of the newest answer. */
+  private answeredAt = -Infinity;
 
   /** The ticket for an endpoint, or undefined when there is none that holds long enough. */
   readTicket(endpoint: EndpointLife, now: number): string | undefined {
@@ -74,12 +78,19 @@
     return now < this.idleUntil;
   }
 
-  recordIdle(until: number): void {
+  recordIdle(now: number, until: number): void {
+    this.idleSince ??= now;
     this.idleUntil = until;
   }
 
+  /** For how long no question has been worth its turn, in milliseconds. */
+  readIdleMs(now: number): number {
+    return this.idleSince === undefined ? 0 : now - this.idleSince;
+  }
+
   recordQuestion(now: number): void {
     this.isAsking = true;
+    this.idleSince = undefined;
     this.askedAt = now;
   }
 
@@ -88,6 +99,11 @@
     return this.askedAt;
   }
 
+  /** Monotonic time of the newest answer; -Infinity before the first. */
+  readAnsweredAt(): number {
+    return this.answeredAt;
+  }
+
   /** The question that gave the ticket for an endpoint. */
   readSource(endpoint: EndpointLife): AnsweredQuestion | undefined {
     return this.tickets.get(endpoint)?.source;
@@ -105,6 +121,7 @@
       this.askableFrom = now + RETRY_MS;
       return;
     }
+    this.answeredAt = now;
     for (const endpoint of asked) {
       const text = good.get(endpoint);
       if (text === undefined) {
--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -23,8 +23,8 @@
     private readonly preference: EndpointPreference,
   ) {}
 
-  startRound(): void {
-    // Keeps nothing from one question to the next.
+  recordAnswer(): void {
+    // Keeps nothing of what it has named.
   }
 
   chooseNamed(
--- a/packages/dispatch/advice/AdviceQuestions.ts
+++ b/packages/dispatch/advice/AdviceQuestions.ts
@@ -5,7 +5,6 @@
 import type { AdviceTurns } from './AdviceTurns';
 import type { CandidateChoice } from './CandidateChoice';
 import type { QuestionCause } from './QuestionCause';
-import type { RoomClaims } from './RoomClaims';
 import type { TurnAccount } from './TurnAccount';
 import type { TurnWay } from './TurnWay';
 import type { DispatchEffect } from '../DispatchEffect';
@@ -31,7 +30,6 @@
   readonly way: TurnWay;
   readonly candidates: CandidateChoice;
   readonly history: AdviceHistory;
-  readonly claims: RoomClaims;
   readonly account: TurnAccount;
   readonly sendEffect: (effect: Extract<DispatchEffect, { kind: 'advise' }>) => void;
 }
@@ -48,7 +46,6 @@
    */
   startRound(turns: AdviceTurns): void {
     this.turns = turns;
-    this.options.candidates.startRound();
   }
 
   /**
@@ -78,17 +75,16 @@
     }
     const named = candidates.chooseNamed(step, eligible, missing, neededUntil, now).slice(0, way.maxNamed);
     if (named.length === 0) {
-      book.recordIdle(now + way.idleMs);
+      book.recordIdle(now, now + way.idleMs);
       return 'room';
     }
     this.turns = { all: this.turns.all - 1, long: this.turns.long - (isLong ? 1 : 0) };
     const endpoints = named.map((endpoint) => endpoint.readProfile().life);
     const cause = isEarly ? 'early' : this.readCause(book, endpoints);
     const name = toStepName(step);
-    const { history, claims, account, sendEffect } = this.options;
+    const { history, account, sendEffect } = this.options;
     book.recordQuestion(now);
     history.recordQuestion(endpoints);
-    claims.recordQuestion(step, name, named, missing);
     account.recordQuestion(cause);
     const expectedMs = advice.decisionMs + advice.perEndpointMs * named.length;
     sendEffect({ kind: 'advise', step: name, endpoints, expectedMs, isLong, cause });
--- a/packages/dispatch/advice/CandidateChoice.ts
+++ b/packages/dispatch/advice/CandidateChoice.ts
@@ -1,14 +1,12 @@
+import type { EndpointLife } from '../../jobs/EndpointLife';
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Chooses the endpoints about which the advice service is asked for a step, the most useful first. */
 export interface CandidateChoice {
-  /** Forgets what was worked out in the round before. */
-  startRound(): void;
-
   /**
    * The endpoints to name for `missing` tasks that lack tickets which hold until `neededUntil`; none when a question is not worth
-   * its turn.
+   * its turn. They are asked about at once.
    */
   chooseNamed(
     step: WaitingStep,
@@ -17,4 +15,7 @@
     neededUntil: number,
     now: number,
   ): readonly EndpointBook[];
+
+  /** The question about these endpoints for a step (`JOB.TIME.STEP`) has its answer, or will have none. */
+  recordAnswer(step: string, named: readonly EndpointLife[]): void;
 }
--- a/packages/dispatch/advice/PlannedCandidates.ts
+++ b/packages/dispatch/advice/PlannedCandidates.ts
@@ -1,14 +1,15 @@
 import { demandSums } from '../../jobs/demandSums';
+import type { EndpointLife } from '../../jobs/EndpointLife';
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { AdviceHistory } from './AdviceHistory';
 import type { CandidateChoice } from './CandidateChoice';
 import { chooseQuestionSize } from './chooseQuestionSize';
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { EndpointPreference } from '../placing/EndpointPreference';
-import { ExpectedRoom } from './ExpectedRoom';
 import type { Preemptor } from '../placing/Preemptor';
-import type { RoomClaims } from './RoomClaims';
+import { RoomClaims } from './RoomClaims';
 import type { RoomView } from '../placing/RoomView';
+import { toStepName } from '../waiting/toStepName';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 interface PlannedCandidatesOptions {
@@ -16,13 +17,14 @@
   readonly preemptor: Preemptor;
   readonly history: AdviceHistory;
   readonly preference: EndpointPreference;
-  readonly claims: RoomClaims;
 }
 
 /** An endpoint about which could be asked. */
 interface Candidate {
   readonly book: EndpointBook;
+  /** Tasks of the step for which it has room. */
   readonly places: number;
+  /** Chance that the step may use it, and that the room is still there when the answer comes. */
   readonly chance: number;
   readonly cost: number;
 }
@@ -33,37 +35,50 @@
   held: number;
   /** With room now. */
   readonly roomy: Candidate[];
-  /** Where room is expected only later. */
-  readonly later: Candidate[];
+  /** Without room now. */
+  readonly full: Candidate[];
+  /** With a ticket that holds, but not for long. */
+  readonly aging: Candidate[];
 }
 
 /** Chance that room which is seen now is still there when the answer comes. */
-const ROOM_STAYS = 0.8;
+const ROOM_STAYS = 0.6;
 /** Chance that an endpoint without room has some for the step while its ticket holds. */
 const ROOM_COMES = 0.3;
 /** From the answer to a question to a start that uses it. */
 const USE_ANSWER_MS = 120;
 /** What a question takes beside the service's own time. */
 const QUESTION_OVERHEAD_MS = 30;
-/** Tasks of a step that start one by one are not kept waiting for a longer question than this many endpoints make. */
+/** Tasks that start one by one are not kept waiting for a longer question than so many endpoints make. */
 const MAX_NAMED_IN_PART = 40;
+/** Most endpoints that the service takes in one call. */
 const MAX_NAMED = 100;
-/** Room is not counted beyond so many tasks of a gang on one endpoint when stops have to make it. */
+/** Tasks of a step on one endpoint for which stops make room. */
 const MAX_PLACES_BY_STOPS = 3;
-
-const toSum = (candidates: readonly Candidate[], read: (candidate: Candidate) => number): number =>
-  candidates.reduce((sum, candidate) => sum + read(candidate), 0);
+/** A gang asks once so much of the room that it lacks is there: more of it comes while the question is under way. */
+const ROOM_AT_QUESTION_SHARE = 0.7;
+/** A start that may be expected of an answer is worth a turn of so long at once. */
+const TURN_PER_START_MS = 50;
+/** A step whose questions are worth less asks once in so long. */
+const MORE_EVERY_MS = 500;
+/** A ticket with less of its life left is renewed by any question: one endpoint more is cheap, another question is not. */
+const AGING_SHARE = 0.6;
+
+const toScaled = (demand: TaskDemand, factor: number): TaskDemand => ({
+  cpuMillis: demand.cpuMillis * factor,
+  memoryMb: demand.memoryMb * factor,
+  accelerators: demand.accelerators * factor,
+});
+
+const toPlaceSum = (candidates: readonly Candidate[]): number =>
+  candidates.reduce((sum, { places }) => sum + places, 0);
 
 /** Asks only where the answer is expected to find room, and for as many endpoints as make a second round unlikely. */
 export class PlannedCandidates implements CandidateChoice {
-  private readonly expected = new ExpectedRoom();
+  private readonly claims = new RoomClaims();
 
   constructor(private readonly options: PlannedCandidatesOptions) {}
 
-  startRound(): void {
-    this.expected.startRound();
-  }
-
   chooseNamed(
     step: WaitingStep,
     eligible: readonly EndpointBook[],
@@ -71,30 +86,47 @@
     neededUntil: number,
     now: number,
   ): readonly EndpointBook[] {
-    const { shape } = step;
     const prospect = this.readProspect(step, eligible, neededUntil, now);
     const needed = missing - prospect.held;
-    if (needed <= 0 || !this.isWorthAsking(step, prospect, needed)) {
+    if (needed <= 0 || !this.isWorthAsking(step, prospect, needed, now)) {
       return [];
     }
-    const ranked = shape.isGang
-      ? this.toRanked(prospect.roomy)
-      : [...this.toRanked(prospect.roomy), ...this.toRanked(prospect.later)];
-    const advice = step.job.definition.queue.advice!;
+    const chosen = this.chooseCandidates(step, prospect, needed);
+    this.recordClaims(step, chosen, needed);
+    return chosen.map(({ book }) => book);
+  }
+
+  recordAnswer(step: string, named: readonly EndpointLife[]): void {
+    this.claims.recordAnswer(step, named);
+  }
+
+  private chooseCandidates(step: WaitingStep, prospect: Prospect, needed: number): readonly Candidate[] {
+    const { isGang } = step.shape;
+    const { decisionMs, perEndpointMs } = step.job.definition.queue.advice!;
+    const roomy = this.toRanked(prospect.roomy);
+    const ranked = [...roomy, ...this.toRanked(prospect.full)];
     const count = chooseQuestionSize(ranked, needed, {
-      roundMs: advice.decisionMs + QUESTION_OVERHEAD_MS,
-      perEndpointMs: advice.perEndpointMs,
-      maxNamed: shape.isGang ? MAX_NAMED : MAX_NAMED_IN_PART,
+      roundMs: decisionMs + QUESTION_OVERHEAD_MS,
+      perEndpointMs,
+      maxNamed: isGang ? MAX_NAMED : MAX_NAMED_IN_PART,
     });
-    return ranked.slice(0, count).map(({ book }) => book);
+    const aging = isGang ? prospect.aging : [];
+    return [...ranked.slice(0, count), ...aging].slice(0, MAX_NAMED);
   }
 
   /** A gang needs all its places at one moment; of other steps each task may start by itself. */
-  private isWorthAsking(step: WaitingStep, { roomy }: Prospect, needed: number): boolean {
-    if (!step.shape.isGang) {
-      return roomy.length > 0 && this.isWithinReserve(step);
+  private isWorthAsking(step: WaitingStep, { roomy }: Prospect, needed: number, now: number): boolean {
+    const expected = roomy.reduce((sum, { places, chance }) => sum + (places * chance) / ROOM_STAYS, 0);
+    const advice = step.job.readAdvice(step.time, step.step);
+    const { decisionMs, validityMs } = step.job.definition.queue.advice!;
+    if (step.shape.isGang) {
+      // The usual share of refusals may be wrong for this one.
+      const isDue = advice.readIdleMs(now) >= validityMs && toPlaceSum(roomy) >= needed;
+      return isDue || expected >= needed * ROOM_AT_QUESTION_SHARE;
     }
-    return toSum(roomy, ({ places, chance }) => places * (chance / ROOM_STAYS)) >= needed;
+    const isDue = now - advice.readAnsweredAt() >= MORE_EVERY_MS;
+    const isWorthIt = expected * TURN_PER_START_MS >= decisionMs;
+    return roomy.length > 0 && (isDue || isWorthIt) && this.isWithinReserve(step);
   }
 
   private isWithinReserve(step: WaitingStep): boolean {
@@ -102,7 +134,7 @@
     return step.shape.isFiller || demand.cpuMillis <= this.options.room.readReserveLeft(step);
   }
 
-  /** Known ones first; of each kind those with most places for a gang, and those that suit other steps best. */
+  /** Those that are known to be allowed first; of each kind those that suit the step, and about which no other step asks. */
   private toRanked(candidates: readonly Candidate[]): readonly Candidate[] {
     return [...candidates].sort(
       (left, right) =>
@@ -126,63 +158,91 @@
   ): Prospect {
     const { room, history, preference } = this.options;
     const { queue } = step.job.definition;
+    const { decisionMs, perEndpointMs, validityMs } = queue.advice!;
     const advice = step.job.readAdvice(step.time, step.step);
-    const { decisionMs, perEndpointMs } = queue.advice!;
-    const answerMs = decisionMs + perEndpointMs * MAX_NAMED_IN_PART + USE_ANSWER_MS;
-    const answerAt = Math.max(neededUntil, now + answerMs);
+    const answerAt = Math.max(
+      neededUntil,
+      now + decisionMs + perEndpointMs * MAX_NAMED_IN_PART + USE_ANSWER_MS,
+    );
+    const freshUntil = now + validityMs * AGING_SHARE;
+    const demand = room.toCountedDemand(step.shape);
     const share = history.readShare(queue.name);
     const canStop = room.isShortOfRoom(step, eligible);
     const readCost = preference.createCostOf(step);
-    const prospect: Prospect = { held: 0, roomy: [], later: [] };
+    const prospect: Prospect = { held: 0, roomy: [], full: [], aging: [] };
     for (const book of eligible) {
-      const { life } = book.readProfile();
+      const { life, capacity } = book.readProfile();
       if (advice.isRefused(life) || room.isCrowded(step, book)) {
         continue;
       }
+      const places = this.measurePlaces(step, book, canStop, now);
       if (advice.readTicket(life, answerAt) !== undefined) {
-        prospect.held += this.measurePlaces(step, book, canStop, 0, now);
+        prospect.held += places;
+        if (places > 0 && advice.readTicket(life, freshUntil) === undefined) {
+          prospect.aging.push({ book, places, chance: 1, cost: 0 });
+        }
         continue;
       }
-      const places = this.measurePlaces(step, book, canStop, answerMs, now);
       const allowed = advice.hasBeenAllowed(life) ? 1 : share;
+      const unclaimed = places === 0 ? 0 : this.measureUnclaimed(step, book, places);
       const cost = readCost(book);
-      if (places > 0) {
-        prospect.roomy.push({ book, places, chance: allowed * ROOM_STAYS, cost });
-      } else if (demandSums.isWithin(room.toCountedDemand(step.shape), book.readProfile().capacity)) {
-        prospect.later.push({ book, places: 1, chance: allowed * ROOM_COMES, cost });
+      if (unclaimed > 0) {
+        prospect.roomy.push({ book, places: unclaimed, chance: allowed * ROOM_STAYS, cost });
+      } else if (demandSums.isWithin(demand, capacity)) {
+        prospect.full.push({ book, places: 1, chance: allowed * ROOM_COMES, cost });
       }
     }
     return prospect;
   }
 
-  /** Tasks of the step for which the endpoint has room, by what is free, what ends soon, and what stops would free. */
-  private measurePlaces(
-    step: WaitingStep,
-    book: EndpointBook,
-    canStop: boolean,
-    withinMs: number,
-    now: number,
-  ): number {
-    const { room, claims } = this.options;
-    const free = claims.readUnclaimed(book, step.job.definition.queue.priority);
-    const ending =
-      withinMs > 0 && step.shape.isGang ? this.expected.readEnding(book, withinMs, now) : demandSums.NOTHING;
-    const places = room.measureFitCount(demandSums.toSum(free, ending), step.shape);
+  /** Tasks of the step for which the endpoint has room, by what is free and what stops would free. */
+  private measurePlaces(step: WaitingStep, book: EndpointBook, canStop: boolean, now: number): number {
+    const room = demandSums.toSum(book.readFree(), this.readStopping(book));
+    const places = this.options.room.measureFitCount(room, step.shape);
     return canStop ? Math.max(places, this.measurePlacesByStops(step, book, now)) : places;
   }
 
+  /** Room of runs that are being stopped, be it for this step. */
+  private readStopping(book: EndpointBook): TaskDemand {
+    let room = demandSums.NOTHING;
+    for (const run of book.readRuns()) {
+      room = run.stage === 'stopping' ? demandSums.toSum(room, run.demand) : room;
+    }
+    return room;
+  }
+
   private measurePlacesByStops(step: WaitingStep, book: EndpointBook, now: number): number {
     const { room, preemptor } = this.options;
     const { shape } = step;
     const one = room.toCountedDemand(shape);
     const most =
       shape.maxPerEndpoint === 0 ? MAX_PLACES_BY_STOPS : Math.min(MAX_PLACES_BY_STOPS, shape.maxPerEndpoint);
-    let demand: TaskDemand = one;
     let count = 0;
-    while (count < most && preemptor.hasRoomWithStops(step, book, demand, now)) {
+    while (count < most && preemptor.hasRoomWithStops(step, book, toScaled(one, count + 1), now)) {
       count += 1;
-      demand = demandSums.toSum(demand, one);
     }
     return count;
   }
+
+  /** Of the places on an endpoint those on which no question of a step counts that is as urgent. */
+  private measureUnclaimed(step: WaitingStep, book: EndpointBook, places: number): number {
+    const { room } = this.options;
+    const claimed = this.claims.readClaimed(book.readProfile().life, step.job.definition.queue.priority);
+    if (claimed === demandSums.NOTHING) {
+      return places;
+    }
+    const whole = toScaled(room.toCountedDemand(step.shape), places);
+    return room.measureFitCount(demandSums.toDifference(whole, claimed), step.shape);
+  }
+
+  /** The tasks that are needed will take the same part of the places on each endpoint. */
+  private recordClaims(step: WaitingStep, chosen: readonly Candidate[], needed: number): void {
+    const demand = this.options.room.toCountedDemand(step.shape);
+    const part = Math.min(1, needed / Math.max(1, toPlaceSum(chosen)));
+    const { priority } = step.job.definition.queue;
+    for (const { book, places } of chosen) {
+      const claim = { step: toStepName(step), priority, room: toScaled(demand, places * part) };
+      this.claims.recordClaim(book.readProfile().life, claim);
+    }
+  }
 }
--- a/packages/dispatch/advice/TurnWay.ts
+++ b/packages/dispatch/advice/TurnWay.ts
@@ -3,7 +3,6 @@
 import type { EndpointPreference } from '../placing/EndpointPreference';
 import type { JobQueue } from '../../jobs/JobQueue';
 import type { Preemptor } from '../placing/Preemptor';
-import type { RoomClaims } from './RoomClaims';
 import type { RoomView } from '../placing/RoomView';
 
 interface CandidateParts {
@@ -11,7 +10,6 @@
   readonly preemptor: Preemptor;
   readonly history: AdviceHistory;
   readonly preference: EndpointPreference;
-  readonly claims: RoomClaims;
 }
 
 /** One way of taking turns at the advice service. */
