--- a/packages/cli/wayOptions.ts
+++ b/packages/cli/wayOptions.ts
@@ -1,3 +1,4 @@
+import { turnChoices } from '../dispatch/advice/turnChoices';
 import { dispatchDefaults } from '../dispatch/dispatchDefaults';
 import { hallChoices } from '../dispatch/placing/hallChoices';
 import { speedChoices } from '../dispatch/placing/speedChoices';
@@ -40,6 +41,12 @@
     defaultChoice: dispatchDefaults.hallChoice,
     help: 'over which halls the tasks of a job go',
   },
+  turnChoice: {
+    name: 'turns',
+    table: turnChoices,
+    defaultChoice: dispatchDefaults.turnChoice,
+    help: 'when turns at the advice service are taken',
+  },
   stopChoice: {
     name: 'stops',
     table: stopChoices,
--- a/packages/dispatch/dispatchDefaults.ts
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -1,6 +1,7 @@
 import type { HallChoice } from './placing/HallChoice';
 import type { StopChoice } from './stops/StopChoice';
 import type { SpeedChoice } from './placing/SpeedChoice';
+import type { TurnChoice } from './advice/TurnChoice';
 import type { PlacementOrder } from './waiting/PlacementOrder';
 
 interface DispatchDefaults {
@@ -8,6 +9,7 @@
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
   readonly stopChoice: StopChoice;
+  readonly turnChoice: TurnChoice;
 }
 
 /** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
@@ -16,4 +18,5 @@
   speedChoice: 'kinds',
   hallChoice: 'together',
   stopChoice: 'ranked',
+  turnChoice: 'asked',
 };
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -267,6 +267,7 @@
       progress.recordPlaced(address, run.run, endpoint);
       run.waits = waits;
       const order = { task, run: run.run, spec: definition.spec, checkpoint, ticket };
+      this.options.questions.recordUse(step, endpoint);
       this.options.sendEffect({ kind: 'start', job: definition.id, endpoint, order, waits });
       return {
         task,
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -25,6 +25,16 @@
   'tasksGivenUp',
   ...lossCauses.map((cause): LossCount => `runsLostBy.${cause}`),
   ...lossCauses.map((cause): LossCount => `coreMsLostBy.${cause}`),
+  'questionsFirst',
+  'questionsMore',
+  'questionsAgain',
+  'questionsEarly',
+  'turnsUsed',
+  'turnsWasted',
+  'turnsUnanswered',
+  'turnUsedMs',
+  'turnWastedMs',
+  'turnUnansweredMs',
 ] as const;
 const QUANTILES = [50, 90, 99, 99.9] as const;
 const MICROS_PER_MS = 1000;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -377,6 +377,7 @@
       speedChoice: settings.speedChoice,
       hallChoice: settings.hallChoice,
       stopChoice: settings.stopChoice,
+      turnChoice: settings.turnChoice,
       readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile, readToken) => adapter.createEndpointClient(profile, readToken),
--- a/packages/serve/ServeWays.ts
+++ b/packages/serve/ServeWays.ts
@@ -1,3 +1,4 @@
+import type { TurnChoice } from '../dispatch/advice/TurnChoice';
 import type { HallChoice } from '../dispatch/placing/HallChoice';
 import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
 import type { StopChoice } from '../dispatch/stops/StopChoice';
@@ -15,6 +16,8 @@
   readonly speedChoice: SpeedChoice;
   /** Over which halls the tasks of a job go. */
   readonly hallChoice: HallChoice;
+  /** When turns at the advice service are taken. */
+  readonly turnChoice: TurnChoice;
   /** What is stopped for others, or moved. */
   readonly stopChoice: StopChoice;
   /** Where the box hears of new versions of the configuration. */
