Endpoints are placed by the expected end of work there: the leader learns how fast each is, and how long work takes

Cause: a third of the endpoints of one deployment takes 1.7 times as long as the rest, under labels that do not tell; urgent work was placed there as often as anywhere. Ruled out: the label alone (all that were found slow carry the label of the fast ones), the hall (20, 22 and 20 of 62).

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -45,7 +45,7 @@
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
   usage:
-    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together]',
+    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds|endpoints] [--halls spread|together]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
     order: {
@@ -53,7 +53,10 @@
       help: `order of placement within a priority: ${Object.keys(placementOrders).join(', ')}`,
     },
     halls: { type: 'string', help: 'over which halls the tasks of a job go: spread, or together (default)' },
-    speeds: { type: 'string', help: 'how the speed of kinds of endpoints counts: blind, or kinds (default)' },
+    speeds: {
+      type: 'string',
+      help: 'how the speed of endpoints counts: blind, kinds, or endpoints (default)',
+    },
     writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
     configuration: {
       type: 'string',
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -43,6 +43,9 @@
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
 import type { SpeedChoice } from './placing/SpeedChoice';
+import { EndpointSpeeds } from './speeds/EndpointSpeeds';
+import { RunLearner } from './speeds/RunLearner';
+import { RunTimes } from './speeds/RunTimes';
 import { EndpointPreference } from './placing/EndpointPreference';
 import { SuspicionCosts } from './placing/SuspicionCosts';
 import { StepPlacer } from './placing/StepPlacer';
@@ -90,6 +93,9 @@
   private readonly questions: AdviceQuestions;
   private readonly adviceHistory = new AdviceHistory();
   private readonly mover: RunMover;
+  private readonly speeds = new EndpointSpeeds();
+  private readonly learner: RunLearner;
+  private readonly preference: EndpointPreference;
   private readonly gangs: GangWatch;
   private readonly crashes: CrashLedger;
   /** True when something has happened since the last round that may let work start. */
@@ -124,12 +130,18 @@
     });
     const limits = new LimitView(this.usage, options.readLimit ?? (() => undefined));
     const kinds = new KindSpeeds();
+    const { speeds } = this;
+    const times = new RunTimes();
+    const speedChoice = options.speedChoice ?? dispatchDefaults.speedChoice;
     const preference = new EndpointPreference({
       kinds,
+      speeds,
+      times,
       room: this.room,
-      speedChoice: options.speedChoice ?? dispatchDefaults.speedChoice,
+      speedChoice,
       hallChoice: options.hallChoice ?? dispatchDefaults.hallChoice,
     });
+    this.preference = preference;
     const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory, preference);
     this.questions = new AdviceQuestions(
       this.books,
@@ -152,9 +164,17 @@
     this.mover = new RunMover({
       books: this.books,
       jobs: this.jobs,
-      kinds,
       handleMove: (book, run, reason) => this.handleMove(book, run, reason),
     });
+    this.learner = new RunLearner({
+      books: this.books,
+      jobs: this.jobs,
+      kinds,
+      speeds,
+      times,
+      speedChoice,
+      sendTell: (sentence, fields) => this.ledger.sendTell(sentence, fields),
+    });
     this.orders = new RunOrders({
       books: this.books,
       jobs: this.jobs,
@@ -164,7 +184,7 @@
     this.looks = new LookReader({
       jobs: this.jobs,
       ledger: this.ledger,
-      mover: this.mover,
+      learner: this.learner,
       crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
@@ -192,6 +212,10 @@
     return this.usage;
   }
 
+  readSpeeds(): EndpointSpeeds {
+    return this.speeds;
+  }
+
   /** Tasks that could start and wait, by customer. Looks at all open jobs. */
   readWaitingCounts(wallMs: number): ReadonlyMap<CustomerName, number> {
     const counts = new Map<CustomerName, number>();
@@ -400,6 +424,7 @@
       this.ledger.sendStopsAgain(book, now);
     }
     this.reservations.applyTime(now);
+    this.learner.applyTime(now);
     this.mover.applyTime(now);
     this.gangs.checkAll();
     this.applyRemovals();
@@ -447,6 +472,7 @@
     this.crashes.applyGivenUp(now, wallMs);
     this.hasNews = false;
     this.room.startRound();
+    this.preference.startRound(wallMs);
     this.questions.startRound(turns);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -56,7 +56,7 @@
     if (fitCount >= missing) {
       return allowed;
     }
-    const readCost = this.preference.createCostOf(step);
+    const readCost = this.preference.createCostOf(step, roomy);
     const costs = new Map(roomy.map((book) => [book, readCost(book)]));
     const ranked = [...roomy].sort(
       (left, right) =>
--- a/packages/dispatch/dispatchDefaults.ts
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -11,6 +11,6 @@
 /** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
 export const dispatchDefaults: DispatchDefaults = {
   placementOrder: 'shares',
-  speedChoice: 'kinds',
+  speedChoice: 'endpoints',
   hallChoice: 'together',
 };
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -13,13 +13,13 @@
 import type { PlacedRun } from '../runs/PlacedRun';
 import type { RunEnd } from '../runs/RunEnd';
 import type { RunLedger } from '../runs/RunLedger';
-import type { RunMover } from '../runs/RunMover';
+import type { RunLearner } from '../speeds/RunLearner';
 import type { RunningRow } from './RunningRow';
 
 interface LookReaderOptions {
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly ledger: RunLedger;
-  readonly mover: RunMover;
+  readonly learner: RunLearner;
   readonly crashes: CrashLedger;
   /** Definition of any job, also of one that has ended. */
   readonly readDefinition: (id: JobId) => JobDefinition | undefined;
@@ -68,7 +68,7 @@
     const outcome = OUTCOMES[row.how];
     book.recordOutcome(outcome === 'failed', now);
     if (outcome === 'done') {
-      this.options.mover.recordDone(book, run, now);
+      this.options.learner.recordDone(book, run, now);
     }
     this.options.ledger.recordRunEnd(
       book,
@@ -99,7 +99,7 @@
       run.percent = row.percent;
       run.progressedAt = now;
     }
-    this.options.mover.recordRun(book, run, now);
+    this.options.learner.recordRun(book, run, now);
     if (row.checkpoint !== '' && row.checkpoint !== run.checkpoint) {
       run.checkpoint = row.checkpoint;
       this.options.jobs.get(run.job)?.progress.recordCheckpoint(run.address, row.checkpoint);
--- a/packages/dispatch/placing/SpeedChoice.ts
+++ b/packages/dispatch/placing/SpeedChoice.ts
@@ -1,6 +1,7 @@
 /**
- * How the speed of an endpoint's kind counts when it is chosen.
+ * How the speed of endpoints counts when one is chosen.
  * - `blind`: not at all.
- * - `kinds`: the most urgent work goes to fast kinds first, all other work to slow kinds first.
+ * - `kinds`: that of its kind; the most urgent work goes to fast kinds first, all other work to slow kinds first.
+ * - `endpoints`: its own, by the expected end of the work there against the objective.
  */
-export type SpeedChoice = 'blind' | 'kinds';
+export type SpeedChoice = 'blind' | 'kinds' | 'endpoints';
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -168,7 +168,7 @@
     }
     let reserveLeft = this.room.readReserveLeft(step);
     const runNumber = this.readNextRun(step);
-    const readCost = this.options.preference.createCostOf(step);
+    const readCost = this.options.preference.createCostOf(step, allowed);
     for (const { address, task, isSuspect } of this.readBeginners(step)) {
       if (step.shape.demand.cpuMillis > reserveLeft && !step.shape.isFiller) {
         break;
--- a/packages/dispatch/runs/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -2,7 +2,6 @@
 import type { JobId } from '../../jobs/JobId';
 import type { JobStep } from '../../jobs/JobStep';
 import type { EndpointBook } from '../endpoints/EndpointBook';
-import type { KindSpeeds } from '../placing/KindSpeeds';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
 import { readStraggling } from './readStraggling';
@@ -12,7 +11,6 @@
 interface RunMoverOptions {
   readonly books: ReadonlyMap<EndpointLife, EndpointBook>;
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
-  readonly kinds: KindSpeeds;
   readonly handleMove: (book: EndpointBook, run: PlacedRun, reason: MoveReason) => void;
 }
 
@@ -32,42 +30,6 @@
 
   constructor(private readonly options: RunMoverOptions) {}
 
-  /** Takes in what a look showed of a run. */
-  recordRun(book: EndpointBook, run: PlacedRun, now: number): void {
-    const ageMs = now - run.confirmedAt;
-    if (ageMs >= KNOWN_AFTER_MS) {
-      this.recordPace(book, run, ageMs / Math.max(1, run.percent), now);
-    }
-  }
-
-  /** Takes in that a run was done. */
-  recordDone(book: EndpointBook, run: PlacedRun, now: number): void {
-    this.recordPace(book, run, (now - run.confirmedAt) / WHOLE, now);
-    this.recordKind(book, run, (now - run.confirmedAt) / WHOLE);
-  }
-
-  private recordPace(book: EndpointBook, run: PlacedRun, pace: number, now: number): void {
-    const speeds = this.readJob(run)?.readSpeeds(run.address.time, run.address.step);
-    if (speeds === undefined || !this.isMeasurable(run)) {
-      return;
-    }
-    speeds.recordPace(run.address.index, pace);
-    const median = speeds.readMedian();
-    if (median !== undefined) {
-      // An endpoint of a slow kind is slow, not sick.
-      const usualRatio = this.options.kinds.readRatio(book.readProfile().labels);
-      book.recordSlowness(pace / median / usualRatio, now);
-    }
-  }
-
-  /** Only whole runs tell of an endpoint's kind: the pace of a run under way is rough. */
-  private recordKind(book: EndpointBook, run: PlacedRun, pace: number): void {
-    const median = this.readJob(run)?.readSpeeds(run.address.time, run.address.step).readMedian();
-    if (median !== undefined && median > 0 && this.isMeasurable(run)) {
-      this.options.kinds.recordRun(book.readProfile().labels, pace / median);
-    }
-  }
-
   /** Moves what should move. */
   applyTime(now: number): void {
     for (const book of this.options.books.values()) {
--- /dev/null
+++ b/packages/dispatch/speeds/EndpointSpeeds.ts
@@ -0,0 +1,175 @@
+import type { EndpointLife } from '../../jobs/EndpointLife';
+import type { EndpointProfile } from '../endpoints/EndpointProfile';
+import type { SpeedClass } from './SpeedClass';
+import type { SpeedEstimate } from './SpeedEstimate';
+import { SpeedGroups } from './SpeedGroups';
+import { SpeedTrack } from './SpeedTrack';
+
+type Evidence = Parameters<SpeedTrack['recordRun']>[0];
+
+/** One endpoint as it is known. */
+interface KnownSpeed {
+  readonly track: SpeedTrack;
+  readonly groups: readonly string[];
+  /** Worked out when evidence comes in, since it is read for each endpoint of each step that is placed. */
+  ratio: number;
+  /** The class last told of. */
+  told: SpeedClass;
+}
+
+/** An endpoint whose class has changed. */
+interface ClassChange {
+  readonly life: EndpointLife;
+  readonly speedClass: SpeedClass;
+  readonly estimate: SpeedEstimate;
+  readonly samples: number;
+}
+
+/** Runs of fewer steps than this, since the endpoint last seemed to have changed, tell nothing: long ones may follow each other. */
+const MIN_STEPS = 2;
+/** An endpoint is unlike a usual one when it is so by `MIN_UNLIKE` beyond so many standard deviations. */
+const SURE_DEVIATIONS = 2.5;
+const MIN_UNLIKE = Math.log(1.1);
+/** Natural logarithm of a tenth: known ratios are rounded to steps of it, so that endpoints of one kind stay like each other. */
+const RATIO_STEP = Math.log(1.1);
+
+const toGroups = ({ labels, hall }: EndpointProfile): readonly string[] => [...labels, `hall ${hall}`];
+
+/**
+ * Learns how fast each endpoint is, from how long runs take there by their usual time. An endpoint with few runs is taken to be like
+ * others of its label or hall; all are compared with the median endpoint.
+ */
+export class EndpointSpeeds {
+  private readonly known = new Map<EndpointLife, KnownSpeed>();
+  private readonly groups = new SpeedGroups();
+
+  /** Takes in the time of one run on an endpoint by its usual time. */
+  recordRun(profile: EndpointProfile, evidence: Evidence, now: number): void {
+    const speed = this.readOrCreate(profile);
+    speed.track.recordRun(evidence, this.groups.readPrior(speed.groups), now);
+    speed.ratio = this.toKnownRatio(speed);
+  }
+
+  /**
+   * Takes in the time of a gang. It runs at its slowest member: that one is as slow as the gang, and none is slower. A member that is
+   * known to be faster is not slowed by it.
+   */
+  recordGang(members: readonly EndpointProfile[], evidence: Evidence, now: number): void {
+    const means = members.map((member) => Math.log(this.readEstimate(member).ratio));
+    const slowest = Math.max(...means);
+    const counted = new Set<EndpointLife>();
+    members.forEach((member, index) => {
+      const isBound = means[index] === slowest || means[index]! > evidence.logRatio;
+      if (isBound && !counted.has(member.life)) {
+        counted.add(member.life);
+      }
+    });
+    // Members that are equally slow share the evidence: any one of them may be what holds the gang up.
+    const variance = evidence.variance * (evidence.logRatio > slowest ? counted.size : 1);
+    for (const member of members) {
+      if (counted.delete(member.life)) {
+        this.recordRun(member, { ...evidence, variance }, now);
+      }
+    }
+  }
+
+  /** What is known of an endpoint, by its own runs and its group. */
+  readEstimate(profile: EndpointProfile): SpeedEstimate {
+    const speed = this.known.get(profile.life);
+    return this.toEstimate(speed?.groups ?? toGroups(profile), speed?.track);
+  }
+
+  /** What is known of a life that has run something. */
+  readLifeEstimate(life: EndpointLife): SpeedEstimate {
+    const speed = this.known.get(life);
+    return this.toEstimate(speed?.groups ?? [], speed?.track);
+  }
+
+  /** The ratio of an endpoint as far as it certainly differs from a usual one, in steps of a tenth; else 1. */
+  readKnownRatio(profile: EndpointProfile): number {
+    const speed = this.known.get(profile.life);
+    return speed?.ratio ?? this.toSureRatio(this.toEstimate(toGroups(profile), undefined));
+  }
+
+  /** Lets time pass: what is known fades, and groups and the usual endpoint are worked out anew. */
+  applyTime(now: number, isPresent: (life: EndpointLife) => boolean): void {
+    for (const [life, { track }] of this.known) {
+      if (isPresent(life)) {
+        track.applyFading(now);
+      } else {
+        this.known.delete(life);
+      }
+    }
+    this.applyGroups();
+    for (const speed of this.known.values()) {
+      speed.ratio = this.toKnownRatio(speed);
+    }
+  }
+
+  /** How many endpoints are known to be of a class. */
+  readCounts(): Readonly<Record<SpeedClass, number>> {
+    const counts = { slow: 0, usual: 0, fast: 0 };
+    for (const { ratio } of this.known.values()) {
+      counts[this.toClass(ratio)] += 1;
+    }
+    return counts;
+  }
+
+  /** Gives endpoints whose class has changed since they were last given, at most so many. */
+  claimChanges(limit: number): readonly ClassChange[] {
+    const changes: ClassChange[] = [];
+    for (const [life, speed] of this.known) {
+      const speedClass = this.toClass(speed.ratio);
+      if (speedClass !== speed.told && changes.length < limit) {
+        speed.told = speedClass;
+        const estimate = this.toEstimate(speed.groups, speed.track);
+        changes.push({ life, speedClass, estimate, samples: speed.track.readCount() });
+      }
+    }
+    return changes;
+  }
+
+  private applyGroups(): void {
+    const members = [...this.known.values()].flatMap(({ track, groups }) => {
+      const own = track.readSteadyCount() >= MIN_STEPS ? track.readOwn() : undefined;
+      return own === undefined ? [] : [{ ...own, groups }];
+    });
+    this.groups.applyMembers(members, this.known.size);
+  }
+
+  private readOrCreate(profile: EndpointProfile): KnownSpeed {
+    const known = this.known.get(profile.life);
+    if (known !== undefined) {
+      return known;
+    }
+    const created: KnownSpeed = {
+      track: new SpeedTrack(),
+      groups: toGroups(profile),
+      ratio: 1,
+      told: 'usual',
+    };
+    this.known.set(profile.life, created);
+    return created;
+  }
+
+  private toEstimate(groups: readonly string[], track: SpeedTrack | undefined): SpeedEstimate {
+    const prior = this.groups.readPrior(groups);
+    const { mean, variance } = track?.readBelief(prior) ?? prior;
+    return { ratio: Math.exp(mean - this.groups.readCentre()), spread: Math.sqrt(variance) };
+  }
+
+  private toKnownRatio({ groups, track }: KnownSpeed): number {
+    const isSteady = track.readSteadyCount() >= MIN_STEPS;
+    return this.toSureRatio(this.toEstimate(groups, isSteady ? track : undefined));
+  }
+
+  private toSureRatio({ ratio, spread }: SpeedEstimate): number {
+    const log = Math.log(ratio);
+    const isSure = this.groups.isKnown() && Math.abs(log) - SURE_DEVIATIONS * spread > MIN_UNLIKE;
+    return isSure ? Math.exp(RATIO_STEP * Math.round(log / RATIO_STEP)) : 1;
+  }
+
+  private toClass(ratio: number): SpeedClass {
+    return ratio === 1 ? 'usual' : ratio > 1 ? 'slow' : 'fast';
+  }
+}
--- /dev/null
+++ b/packages/dispatch/speeds/StepTimes.ts
@@ -0,0 +1,65 @@
+import type { EndpointLife } from '../../jobs/EndpointLife';
+import { readMedian } from './readMedian';
+import type { SiblingTime } from './SiblingTime';
+import type { SpeedEstimate } from './SpeedEstimate';
+
+interface TaskTime {
+  readonly life: EndpointLife;
+  /** Natural logarithm of the whole time in milliseconds, as it was expected when the run was measured. */
+  readonly logMs: number;
+}
+
+/** How long the tasks of one step take, each measured once. */
+export class StepTimes {
+  private readonly tasks = new Map<number, TaskTime>();
+  private measuredGangRun = 0;
+
+  /** Takes in the time of a task; that of its newest run counts. */
+  recordTime(index: number, life: EndpointLife, logMs: number): void {
+    this.tasks.set(index, { life, logMs });
+  }
+
+  readCount(): number {
+    return this.tasks.size;
+  }
+
+  /** How many tasks were measured on an endpoint. */
+  readCountOn(life: EndpointLife): number {
+    let count = 0;
+    for (const task of this.tasks.values()) {
+      count += task.life === life ? 1 : 0;
+    }
+    return count;
+  }
+
+  /**
+   * The times elsewhere than on one endpoint, one for each other endpoint. What ran on the endpoint itself cannot tell how fast it is.
+   */
+  readSiblings(
+    except: EndpointLife,
+    readEstimate: (life: EndpointLife) => SpeedEstimate,
+  ): readonly SiblingTime[] {
+    const byLife = new Map<EndpointLife, number[]>();
+    for (const { life, logMs } of this.tasks.values()) {
+      if (life !== except) {
+        const known = byLife.get(life);
+        if (known === undefined) {
+          byLife.set(life, [logMs]);
+        } else {
+          known.push(logMs);
+        }
+      }
+    }
+    return [...byLife].map(([life, times]) => {
+      const { ratio, spread } = readEstimate(life);
+      return { logMs: readMedian(times) - Math.log(ratio), variance: spread ** 2 };
+    });
+  }
+
+  /** True for the first member of a gang's run that asks: one speaks for all. */
+  claimGangRun(run: number): boolean {
+    const isFirst = run > this.measuredGangRun;
+    this.measuredGangRun = Math.max(run, this.measuredGangRun);
+    return isFirst;
+  }
+}
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -5,6 +5,7 @@
 import type { TaskName } from '../../jobs/TaskName';
 import { toTaskName } from '../../jobs/toTaskName';
 import { AdviceBook } from '../advice/AdviceBook';
+import { StepTimes } from '../speeds/StepTimes';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
 import { readWaitingSteps } from './readWaitingSteps';
@@ -14,6 +15,7 @@
 interface StepMemory {
   readonly advice: AdviceBook;
   readonly speeds: StepSpeeds;
+  readonly times: StepTimes;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointLife>;
   /** Undefined while no task of the step was seen waiting since the last was placed. */
@@ -102,6 +104,10 @@
     return this.readStepMemory(time, step).speeds;
   }
 
+  readTimes(time: number, step: number): StepTimes {
+    return this.readStepMemory(time, step).times;
+  }
+
   /** The wait of a step's tasks, from the job's newest change on if there is none yet. */
   readWait(time: number, step: number): StepWait {
     const memory = this.readStepMemory(time, step);
@@ -169,6 +175,7 @@
     const created = {
       advice: new AdviceBook(),
       speeds: new StepSpeeds(),
+      times: new StepTimes(),
       failedOn: new Set<EndpointLife>(),
       wait: undefined,
     };
--- a/packages/dispatch/waiting/StepSpeeds.ts
+++ b/packages/dispatch/waiting/StepSpeeds.ts
@@ -1,16 +1,26 @@
 /** Fewer runs than this say nothing about what is usual for a step. */
 const MIN_SAMPLES = 3;
 
+const readMiddle = (values: Iterable<number>): number => {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)]!;
+};
+
 /** How fast the runs of one step work, in milliseconds for one percent, to tell slow ones from their siblings. */
 export class StepSpeeds {
   private readonly paces = new Map<number, number>();
-  /** Kept until the next pace comes in, since it is read for each run of the step. */
+  /** Paces as they would be on a usual endpoint. */
+  private readonly corrected = new Map<number, number>();
+  /** Both kept until the next pace comes in, since they are read for each run of the step. */
   private median: number | undefined;
+  private correctedMedian: number | undefined;
 
   /** Records the newest pace of a task; that of a stalled one grows. */
-  recordPace(index: number, msPerPercent: number): void {
+  recordPace(index: number, msPerPercent: number, corrected = msPerPercent): void {
     this.paces.set(index, msPerPercent);
+    this.corrected.set(index, corrected);
     this.median = undefined;
+    this.correctedMedian = undefined;
   }
 
   /** The median pace; undefined while too few are known. */
@@ -18,10 +28,16 @@
     if (this.paces.size < MIN_SAMPLES) {
       return undefined;
     }
-    if (this.median === undefined) {
-      const sorted = [...this.paces.values()].sort((left, right) => left - right);
-      this.median = sorted[Math.floor((sorted.length - 1) / 2)];
-    }
+    this.median ??= readMiddle(this.paces.values());
     return this.median;
   }
+
+  /** The median of the paces as they would be on a usual endpoint; undefined while too few are known. */
+  readCorrectedMedian(): number | undefined {
+    if (this.corrected.size < MIN_SAMPLES) {
+      return undefined;
+    }
+    this.correctedMedian ??= readMiddle(this.corrected.values());
+    return this.correctedMedian;
+  }
 }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -446,9 +446,12 @@
   }
 
   private formatMetrics(): string {
+    const speeds = this.duty?.readDispatcher().readSpeeds().readCounts();
     const text = this.metrics.formatText({
       leading: this.duty === undefined ? 0 : 1,
       liveJobs: this.duty?.readDispatcher().readJobCount() ?? 0,
+      slowEndpoints: speeds?.slow ?? 0,
+      fastEndpoints: speeds?.fast ?? 0,
       configurationVersion: this.router.readConfiguration()?.version ?? 0,
       logWriteFailingMs: Math.round(this.writer.readFailingMs()),
       readingOperatorTopic: Number(this.followers.operator.isFollowing()),
--- /dev/null
+++ b/tests/endpointSpeeds.test.ts
@@ -0,0 +1,330 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { createRandom } from '../packages/common/createRandom';
+import type { SpeedChoice } from '../packages/dispatch/placing/SpeedChoice';
+import { EndpointSpeeds } from '../packages/dispatch/speeds/EndpointSpeeds';
+import { measureLateChance } from '../packages/dispatch/speeds/measureLateChance';
+import { measureRestChain } from '../packages/dispatch/speeds/measureRestChain';
+import { RunTimes } from '../packages/dispatch/speeds/RunTimes';
+import { createProfile } from './helpers/createProfile';
+import { createStep } from './helpers/createStep';
+import { UnlikeWorld, type QueueLoad } from './helpers/UnlikeWorld';
+
+const RUN_MS = 300;
+/** Chance in a run's time: as tasks of one step differ, and an estimate beside them. */
+const EVIDENCE_VARIANCE = 0.09;
+
+/** Endpoints with runs drawn around true ratios; one run each `RUN_MS`, each of a step of its own. */
+class SpeedBench {
+  readonly speeds = new EndpointSpeeds();
+  now = 0;
+  private readonly random = createRandom(11);
+  private readonly profiles: readonly ReturnType<typeof createProfile>[];
+
+  constructor(readLabel: (number: number) => string = () => 'a') {
+    this.profiles = Array.from({ length: 40 }, (_, number) =>
+      createProfile(`i-${number}`, { labels: [readLabel(number)] }),
+    );
+  }
+
+  readProfile(number: number): ReturnType<typeof createProfile> {
+    return this.profiles[number]!;
+  }
+
+  recordRuns(count: number, readRatio: (number: number) => number, tailShare = 0): void {
+    for (let run = 0; run < count; run += 1) {
+      this.now += RUN_MS;
+      this.profiles.forEach((profile, number) => {
+        // The sum of twelve uniform values is close to a normal one of variance 1.
+        const normal = Array.from({ length: 12 }, () => this.random()).reduce(
+          (sum, value) => sum + value,
+          -6,
+        );
+        const tail = this.random() < tailShare ? Math.log(7) : 0;
+        const logRatio = Math.log(readRatio(number)) + tail + normal * Math.sqrt(EVIDENCE_VARIANCE);
+        this.speeds.recordRun(
+          profile,
+          { logRatio, variance: EVIDENCE_VARIANCE, step: `${number}.${this.now}` },
+          this.now,
+        );
+      });
+      this.speeds.applyTime(this.now, () => true);
+    }
+  }
+
+  readSlowNumbers(): readonly number[] {
+    return this.profiles.flatMap((profile, number) =>
+      this.speeds.readKnownRatio(profile) > 1 ? [number] : [],
+    );
+  }
+}
+
+const toSlowThird = (number: number): number => (number % 3 === 2 ? 2 : 1);
+const SLOW_THIRD = Array.from({ length: 40 }, (_, number) => number).filter((number) => number % 3 === 2);
+
+describe('the speeds of endpoints', () => {
+  it('are told after about five runs where they differ by a factor of two, though labels tell nothing', () => {
+    const bench = new SpeedBench();
+    bench.recordRuns(5, toSlowThird);
+    expect(bench.readSlowNumbers().filter((number) => !SLOW_THIRD.includes(number))).toEqual([]);
+    expect(bench.readSlowNumbers().length).toBeGreaterThan(0.6 * SLOW_THIRD.length);
+    bench.recordRuns(4, toSlowThird);
+    expect(bench.readSlowNumbers()).toEqual(SLOW_THIRD);
+  });
+
+  it('are all the same where endpoints are alike; of long runs only two in a row may mislead, for a few runs', () => {
+    const bench = new SpeedBench();
+    for (let part = 0; part < 20; part += 1) {
+      bench.recordRuns(5, () => 1);
+      expect(bench.speeds.readCounts()).toEqual({ slow: 0, usual: 40, fast: 0 });
+    }
+    let misled = 0;
+    for (let run = 0; run < 100; run += 1) {
+      bench.recordRuns(1, () => 1, 0.03);
+      misled += bench.readSlowNumbers().length;
+    }
+    expect(misled).toBeLessThan(0.005 * 40 * 100);
+  });
+
+  it('follow a fault that comes and passes within a few runs', () => {
+    const bench = new SpeedBench();
+    bench.recordRuns(20, () => 1);
+    bench.recordRuns(5, (number) => (number === 4 ? 5 : 1));
+    expect(bench.readSlowNumbers()).toEqual([4]);
+    bench.recordRuns(5, () => 1);
+    expect(bench.readSlowNumbers()).toEqual([]);
+  });
+
+  it('are those of the label or the hall for one that has run nothing, where these tell', () => {
+    const bench = new SpeedBench((number) => (number % 3 === 2 ? 'b' : 'a'));
+    bench.recordRuns(12, toSlowThird);
+    expect(bench.speeds.readKnownRatio(createProfile('new-b', { labels: ['b'] }))).toBeGreaterThan(1.6);
+    expect(bench.speeds.readKnownRatio(createProfile('new-a', { labels: ['a'] }))).toBe(1);
+    expect(bench.speeds.readKnownRatio(createProfile('new-c', { labels: ['c'] }))).toBe(1);
+  });
+
+  it('are learnt from gangs for the slowest member alone', () => {
+    const bench = new SpeedBench();
+    bench.recordRuns(10, toSlowThird);
+    for (let run = 0; run < 20; run += 1) {
+      const members = [0, 1, 2].map((number) => bench.readProfile(number));
+      const evidence = { logRatio: Math.log(2), variance: EVIDENCE_VARIANCE, step: `gang ${run}` };
+      bench.speeds.recordGang(members, evidence, bench.now + run);
+    }
+    expect(bench.readSlowNumbers()).toEqual(SLOW_THIRD);
+  });
+
+  it('forget lives that are gone', () => {
+    const bench = new SpeedBench();
+    bench.recordRuns(10, toSlowThird);
+    bench.speeds.applyTime(bench.now, (life) => life !== bench.readProfile(2).life);
+    expect(bench.readSlowNumbers()).toEqual(SLOW_THIRD.filter((number) => number !== 2));
+  });
+
+  it('stay finite, within what was seen, whatever comes in', () => {
+    const evidence = fc.record({
+      endpoint: fc.nat(9),
+      logRatio: fc.double({ min: -8, max: 8, noNaN: true }),
+      variance: fc.double({ min: 0.04, max: 4, noNaN: true }),
+      step: fc.constantFrom('a', 'b', 'c'),
+      afterMs: fc.nat(60_000),
+      isGang: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(evidence, { maxLength: 80 }), (all) => {
+        const speeds = new EndpointSpeeds();
+        const profiles = Array.from({ length: 10 }, (_, number) => createProfile(`i-${number}`));
+        let now = 0;
+        for (const { endpoint, afterMs, isGang, ...rest } of all) {
+          now += afterMs;
+          const profile = profiles[endpoint]!;
+          if (isGang) {
+            speeds.recordGang([profile, profiles[0]!], rest, now);
+          } else {
+            speeds.recordRun(profile, rest, now);
+          }
+          speeds.applyTime(now, () => true);
+          for (const known of profiles) {
+            const { ratio, spread } = speeds.readEstimate(known);
+            expect(Math.abs(Math.log(ratio))).toBeLessThanOrEqual(16);
+            expect(spread).toBeGreaterThan(0);
+            expect(spread).toBeLessThan(10);
+            expect(speeds.readKnownRatio(known)).toBeGreaterThan(0);
+          }
+        }
+        const { slow, usual, fast } = speeds.readCounts();
+        expect(slow + usual + fast).toBeLessThanOrEqual(10);
+      }),
+      { seed: 20261203, numRuns: 150 },
+    );
+  });
+});
+
+describe('run times', () => {
+  it('are learnt by image, else by queue, else the caller is believed', () => {
+    const times = new RunTimes();
+    const step = createStep({ estimatedMs: 1000, image: 'a' });
+    expect(times.readEstimate('q', step)).toMatchObject({ medianMs: 1000, isLearnt: false });
+    for (let run = 0; run < 40; run += 1) {
+      times.recordRun('q', step, Math.log(run % 10 === 0 ? 7000 : 1500));
+    }
+    const learnt = times.readEstimate('q', step);
+    expect(learnt.isLearnt).toBe(true);
+    expect(learnt.medianMs).toBeCloseTo(1500);
+    expect(times.readEstimate('q', createStep({ estimatedMs: 500, image: 'b' })).medianMs).toBeCloseTo(750);
+    expect(times.readEstimate('q', createStep({ estimatedMs: 0, image: 'a' })).isLearnt).toBe(false);
+    expect(times.readEstimate('other', step).isLearnt).toBe(false);
+  });
+
+  it('follow a change, and stay bounded', () => {
+    const times = new RunTimes();
+    const step = createStep({ estimatedMs: 1000 });
+    for (let run = 0; run < 200; run += 1) {
+      times.recordRun('q', step, Math.log(run < 100 ? 1000 : 3000));
+    }
+    expect(times.readEstimate('q', step).medianMs).toBeCloseTo(3000);
+    for (let image = 0; image < 1000; image += 1) {
+      times.recordRun('q', createStep({ estimatedMs: 1000, image: `image-${image}` }), Math.log(3000));
+    }
+    expect(times.readKindCount()).toBeLessThan(300);
+    expect(times.readEstimate('q', step).isLearnt).toBe(true);
+  });
+});
+
+describe('the chance of being late', () => {
+  it('rises with the ratio of the endpoint and the count of tasks, and falls with the time left', () => {
+    const usual = { logMs: Math.log(1000), spread: 0.5, taskSpread: 0.3, isLearnt: true };
+    const step = { usual, count: 1, ratio: 1, leftMs: 1000 };
+    expect(measureLateChance(step)).toBeCloseTo(0.5);
+    expect(measureLateChance({ ...step, leftMs: 1000 * Math.exp(1.28 * 0.4) })).toBeCloseTo(0.1, 1);
+    expect(measureLateChance({ ...step, ratio: 2, leftMs: 1600 })).toBeGreaterThan(0.7);
+    expect(measureLateChance({ ...step, count: 25, leftMs: 1600 })).toBeGreaterThan(0.5);
+    expect(measureLateChance({ ...step, leftMs: 0 })).toBe(1);
+  });
+
+  it('leaves time for the longest chain of later steps', () => {
+    const steps = [
+      createStep({ estimatedMs: 100 }),
+      createStep({ estimatedMs: 200, dependsOn: [0] }),
+      createStep({ estimatedMs: 300, dependsOn: [0, 1] }),
+      createStep({ estimatedMs: 900 }),
+    ];
+    expect(steps.map((_, step) => measureRestChain(steps, step))).toEqual([500, 300, 0, 0]);
+  });
+});
+
+const ENDPOINTS = 60;
+const WARM_UP_MS = 5000;
+const COUNTED_UNTIL_MS = 25_000;
+const LOAD_MS = 32_000;
+/** Urgent tasks of 3 take a tenth of all processors, batch steps of 25 a quarter, gangs of 20 a third. */
+const QUEUES: readonly QueueLoad[] = [
+  {
+    name: 'urgent',
+    priority: 0,
+    stretch: 1.5,
+    targetLatencyMs: 250,
+    everyMs: 70,
+    count: 3,
+    cpuMillis: 4950,
+    meanMs: 850,
+    estimateOff: 0.2,
+    gangShare: 0.3,
+  },
+  {
+    name: 'gang',
+    priority: 1,
+    stretch: 2.2,
+    targetLatencyMs: 1000,
+    everyMs: 940,
+    count: 20,
+    cpuMillis: 9000,
+    meanMs: 3400,
+    estimateOff: 0.5,
+    gangShare: 1,
+  },
+  {
+    name: 'batch',
+    priority: 2,
+    stretch: 4,
+    targetLatencyMs: 3000,
+    everyMs: 350,
+    count: 25,
+    cpuMillis: 3450,
+    meanMs: 1900,
+    estimateOff: 0.9,
+    gangShare: 0,
+  },
+];
+const TROUBLE = { tailShare: 0.03, failureShare: 0.02 };
+
+const startUnlike = (speedChoice: SpeedChoice, seed: number): UnlikeWorld => {
+  const world = new UnlikeWorld({
+    speedChoice,
+    seed,
+    queues: QUEUES,
+    endpoints: ENDPOINTS,
+    readSlowness: (endpoint) => (endpoint % 3 === 2 ? 1.7 : 0.7),
+    ...TROUBLE,
+  });
+  world.start(LOAD_MS);
+  return world;
+};
+
+const startAlike = (
+  speedChoice: SpeedChoice,
+  seed: number,
+  trouble: Partial<typeof TROUBLE>,
+): UnlikeWorld => {
+  const world = new UnlikeWorld({
+    speedChoice,
+    seed,
+    queues: QUEUES,
+    endpoints: ENDPOINTS,
+    readSlowness: () => 1,
+    ...trouble,
+  });
+  world.start(COUNTED_UNTIL_MS);
+  return world;
+};
+
+describe('a load on endpoints of unlike speed, with labels that tell nothing', () => {
+  it('has urgent work in time, which is late when placed blind, and the least urgent bears it', () => {
+    const readShare = (world: UnlikeWorld, queue: string): number =>
+      world.readInTime(queue, WARM_UP_MS, COUNTED_UNTIL_MS);
+    for (const seed of [1, 2]) {
+      const blind = startUnlike('blind', seed);
+      const endpoints = startUnlike('endpoints', seed);
+      expect(readShare(endpoints, 'urgent')).toBeGreaterThanOrEqual(0.92);
+      expect(readShare(endpoints, 'batch')).toBeGreaterThanOrEqual(0.95);
+      expect(readShare(endpoints, 'gang')).toBeGreaterThan(readShare(blind, 'gang'));
+      expect(readShare(blind, 'urgent')).toBeLessThan(0.86);
+      expect(endpoints.dispatcher.readSpeeds().readCounts()).toEqual({ slow: 20, usual: 40, fast: 0 });
+    }
+  }, 60_000);
+
+  it('is decided on endpoints that are alike exactly as it is when placed blind', () => {
+    for (const seed of [1, 2, 3]) {
+      const [blind, endpoints] = (['blind', 'endpoints'] as const).map((speedChoice) =>
+        startAlike(speedChoice, seed, {}),
+      );
+      expect(endpoints!.starts).toEqual(blind!.starts);
+      expect(endpoints!.starts.length).toBeGreaterThan(2000);
+    }
+  }, 60_000);
+
+  it('has hardly an endpoint taken for another where all are alike, with long tails and failures', () => {
+    for (const seed of [1, 2, 3]) {
+      const { dispatcher } = startAlike('endpoints', seed, TROUBLE);
+      expect(dispatcher.readSpeeds().readCounts().usual).toBeGreaterThanOrEqual(ENDPOINTS - 3);
+    }
+  }, 60_000);
+
+  it('has few lines about endpoints', () => {
+    const { lines } = startUnlike('endpoints', 3);
+
+    const told = lines.filter(({ sentence }) => sentence === "Endpoint's speed has changed.");
+    expect(told.length).toBeGreaterThanOrEqual(20);
+    expect(told.length).toBeLessThan(2 * ENDPOINTS);
+  }, 30_000);
+});
--- /dev/null
+++ b/tests/helpers/UnlikeWorld.ts
@@ -0,0 +1,239 @@
+import { createRandom } from '../../packages/common/createRandom';
+import type { Random } from '../../packages/common/Random';
+import type { DispatchEffect } from '../../packages/dispatch/DispatchEffect';
+import { Dispatcher } from '../../packages/dispatch/Dispatcher';
+import type { EndedRow } from '../../packages/dispatch/endpoints/EndedRow';
+import type { SpeedChoice } from '../../packages/dispatch/placing/SpeedChoice';
+import type { EndpointLife } from '../../packages/jobs/EndpointLife';
+import type { JobId } from '../../packages/jobs/JobId';
+import { JobProgress } from '../../packages/jobs/JobProgress';
+import type { JobQueue } from '../../packages/jobs/JobQueue';
+import type { JobStep } from '../../packages/jobs/JobStep';
+import type { TaskName } from '../../packages/jobs/TaskName';
+import { createJobDefinition } from './createJobDefinition';
+import { createProfile } from './createProfile';
+import { createStep } from './createStep';
+
+/** One queue's load. */
+export interface QueueLoad {
+  readonly name: string;
+  readonly priority: number;
+  readonly stretch: number;
+  readonly targetLatencyMs: number;
+  /** A job comes so often. */
+  readonly everyMs: number;
+  readonly count: number;
+  readonly cpuMillis: number;
+  readonly meanMs: number;
+  /** Estimates are wrong by up to this share. */
+  readonly estimateOff: number;
+  /** Share of jobs that are gangs. */
+  readonly gangShare: number;
+}
+
+interface UnlikeOptions {
+  readonly speedChoice: SpeedChoice;
+  readonly queues: readonly QueueLoad[];
+  readonly endpoints: number;
+  readonly seed: number;
+  /** Time of a run on an endpoint by that of the work, at a time. */
+  readonly readSlowness: (endpoint: number, now: number) => number;
+  /** Kind of an endpoint; nothing by default that tells its speed. */
+  readonly readLabel?: (endpoint: number) => string;
+  readonly tailShare?: number;
+  readonly failureShare?: number;
+}
+
+interface ModelRun {
+  readonly task: TaskName;
+  readonly run: number;
+  readonly startedAt: number;
+  readonly endsAt: number;
+  /** Time of the whole work, of which a run that fails does a part. */
+  readonly wholeMs: number;
+  readonly how: EndedRow['how'];
+}
+
+interface ModelJob {
+  readonly queue: QueueLoad;
+  readonly sentAt: number;
+  readonly isGang: boolean;
+  readonly workMs: readonly number[];
+  /** Slowness of a gang's slowest member, by run. */
+  readonly gangEnds: Map<number, number>;
+}
+
+const TICK_MS = 10;
+/** Accepting, records and orders take so much of an objective, and stand still here. */
+const OVERHEAD_MS = 120;
+const LOOK_TICKS = 5;
+const APPLY_TICKS = 10;
+const CPU_MILLIS = 32_000;
+/** The longest runs take so much longer than others. */
+const TAIL_FACTOR = 7;
+
+/** Endpoints of unlike speed under a load, with the dispatcher, on virtual time. */
+export class UnlikeWorld {
+  readonly dispatcher: Dispatcher;
+  /** Of each ended job: its queue, when it was sent, and whether it was completed within its objective. */
+  readonly results: { readonly queue: string; readonly sentAt: number; readonly isInTime: boolean }[] = [];
+  /** Starts in order, to compare decisions. */
+  readonly starts: string[] = [];
+  readonly lines: { readonly at: number; readonly sentence: string }[] = [];
+  private readonly random: Random;
+  private readonly running = new Map<EndpointLife, ModelRun[]>();
+  private readonly stopped = new Map<EndpointLife, ModelRun[]>();
+  private readonly jobs = new Map<JobId, ModelJob>();
+  private endCount = 0;
+  private now = 0;
+
+  constructor(private readonly options: UnlikeOptions) {
+    this.random = createRandom(options.seed);
+    this.dispatcher = new Dispatcher({
+      readDefinition: () => undefined,
+      unheardUntil: 0,
+      speedChoice: options.speedChoice,
+    });
+    for (let number = 0; number < options.endpoints; number += 1) {
+      const capacity = { cpuMillis: CPU_MILLIS, memoryMb: 64_000, accelerators: 0 };
+      const label = options.readLabel?.(number) ?? `kind-${number % 2}`;
+      const profile = createProfile(`i-${number}`, { capacity, labels: [label, `rack-${number % 5}`] });
+      this.dispatcher.handleEndpoint(profile);
+      this.dispatcher.handleLook({ endpoint: profile.life, running: [], ended: [], sentAt: 0 }, 0, 0);
+      this.running.set(profile.life, []);
+      this.stopped.set(profile.life, []);
+    }
+  }
+
+  /** Plays the load up to a time. */
+  start(untilMs: number): void {
+    for (; this.now < untilMs; this.now += TICK_MS) {
+      const tick = this.now / TICK_MS;
+      [...this.running.keys()].forEach((life, index) =>
+        this.sendLook(life, (tick + index) % LOOK_TICKS === 0),
+      );
+      this.options.queues
+        .filter(({ everyMs }) => this.now % everyMs < TICK_MS)
+        .forEach((queue) => this.sendJob(queue));
+      if (tick % APPLY_TICKS === 0) {
+        this.dispatcher.applyTime(this.now);
+      }
+      this.dispatcher.placeWaiting(this.now, this.now);
+      this.dispatcher.readEffects().forEach((effect) => this.applyEffect(effect));
+    }
+  }
+
+  /** Share of the jobs of a queue sent between two times that were completed in time; those that have not ended were not. */
+  readInTime(queue: string, fromMs: number, untilMs: number): number {
+    const isCounted = (sentAt: number): boolean => sentAt >= fromMs && sentAt < untilMs;
+    const sent = [...this.jobs.values()].filter((job) => job.queue.name === queue && isCounted(job.sentAt));
+    const inTime = this.results.filter(
+      (result) => result.queue === queue && isCounted(result.sentAt) && result.isInTime,
+    );
+    return inTime.length / sent.length;
+  }
+
+  private sendJob(queue: QueueLoad): void {
+    const isGang = this.random() < queue.gangShare;
+    const meanMs = queue.meanMs * (0.6 + 0.8 * this.random());
+    const workMs = Array.from({ length: queue.count }, () => meanMs * (0.75 + 0.5 * this.random()));
+    const estimatedMs = Math.round(meanMs * (1 + queue.estimateOff * (2 * this.random() - 1)));
+    const demand = { cpuMillis: queue.cpuMillis, memoryMb: 1000, accelerators: 0 };
+    const step: JobStep = createStep({ count: queue.count, demand, estimatedMs, isGang });
+    const { name, priority, stretch, targetLatencyMs } = queue;
+    const policy: Partial<JobQueue> = { name, priority, stretch, targetLatencyMs, attempts: 100 };
+    const definition = {
+      ...createJobDefinition(this.jobs.size + 1, [step], policy),
+      acceptedAtMs: this.now,
+    };
+    this.jobs.set(definition.id, { queue, sentAt: this.now, isGang, workMs, gangEnds: new Map() });
+    this.dispatcher.handleJob(definition, new JobProgress(definition), this.now);
+  }
+
+  private applyEffect(effect: DispatchEffect): void {
+    if (effect.kind === 'start') {
+      this.startRun(effect);
+    } else if (effect.kind === 'stop') {
+      this.stopRun(effect.endpoint, effect.task, effect.run);
+    } else if (effect.kind === 'tell') {
+      this.lines.push({ at: this.now, sentence: effect.sentence });
+      if (effect.sentence === 'Job ended.') {
+        this.recordResult(effect.fields);
+      }
+    }
+  }
+
+  private recordResult(fields: Readonly<Record<string, unknown>>): void {
+    const { queue, sentAt, workMs } = this.jobs.get(fields['job'] as JobId)!;
+    const objectiveMs = queue.targetLatencyMs + queue.stretch * Math.max(...workMs);
+    const isInTime = fields['ending'] === 'completed' && this.now - sentAt + OVERHEAD_MS <= objectiveMs;
+    this.results.push({ queue: queue.name, sentAt, isInTime });
+  }
+
+  private startRun(effect: Extract<DispatchEffect, { kind: 'start' }>): void {
+    const { endpoint, order } = effect;
+    const job = this.jobs.get(effect.job)!;
+    this.starts.push(`${order.task}#${order.run} ${endpoint}`);
+    this.dispatcher.handleRecorded(effect, this.now);
+    this.dispatcher.handleStartAnswer(endpoint, order.task, order.run, { kind: 'done' }, this.now);
+    const slowness = this.options.readSlowness(Number(endpoint.slice(2)), this.now);
+    // Drawn also where it is not used, so that like decisions meet like chances.
+    const [tail, failure, failsAt] = [this.random(), this.random(), this.random()];
+    const tailFactor = tail < (this.options.tailShare ?? 0) && !job.isGang ? TAIL_FACTOR : 1;
+    const isFailing = failure < (this.options.failureShare ?? 0) && !job.isGang;
+    const work = job.isGang ? Math.max(...job.workMs) : job.workMs[Number(order.task.split('.')[3])]!;
+    const wholeMs = work * slowness * tailFactor;
+    const endsAt = this.now + wholeMs * (isFailing ? failsAt : 1);
+    const startedAt = this.now;
+    if (job.isGang) {
+      job.gangEnds.set(order.run, Math.max(job.gangEnds.get(order.run) ?? 0, startedAt + wholeMs));
+    }
+    const getEnd = (): number => (job.isGang ? job.gangEnds.get(order.run)! : endsAt);
+    this.running.get(endpoint)!.push({
+      task: order.task,
+      run: order.run,
+      startedAt,
+      wholeMs,
+      how: isFailing ? 'failed' : 'done',
+      get endsAt() {
+        return getEnd();
+      },
+    });
+  }
+
+  private stopRun(endpoint: EndpointLife, task: TaskName, run: number): void {
+    const runs = this.running.get(endpoint)!;
+    const found = runs.findIndex((row) => row.task === task && row.run === run);
+    if (found >= 0) {
+      this.stopped.get(endpoint)!.push(...runs.splice(found, 1));
+    }
+    this.dispatcher.handleStopAnswer(endpoint, task, run, { kind: 'done' }, this.now);
+  }
+
+  private sendLook(endpoint: EndpointLife, isDue: boolean): void {
+    const runs = this.running.get(endpoint)!;
+    const stopped = this.stopped.get(endpoint)!.splice(0);
+    const over = runs.filter(({ endsAt }) => endsAt <= this.now);
+    if (over.length === 0 && stopped.length === 0 && !isDue) {
+      return;
+    }
+    const left = runs.filter(({ endsAt }) => endsAt > this.now);
+    this.running.set(endpoint, left);
+    const toRow = ({ task, run }: ModelRun, how: EndedRow['how']): EndedRow => ({
+      number: (this.endCount += 1),
+      task,
+      run,
+      how,
+      checkpoint: '',
+    });
+    const ended = [...over.map((run) => toRow(run, run.how)), ...stopped.map((run) => toRow(run, 'stopped'))];
+    const rows = left.map(({ task, run, startedAt, endsAt, wholeMs }) => ({
+      task,
+      run,
+      checkpoint: '',
+      percent: Math.floor((100 * (this.now - startedAt)) / Math.max(wholeMs, endsAt - startedAt)),
+      load: 0,
+    }));
+    this.dispatcher.handleLook({ endpoint, running: rows, ended, sentAt: this.now }, this.now, this.now);
+  }
+}
