--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -6,7 +6,6 @@
 import type { EndpointLife } from '../jobs/EndpointLife';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
-import type { JobStep } from '../jobs/JobStep';
 import type { JobProgress } from '../jobs/JobProgress';
 import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskDemand } from '../jobs/TaskDemand';
@@ -47,8 +46,10 @@
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
 import type { SpeedChoice } from './placing/SpeedChoice';
+import { EndpointSpeeds } from './speeds/EndpointSpeeds';
+import { RunLearner } from './speeds/RunLearner';
+import { RunTimes } from './speeds/RunTimes';
 import { EndpointPreference } from './placing/EndpointPreference';
-import type { RunTimeEstimate } from './speeds/RunTimeEstimate';
 import { EndpointTrust } from './stops/EndpointTrust';
 import type { MoveCandidate } from './stops/MoveCandidate';
 import type { StopChoice } from './stops/StopChoice';
@@ -73,8 +74,6 @@
   readonly speedChoice?: SpeedChoice;
   readonly hallChoice?: HallChoice;
   readonly stopChoice?: StopChoice;
-  /** How long a task of a queue's step runs, as far as is known. */
-  readonly readRunTime?: (queue: string, shape: JobStep) => RunTimeEstimate;
   readonly turnChoice?: TurnChoice;
 }
 
@@ -109,6 +108,9 @@
   private readonly mover: RunMover;
   private readonly preemptor: Preemptor;
   private readonly trust: EndpointTrust;
+  private readonly speeds = new EndpointSpeeds();
+  private readonly learner: RunLearner;
+  private readonly preference: EndpointPreference;
   private readonly gangs: GangWatch;
   private readonly waits: WaitTeller;
   private readonly crashes: CrashLedger;
@@ -148,12 +150,19 @@
     const { preemptor } = this;
     const limits = new LimitView(this.usage, options.readLimit ?? (() => undefined));
     const kinds = new KindSpeeds();
+    const { speeds } = this;
+    const times = new RunTimes();
+    times.readEstimate(queue, shape);
+    const speedChoice = options.speedChoice ?? dispatchDefaults.speedChoice;
     const preference = new EndpointPreference({
       kinds,
+      speeds,
+      times,
       room: this.room,
-      speedChoice: options.speedChoice ?? dispatchDefaults.speedChoice,
+      speedChoice,
       hallChoice: options.hallChoice ?? dispatchDefaults.hallChoice,
     });
+    this.preference = preference;
     const { room, adviceHistory: history } = this;
     const way = turnChoices[options.turnChoice ?? dispatchDefaults.turnChoice];
     const candidates = way.createCandidates({ room, preemptor, history, preference });
@@ -183,11 +192,19 @@
     this.mover = new RunMover({
       books: this.books,
       jobs: this.jobs,
-      kinds,
       stops,
-      readRunTime: options.readRunTime,
+      readRunTime: (queue, shape) => times.readEstimate(queue, shape),
       handleMove: (candidate) => this.handleMove(candidate),
     });
+    this.learner = new RunLearner({
+      books: this.books,
+      jobs: this.jobs,
+      kinds,
+      speeds,
+      times,
+      speedChoice,
+      sendTell: (sentence, fields) => this.ledger.sendTell(sentence, fields),
+    });
     this.orders = new RunOrders({
       books: this.books,
       jobs: this.jobs,
@@ -197,7 +214,7 @@
     this.looks = new LookReader({
       jobs: this.jobs,
       ledger: this.ledger,
-      mover: this.mover,
+      learner: this.learner,
       crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
@@ -228,6 +245,10 @@
     return this.usage;
   }
 
+  readSpeeds(): EndpointSpeeds {
+    return this.speeds;
+  }
+
   /** Tasks that could start and wait, by customer. Looks at all open jobs. */
   readWaitingCounts(wallMs: number): ReadonlyMap<CustomerName, number> {
     const counts = new Map<CustomerName, number>();
@@ -444,6 +465,7 @@
     }
     this.reservations.applyTime(now);
     this.turnAccount.applyTime(now);
+    this.learner.applyTime(now);
     this.mover.applyTime(now);
     this.waits.applyTime(now);
     this.gangs.checkAll();
@@ -494,6 +516,7 @@
     this.room.startRound();
     this.preemptor.startRound(now, wallMs);
     this.trust.startRound();
+    this.preference.startRound(wallMs);
     this.questions.startRound(turns);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
--- a/packages/dispatch/advice/PlannedCandidates.ts
+++ b/packages/dispatch/advice/PlannedCandidates.ts
@@ -168,7 +168,7 @@
     const demand = room.toCountedDemand(step.shape);
     const share = history.readShare(queue.name);
     const canStop = room.isShortOfRoom(step, eligible);
-    const readCost = preference.createCostOf(step);
+    const readCost = preference.createCostOf(step, eligible);
     const prospect: Prospect = { held: 0, roomy: [], full: [], aging: [] };
     for (const book of eligible) {
       const { life, capacity } = book.readProfile();
--- a/packages/dispatch/stops/StopRules.ts
+++ b/packages/dispatch/stops/StopRules.ts
@@ -12,6 +12,8 @@
   readonly room: RoomRule;
   /** Gangs on endpoints that leave are stopped as a whole. */
   readonly isMovingGangs: boolean;
+  /** Tasks without siblings are compared with the run times that the leader has learnt. */
+  readonly isUsingRunTimes: boolean;
   /** Share of all runs that may be on the move at once for being slow. */
   readonly movingShare: number;
   /** Endpoints that fail all they start take one run at a time. */
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -6,6 +6,7 @@
 import { toTaskName } from '../../jobs/toTaskName';
 import { JobTrace } from '../../sight/JobTrace';
 import { AdviceBook } from '../advice/AdviceBook';
+import { StepTimes } from '../speeds/StepTimes';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
 import { readWaitingSteps } from './readWaitingSteps';
@@ -15,6 +16,7 @@
 interface StepMemory {
   readonly advice: AdviceBook;
   readonly speeds: StepSpeeds;
+  readonly times: StepTimes;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointLife>;
   /** Room was made for the step so often without a start since, and may be made again at that monotonic time. */
@@ -110,6 +112,10 @@
     return this.readStepMemory(time, step).speeds;
   }
 
+  readTimes(time: number, step: number): StepTimes {
+    return this.readStepMemory(time, step).times;
+  }
+
   /** The wait of a step's tasks, from the job's newest change on if there is none yet. */
   readWait(time: number, step: number): StepWait {
     const memory = this.readStepMemory(time, step);
@@ -195,6 +201,7 @@
     const created = {
       advice: new AdviceBook(),
       speeds: new StepSpeeds(),
+      times: new StepTimes(),
       failedOn: new Set<EndpointLife>(),
       roomMade: NO_ROOM_MADE,
       wait: undefined,
--- a/tests/helpers/StopWorld.ts
+++ b/tests/helpers/StopWorld.ts
@@ -40,7 +40,6 @@
   readonly endpoints: number;
   /** Work of a run in milliseconds. */
   readonly readWorkMs: (job: JobDefinition, task: TaskName, run: number) => number;
-  readonly readRunTime?: ConstructorParameters<typeof Dispatcher>[0]['readRunTime'];
   readonly stopMs: (endpoint: number, now: number) => number;
   /** True when the answer to a start comes too late, though it was carried out. */
   readonly isAnswerLate?: (now: number) => boolean;
@@ -74,12 +73,11 @@
   readonly dispatcher: Dispatcher;
 
   constructor(private readonly options: WorldOptions) {
-    const { stopChoice, readRunTime } = options;
+    const { stopChoice } = options;
     this.dispatcher = new Dispatcher({
       readDefinition: (id) => this.jobs.get(id),
       unheardUntil: 0,
       stopChoice,
-      readRunTime,
     });
     for (let number = 0; number < options.endpoints; number += 1) {
       const profile = createProfile(`i-${number}`, { capacity: CAPACITY });
