--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -206,6 +206,17 @@
     return counts;
   }
 
+  /** Room of all usable endpoints together, taken or not. Looks at all books. */
+  readCapacity(): TaskDemand {
+    let capacity = demandSums.NOTHING;
+    for (const book of this.books.values()) {
+      if (book.isUsable()) {
+        capacity = demandSums.toSum(capacity, book.readProfile().capacity);
+      }
+    }
+    return capacity;
+  }
+
   readBook(id: EndpointLife): EndpointBook | undefined {
     return this.books.get(id);
   }
@@ -455,7 +466,11 @@
       }
     }
     const order = this.options.placementOrder ?? dispatchDefaults.placementOrder;
-    return placementOrders[order].toOrder(waiting, { wallMs, usage: this.usage });
+    return placementOrders[order].toOrder(waiting, {
+      wallMs,
+      usage: this.usage,
+      readCapacity: () => this.readCapacity(),
+    });
   }
 
   private sendEarlyQuestions(now: number, wallMs: number): void {
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -7,6 +7,7 @@
 import { AdviceBook } from '../advice/AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
+import { measureRemaining } from './measureRemaining';
 import { readWaitingSteps } from './readWaitingSteps';
 import type { WaitingStep } from './WaitingStep';
 
@@ -51,6 +52,8 @@
   /** By `TIME.STEP`. */
   private readonly stepMemories = new Map<string, StepMemory>();
   private readonly chainMs: number;
+  /** By step; worked out when first asked for. */
+  private remainingMs: readonly number[] | undefined;
   private waiting: KnownWaiting | undefined;
   private readonly preemptions = new Map<TaskName, number>();
   /** Starts of tasks that endpoints did not take, since one was taken. */
@@ -82,6 +85,12 @@
     return startsAt + queue.targetLatencyMs + queue.stretch * this.chainMs;
   }
 
+  /** Longest chain of estimated work from the start of a step to the job's end, in milliseconds. */
+  readRemainingMs(step: number): number {
+    this.remainingMs ??= measureRemaining(this.definition);
+    return this.remainingMs[step] ?? 0;
+  }
+
   /** Steps with tasks to start at a wall clock time. Worked out anew only when something has changed. */
   readWaiting(wallMs: number): readonly WaitingStep[] {
     const version = this.progress.readVersion();
--- /dev/null
+++ b/packages/dispatch/waiting/measureRemaining.ts
@@ -0,0 +1,16 @@
+import type { JobDefinition } from '../../jobs/JobDefinition';
+import type { JobStep } from '../../jobs/JobStep';
+
+const toWorkMs = ({ isLongRunning, estimatedMs }: JobStep): number => (isLongRunning ? 0 : estimatedMs);
+
+/** Longest chain of estimated work from the start of each step to the end of its job, in milliseconds, by the step's number. */
+export const measureRemaining = ({ steps }: JobDefinition): readonly number[] => {
+  const remaining = steps.map(toWorkMs);
+  // Steps depend on earlier ones only, so that from the last to the first each one's followers are complete.
+  for (const [number, { dependsOn }] of [...steps.entries()].reverse()) {
+    for (const earlier of dependsOn) {
+      remaining[earlier] = Math.max(remaining[earlier]!, toWorkMs(steps[earlier]!) + remaining[number]!);
+    }
+  }
+  return remaining;
+};
--- a/packages/dispatch/waiting/placementOrders.ts
+++ b/packages/dispatch/waiting/placementOrders.ts
@@ -1,12 +1,9 @@
 import type { CustomerUsage } from '../../customers/CustomerUsage';
+import type { OrderInput } from './OrderInput';
 import type { PlacementOrder } from './PlacementOrder';
+import { toHeldOrder } from './toHeldOrder';
 import type { WaitingStep } from './WaitingStep';
 
-interface OrderInput {
-  readonly wallMs: number;
-  readonly usage: CustomerUsage;
-}
-
 /** Negative when the left step goes first, 0 when the rule does not tell. */
 type Rule = (left: WaitingStep, right: WaitingStep, input: OrderInput) => number;
 
@@ -32,7 +29,7 @@
   readWeightedUsage(left, usage) - readWeightedUsage(right, usage);
 
 /** Rules of each order, the first that tells decides. */
-const RULES: Readonly<Record<PlacementOrder, readonly Rule[]>> = {
+const RULES: Readonly<Record<Exclude<PlacementOrder, 'held'>, readonly Rule[]>> = {
   objective: [measurePriority, measureLateness, measureObjective],
   shares: [measurePriority, measureShare, measureLateness, measureObjective],
   usage: [measurePriority, measureUsage, measureLateness, measureObjective],
@@ -52,6 +49,11 @@
       return 0;
     });
 
+const hasShares = (waiting: readonly WaitingStep[]): boolean =>
+  waiting.some(({ job }) => (job.definition.customer?.weight ?? 0) > 0);
+
+const toSharesOrder = toSorter(RULES.shares);
+
 /** Sorts waiting steps for placement, by order. */
 export const placementOrders: Readonly<
   Record<
@@ -60,7 +62,11 @@
   >
 > = {
   objective: { toOrder: toSorter(RULES.objective) },
-  shares: { toOrder: toSorter(RULES.shares) },
+  shares: { toOrder: toSharesOrder },
   usage: { toOrder: toSorter(RULES.usage) },
   sharesThenUsage: { toOrder: toSorter(RULES.sharesThenUsage) },
+  // Without customers to divide room among, this order is no other than the usual one.
+  held: {
+    toOrder: (waiting, input) => (hasShares(waiting) ? toHeldOrder : toSharesOrder)(waiting, input),
+  },
 };
--- a/tests/placementOrders.test.ts
+++ b/tests/placementOrders.test.ts
@@ -5,6 +5,7 @@
 import type { PlacementOrder } from '../packages/dispatch/waiting/PlacementOrder';
 import { placementOrders } from '../packages/dispatch/waiting/placementOrders';
 import type { WaitingStep } from '../packages/dispatch/waiting/WaitingStep';
+import type { TaskDemand } from '../packages/jobs/TaskDemand';
 import { JobProgress } from '../packages/jobs/JobProgress';
 import { JobReplica } from '../packages/jobs/JobReplica';
 import { createCustomer } from './helpers/createCustomer';
@@ -90,6 +91,8 @@
   const usage = new CustomerUsage();
   usage.recordRun({ customer: heavy.name, charge: { cpuMillis: 8000, memoryMb: 0, accelerators: 0 } });
 
+  const readCapacity = (): TaskDemand => ({ cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 });
+
   const waiting = [
     createWaiting('batch', { priority: 1 }),
     createWaiting('late', { objectiveAtMs: 10 }),
@@ -104,7 +107,7 @@
     ['usage', ['beyond', 'light', 'late', 'heavy', 'batch']],
     ['sharesThenUsage', ['light', 'late', 'heavy', 'beyond', 'batch']],
   ] satisfies readonly (readonly [PlacementOrder, readonly string[]])[])('by %s', (order, expected) => {
-    const sorted = placementOrders[order].toOrder(waiting, { wallMs: 100, usage });
+    const sorted = placementOrders[order].toOrder(waiting, { wallMs: 100, usage, readCapacity });
     expect(sorted.map((step) => (step as (typeof waiting)[number]).name)).toEqual(expected);
   });
 });
