--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -13,6 +13,8 @@
 import { configurationSources } from '../serve/configurationSources';
 import { hallChoices } from '../dispatch/placing/hallChoices';
 import { speedChoices } from '../dispatch/placing/speedChoices';
+import type { Door } from '../load/Door';
+import { doors } from '../load/doors';
 import type { JobWriting } from '../serve/JobWriting';
 import { jobWritings } from '../serve/jobWritings';
 import { ServeProcess } from '../serve/ServeProcess';
@@ -34,6 +36,7 @@
 
 const DEFAULT_SOURCE: ConfigurationSource = 'boxes';
 const DEFAULT_WRITING: JobWriting = 'leader';
+const DEFAULT_DOOR: Door = 'open';
 
 /** Tells what an option may be. */
 const writeChoiceError = (option: string, table: Readonly<Record<string, unknown>>): void =>
@@ -45,7 +48,7 @@
   summary:
     'Run one entry process on the platform. SIGTERM stops it by plan, SIGHUP reads the settings again.',
   usage:
-    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together]',
+    '[--settings FILE] [--configuration log|boxes] [--order NAME] [--writing own|leader] [--speeds blind|kinds] [--halls spread|together] [--door open|watch|load]',
   options: {
     settings: { type: 'string', help: `settings file; without it, ${wireNames.settingsVariable} names it` },
     order: {
@@ -54,6 +57,10 @@
     },
     halls: { type: 'string', help: 'over which halls the tasks of a job go: spread, or together (default)' },
     speeds: { type: 'string', help: 'how the speed of kinds of endpoints counts: blind, or kinds (default)' },
+    door: {
+      type: 'string',
+      help: 'what the load has to do with taking jobs in: open (default), watch (it is told) or load (hopeless jobs are refused)',
+    },
     writing: { type: 'string', help: 'who appends accepted jobs to the log: own, or the leader (default)' },
     configuration: {
       type: 'string',
@@ -91,12 +98,17 @@
     if (speeds === undefined) {
       writeChoiceError('speeds', speedChoices);
     }
+    const door = parseChoice(doors, input.values['door'], DEFAULT_DOOR);
+    if (door === undefined) {
+      writeChoiceError('door', doors);
+    }
     if (
       source === undefined ||
       order === undefined ||
       writing === undefined ||
       speeds === undefined ||
-      halls === undefined
+      halls === undefined ||
+      door === undefined
     ) {
       return exitCodes.usage;
     }
@@ -117,6 +129,7 @@
         jobWriting: writing,
         speedChoice: speeds,
         hallChoice: halls,
+        door,
       },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -13,6 +13,7 @@
 import type { TaskProgress } from '../jobs/TaskProgress';
 import { demandSums } from '../jobs/demandSums';
 import { endpointLives } from '../jobs/endpointLives';
+import type { LoadSnapshot } from '../load/LoadSnapshot';
 import { leaderTimings } from '../leadership/leaderTimings';
 import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
@@ -37,6 +38,7 @@
 import { GangWatch } from './runs/GangWatch';
 import type { LookAnswer } from './endpoints/LookAnswer';
 import { LookReader } from './endpoints/LookReader';
+import { measureLoad } from './measureLoad';
 import { RoomView } from './placing/RoomView';
 import type { RunEnd } from './runs/RunEnd';
 import { RunLedger } from './runs/RunLedger';
@@ -217,6 +219,11 @@
     return capacity;
   }
 
+  /** What waits and runs. Looks at all jobs and runs. */
+  readLoad(wallMs: number): LoadSnapshot {
+    return measureLoad({ books: this.books.values(), jobs: this.jobs, usage: this.usage, wallMs });
+  }
+
   readBook(id: EndpointLife): EndpointBook | undefined {
     return this.books.get(id);
   }
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -13,6 +13,7 @@
 import type { Result } from '../common/Result';
 import type { JobReplica } from '../jobs/JobReplica';
 import { leaderTimings } from '../leadership/leaderTimings';
+import { LoadTeller } from '../load/LoadTeller';
 import { appendRules } from '../store/appendRules';
 import type { LogClient } from '../store/LogClient';
 import { AdviceDesk } from './advice/AdviceDesk';
@@ -55,6 +56,8 @@
   readonly placementOrder: PlacementOrder;
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
+  /** The other boxes are told of the load. */
+  readonly isLoadTold: boolean;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** On failure says what is wrong with the record. */
@@ -76,6 +79,7 @@
       | 'ends'
       | 'stops'
       | 'questions'
+      | 'digests'
       | 'unanswered'
       | 'livesBegun'
       | 'recordsRefused'
@@ -120,6 +124,7 @@
   private readonly inheritance: ProgressInheritance;
   private readonly endpoints: EndpointSessions;
   private readonly desk: AdviceDesk;
+  private readonly load: LoadTeller;
   private readonly orderTimeout = new AnswerTimeout();
   /** Services of the jobs that were taken in: their endpoints are needed also where the configuration has dropped them. */
   private readonly services = new Set<ServiceName>();
@@ -134,6 +139,7 @@
 
   constructor(private readonly options: LeaderDutyOptions) {
     const { clock, client, epoch, replica } = options;
+    this.load = new LoadTeller(epoch, clock.readNow());
     this.dispatcher = new Dispatcher({
       unheardUntil: options.earlierLeasesEndAt,
       longestLeaseMs: options.longestLeaseMs,
@@ -329,10 +335,22 @@
     if (this.hasTakenOver) {
       this.endpoints.applyTime();
       this.dispatcher.applyTime(now);
+      this.queueLoad(now);
       this.queueRound();
     }
   }
 
+  private queueLoad(now: number): void {
+    const wallMs = this.options.clock.readWall();
+    const digest = this.options.isLoadTold
+      ? this.load.createDue({ now, wallMs }, () => this.dispatcher.readLoad(wallMs))
+      : undefined;
+    if (digest !== undefined) {
+      this.options.recordCount('digests');
+      this.journal.queueLoad(digest);
+    }
+  }
+
   /** True while this leader may give leases; the next one waits until the last of them has ended. */
   private isRenewing(): boolean {
     return this.journal.isShownWithin(leaderTimings.unconfirmedMs);
@@ -445,6 +463,7 @@
       return;
     }
     recordCount('starts');
+    this.recordStart(effect.job, clock.readNow());
     WAIT_CAUSES.forEach((cause) => recordTime(WAIT_TIMES[cause], effect.waits[cause]));
     const sentAt = clock.readNow();
     session.recordLease(sentAt);
@@ -475,6 +494,13 @@
     this.queueRound();
   }
 
+  private recordStart(job: JobId, now: number): void {
+    const queue = this.dispatcher.readJob(job)?.definition.queue.name;
+    if (queue !== undefined) {
+      this.load.recordStart(queue, now);
+    }
+  }
+
   private async sendStop(effect: Extract<DispatchEffect, { kind: 'stop' }>): Promise<void> {
     const { endpoint, task, run, isRepeated } = effect;
     const timeoutMs = isRepeated ? REPEATED_STOP_TIMEOUT_MS : this.orderTimeout.readTimeoutMs();
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -9,6 +9,7 @@
 import type { JobState } from '../jobs/JobState';
 import { leaderKeys } from '../leadership/leaderKeys';
 import { leaderTimings } from '../leadership/leaderTimings';
+import { loadKeys } from '../load/loadKeys';
 import { ExclusiveWriter } from '../store/ExclusiveWriter';
 import type { LogClient } from '../store/LogClient';
 
@@ -110,6 +111,11 @@
     }
   }
 
+  /** Tells the other boxes of the load. */
+  queueLoad(digest: string): void {
+    this.stateWriter.queueWrite(loadKeys.digestKey, () => digest);
+  }
+
   /** Writes what is queued, then the word that another may lead. */
   async startResigning(): Promise<void> {
     await this.progressWriter.startFlush(RESIGN_TIMEOUT_MS);
--- /dev/null
+++ b/packages/dispatch/measureLoad.ts
@@ -0,0 +1,72 @@
+import type { CustomerName } from '../customers/CustomerName';
+import type { CustomerUsage } from '../customers/CustomerUsage';
+import { demandSums } from '../jobs/demandSums';
+import type { JobId } from '../jobs/JobId';
+import type { TaskDemand } from '../jobs/TaskDemand';
+import type { LoadSnapshot } from '../load/LoadSnapshot';
+import { toDominantShare } from '../load/toDominantShare';
+import type { EndpointBook } from './endpoints/EndpointBook';
+import type { LiveJob } from './waiting/LiveJob';
+import { toWaitingDemand } from './waiting/toWaitingDemand';
+
+interface LoadInput {
+  readonly books: Iterable<EndpointBook>;
+  readonly jobs: ReadonlyMap<JobId, LiveJob>;
+  readonly usage: CustomerUsage;
+  readonly wallMs: number;
+}
+
+type QueueRow = {
+  -readonly [Field in keyof LoadSnapshot['queues'][number]]: LoadSnapshot['queues'][number][Field];
+};
+type CustomerRow = LoadSnapshot['customers'] extends ReadonlyMap<CustomerName, infer Row> ? Row : never;
+
+/** Sums up what waits and runs. Looks at all jobs and runs, so it is for once a second, not for each round. */
+export const measureLoad = ({ books, jobs, usage, wallMs }: LoadInput): LoadSnapshot => {
+  const queues = new Map<string, QueueRow>();
+  const customers = new Map<CustomerName, CustomerRow>();
+  let capacity: TaskDemand = demandSums.NOTHING;
+  let freeCpuMillis = 0;
+
+  const readQueue = (queue: string): QueueRow => {
+    const known = queues.get(queue) ?? { queue, waitingTasks: 0, waitingCpuMillis: 0, runningCpuMillis: 0 };
+    queues.set(queue, known);
+    return known;
+  };
+
+  for (const book of books) {
+    if (book.isUsable()) {
+      capacity = demandSums.toSum(capacity, book.readProfile().capacity);
+      freeCpuMillis += book.readFreeCpuMillis();
+    }
+    for (const { job, demand } of book.readRuns()) {
+      const definition = jobs.get(job)?.definition;
+      if (definition !== undefined) {
+        readQueue(definition.queue.name).runningCpuMillis += demand.cpuMillis;
+      }
+    }
+  }
+  for (const job of jobs.values()) {
+    const steps = job.progress.isEnded() ? [] : job.readWaiting(wallMs);
+    const { customer, queue } = job.definition;
+    for (const step of steps) {
+      const demand = toWaitingDemand(step);
+      const row = readQueue(queue.name);
+      row.waitingTasks += step.indexes.length;
+      row.waitingCpuMillis += demand.cpuMillis;
+      if (customer !== undefined) {
+        const known = customers.get(customer.name);
+        customers.set(customer.name, {
+          weight: customer.weight,
+          waitingTasks: (known?.waitingTasks ?? 0) + step.indexes.length,
+          waiting: demandSums.toSum(known?.waiting ?? demandSums.NOTHING, demand),
+          held: usage.readTaken(customer.name),
+        });
+      }
+    }
+  }
+  const othersShare = [...usage.readAll()]
+    .filter(([name]) => !customers.has(name))
+    .reduce((sum, [, { taken }]) => sum + toDominantShare(taken, capacity), 0);
+  return { capacity, freeCpuMillis, queues: [...queues.values()], customers, othersShare };
+};
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -3,11 +3,11 @@
 import type { JobProgress } from '../../jobs/JobProgress';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
+import { measureRemaining } from '../../jobs/measureRemaining';
 import { toTaskName } from '../../jobs/toTaskName';
 import { AdviceBook } from '../advice/AdviceBook';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
-import { measureRemaining } from './measureRemaining';
 import { readWaitingSteps } from './readWaitingSteps';
 import type { WaitingStep } from './WaitingStep';
 
@@ -37,23 +37,13 @@
 const TURNED_DOWN_PAUSE_MS = 100;
 const MAX_TURNED_DOWN_PAUSE_MS = 2000;
 
-/** Longest chain of estimated work through the steps, in milliseconds. */
-const measureChain = (definition: JobDefinition): number => {
-  const ends: number[] = [];
-  for (const step of definition.steps) {
-    const startsAt = Math.max(0, ...step.dependsOn.map((earlier) => ends[earlier] ?? 0));
-    ends.push(startsAt + (step.isLongRunning ? 0 : step.estimatedMs));
-  }
-  return Math.max(0, ...ends);
-};
-
 /** A job that has not ended, as the leader works on it. */
 export class LiveJob {
   /** By `TIME.STEP`. */
   private readonly stepMemories = new Map<string, StepMemory>();
+  /** Longest chain of estimated work from each step's start to the end. */
+  private readonly remainingMs: readonly number[];
   private readonly chainMs: number;
-  /** By step; worked out when first asked for. */
-  private remainingMs: readonly number[] | undefined;
   private waiting: KnownWaiting | undefined;
   private readonly preemptions = new Map<TaskName, number>();
   /** Starts of tasks that endpoints did not take, since one was taken. */
@@ -70,7 +60,8 @@
     /** The customer had sent more than it is owed when it sent this job. */
     readonly isBeyondShare = false,
   ) {
-    this.chainMs = measureChain(definition);
+    this.remainingMs = measureRemaining(definition.steps);
+    this.chainMs = Math.max(0, ...this.remainingMs);
   }
 
   /** Wall clock time at which repetition `time` may start. */
@@ -87,7 +78,6 @@
 
   /** Longest chain of estimated work from the start of a step to the job's end, in milliseconds. */
   readRemainingMs(step: number): number {
-    this.remainingMs ??= measureRemaining(this.definition);
     return this.remainingMs[step] ?? 0;
   }
 
--- a/packages/dispatch/waiting/toHeldOrder.ts
+++ b/packages/dispatch/waiting/toHeldOrder.ts
@@ -4,6 +4,7 @@
 import { toDominantShare } from '../../load/toDominantShare';
 import { toOwedShares } from '../../load/toOwedShares';
 import type { OrderInput } from './OrderInput';
+import { toWaitingDemand } from './toWaitingDemand';
 import type { WaitingStep } from './WaitingStep';
 
 /** A waiting step with what it is sorted by, worked out once a round. */
@@ -29,12 +30,6 @@
 /** A turn lasts longer than a round, and is short beside any objective. */
 const TURN_MS = 100;
 
-const toDemand = ({ shape, indexes }: WaitingStep): TaskDemand => ({
-  cpuMillis: shape.isFiller ? 0 : shape.demand.cpuMillis * indexes.length,
-  memoryMb: shape.demand.memoryMb * indexes.length,
-  accelerators: shape.demand.accelerators * indexes.length,
-});
-
 const readShareholder = ({ job }: WaitingStep): { name: CustomerName; weight: number } | undefined => {
   const { customer } = job.definition;
   return customer === undefined || customer.weight === 0 ? undefined : customer;
@@ -54,7 +49,7 @@
     priority: job.definition.queue.priority,
     timeliness: isInTime ? TIMELINESS.inTime : isUseful ? TIMELINESS.late : TIMELINESS.useless,
     startByMs: (isInTime ? objectiveAtMs : usefulUntilMs) - remainingMs,
-    share: toDominantShare(toDemand(step), capacity),
+    share: toDominantShare(toWaitingDemand(step), capacity),
     isBeyond: false,
   };
 };
--- a/packages/dispatch/waiting/measureRemaining.ts
+++ b/packages/jobs/measureRemaining.ts
@@ -1,10 +1,12 @@
-import type { JobDefinition } from '../../jobs/JobDefinition';
-import type { JobStep } from '../../jobs/JobStep';
+import type { JobStep } from './JobStep';
 
 const toWorkMs = ({ isLongRunning, estimatedMs }: JobStep): number => (isLongRunning ? 0 : estimatedMs);
 
-/** Longest chain of estimated work from the start of each step to the end of its job, in milliseconds, by the step's number. */
-export const measureRemaining = ({ steps }: JobDefinition): readonly number[] => {
+/**
+ * Longest chain of estimated work from the start of each step to the end of the job, in milliseconds, by the step's number. The largest is that
+ * of the whole job.
+ */
+export const measureRemaining = (steps: readonly JobStep[]): readonly number[] => {
   const remaining = steps.map(toWorkMs);
   // Steps depend on earlier ones only, so that from the last to the first each one's followers are complete.
   for (const [number, { dependsOn }] of [...steps.entries()].reverse()) {
--- a/packages/load/LoadDigest.ts
+++ b/packages/load/LoadDigest.ts
@@ -10,6 +10,8 @@
   readonly epoch: number;
   /** Rises with each digest of an epoch. */
   readonly sequence: number;
+  /** Wall clock of the leader's box when it was made, in milliseconds. */
+  readonly madeAtMs: number;
   /** Processors of the usable endpoints and what is free of them, in thousandths of a core. */
   readonly capacityCpuMillis: number;
   readonly freeCpuMillis: number;
--- /dev/null
+++ b/packages/load/formatDigest.ts
@@ -0,0 +1,20 @@
+import type { LoadDigest } from './LoadDigest';
+
+/** Writes a digest as it stands in the log. */
+export const formatDigest = (digest: LoadDigest): string =>
+  JSON.stringify({
+    ...digest,
+    queues: digest.queues.map((row) => [
+      row.queue,
+      row.waitingTasks,
+      row.waitingCpuMillis,
+      row.runningCpuMillis,
+      row.expectedWaitMs,
+    ]),
+    customers: digest.customers.map((row) => [
+      row.customer,
+      row.waitingTasks,
+      row.dominantShare,
+      row.owedShare,
+    ]),
+  });
--- a/packages/serve/JobDesk.ts
+++ b/packages/serve/JobDesk.ts
@@ -18,6 +18,7 @@
 import type { JobState } from '../jobs/JobState';
 import type { LogFollower } from '../store/LogFollower';
 import type { RecordWriter } from '../store/RecordWriter';
+import type { LoadDoor } from './LoadDoor';
 import type { ServeMetrics } from './ServeMetrics';
 
 interface JobDeskOptions {
@@ -28,6 +29,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: ServeMetrics;
+  readonly door: LoadDoor;
   /** True while all topics can be read. */
   readonly isReading: () => boolean;
   /** True while this process leads, so that its own memory is the newest. */
@@ -106,6 +108,14 @@
       ...submission,
       acceptedAtMs: Math.round(clock.readWall()),
     };
+    const check = await this.options.door.startCheck(definition, this.readRefreshDeadline(deadline));
+    if (check.kind === 'known') {
+      return this.toKnownAnswer(replica.readDefinition(id)!, queue, customer);
+    }
+    if (check.kind === 'refused') {
+      metrics.recordCount('notTaken');
+      return { kind: 'overloaded', retryAfterMs: check.retryAfterMs };
+    }
     const write = { key: jobKeys.toDefinitionKey(id), value: formatDefinition(definition) };
     const outcome = await writer.writeRecord(write, this.readWriteLimit(startedAt, deadline));
     const tookMs = Math.round(clock.readNow() - startedAt);
@@ -114,6 +124,7 @@
     }
     if (outcome === 'unknown') {
       metrics.recordCount('unknown');
+      this.options.door.recordDoubt(id);
       this.recordDecision('The log did not answer: the job may be accepted.', id, queue.name, { tookMs });
       return { kind: 'unknown' };
     }
@@ -123,6 +134,7 @@
       tookMs,
       priority: queue.priority,
       ...(customer === undefined ? {} : { customer: customer.name }),
+      ...check.load,
     });
     this.options.handleAccepted(definition);
     return ACCEPTED;
@@ -275,6 +287,10 @@
     return follower.startRefresh(this.readRefreshLimit(deadline));
   }
 
+  private readRefreshDeadline(deadline: number): number {
+    return this.options.clock.readNow() + this.readRefreshLimit(deadline);
+  }
+
   private readRefreshLimit(deadline: number): number {
     const leftMs = deadline - this.options.clock.readNow();
     return Math.max(1, Math.min(REFRESH_LIMIT_MS, leftMs));
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -16,6 +16,8 @@
 import type { LeaderIntroduction } from '../leadership/LeaderIntroduction';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
+import { doors } from '../load/doors';
+import { LoadView } from '../load/LoadView';
 import type { LogClient } from '../store/LogClient';
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
@@ -25,6 +27,7 @@
 import { JobDesk } from './JobDesk';
 import { jobWritings } from './jobWritings';
 import { LeaderHandOver } from './LeaderHandOver';
+import { LoadDoor } from './LoadDoor';
 import { OtherBoxes } from './OtherBoxes';
 import { readCustomerFigures } from './readCustomerFigures';
 import type { ServeAdapter } from './ServeAdapter';
@@ -64,6 +67,7 @@
   private readonly replica = new JobReplica();
   private readonly router = new QueueRouter();
   private readonly metrics = new ServeMetrics();
+  private readonly load = new LoadView();
   private readonly writer: LogWriter;
   private readonly followers: TopicFollowers;
   private readonly leadership: Leadership;
@@ -232,6 +236,7 @@
       clock: this.options.clock,
       logger: this.options.createPartLogger('jobs'),
       metrics: this.metrics,
+      door: this.createDoor(),
       isReading: () => this.isReading(),
       isLeading: () => this.duty?.isActive() ?? false,
       startAskingLeader: (id, caller, timeoutMs) => this.others.startAskingLeader(id, caller, timeoutMs),
@@ -240,6 +245,20 @@
     });
   }
 
+  private createDoor(): LoadDoor {
+    const { clock, settings } = this.options;
+    return new LoadDoor({
+      door: settings.door,
+      view: this.load,
+      clock,
+      logger: this.options.createPartLogger('jobs'),
+      metrics: this.metrics,
+      readEpoch: () => this.leadership.readRecord()?.epoch,
+      startJobsRefresh: (deadline) => this.followers.jobs.startRefresh(deadline - clock.readNow()),
+      isKnown: (id) => this.replica.readDefinition(id) !== undefined,
+    });
+  }
+
   /** Another box says that it leads: one that the log turns away hears of it by this alone. */
   private handleIntroduction(introduction: LeaderIntroduction): void {
     const { record } = introduction;
@@ -282,6 +301,7 @@
       handleStates: (records) => {
         this.replica.foldStateRecords(records);
         this.leadership.foldRecords(records);
+        this.foldLoad(records);
       },
       handleOperator: (records) => this.configuration.handleRecords(records),
       handleStatesConnection: (isConnected) => this.leadership.handleConnection(isConnected),
@@ -289,6 +309,15 @@
     });
   }
 
+  private foldLoad(records: readonly LogRecord[]): void {
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
+    const refusedCount = this.load.foldRecords(records, this.options.clock.readNow(), epoch);
+    if (refusedCount > 0) {
+      this.metrics.recordCount('digestsRefused', refusedCount);
+      this.logger.warn('Load that no leader has told is passed over.', { records: refusedCount, epoch });
+    }
+  }
+
   /** One answer of the log shows that it is back: whatever still waits for an older call is tried again at once. */
   private handleLogBack(answeredSentAt: number): void {
     this.followers.startAgain(answeredSentAt);
@@ -376,6 +405,7 @@
       placementOrder: settings.placementOrder,
       speedChoice: settings.speedChoice,
       hallChoice: settings.hallChoice,
+      isLoadTold: doors[settings.door].isTold,
       readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile, readToken) => adapter.createEndpointClient(profile, readToken),
@@ -455,10 +485,19 @@
       readingStatesTopic: Number(this.followers.states.isFollowing()),
       readingJobsTopic: Number(this.followers.jobs.isFollowing()),
       knownJobs: this.replica.readJobCount(),
+      ...this.readLoadGauges(),
     });
     return text + this.formatCustomers();
   }
 
+  /** Of the newest digest, however old; none before the first. */
+  private readLoadGauges(): Readonly<Record<string, number>> {
+    const { clock } = this.options;
+    const epoch = this.leadership.readRecord()?.epoch;
+    const ageMs = this.load.readAgeMs({ now: clock.readNow(), wallMs: clock.readWall(), epoch });
+    return ageMs === undefined ? {} : { loadDigestAgeMs: Math.round(ageMs) };
+  }
+
   /** Nobody but the leader knows what runs. */
   private formatCustomers(): string {
     const dispatcher = this.duty?.readDispatcher();
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,6 +1,7 @@
 import type { HallChoice } from '../dispatch/placing/HallChoice';
 import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
 import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
+import type { Door } from '../load/Door';
 import type { ConfigurationSource } from './ConfigurationSource';
 import type { JobWriting } from './JobWriting';
 
@@ -28,6 +29,8 @@
   readonly speedChoice: SpeedChoice;
   /** Over which halls the tasks of a job go. */
   readonly hallChoice: HallChoice;
+  /** What the load has to do with taking jobs in. */
+  readonly door: Door;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
   /**
--- a/tests/heldShares.test.ts
+++ b/tests/heldShares.test.ts
@@ -3,7 +3,7 @@
 import type { CustomerName } from '../packages/customers/CustomerName';
 import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import { LiveJob } from '../packages/dispatch/waiting/LiveJob';
-import { measureRemaining } from '../packages/dispatch/waiting/measureRemaining';
+import { measureRemaining } from '../packages/jobs/measureRemaining';
 import type { PlacementOrder } from '../packages/dispatch/waiting/PlacementOrder';
 import { placementOrders } from '../packages/dispatch/waiting/placementOrders';
 import type { WaitingStep } from '../packages/dispatch/waiting/WaitingStep';
@@ -70,7 +70,7 @@
       createStep({ estimatedMs: 10, dependsOn: [1, 2] }),
       createStep({ estimatedMs: 900, isLongRunning: true }),
     ];
-    expect(measureRemaining(createJobDefinition(1, steps))).toEqual([180, 60, 80, 10, 0]);
+    expect(measureRemaining(steps)).toEqual([180, 60, 80, 10, 0]);
   });
 });
 
