--- a/packages/load/StartRates.ts
+++ b/packages/load/StartRates.ts
@@ -1,30 +1,39 @@
-/** Longer than a round of placement and any answer, shorter than the objectives of most work. */
-const WINDOW_MS = 3000;
-const MS_PER_S = 1000;
+/** A leader that has just taken over starts less than it will. */
+const LEARN_MS = 3000;
+const SECOND_MS = 1000;
+/** Longer than the seconds in which a fault holds starts up. */
+const WINDOW_SECONDS = 10;
 
-/** How fast tasks of each queue have started of late, which is how fast what waits there drains, whatever it waits for. */
+/**
+ * How fast tasks of each queue can start, which is how fast what waits there drains, whatever it waits for. The best second of late counts: after a
+ * stall what waits drains at that rate, and a wait that is expected too long would turn callers away who could be served.
+ */
 export class StartRates {
-  private readonly starts = new Map<string, number[]>();
+  /** Starts by second, by queue. */
+  private readonly counts = new Map<string, Map<number, number>>();
 
   /** `since` is the monotonic time from which starts have been counted. */
   constructor(private readonly since: number) {}
 
   recordStart(queue: string, now: number): void {
-    const known = this.starts.get(queue);
-    if (known === undefined) {
-      this.starts.set(queue, [now]);
-    } else {
-      known.push(now);
-    }
+    const second = Math.floor(now / SECOND_MS);
+    const counts = this.counts.get(queue) ?? new Map<number, number>();
+    counts.set(second, (counts.get(second) ?? 0) + 1);
+    this.counts.set(queue, counts);
   }
 
   /** Starts a second; undefined while it has been counted for too short a time. */
   readPerSecond(queue: string, now: number): number | undefined {
-    if (now - this.since < WINDOW_MS) {
+    if (now - this.since < LEARN_MS) {
       return undefined;
     }
-    const recent = (this.starts.get(queue) ?? []).filter((at) => at > now - WINDOW_MS);
-    this.starts.set(queue, recent);
-    return (recent.length * MS_PER_S) / WINDOW_MS;
+    const counts = this.counts.get(queue) ?? new Map<number, number>();
+    const oldest = Math.floor(now / SECOND_MS) - WINDOW_SECONDS;
+    for (const second of counts.keys()) {
+      if (second < oldest) {
+        counts.delete(second);
+      }
+    }
+    return Math.max(0, ...counts.values());
   }
 }
