--- a/tests/heldShares.test.ts
+++ b/tests/heldShares.test.ts
@@ -197,11 +197,19 @@
 
 /** The load: the largest of 20 customers with heavy-tailed weights sends six times its usual for six of twenty seconds. */
 describe.each([1, 1.2])('a hot customer beside others that ask for %s of all room', (load) => {
-  it('does not push them out of their shares, and is not starved', { timeout: 120_000 }, () => {
-    const [shares, held] = [startLoad('shares', load), startLoad('held', load)];
-    const readOthers = ({ others }: Outcome): number => others;
-    expect(toMean(held, readOthers)).toBeGreaterThan(toMean(shares, readOthers) + GAIN);
-    expect(toMean(held, ({ all }) => all)).toBeGreaterThan(toMean(shares, ({ all }) => all) - LOSS);
-    expect(toMean(held, ({ hot }) => hot)).toBeGreaterThan(toMean(held, readOthers) / 2);
-  });
+  it(
+    'does not push them out of their shares, and neither it nor wide jobs are starved',
+    { timeout: 120_000 },
+    () => {
+      const [shares, held] = [startLoad('shares', load), startLoad('held', load)];
+      const readOthers = ({ others }: Outcome): number => others;
+      expect(toMean(held, readOthers)).toBeGreaterThan(toMean(shares, readOthers) + GAIN);
+      expect(toMean(held, ({ all }) => all)).toBeGreaterThan(toMean(shares, ({ all }) => all) - LOSS);
+      expect(toMean(held, ({ hot }) => hot)).toBeGreaterThan(toMean(held, readOthers) / 2);
+      for (const kind of ['gang', 'wide', 'urgent']) {
+        const inTime = toMean(held, (outcome) => outcome.inTime[kind]!);
+        expect(toMean(held, (outcome) => outcome.widestInTime[kind]!)).toBeGreaterThanOrEqual(inTime / 2);
+      }
+    },
+  );
 });
--- a/tests/helpers/ShareLoad.ts
+++ b/tests/helpers/ShareLoad.ts
@@ -21,7 +21,9 @@
   readonly worth: number;
   readonly priority: number;
   readonly perS: number;
+  /** Tasks of a usual job, and of the widest. */
   readonly count: number;
+  readonly mostCount: number;
   readonly cpuMillis: number;
   readonly meanMs: number;
   readonly targetLatencyMs: number;
@@ -51,8 +53,9 @@
   readonly hot: number;
   /** Mean over the customers other than the hot one. */
   readonly others: number;
-  /** By kind, the part of the jobs that ended in time. */
+  /** By kind, the part of the jobs that ended in time, and of the tenth with most tasks. */
   readonly inTime: Readonly<Record<string, number>>;
+  readonly widestInTime: Readonly<Record<string, number>>;
   readonly longestMs: number;
 }
 
@@ -83,6 +86,9 @@
 const toMean = (values: readonly number[]): number =>
   values.reduce((sum, value) => sum + value, 0) / values.length;
 
+const toInTime = (jobs: readonly SentJob[]): number =>
+  toMean(jobs.map(({ tookMs, objectiveMs }) => Number(tookMs <= objectiveMs)));
+
 const toWorth = ({ kind, tookMs, objectiveMs }: SentJob): number => {
   const part = tookMs <= objectiveMs ? 1 : tookMs <= USEFUL_FACTOR * objectiveMs ? LATE_WORTH : 0;
   return part * kind.worth;
@@ -99,6 +105,7 @@
     priority: 1,
     perS: 0.88,
     count: 20,
+    mostCount: 30,
     cpuMillis: 18_000,
     meanMs: 5000,
     targetLatencyMs: 1000,
@@ -110,6 +117,7 @@
     priority: 2,
     perS: 3.96,
     count: 25,
+    mostCount: 90,
     cpuMillis: 6900,
     meanMs: 2700,
     targetLatencyMs: 3000,
@@ -121,6 +129,7 @@
     priority: 0,
     perS: 17.8,
     count: 3,
+    mostCount: 12,
     cpuMillis: 9900,
     meanMs: 800,
     targetLatencyMs: 300,
@@ -180,22 +189,25 @@
     const byCustomer = Array.from({ length: CUSTOMERS }, (_, rank) =>
       toServedPart(jobs.filter(({ customer }) => customer === `customer-${rank}`)),
     );
-    const byKind = KINDS.map(({ name }) => {
-      const ofKind = jobs.filter(({ kind }) => kind.name === name);
-      return [name, toMean(ofKind.map((job) => Number(job.tookMs <= job.objectiveMs)))] as const;
-    });
+    const byKind = KINDS.map(({ name }) => [name, jobs.filter(({ kind }) => kind.name === name)] as const);
+    const toWidest = (ofKind: readonly SentJob[]): readonly SentJob[] =>
+      [...ofKind]
+        .sort((left, right) => right.workMs.length - left.workMs.length)
+        .slice(0, ofKind.length / 10);
     return {
       all: toServedPart(jobs),
       worstTenth: toMean([...byCustomer].sort((left, right) => left - right).slice(0, CUSTOMERS / 10)),
       hot: byCustomer[HOT]!,
       others: toMean(byCustomer.filter((_, rank) => rank !== HOT)),
-      inTime: Object.fromEntries(byKind),
+      inTime: Object.fromEntries(byKind.map(([name, ofKind]) => [name, toInTime(ofKind)])),
+      widestInTime: Object.fromEntries(byKind.map(([name, ofKind]) => [name, toInTime(toWidest(ofKind))])),
       longestMs: Math.max(...jobs.map(({ tookMs }) => tookMs)),
     };
   }
 
   private sendJob(kind: Kind, customer: ReturnType<typeof createCustomer>, now: number): void {
-    const { count, cpuMillis, meanMs, isGang, name, priority, targetLatencyMs } = kind;
+    const { cpuMillis, meanMs, isGang, name, priority, targetLatencyMs } = kind;
+    const count = this.chooseCount(kind);
     const demand = { cpuMillis, memoryMb: (2 * cpuMillis) / 1000, accelerators: 0 };
     const steps = [createStep({ count, demand, estimatedMs: meanMs * (0.5 + this.random()), isGang })];
     const definition = {
@@ -222,6 +234,12 @@
     this.dispatcher.handleJob(definition, new JobProgress(definition), now);
   }
 
+  /** Most jobs have fewer tasks than the mean, few have many times as many. */
+  private chooseCount({ count, mostCount }: Kind): number {
+    const drawn = Math.round(-Math.log(1 - this.random()) * count);
+    return Math.min(mostCount, Math.max(1, drawn));
+  }
+
   private applyEffect(effect: DispatchEffect, now: number): void {
     if (effect.kind === 'start') {
       const { endpoint, order, job } = effect;
