--- a/packages/cli/wayOptions.ts
+++ b/packages/cli/wayOptions.ts
@@ -4,6 +4,7 @@
 import { speedChoices } from '../dispatch/placing/speedChoices';
 import { stopChoices } from '../dispatch/stops/stopChoices';
 import { placementOrders } from '../dispatch/waiting/placementOrders';
+import { doors } from '../load/doors';
 import { configurationSources } from '../serve/configurationSources';
 import { jobWritings } from '../serve/jobWritings';
 import type { ServeWays } from '../serve/ServeWays';
@@ -23,6 +24,12 @@
     defaultChoice: 'leader',
     help: 'who appends accepted jobs to the log: own, or the leader',
   },
+  door: {
+    name: 'door',
+    table: doors,
+    defaultChoice: 'open',
+    help: 'whether jobs are refused for load: never, never but told of, or truthfully when they are hopeless',
+  },
   placementOrder: {
     name: 'order',
     table: placementOrders,
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -13,6 +13,7 @@
 import type { TaskProgress } from '../jobs/TaskProgress';
 import { demandSums } from '../jobs/demandSums';
 import { endpointLives } from '../jobs/endpointLives';
+import type { LoadSnapshot } from '../load/LoadSnapshot';
 import { leaderTimings } from '../leadership/leaderTimings';
 import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
@@ -40,6 +41,7 @@
 import { GangWatch } from './runs/GangWatch';
 import type { LookAnswer } from './endpoints/LookAnswer';
 import { LookReader } from './endpoints/LookReader';
+import { measureLoad } from './measureLoad';
 import { RoomView } from './placing/RoomView';
 import type { RunEnd } from './runs/RunEnd';
 import { RunLedger } from './runs/RunLedger';
@@ -152,7 +154,6 @@
     const kinds = new KindSpeeds();
     const { speeds } = this;
     const times = new RunTimes();
-    times.readEstimate(queue, shape);
     const speedChoice = options.speedChoice ?? dispatchDefaults.speedChoice;
     const preference = new EndpointPreference({
       kinds,
@@ -263,6 +264,22 @@
     return counts;
   }
 
+  /** Room of all usable endpoints together, taken or not. Looks at all books. */
+  readCapacity(): TaskDemand {
+    let capacity = demandSums.NOTHING;
+    for (const book of this.books.values()) {
+      if (book.isUsable()) {
+        capacity = demandSums.toSum(capacity, book.readProfile().capacity);
+      }
+    }
+    return capacity;
+  }
+
+  /** What waits and runs. Looks at all jobs and runs. */
+  readLoad(wallMs: number): LoadSnapshot {
+    return measureLoad({ books: this.books.values(), jobs: this.jobs, usage: this.usage, wallMs });
+  }
+
   readBook(id: EndpointLife): EndpointBook | undefined {
     return this.books.get(id);
   }
@@ -525,7 +542,11 @@
       }
     }
     const order = this.options.placementOrder ?? dispatchDefaults.placementOrder;
-    return placementOrders[order].toOrder(waiting, { wallMs, usage: this.usage });
+    return placementOrders[order].toOrder(waiting, {
+      wallMs,
+      usage: this.usage,
+      readCapacity: () => this.readCapacity(),
+    });
   }
 
   private sendEarlyQuestions(now: number, wallMs: number): void {
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -14,6 +14,7 @@
 import type { Result } from '../common/Result';
 import type { JobReplica } from '../jobs/JobReplica';
 import { leaderTimings } from '../leadership/leaderTimings';
+import { LoadTeller } from '../load/LoadTeller';
 import { appendRules } from '../store/appendRules';
 import type { LogClient } from '../store/LogClient';
 import { adviceDesks } from './advice/adviceDesks';
@@ -62,6 +63,8 @@
   readonly hallChoice: HallChoice;
   readonly stopChoice: StopChoice;
   readonly turnChoice: TurnChoice;
+  /** The other boxes are told of the load. */
+  readonly isLoadTold: boolean;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** On failure says what is wrong with the record. */
@@ -83,6 +86,7 @@
       | 'ends'
       | 'stops'
       | 'questions'
+      | 'digests'
       | 'unanswered'
       | 'livesBegun'
       | 'recordsRefused'
@@ -128,6 +132,7 @@
   private readonly endpoints: EndpointSessions;
   private readonly lines: LineGatherer;
   private readonly desk: QuestionDesk;
+  private readonly load: LoadTeller;
   private readonly orderTimeout = new AnswerTimeout();
   /** Services of the jobs that were taken in: their endpoints are needed also where the configuration has dropped them. */
   private readonly services = new Set<ServiceName>();
@@ -143,6 +148,7 @@
   constructor(private readonly options: LeaderDutyOptions) {
     const { clock, client, epoch, replica } = options;
     this.lines = new LineGatherer(options.logger);
+    this.load = new LoadTeller(epoch, clock.readNow());
     this.dispatcher = new Dispatcher({
       unheardUntil: options.earlierLeasesEndAt,
       longestLeaseMs: options.longestLeaseMs,
@@ -344,10 +350,22 @@
     if (this.hasTakenOver) {
       this.endpoints.applyTime();
       this.dispatcher.applyTime(now);
+      this.queueLoad(now);
       this.queueRound();
     }
   }
 
+  private queueLoad(now: number): void {
+    const wallMs = this.options.clock.readWall();
+    const digest = this.options.isLoadTold
+      ? this.load.createDue({ now, wallMs }, () => this.dispatcher.readLoad(wallMs))
+      : undefined;
+    if (digest !== undefined) {
+      this.options.recordCount('digests');
+      this.journal.queueLoad(digest);
+    }
+  }
+
   /** True while this leader may give leases; the next one waits until the last of them has ended. */
   private isRenewing(): boolean {
     return this.journal.isShownWithin(leaderTimings.unconfirmedMs);
@@ -466,6 +484,7 @@
       return;
     }
     recordCount('starts');
+    this.recordStart(effect.job, clock.readNow());
     WAIT_CAUSES.forEach((cause) => recordTime(WAIT_TIMES[cause], effect.waits[cause]));
     const sentAt = clock.readNow();
     session.recordLease(sentAt);
@@ -493,6 +512,13 @@
     this.queueRound();
   }
 
+  private recordStart(job: JobId, now: number): void {
+    const queue = this.dispatcher.readJob(job)?.definition.queue.name;
+    if (queue !== undefined) {
+      this.load.recordStart(queue, now);
+    }
+  }
+
   private async sendStop(effect: Extract<DispatchEffect, { kind: 'stop' }>): Promise<void> {
     const { endpoint, task, run, isRepeated } = effect;
     const timeoutMs = isRepeated ? REPEATED_STOP_TIMEOUT_MS : this.orderTimeout.readTimeoutMs();
--- a/packages/serve/ServeWays.ts
+++ b/packages/serve/ServeWays.ts
@@ -3,6 +3,7 @@
 import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
 import type { StopChoice } from '../dispatch/stops/StopChoice';
 import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
+import type { Door } from '../load/Door';
 import type { ConfigurationSource } from './ConfigurationSource';
 import type { JobWriting } from './JobWriting';
 
@@ -20,6 +21,8 @@
   readonly turnChoice: TurnChoice;
   /** What is stopped for others, or moved. */
   readonly stopChoice: StopChoice;
+  /** Whether jobs are refused for load. */
+  readonly door: Door;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
 }
