--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -131,8 +131,11 @@
   }
 
   private startMakingRoom(step: WaitingStep, eligible: readonly EndpointBook[], now: number): void {
-    const { preemptor } = this.options;
-    const allowed = this.readAllowed(step, eligible, now + preemptor.readTicketMs());
+    const { preemptor, trust } = this.options;
+    const candidate = { isGang: step.shape.isGang, failures: 0 };
+    const allowed = this.readAllowed(step, eligible, now + preemptor.readTicketMs()).filter((book) =>
+      trust.isOpenFor(candidate, book, now),
+    );
     preemptor.startMakingRoom(step, allowed, now);
   }
 
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -21,6 +21,8 @@
 
 /** A stop without an answer is sent again after so long: beyond the usual time limit of one, and its task waits for it. */
 const FIRST_STOP_RETRY_MS = 200;
+/** Losses below this are only counted, in core-milliseconds. */
+const TOLD_CORE_MS = 1000;
 /** Between later ones, beyond the longer time limit that these have: the endpoint may be slow. */
 const STOP_RETRY_MS = 600;
 
@@ -69,7 +71,7 @@
     const lostCoreMs = measureWorkLost(run, end, now);
     this.sendCount(`runsLostBy.${lostBy}`);
     this.sendCount(`coreMsLostBy.${lostBy}`, lostCoreMs);
-    if (lostCoreMs > 0) {
+    if (lostCoreMs >= TOLD_CORE_MS) {
       this.sendTell('Work is lost.', {
         job: run.job,
         task: run.task,
