Stops: a gang goes on from the newest checkpoint of any member

The first member's was taken, though one that was stopped has a newer one than those that were broken with it.

Run: stops, dispatch, makingRoom tests.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -115,13 +115,15 @@
 
   constructor(private readonly options: DispatcherOptions) {
     const sendEffect = (effect: DispatchEffect): void => void this.effects.push(effect);
-    this.ledger = new RunLedger(this.books, this.jobs, {
+    const stops = stopChoices[options.stopChoice ?? dispatchDefaults.stopChoice];
+    const sinks = {
       handleFreed: () => {
         this.hasNews = true;
       },
-      handleChanged: (job) => this.changed.add(job),
+      handleChanged: (job: JobId) => this.changed.add(job),
       sendEffect,
-    });
+    };
+    this.ledger = new RunLedger(this.books, this.jobs, sinks, stops.isMovingGangs);
     this.crashes = new CrashLedger({
       jobs: this.jobs,
       ledger: this.ledger,
@@ -129,7 +131,6 @@
     });
     const { reservations } = this;
     this.room = new RoomView(this.books, reservations);
-    const stops = stopChoices[options.stopChoice ?? dispatchDefaults.stopChoice];
     this.trust = new EndpointTrust(this.books, stops.isClosing);
     this.preemptor = new Preemptor({
       jobs: this.jobs,
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -294,6 +294,6 @@
   /** The saved text of any member is good for all, and all must carry the same one. */
   private readGangCheckpoint({ job, time, step }: WaitingStep): string {
     const saved = job.progress.readTasks(time, step).find((task) => task.checkpoint !== '');
-    return saved?.checkpoint ?? '';
+    return job.readGangSave(time, step) ?? saved?.checkpoint ?? '';
   }
 }
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -6,6 +6,7 @@
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import { measureWorkLost } from '../stops/measureWorkLost';
 import { readLossCause } from '../stops/readLossCause';
+import { toGangSave } from '../stops/toGangSave';
 import type { StopCause } from '../stops/StopCause';
 import type { LiveJob } from '../waiting/LiveJob';
 import type { PlacedRun } from './PlacedRun';
@@ -32,6 +33,8 @@
     private readonly books: Map<EndpointLife, EndpointBook>,
     private readonly jobs: ReadonlyMap<JobId, LiveJob>,
     private readonly sinks: LedgerSinks,
+    /** A gang goes on from the newest checkpoint of any member. */
+    private readonly isSavingGangs = false,
   ) {}
 
   /** Frees the room of a run and carries its end into the job's progress. */
@@ -42,6 +45,10 @@
     this.recordLoss(book, run, end, now);
     const job = this.jobs.get(run.job);
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
+    const save = this.isSavingGangs && this.isOfGang(run) ? toGangSave(run, end, now) : undefined;
+    if (save !== undefined) {
+      job?.recordGangSave(run.address.time, run.address.step, save);
+    }
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
       job.changedAt = now;
       this.sinks.handleChanged(run.job);
@@ -62,6 +69,10 @@
     this.checkEmptyBook(book);
   }
 
+  private isOfGang(run: PlacedRun): boolean {
+    return this.jobs.get(run.job)?.definition.steps[run.address.step]?.isGang === true;
+  }
+
   /** Counts the work that a run lost, and tells of it where it is some. */
   private recordLoss(book: EndpointBook, run: PlacedRun, end: RunEnd, now: number): void {
     const lostBy = readLossCause(run, end);
--- /dev/null
+++ b/packages/dispatch/stops/GangSave.ts
@@ -0,0 +1,7 @@
+/** The newest checkpoint that members of a gang have left. */
+export interface GangSave {
+  readonly checkpoint: string;
+  readonly run: number;
+  /** Monotonic time up to which its work is in it. */
+  readonly savedAt: number;
+}
--- a/packages/dispatch/stops/StopRules.ts
+++ b/packages/dispatch/stops/StopRules.ts
@@ -14,7 +14,7 @@
   /** Whether a run would end sooner if it were stopped and started elsewhere, and why. */
   readonly readMoveReason: (input: MoveInput) => Exclude<MoveReason, 'endpointLeaves'> | undefined;
   readonly room: RoomRule;
-  /** Gangs on endpoints that leave are stopped as a whole. */
+  /** Gangs on endpoints that leave are stopped, and go on from the newest checkpoint of any member. */
   readonly isMovingGangs: boolean;
   /** Share of all runs that may be on the move at once for being slow. */
   readonly movingShare: number;
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -5,6 +5,7 @@
 import type { TaskName } from '../../jobs/TaskName';
 import { toTaskName } from '../../jobs/toTaskName';
 import { AdviceBook } from '../advice/AdviceBook';
+import type { GangSave } from '../stops/GangSave';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
 import { readWaitingSteps } from './readWaitingSteps';
@@ -16,6 +17,8 @@
   readonly speeds: StepSpeeds;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointLife>;
+  /** What its gang goes on from; undefined while nothing is known, or it is no gang. */
+  gangSave: GangSave | undefined;
   /** Room was made for the step so often without a start since, and may be made again at that monotonic time. */
   roomMade: { readonly count: number; readonly retryAt: number };
   /** Undefined while no task of the step was seen waiting since the last was placed. */
@@ -119,6 +122,24 @@
     this.readStepMemory(time, step).wait = hasMore ? new StepWait(now) : undefined;
   }
 
+  /** The newest checkpoint that members of a step's gang have left; undefined when none is known. */
+  readGangSave(time: number, step: number): string | undefined {
+    return this.readStepMemory(time, step).gangSave?.checkpoint;
+  }
+
+  /** A member of a gang has ended and left a checkpoint. */
+  recordGangSave(time: number, step: number, save: GangSave): void {
+    const memory = this.readStepMemory(time, step);
+    const known = memory.gangSave;
+    if (
+      known === undefined ||
+      save.run > known.run ||
+      (save.run === known.run && save.savedAt > known.savedAt)
+    ) {
+      memory.gangSave = save;
+    }
+  }
+
   /** Monotonic time from which room may be made for a step by stops. */
   readRoomRetryAt(time: number, step: number): number {
     return this.readStepMemory(time, step).roomMade.retryAt;
@@ -187,6 +208,7 @@
       advice: new AdviceBook(),
       speeds: new StepSpeeds(),
       failedOn: new Set<EndpointLife>(),
+      gangSave: undefined,
       roomMade: NO_ROOM_MADE,
       wait: undefined,
     };
--- a/tests/stops.test.ts
+++ b/tests/stops.test.ts
@@ -276,13 +276,13 @@
 });
 
 describe('endpoints that leave at short notice', () => {
-  /** One of four endpoints leaves after 5.5 s, with tasks of 10 s on it that began a second before. */
-  const startLoad = (stopChoice: StopChoice, step: Partial<JobStep>, workMs: number) => {
-    const world = new StopWorld({ stopChoice, endpoints: 4, readWorkMs: () => workMs, stopMs: () => 900 });
+  /** One of five endpoints leaves after 5.5 s, with tasks of 10 s on it that began a second before. */
+  const startLoad = (stopChoice: StopChoice, step: Partial<JobStep>, workMs: number, cores = 16) => {
+    const world = new StopWorld({ stopChoice, endpoints: 5, readWorkMs: () => workMs, stopMs: () => 900 });
     world.applyTime(500);
-    world.sendJob(createJob(1, BATCH, world.now, 16, { estimatedMs: workMs, ...step }));
+    world.sendJob(createJob(1, BATCH, world.now, cores, { estimatedMs: workMs, ...step }));
     world.applyTime(1500);
-    const used = [0, 1, 2, 3].find((number) => world.readRunningOn(number) > 0)!;
+    const used = [4, 3, 2, 1, 0].find((number) => world.readRunningOn(number) > 0)!;
     world.startLeaving(used, 5500);
     world.applyTime(30_000);
     return { endedAt: [...world.finishedAt.values()][0], lostCoreMs: world.lostCoreMs, stops: world.stops };
@@ -305,6 +305,16 @@
     expect(priced.lostCoreMs).toBeLessThan(ranked.lostCoreMs / 2);
     expect(priced.endedAt).toBeLessThan(ranked.endedAt! - 3000);
   });
+
+  it('are left in time by a gang that saves its work, and it goes on from the newest checkpoint of any member', () => {
+    const gang = { count: 4, isGang: true, isCheckpointing: true };
+    const ranked = startLoad('ranked', gang, 9500, 40);
+    const priced = startLoad('priced', gang, 9500, 40);
+    // It begins at 0.5 s, and its 9.5 s of work are done but for the orders between.
+    expect(priced.endedAt).toBeLessThan(500 + 9500 + 100);
+    expect(ranked.endedAt).toBeGreaterThan(500 + 9500 + 500);
+    expect(priced.lostCoreMs).toBeLessThan(ranked.lostCoreMs);
+  });
 });
 
 describe('a start without an answer', () => {
