--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -3,6 +3,7 @@
 import type { PlacementOrder } from './waiting/PlacementOrder';
 import type { HallChoice } from './placing/HallChoice';
 import type { StopChoice } from './stops/StopChoice';
+import { stopChoices } from './stops/stopChoices';
 import type { SpeedChoice } from './placing/SpeedChoice';
 import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
@@ -463,6 +464,8 @@
     }
     if (answer.kind !== 'unanswered') {
       this.orderTimeout.recordAnswer(now - sentAt);
+    } else if (stopChoices[this.options.stopChoice].isCountingTimeouts) {
+      this.orderTimeout.recordNoAnswer(now - sentAt);
     }
     recordTime('startMs', now - sentAt);
     if (answer.kind !== 'done') {
--- a/packages/dispatch/endpoints/AnswerTimeout.ts
+++ b/packages/dispatch/endpoints/AnswerTimeout.ts
@@ -24,6 +24,14 @@
     this.meanMs += MEAN_WEIGHT * (tookMs - this.meanMs);
   }
 
+  /**
+   * Takes in that an order had none for so long. Without these, only quick answers would count once the leader or its links are slow, and the
+   * time limit would stay below what answers take.
+   */
+  recordNoAnswer(waitedMs: number): void {
+    this.recordAnswer(waitedMs);
+  }
+
   /** Time to wait, in milliseconds. */
   readTimeoutMs(): number {
     if (this.meanMs === undefined) {
--- a/packages/dispatch/stops/StopRules.ts
+++ b/packages/dispatch/stops/StopRules.ts
@@ -18,6 +18,8 @@
   readonly isMovingGangs: boolean;
   /** Share of all runs that may be on the move at once for being slow. */
   readonly movingShare: number;
+  /** Orders that had no answer in time count in how long answers are waited for. */
+  readonly isCountingTimeouts: boolean;
   /** Endpoints that fail all they start take one run at a time. */
   readonly isClosing: boolean;
 }
--- a/packages/dispatch/stops/stopChoices.ts
+++ b/packages/dispatch/stops/stopChoices.ts
@@ -41,6 +41,7 @@
     },
     isMovingGangs: false,
     movingShare: 1,
+    isCountingTimeouts: false,
     isClosing: false,
   },
   priced: {
@@ -59,6 +60,7 @@
     },
     isMovingGangs: true,
     movingShare: MOVING_SHARE,
+    isCountingTimeouts: true,
     isClosing: true,
   },
 };
--- a/tests/stops.test.ts
+++ b/tests/stops.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from '../packages/common/createRandom';
 import { toId } from '../packages/common/toId';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
+import { AnswerTimeout } from '../packages/dispatch/endpoints/AnswerTimeout';
 import { chooseMoves } from '../packages/dispatch/stops/chooseMoves';
 import { FailureStreak } from '../packages/dispatch/stops/FailureStreak';
 import { isCutShort } from '../packages/dispatch/stops/isCutShort';
@@ -317,6 +318,32 @@
   });
 });
 
+describe('the time for which an answer is waited for', () => {
+  /** Answers of a leader that has become slow take 250 to 350 ms; gives how many of the last 100 came too late. */
+  const startLoad = (isCounting: boolean): number => {
+    const random = createRandom(3);
+    const timeout = new AnswerTimeout();
+    Array.from({ length: 50 }).forEach(() => timeout.recordAnswer(5 + 5 * random()));
+    let late = 0;
+    for (let order = 0; order < 200; order += 1) {
+      const tookMs = 250 + 100 * random();
+      const limitMs = timeout.readTimeoutMs();
+      if (tookMs <= limitMs) {
+        timeout.recordAnswer(tookMs);
+      } else if (isCounting) {
+        timeout.recordNoAnswer(limitMs);
+      }
+      late += order >= 100 && tookMs > limitMs ? 1 : 0;
+    }
+    return late;
+  };
+
+  it('follows when all become slow, though those that come too late are never seen: 0 of 100 are given up, for 100', () => {
+    expect(startLoad(false)).toBe(100);
+    expect(startLoad(true)).toBe(0);
+  });
+});
+
 describe('a start without an answer', () => {
   const ENDPOINT = toId<EndpointLife>('i-0');
   const job = createJob(1, URGENT, 0, 2, { count: 1 });
