--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -34,6 +34,8 @@
 const MAX_PREEMPTIONS = 2;
 /** A run that ends by itself so soon is waited for: a stop and a new start would cost more. */
 const ENDS_SOON_MS = 700;
+/** Whether stops are worth their work is weighed again after so long: the answer changes with the ends of runs. */
+const RECHECK_MS = 200;
 const WHOLE = 100;
 
 /**
@@ -74,6 +76,7 @@
     }
     const price = this.measurePrice(step, allowed, plans, now);
     if (!this.options.room.isWorthStopping(price)) {
+      step.job.recordRoomPause(step.time, step.step, now + RECHECK_MS);
       return;
     }
     step.job.recordRoomMade(step.time, step.step, now, this.options.room.retryMs);
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -161,6 +161,12 @@
     memory.roomMade = { count: count + 1, retryAt: now + retryMs * 2 ** count };
   }
 
+  /** No room is made for a step by stops before a monotonic time. */
+  recordRoomPause(time: number, step: number, until: number): void {
+    const memory = this.readStepMemory(time, step);
+    memory.roomMade = { ...memory.roomMade, retryAt: until };
+  }
+
   hasFailedOn(time: number, step: number, endpoint: EndpointLife): boolean {
     return this.readStepMemory(time, step).failedOn.has(endpoint);
   }
