--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -451,9 +451,6 @@
         this.options.recordCount('questions');
         void this.desk.sendQuestion(effect);
         return;
-      case 'look':
-        void this.endpoints.readSession(effect.endpoint)?.startExtraLook();
-        return;
       case 'count':
         this.options.recordCount(effect.name, effect.amount);
         return;
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -176,7 +176,6 @@
         this.recordAbsence(book, run, now);
       } else if (run.stage === 'ordered' && sentAt >= (run.unansweredAt ?? Infinity)) {
         // It is not there, but its order may still arrive: only a stop shuts that out.
-        this.sendDoubtTell('Start without an answer is stopped: the run is not there.', book, run, now);
         this.options.ledger.sendStop(book, run, 'unanswered');
       }
     }
--- a/packages/dispatch/runs/RunLedger.ts
+++ b/packages/dispatch/runs/RunLedger.ts
@@ -6,6 +6,7 @@
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import { measureWorkLost } from '../stops/measureWorkLost';
 import { readLossCause } from '../stops/readLossCause';
+import { toGangSave } from '../stops/toGangSave';
 import type { StopCause } from '../stops/StopCause';
 import { formatLateJob } from '../../sight/formatLateJob';
 import type { LiveJob } from '../waiting/LiveJob';
@@ -24,6 +25,8 @@
 
 /** A stop without an answer is sent again after so long: beyond the usual time limit of one, and its task waits for it. */
 const FIRST_STOP_RETRY_MS = 200;
+/** Losses below this are only counted, in core-milliseconds. */
+const TOLD_CORE_MS = 1000;
 /** A run whose order had no answer is stopped after so long, unless a look has listed it before. */
 const UNANSWERED_STOP_MS = 300;
 /** Between later ones, beyond the longer time limit that these have: the endpoint may be slow. */
@@ -35,6 +38,8 @@
     private readonly books: Map<EndpointLife, EndpointBook>,
     private readonly jobs: ReadonlyMap<JobId, LiveJob>,
     private readonly sinks: LedgerSinks,
+    /** A gang goes on from the newest checkpoint of any member. */
+    private readonly isSavingGangs = false,
   ) {}
 
   /** Frees the room of a run and carries its end into the job's progress. */
@@ -45,6 +50,10 @@
     this.recordLoss(book, run, end, now);
     const job = this.jobs.get(run.job);
     const kept = checkpoint === '' ? run.checkpoint : checkpoint;
+    const save = this.isSavingGangs && this.isOfGang(run) ? toGangSave(run, end, now) : undefined;
+    if (save !== undefined) {
+      job?.recordGangSave(run.address.time, run.address.step, save);
+    }
     if (job?.progress.recordEnd(run.address, run.run, outcome, kept) === true) {
       job.changedAt = now;
       job.trace.recordRun(run, book.readProfile(), end, now);
@@ -68,6 +77,10 @@
     this.checkEmptyBook(book);
   }
 
+  private isOfGang(run: PlacedRun): boolean {
+    return this.jobs.get(run.job)?.definition.steps[run.address.step]?.isGang === true;
+  }
+
   /** Counts the work that a run lost, and tells of it where it is some. */
   private recordLoss(book: EndpointBook, run: PlacedRun, end: RunEnd, now: number): void {
     const lostBy = readLossCause(run, end);
@@ -77,7 +90,7 @@
     const lostCoreMs = measureWorkLost(run, end, now);
     this.sendCount(`runsLostBy.${lostBy}`);
     this.sendCount(`coreMsLostBy.${lostBy}`, lostCoreMs);
-    if (lostCoreMs > 0) {
+    if (lostCoreMs >= TOLD_CORE_MS) {
       this.sendTell('Work is lost.', {
         job: run.job,
         task: run.task,
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -8,6 +8,7 @@
 import { JobTrace } from '../../sight/JobTrace';
 import { AdviceBook } from '../advice/AdviceBook';
 import { StepTimes } from '../speeds/StepTimes';
+import type { GangSave } from '../stops/GangSave';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
 import { readWaitingSteps } from './readWaitingSteps';
@@ -20,6 +21,8 @@
   readonly times: StepTimes;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointLife>;
+  /** What its gang goes on from; undefined while nothing is known, or it is no gang. */
+  gangSave: GangSave | undefined;
   /** Room was made for the step so often without a start since, and may be made again at that monotonic time. */
   roomMade: { readonly count: number; readonly retryAt: number };
   /** Undefined while no task of the step was seen waiting since the last was placed. */
@@ -133,6 +136,24 @@
     this.readStepMemory(time, step).wait = hasMore ? new StepWait(now) : undefined;
   }
 
+  /** The newest checkpoint that members of a step's gang have left; undefined when none is known. */
+  readGangSave(time: number, step: number): string | undefined {
+    return this.readStepMemory(time, step).gangSave?.checkpoint;
+  }
+
+  /** A member of a gang has ended and left a checkpoint. */
+  recordGangSave(time: number, step: number, save: GangSave): void {
+    const memory = this.readStepMemory(time, step);
+    const known = memory.gangSave;
+    if (
+      known === undefined ||
+      save.run > known.run ||
+      (save.run === known.run && save.savedAt > known.savedAt)
+    ) {
+      memory.gangSave = save;
+    }
+  }
+
   /** Monotonic time from which room may be made for a step by stops. */
   readRoomRetryAt(time: number, step: number): number {
     return this.readStepMemory(time, step).roomMade.retryAt;
@@ -145,6 +166,12 @@
     memory.roomMade = { count: count + 1, retryAt: now + retryMs * 2 ** count };
   }
 
+  /** No room is made for a step by stops before a monotonic time. */
+  recordRoomPause(time: number, step: number, until: number): void {
+    const memory = this.readStepMemory(time, step);
+    memory.roomMade = { ...memory.roomMade, retryAt: until };
+  }
+
   hasFailedOn(time: number, step: number, endpoint: EndpointLife): boolean {
     return this.readStepMemory(time, step).failedOn.has(endpoint);
   }
@@ -202,6 +229,7 @@
       speeds: new StepSpeeds(),
       times: new StepTimes(),
       failedOn: new Set<EndpointLife>(),
+      gangSave: undefined,
       roomMade: NO_ROOM_MADE,
       wait: undefined,
     };
