--- a/packages/timeline/readJobStory.ts
+++ b/packages/timeline/readJobStory.ts
@@ -1,8 +1,8 @@
 import type { LogLine } from './LogLine';
 import { parseLogLine } from './parseLogLine';
 
-/** Parts whose lines concern every job while it lives: who leads, and whether the log answers. */
-const SHARED_PARTS = new Set(['leadership', 'serve']);
+/** Parts whose lines concern every job while it lives: who leads, whether the log answers, and which lines are missing. */
+const SHARED_PARTS = new Set(['leadership', 'serve', 'sight']);
 
 const readEndpoints = ({ endpoint, placed = [], rows = [] }: LogLine): readonly string[] => [
   ...(endpoint === undefined ? [] : [endpoint]),
@@ -23,7 +23,7 @@
 
 /**
  * Gives the lines that tell what happened to a job, in order of time: its own, those of the endpoints it ran on, and changes of
- * leadership and of the log's reach, between its first line and its last.
+ * leadership and of the log's reach, and what was left out of the logs, between its first line and its last.
  */
 export const readJobStory = (texts: Iterable<string>, job: string): readonly LogLine[] => {
   const lines = [...texts].map(parseLogLine).filter((line) => line !== undefined);
--- a/tests/sight.test.ts
+++ b/tests/sight.test.ts
@@ -249,6 +249,18 @@
     expect(bench.written.length).toBeLessThanOrEqual(BURST + BOUND * (bench.now / 1000) + told);
   });
 
+  it('has the story of a job say which lines are missing while it lived', () => {
+    const bench = new LogBench();
+    const jobs = startLoad(bench, 300, 8);
+    const lasting = jobs[0]!;
+    bench.logger.warn('Job goes on.', { job: lasting });
+    const story = readJobStory(
+      bench.written.map((line) => JSON.stringify(line)),
+      lasting,
+    );
+    expect(story.filter(({ message }) => message === 'Lines left out.').length).toBeGreaterThan(3);
+  });
+
   it('counts every line that is not written, under its sentence', () => {
     const bench = new LogBench();
     const jobs = startLoad(bench, 300, 5);
