--- a/packages/dispatch/advice/AskerLoad.ts
+++ b/packages/dispatch/advice/AskerLoad.ts
@@ -37,10 +37,10 @@
     return (this.meanMs ?? 0) * 0.5 ** ((now - this.answeredAt) / HALF_LIFE_MS);
   }
 
-  /** How much longer than the service needs an answer takes at most, unless something is wrong. */
-  readLateMs(): number {
+  /** How much longer than the service needs an answer takes at most, unless something is wrong; what is usual before the first. */
+  readLateMs(usualMs = MOST_DELAY_MS): number {
     if (this.meanMs === undefined) {
-      return MOST_DELAY_MS;
+      return usualMs;
     }
     const lateMs = this.meanMs + LATE_DEVIATIONS * this.deviationMs;
     return Math.min(MOST_DELAY_MS, Math.max(LEAST_DELAY_MS, lateMs));
@@ -68,6 +68,11 @@
     this.avoidedUntil = avoidedUntil;
   }
 
+  /** What it failed to answer was not its fault. */
+  recordTrusted(): void {
+    this.avoidedUntil = -Infinity;
+  }
+
   /** The question under way is over without an answer. */
   recordUnanswered(avoidedUntil: number): void {
     this.question = undefined;
--- a/packages/dispatch/advice/PlannedCandidates.ts
+++ b/packages/dispatch/advice/PlannedCandidates.ts
@@ -24,6 +24,8 @@
   readonly book: EndpointBook;
   /** Tasks of the step for which it has room. */
   readonly places: number;
+  /** Chance that the step may use it. */
+  readonly allowed: number;
   /** Chance that the step may use it, and that the room is still there when the answer comes. */
   readonly chance: number;
   readonly cost: number;
@@ -41,8 +43,8 @@
   readonly aging: Candidate[];
 }
 
-/** Chance that room which is seen now is still there when the answer comes. */
-const ROOM_STAYS = 0.6;
+/** Of the room that is seen now half is taken by others after so long. */
+const ROOM_HALF_LIFE_MS = 1000;
 /** Chance that an endpoint without room has some for the step while its ticket holds. */
 const ROOM_COMES = 0.3;
 /** From the answer to a question to a start that uses it. */
@@ -116,7 +118,7 @@
 
   /** A gang needs all its places at one moment; of other steps each task may start by itself. */
   private isWorthAsking(step: WaitingStep, { roomy }: Prospect, needed: number, now: number): boolean {
-    const expected = roomy.reduce((sum, { places, chance }) => sum + (places * chance) / ROOM_STAYS, 0);
+    const expected = roomy.reduce((sum, { places, allowed }) => sum + places * allowed, 0);
     const advice = step.job.readAdvice(step.time, step.step);
     const { decisionMs, validityMs } = step.job.definition.queue.advice!;
     if (step.shape.isGang) {
@@ -160,10 +162,9 @@
     const { queue } = step.job.definition;
     const { decisionMs, perEndpointMs, validityMs } = queue.advice!;
     const advice = step.job.readAdvice(step.time, step.step);
-    const answerAt = Math.max(
-      neededUntil,
-      now + decisionMs + perEndpointMs * MAX_NAMED_IN_PART + USE_ANSWER_MS,
-    );
+    const answerMs = decisionMs + perEndpointMs * MAX_NAMED_IN_PART;
+    const answerAt = Math.max(neededUntil, now + answerMs + USE_ANSWER_MS);
+    const stays = 0.5 ** (answerMs / ROOM_HALF_LIFE_MS);
     const freshUntil = now + validityMs * AGING_SHARE;
     const demand = room.toCountedDemand(step.shape);
     const share = history.readShare(queue.name);
@@ -179,7 +180,7 @@
       if (advice.readTicket(life, answerAt) !== undefined) {
         prospect.held += places;
         if (places > 0 && advice.readTicket(life, freshUntil) === undefined) {
-          prospect.aging.push({ book, places, chance: 1, cost: 0 });
+          prospect.aging.push({ book, places, allowed: 1, chance: 1, cost: 0 });
         }
         continue;
       }
@@ -187,9 +188,9 @@
       const unclaimed = places === 0 ? 0 : this.measureUnclaimed(step, book, places);
       const cost = readCost(book);
       if (unclaimed > 0) {
-        prospect.roomy.push({ book, places: unclaimed, chance: allowed * ROOM_STAYS, cost });
+        prospect.roomy.push({ book, places: unclaimed, allowed, chance: allowed * stays, cost });
       } else if (demandSums.isWithin(demand, capacity)) {
-        prospect.full.push({ book, places: 1, chance: allowed * ROOM_COMES, cost });
+        prospect.full.push({ book, places: 1, allowed, chance: allowed * ROOM_COMES, cost });
       }
     }
     return prospect;
--- a/packages/dispatch/advice/PlannedDesk.ts
+++ b/packages/dispatch/advice/PlannedDesk.ts
@@ -22,6 +22,10 @@
 const ANSWER_MARGIN_MS = 1200;
 /** A box whose answer was late or did not come is left alone for so long, unless the answer comes after all. */
 const AVOID_MS = 2500;
+/** A question is given to so many boxes at most: the next one may be in the same hall that is cut off, each takes a turn. */
+const MAX_ATTEMPTS = 3;
+/** While the service fails for all boxes, it is tried so often. */
+const TRY_EVERY_MS = 100;
 
 /**
  * Keeps as many of the best boxes for short questions as these have lately used, and gives each question to the best box that is left for
@@ -29,7 +33,11 @@
  */
 export class PlannedDesk implements QuestionDesk {
   private readonly loads = new Map<string, AskerLoad>();
+  /** What is known of all boxes together, for those that have not answered yet. */
+  private readonly usual = new AskerLoad();
   private readonly shortTurns = new ShortTurns();
+  /** Monotonic time at which a box last had no answer. */
+  private failedAt = -Infinity;
   private isStopped = false;
 
   constructor(private readonly options: QuestionDeskOptions) {}
@@ -57,22 +65,31 @@
     this.isStopped = true;
   }
 
-  /** Waits for the first answer: of the box that was asked, or, once that is late or has none, of another one. */
+  /** Waits for the first answer: of the box that was asked, or, once that is late or has none, of others too. */
   private async startWaiting(question: Question, first: Attempt): Promise<Answer> {
-    const lateMs = question.expectedMs + first.load.readLateMs();
-    const early = await Promise.race([first.answer, startDelay(lateMs)]);
-    if (early !== undefined || this.isStopped) {
-      return early ?? undefined;
+    const attempts = [first];
+    for (let newest = first; ;) {
+      const lateMs = question.expectedMs + newest.load.readLateMs(this.usual.readLateMs());
+      const answer = await Promise.race([this.startFirstAnswer(attempts), startDelay(lateMs)]);
+      if (answer !== undefined || this.isStopped) {
+        return answer ?? undefined;
+      }
+      newest.load.recordLate(this.options.clock.readNow() + AVOID_MS);
+      const next = attempts.length < MAX_ATTEMPTS ? this.startAttempt(question) : undefined;
+      if (next === undefined) {
+        return this.startFirstAnswer(attempts);
+      }
+      attempts.push(next);
+      newest = next;
     }
-    first.load.recordLate(this.options.clock.readNow() + AVOID_MS);
-    const second = this.startAttempt(question);
-    return second === undefined ? first.answer : this.startFirstAnswer([first.answer, second.answer]);
   }
 
   /** The first answer of several; none once all have failed. */
-  private async startFirstAnswer(answers: readonly Promise<Answer>[]): Promise<Answer> {
-    const wanted = answers.map(async (answer) => (await answer) ?? Promise.reject(new Error('no answer')));
-    return Promise.any(wanted).catch(() => undefined);
+  private async startFirstAnswer(attempts: readonly Attempt[]): Promise<Answer> {
+    const answers = attempts.map(
+      async (attempt) => (await attempt.answer) ?? Promise.reject(new Error('no answer')),
+    );
+    return Promise.any(answers).catch(() => undefined);
   }
 
   /** Gives the question to the best box for it; undefined when none is free. */
@@ -95,29 +112,44 @@
     const now = clock.readNow();
     if (answer === undefined) {
       load.recordUnanswered(now + AVOID_MS);
+      this.failedAt = now;
     } else {
-      load.recordAnswer(Math.max(0, now - askedAt - question.expectedMs), now);
+      if (this.readTrusted(now).length === 0) {
+        this.loads.forEach((other) => other.recordTrusted());
+      }
+      const delayMs = Math.max(0, now - askedAt - question.expectedMs);
+      load.recordAnswer(delayMs, now);
+      this.usual.recordAnswer(delayMs, now);
     }
     return answer;
   }
 
-  /** Boxes that could ask now, the quickest first. */
+  /**
+   * Boxes that could ask now, the quickest first. While no box has answers it is the service that fails: then one box at a time finds out
+   * when it is back, instead of each waiting until it is no longer avoided.
+   */
   private readFree(): readonly AdviceAsker[] {
     const now = this.options.clock.readNow();
-    const free = this.options.readAskers().filter((asker) => {
-      const load = this.readLoad(asker);
-      return !load.isBusy() && !load.isAvoided(now);
-    });
-    const delays = new Map(free.map((asker) => [asker, this.readLoad(asker).readDelayMs(now)]));
-    return free.sort((left, right) => delays.get(left)! - delays.get(right)!);
+    const askers = this.options.readAskers();
+    const free = askers
+      .filter((asker) => !this.readLoad(asker).isBusy())
+      .sort((left, right) => this.readLoad(left).readDelayMs(now) - this.readLoad(right).readDelayMs(now));
+    const trusted = free.filter((asker) => !this.readLoad(asker).isAvoided(now));
+    const isServiceFailing = free.length === askers.length && trusted.length === 0;
+    const mayTry = isServiceFailing && now - this.failedAt >= TRY_EVERY_MS;
+    return mayTry ? free.slice(0, 1) : trusted;
   }
 
   /** Of the free boxes, how many have to be left to short questions beside those that these use now. */
   private readKept(): number {
     const now = this.options.clock.readNow();
-    const usable = this.options.readAskers().filter((asker) => !this.readLoad(asker).isAvoided(now));
-    const inUse = usable.filter((asker) => this.readLoad(asker).isBusyWithShort()).length;
-    return Math.max(0, this.shortTurns.readKept(usable.length, now) - inUse);
+    const trusted = this.readTrusted(now);
+    const inUse = trusted.filter((asker) => this.readLoad(asker).isBusyWithShort()).length;
+    return Math.max(0, this.shortTurns.readKept(trusted.length, now) - inUse);
+  }
+
+  private readTrusted(now: number): readonly AdviceAsker[] {
+    return this.options.readAskers().filter((asker) => !this.readLoad(asker).isAvoided(now));
   }
 
   private readLoad({ box }: AdviceAsker): AskerLoad {
