--- a/packages/dispatch/speeds/EndpointSpeeds.ts
+++ b/packages/dispatch/speeds/EndpointSpeeds.ts
@@ -23,6 +23,8 @@
   readonly speedClass: SpeedClass;
   readonly estimate: SpeedEstimate;
   readonly samples: number;
+  /** When the newest of the samples came in. */
+  readonly recordedAt: number;
 }
 
 /** Runs of fewer steps than this, since the endpoint last seemed to have changed, tell nothing: long ones may follow each other. */
@@ -55,22 +57,15 @@
    * known to be faster is not slowed by it.
    */
   recordGang(members: readonly EndpointProfile[], evidence: Evidence, now: number): void {
-    const means = members.map((member) => Math.log(this.readEstimate(member).ratio));
-    const slowest = Math.max(...means);
-    const counted = new Set<EndpointLife>();
-    members.forEach((member, index) => {
-      const isBound = means[index] === slowest || means[index]! > evidence.logRatio;
-      if (isBound && !counted.has(member.life)) {
-        counted.add(member.life);
-      }
-    });
+    const logRatios = members.map((member) => Math.log(this.readEstimate(member).ratio));
+    const slowest = Math.max(...logRatios);
+    const bound = members.filter(
+      (_, index) => logRatios[index] === slowest || logRatios[index]! > evidence.logRatio,
+    );
+    const byLife = new Map(bound.map((member) => [member.life, member]));
     // Members that are equally slow share the evidence: any one of them may be what holds the gang up.
-    const variance = evidence.variance * (evidence.logRatio > slowest ? counted.size : 1);
-    for (const member of members) {
-      if (counted.delete(member.life)) {
-        this.recordRun(member, { ...evidence, variance }, now);
-      }
-    }
+    const variance = evidence.variance * (evidence.logRatio > slowest ? byLife.size : 1);
+    byLife.forEach((member) => this.recordRun(member, { ...evidence, variance }, now));
   }
 
   /** What is known of an endpoint, by its own runs and its group. */
@@ -123,7 +118,13 @@
       if (speedClass !== speed.told && changes.length < limit) {
         speed.told = speedClass;
         const estimate = this.toEstimate(speed.groups, speed.track);
-        changes.push({ life, speedClass, estimate, samples: speed.track.readCount() });
+        changes.push({
+          life,
+          speedClass,
+          estimate,
+          samples: speed.track.readCount(),
+          recordedAt: speed.track.readRecordedAt(),
+        });
       }
     }
     return changes;
--- a/packages/dispatch/speeds/RunLearner.ts
+++ b/packages/dispatch/speeds/RunLearner.ts
@@ -92,7 +92,7 @@
     this.refreshedAt = now;
     const { speeds, books } = this.options;
     speeds.applyTime(now, (life) => books.has(life));
-    for (const { life, speedClass, estimate, samples } of speeds.claimChanges(MAX_LINES)) {
+    for (const { life, speedClass, estimate, samples, recordedAt } of speeds.claimChanges(MAX_LINES)) {
       const profile = books.get(life)?.readProfile();
       this.options.sendTell("Endpoint's speed has changed.", {
         endpoint: life,
@@ -100,6 +100,7 @@
         ratio: Number(estimate.ratio.toFixed(2)),
         spread: Number(estimate.spread.toFixed(2)),
         samples,
+        newestMs: Math.round(now - recordedAt),
         labels: profile?.labels,
         hall: profile?.hall,
       });
@@ -138,8 +139,10 @@
     if (shape.isGang) {
       return run.percent >= KNOWN_GANG_PERCENT;
     }
-    const { medianMs } = this.options.times.readEstimate(job.definition.queue.name, shape);
-    return run.percent >= KNOWN_PERCENT || ageMs >= medianMs;
+    return (
+      run.percent >= KNOWN_PERCENT ||
+      ageMs >= this.options.times.readEstimate(job.definition.queue.name, shape).medianMs
+    );
   }
 
   private recordTime(measured: Measured, wholeMs: number, now: number): void {
--- a/packages/dispatch/speeds/SpeedTrack.ts
+++ b/packages/dispatch/speeds/SpeedTrack.ts
@@ -33,6 +33,7 @@
   private weight = 0;
   private weightedSum = 0;
   private fadedAt = 0;
+  private recordedAt = 0;
   private count = 0;
   /** Steps whose runs came in after that with which the endpoint last seemed to have changed. */
   private steadyCount = 0;
@@ -44,12 +45,18 @@
     return this.count;
   }
 
+  /** When the newest run came in. */
+  readRecordedAt(): number {
+    return this.recordedAt;
+  }
+
   readSteadyCount(): number {
     return this.steadyCount;
   }
 
   recordRun({ logRatio, variance, step }: SpeedEvidence, prior: SpeedPrior, now: number): void {
     this.applyFading(now);
+    this.recordedAt = now;
     const belief = this.readBelief(prior);
     const expected = Math.sqrt(belief.variance + variance);
     const bound = MAX_DEVIATIONS * expected;
