--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -499,7 +499,7 @@
 
   private recordStart(job: JobId, now: number): void {
     const queue = this.dispatcher.readJob(job)?.definition.queue.name;
-    if (queue !== undefined) {
+    if (queue !== undefined && this.options.handleLoad !== undefined) {
       this.load.recordStart(queue, now);
     }
   }
--- a/packages/load/StartRates.ts
+++ b/packages/load/StartRates.ts
@@ -16,24 +16,27 @@
   constructor(private readonly since: number) {}
 
   recordStart(queue: string, now: number): void {
+    const counts = this.readRecent(queue, now);
     const second = Math.floor(now / SECOND_MS);
-    const counts = this.counts.get(queue) ?? new Map<number, number>();
     counts.set(second, (counts.get(second) ?? 0) + 1);
     this.counts.set(queue, counts);
   }
 
   /** Starts a second; undefined while it has been counted for too short a time. */
   readPerSecond(queue: string, now: number): number | undefined {
-    if (now - this.since < LEARN_MS) {
-      return undefined;
-    }
+    return now - this.since < LEARN_MS ? undefined : Math.max(0, ...this.readRecent(queue, now).values());
+  }
+
+  /** Counts of the last seconds; older ones are forgotten. */
+  private readRecent(queue: string, now: number): Map<number, number> {
     const counts = this.counts.get(queue) ?? new Map<number, number>();
     const oldest = Math.floor(now / SECOND_MS) - WINDOW_SECONDS;
     for (const second of counts.keys()) {
-      if (second < oldest) {
-        counts.delete(second);
+      if (second >= oldest) {
+        break;
       }
+      counts.delete(second);
     }
-    return Math.max(0, ...counts.values());
+    return counts;
   }
 }
