--- a/tests/helpers/LifeWorld.ts
+++ b/tests/helpers/LifeWorld.ts
@@ -140,7 +140,6 @@
       hallChoice: 'spread',
       stopChoice: 'ranked',
       turnChoice: 'asked',
-      isLoadTold: false,
       readLimit: () => undefined,
       parseEndpoint: (_id, text) => ({ ok: true, value: JSON.parse(text) as EndpointProfile }),
       createEndpointClient: (profile, readToken) => this.createClient(profile, readToken, epoch),
