--- a/packages/dispatch/speeds/RunLearner.ts
+++ b/packages/dispatch/speeds/RunLearner.ts
@@ -107,10 +107,11 @@
     }
   }
 
-  private recordPace({ book, run, job }: Measured, pace: number, now: number): void {
+  private recordPace({ book, run, job, shape }: Measured, pace: number, now: number): void {
     const paces = job.readSpeeds(run.address.time, run.address.step);
     const profile = book.readProfile();
-    const ownRatio = this.readOwnRatio(profile);
+    // Members of a gang work at one pace, wherever they are.
+    const ownRatio = shape.isGang ? 1 : this.readOwnRatio(profile);
     paces.recordPace(run.address.index, pace, pace / ownRatio);
     const median = paces.readCorrectedMedian();
     if (median !== undefined) {
--- a/tests/endpointSpeeds.test.ts
+++ b/tests/endpointSpeeds.test.ts
@@ -349,6 +349,30 @@
     expect(endpoints).toBeGreaterThan(blind + 0.1);
   }, 30_000);
 
+  it('has slow endpoints that are not held for sick, and sick ones that are', () => {
+    const countDoubtful = (speedChoice: SpeedChoice): { readonly sound: number; readonly sick: number } => {
+      const world = createUnlike(speedChoice, 6, {
+        readSlowness: (endpoint, now) => (endpoint < 3 && now > 15_000 ? 9 : endpoint % 3 === 2 ? 1.7 : 0.7),
+        tailShare: 0,
+        failureShare: 0,
+      });
+      const counts = { sound: 0, sick: 0 };
+      world.start(10_000);
+      for (let now = 10_100; now < 20_000; now += 100) {
+        world.start(now);
+        for (const book of world.readDoubtfulBooks()) {
+          const isSick = Number(book.readProfile().id.slice(2)) < 3;
+          counts[isSick ? 'sick' : 'sound'] += 1;
+        }
+      }
+      return counts;
+    };
+    const blind = countDoubtful('blind');
+    const endpoints = countDoubtful('endpoints');
+    expect(endpoints.sound).toBeLessThan(0.5 * blind.sound);
+    expect(endpoints.sick).toBeGreaterThan(0.5 * blind.sick);
+  }, 30_000);
+
   it('has few lines about endpoints', () => {
     const { lines } = startUnlike('endpoints', 3);
 
--- a/tests/helpers/UnlikeWorld.ts
+++ b/tests/helpers/UnlikeWorld.ts
@@ -3,6 +3,7 @@
 import type { DispatchEffect } from '../../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../../packages/dispatch/Dispatcher';
 import type { EndpointProfile } from '../../packages/dispatch/endpoints/EndpointProfile';
+import type { EndpointBook } from '../../packages/dispatch/endpoints/EndpointBook';
 import type { EndedRow } from '../../packages/dispatch/endpoints/EndedRow';
 import type { SpeedChoice } from '../../packages/dispatch/placing/SpeedChoice';
 import type { EndpointLife } from '../../packages/jobs/EndpointLife';
@@ -146,6 +147,13 @@
     return inTime.length / sent.length;
   }
 
+  /** Books of the endpoints that the dispatcher holds for sick. */
+  readDoubtfulBooks(): readonly EndpointBook[] {
+    return this.profiles
+      .map(({ life }) => this.dispatcher.readBook(life)!)
+      .filter((book) => book.isDoubtful(this.now));
+  }
+
   private createDispatcher(): Dispatcher {
     return new Dispatcher({
       readDefinition: (id) => this.jobs.get(id)?.definition,
