--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -115,12 +115,17 @@
         isGang ? step.indexes.length : startCount,
         maxPerEndpoint,
       ),
+      waitedMs: this.readWaitedMs(step, now),
       slackMs: step.objectiveAtMs - (now + this.wallOffsetMs) - estimatedMs,
       allowedMs: step.objectiveAtMs - step.job.definition.acceptedAtMs,
       waitingCpuMillis: startCount * demand.cpuMillis,
     };
   }
 
+  private readWaitedMs({ job, time, step }: WaitingStep, now: number): number {
+    return Object.values(job.readWait(time, step).readTimes(now)).reduce((sum, ms) => sum + ms, 0);
+  }
+
   private readRemainingMs(run: PlacedRun, now: number): number {
     const job = this.options.jobs.get(run.job);
     const shape = job?.definition.steps[run.address.step];
--- a/packages/dispatch/stops/isWorthStopping.ts
+++ b/packages/dispatch/stops/isWorthStopping.ts
@@ -2,16 +2,18 @@
 
 /** Room that is made is there after so long: a stop, the look that shows its end, and a round. */
 const MAKE_ROOM_MS = 500;
-/** Known ends come later than expected, and others take some of the room: so much of the slack is not waited for. */
-const SLACK_SHARE = 0.5;
+/** Stops take their time, and estimates are off: a step that would have waited for more than this share of its slack is in danger. */
+const SLACK_SHARE = 0.25;
 /** Work that is late by so many times what it was allowed helps its caller little, and waits for room that is free. */
 const HOPELESS_FACTOR = 2;
 const MILLIS = 1000;
 
 /** True when a step gains more by the stops than the stopped runs lose; one that is in time without them gains nothing. */
 export const isWorthStopping = (price: StopPrice): boolean => {
-  const savedMs = price.roomWaitMs - MAKE_ROOM_MS;
-  const isInTime = price.roomWaitMs < price.slackMs * SLACK_SHARE;
+  // Others take what becomes free meanwhile: what has waited for some time will wait for as long again.
+  const expectedMs = Math.max(price.roomWaitMs, price.waitedMs);
+  const savedMs = expectedMs - MAKE_ROOM_MS;
+  const isInTime = expectedMs < price.slackMs * SLACK_SHARE;
   const isHopeless = price.slackMs < -HOPELESS_FACTOR * price.allowedMs;
   if (savedMs <= 0 || isInTime || isHopeless) {
     return false;
