--- a/packages/dispatch/speeds/EndpointSpeeds.ts
+++ b/packages/dispatch/speeds/EndpointSpeeds.ts
@@ -1,4 +1,5 @@
 import type { EndpointLife } from '../../jobs/EndpointLife';
+import type { ServiceName } from '../../jobs/ServiceName';
 import type { EndpointProfile } from '../endpoints/EndpointProfile';
 import type { SpeedClass } from './SpeedClass';
 import type { SpeedEstimate } from './SpeedEstimate';
@@ -10,6 +11,7 @@
 /** One endpoint as it is known. */
 interface KnownSpeed {
   readonly track: SpeedTrack;
+  readonly service: ServiceName;
   readonly groups: readonly string[];
   /** Worked out when evidence comes in, since it is read for each endpoint of each step that is placed. */
   ratio: number;
@@ -35,20 +37,23 @@
 /** Natural logarithm of a tenth: known ratios are rounded to steps of it, so that endpoints of one kind stay like each other. */
 const RATIO_STEP = Math.log(1.1);
 
+/** Whose speed is asked for, and what is known of it. */
+type Asked = Pick<KnownSpeed, 'service' | 'groups'> & { readonly track?: SpeedTrack };
+
 const toGroups = ({ labels, hall }: EndpointProfile): readonly string[] => [...labels, `hall ${hall}`];
 
 /**
  * Learns how fast each endpoint is, from how long runs take there by their usual time. An endpoint with few runs is taken to be like
- * others of its label or hall; all are compared with the median endpoint.
+ * others of its label or hall; all are compared with the median endpoint of their service.
  */
 export class EndpointSpeeds {
   private readonly known = new Map<EndpointLife, KnownSpeed>();
-  private readonly groups = new SpeedGroups();
+  private readonly groups = new Map<ServiceName, SpeedGroups>();
 
   /** Takes in the time of one run on an endpoint by its usual time. */
   recordRun(profile: EndpointProfile, evidence: Evidence, now: number): void {
     const speed = this.readOrCreate(profile);
-    speed.track.recordRun(evidence, this.groups.readPrior(speed.groups), now);
+    speed.track.recordRun(evidence, this.readGroups(speed.service).readPrior(speed.groups), now);
     speed.ratio = this.toKnownRatio(speed);
   }
 
@@ -70,20 +75,17 @@
 
   /** What is known of an endpoint, by its own runs and its group. */
   readEstimate(profile: EndpointProfile): SpeedEstimate {
-    const speed = this.known.get(profile.life);
-    return this.toEstimate(speed?.groups ?? toGroups(profile), speed?.track);
+    return this.toEstimate(this.known.get(profile.life) ?? this.toAsked(profile));
   }
 
-  /** What is known of a life that has run something. */
-  readLifeEstimate(life: EndpointLife): SpeedEstimate {
-    const speed = this.known.get(life);
-    return this.toEstimate(speed?.groups ?? [], speed?.track);
+  /** What is known of a life that may have run something; else what is expected of any endpoint of its service. */
+  readLifeEstimate(life: EndpointLife, service: ServiceName): SpeedEstimate {
+    return this.toEstimate(this.known.get(life) ?? { service, groups: [] });
   }
 
   /** The ratio of an endpoint as far as it certainly differs from a usual one, in steps of a tenth; else 1. */
   readKnownRatio(profile: EndpointProfile): number {
-    const speed = this.known.get(profile.life);
-    return speed?.ratio ?? this.toSureRatio(this.toEstimate(toGroups(profile), undefined));
+    return this.known.get(profile.life)?.ratio ?? this.toSureRatio(this.toAsked(profile));
   }
 
   /** Lets time pass: what is known fades, and groups and the usual endpoint are worked out anew. */
@@ -117,7 +119,7 @@
       const speedClass = this.toClass(speed.ratio);
       if (speedClass !== speed.told && changes.length < limit) {
         speed.told = speedClass;
-        const estimate = this.toEstimate(speed.groups, speed.track);
+        const estimate = this.toEstimate(speed);
         changes.push({
           life,
           speedClass,
@@ -131,11 +133,25 @@
   }
 
   private applyGroups(): void {
-    const members = [...this.known.values()].flatMap(({ track, groups }) => {
-      const own = track.readSteadyCount() >= MIN_STEPS ? track.readOwn() : undefined;
-      return own === undefined ? [] : [{ ...own, groups }];
-    });
-    this.groups.applyMembers(members, this.known.size);
+    const byService = new Map<ServiceName, KnownSpeed[]>();
+    for (const speed of this.known.values()) {
+      const known = byService.get(speed.service) ?? [];
+      known.push(speed);
+      byService.set(speed.service, known);
+    }
+    for (const [service, speeds] of byService) {
+      const members = speeds.flatMap(({ track, groups }) => {
+        const own = track.readSteadyCount() >= MIN_STEPS ? track.readOwn() : undefined;
+        return own === undefined ? [] : [{ ...own, groups }];
+      });
+      this.readGroups(service).applyMembers(members, speeds.length);
+    }
+  }
+
+  private readGroups(service: ServiceName): SpeedGroups {
+    const known = this.groups.get(service) ?? new SpeedGroups();
+    this.groups.set(service, known);
+    return known;
   }
 
   private readOrCreate(profile: EndpointProfile): KnownSpeed {
@@ -144,8 +160,8 @@
       return known;
     }
     const created: KnownSpeed = {
+      ...this.toAsked(profile),
       track: new SpeedTrack(),
-      groups: toGroups(profile),
       ratio: 1,
       told: 'usual',
     };
@@ -153,20 +169,27 @@
     return created;
   }
 
-  private toEstimate(groups: readonly string[], track: SpeedTrack | undefined): SpeedEstimate {
-    const prior = this.groups.readPrior(groups);
+  private toAsked(profile: EndpointProfile): Asked {
+    return { service: profile.service, groups: toGroups(profile) };
+  }
+
+  private toEstimate({ service, groups, track }: Asked): SpeedEstimate {
+    const peers = this.readGroups(service);
+    const prior = peers.readPrior(groups);
     const { mean, variance } = track?.readBelief(prior) ?? prior;
-    return { ratio: Math.exp(mean - this.groups.readCentre()), spread: Math.sqrt(variance) };
+    return { ratio: Math.exp(mean - peers.readCentre()), spread: Math.sqrt(variance) };
   }
 
-  private toKnownRatio({ groups, track }: KnownSpeed): number {
+  private toKnownRatio({ service, groups, track }: KnownSpeed): number {
     const isSteady = track.readSteadyCount() >= MIN_STEPS;
-    return this.toSureRatio(this.toEstimate(groups, isSteady ? track : undefined));
+    return this.toSureRatio(isSteady ? { service, groups, track } : { service, groups });
   }
 
-  private toSureRatio({ ratio, spread }: SpeedEstimate): number {
+  private toSureRatio(asked: Asked): number {
+    const { ratio, spread } = this.toEstimate(asked);
     const log = Math.log(ratio);
-    const isSure = this.groups.isKnown() && Math.abs(log) - SURE_DEVIATIONS * spread > MIN_UNLIKE;
+    const isKnown = this.readGroups(asked.service).isKnown();
+    const isSure = isKnown && Math.abs(log) - SURE_DEVIATIONS * spread > MIN_UNLIKE;
     return isSure ? Math.exp(RATIO_STEP * Math.round(log / RATIO_STEP)) : 1;
   }
 
--- a/packages/dispatch/speeds/RunLearner.ts
+++ b/packages/dispatch/speeds/RunLearner.ts
@@ -170,7 +170,9 @@
     const profile = book.readProfile();
     const queue = job.definition.queue.name;
     const usual = times.readUsual(queue, shape);
-    const siblings = stepTimes.readSiblings(profile.life, (life) => speeds.readLifeEstimate(life));
+    const siblings = stepTimes.readSiblings(profile.life, (life) =>
+      speeds.readLifeEstimate(life, profile.service),
+    );
     const step = toUsualStepTime(usual, siblings);
     stepTimes.recordTime(run.address.index, profile.life, logMs);
     if (usual.isLearnt || siblings.length >= MIN_SIBLINGS) {
