--- a/packages/cli/wayOptions.ts
+++ b/packages/cli/wayOptions.ts
@@ -1,8 +1,10 @@
+import { turnChoices } from '../dispatch/advice/turnChoices';
 import { dispatchDefaults } from '../dispatch/dispatchDefaults';
 import { hallChoices } from '../dispatch/placing/hallChoices';
 import { speedChoices } from '../dispatch/placing/speedChoices';
 import { stopChoices } from '../dispatch/stops/stopChoices';
 import { placementOrders } from '../dispatch/waiting/placementOrders';
+import { doors } from '../load/doors';
 import { configurationSources } from '../serve/configurationSources';
 import { jobWritings } from '../serve/jobWritings';
 import type { ServeWays } from '../serve/ServeWays';
@@ -22,6 +24,12 @@
     defaultChoice: 'leader',
     help: 'who appends accepted jobs to the log: own, or the leader',
   },
+  door: {
+    name: 'door',
+    table: doors,
+    defaultChoice: 'open',
+    help: 'whether jobs are refused for load: never, never but told of, or truthfully when they are hopeless',
+  },
   placementOrder: {
     name: 'order',
     table: placementOrders,
@@ -40,6 +48,12 @@
     defaultChoice: dispatchDefaults.hallChoice,
     help: 'over which halls the tasks of a job go',
   },
+  turnChoice: {
+    name: 'turns',
+    table: turnChoices,
+    defaultChoice: dispatchDefaults.turnChoice,
+    help: 'when turns at the advice service are taken',
+  },
   stopChoice: {
     name: 'stops',
     table: stopChoices,
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -6,7 +6,6 @@
 import type { EndpointLife } from '../jobs/EndpointLife';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
-import type { JobStep } from '../jobs/JobStep';
 import type { JobProgress } from '../jobs/JobProgress';
 import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskDemand } from '../jobs/TaskDemand';
@@ -14,6 +13,7 @@
 import type { TaskProgress } from '../jobs/TaskProgress';
 import { demandSums } from '../jobs/demandSums';
 import { endpointLives } from '../jobs/endpointLives';
+import type { LoadSnapshot } from '../load/LoadSnapshot';
 import { leaderTimings } from '../leadership/leaderTimings';
 import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
@@ -31,21 +31,27 @@
 import { Preemptor } from './placing/Preemptor';
 import { RoomReservations } from './placing/RoomReservations';
 import { createPlacedRun } from './runs/createPlacedRun';
-import { AdviceCandidates } from './advice/AdviceCandidates';
 import { AdviceHistory } from './advice/AdviceHistory';
 import { AdviceQuestions } from './advice/AdviceQuestions';
 import type { AdviceTurns } from './advice/AdviceTurns';
+import type { CandidateChoice } from './advice/CandidateChoice';
+import { TurnAccount } from './advice/TurnAccount';
+import type { TurnChoice } from './advice/TurnChoice';
+import { turnChoices } from './advice/turnChoices';
 import { GangWatch } from './runs/GangWatch';
 import type { LookAnswer } from './endpoints/LookAnswer';
 import { LookReader } from './endpoints/LookReader';
+import { measureLoad } from './measureLoad';
 import { RoomView } from './placing/RoomView';
 import type { RunEnd } from './runs/RunEnd';
 import { RunLedger } from './runs/RunLedger';
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
 import type { SpeedChoice } from './placing/SpeedChoice';
+import { EndpointSpeeds } from './speeds/EndpointSpeeds';
+import { RunLearner } from './speeds/RunLearner';
+import { RunTimes } from './speeds/RunTimes';
 import { EndpointPreference } from './placing/EndpointPreference';
-import type { RunTimeEstimate } from './speeds/RunTimeEstimate';
 import { EndpointTrust } from './stops/EndpointTrust';
 import type { MoveCandidate } from './stops/MoveCandidate';
 import type { StopChoice } from './stops/StopChoice';
@@ -70,8 +76,7 @@
   readonly speedChoice?: SpeedChoice;
   readonly hallChoice?: HallChoice;
   readonly stopChoice?: StopChoice;
-  /** How long a task of a queue's step runs, as far as is known. */
-  readonly readRunTime?: (queue: string, shape: JobStep) => RunTimeEstimate;
+  readonly turnChoice?: TurnChoice;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -100,9 +105,14 @@
   private readonly looks: LookReader;
   private readonly questions: AdviceQuestions;
   private readonly adviceHistory = new AdviceHistory();
+  private readonly turnAccount: TurnAccount;
+  private readonly adviceCandidates: CandidateChoice;
   private readonly mover: RunMover;
   private readonly preemptor: Preemptor;
   private readonly trust: EndpointTrust;
+  private readonly speeds = new EndpointSpeeds();
+  private readonly learner: RunLearner;
+  private readonly preference: EndpointPreference;
   private readonly gangs: GangWatch;
   private readonly waits: WaitTeller;
   private readonly crashes: CrashLedger;
@@ -143,21 +153,33 @@
     const { preemptor } = this;
     const limits = new LimitView(this.usage, options.readLimit ?? (() => undefined));
     const kinds = new KindSpeeds();
+    const { speeds } = this;
+    const times = new RunTimes();
+    const speedChoice = options.speedChoice ?? dispatchDefaults.speedChoice;
     const preference = new EndpointPreference({
       kinds,
+      speeds,
+      times,
       room: this.room,
-      speedChoice: options.speedChoice ?? dispatchDefaults.speedChoice,
+      speedChoice,
       hallChoice: options.hallChoice ?? dispatchDefaults.hallChoice,
     });
-    const candidates = new AdviceCandidates(this.room, preemptor, this.adviceHistory, preference);
-    this.questions = new AdviceQuestions(
-      this.books,
-      this.room,
+    this.preference = preference;
+    const { room, adviceHistory: history } = this;
+    const way = turnChoices[options.turnChoice ?? dispatchDefaults.turnChoice];
+    const candidates = way.createCandidates({ room, preemptor, history, preference });
+    this.adviceCandidates = candidates;
+    this.turnAccount = new TurnAccount((name, amount) => sendEffect({ kind: 'count', name, amount }));
+    this.questions = new AdviceQuestions({
+      books: this.books,
+      room,
       limits,
+      way,
       candidates,
-      this.adviceHistory,
+      history,
+      account: this.turnAccount,
       sendEffect,
-    );
+    });
     this.placer = new StepPlacer({
       room: this.room,
       limits,
@@ -172,11 +194,19 @@
     this.mover = new RunMover({
       books: this.books,
       jobs: this.jobs,
-      kinds,
       stops,
-      readRunTime: options.readRunTime,
+      readRunTime: (queue, shape) => times.readEstimate(queue, shape),
       handleMove: (candidate) => this.handleMove(candidate),
     });
+    this.learner = new RunLearner({
+      books: this.books,
+      jobs: this.jobs,
+      kinds,
+      speeds,
+      times,
+      speedChoice,
+      sendTell: (sentence, fields) => this.ledger.sendTell(sentence, fields),
+    });
     this.orders = new RunOrders({
       books: this.books,
       jobs: this.jobs,
@@ -186,7 +216,7 @@
     this.looks = new LookReader({
       jobs: this.jobs,
       ledger: this.ledger,
-      mover: this.mover,
+      learner: this.learner,
       crashes: this.crashes,
       readDefinition: options.readDefinition,
     });
@@ -217,6 +247,10 @@
     return this.usage;
   }
 
+  readSpeeds(): EndpointSpeeds {
+    return this.speeds;
+  }
+
   /** Tasks that could start and wait, by customer. Looks at all open jobs. */
   readWaitingCounts(wallMs: number): ReadonlyMap<CustomerName, number> {
     const counts = new Map<CustomerName, number>();
@@ -231,6 +265,22 @@
     return counts;
   }
 
+  /** Room of all usable endpoints together, taken or not. Looks at all books. */
+  readCapacity(): TaskDemand {
+    let capacity = demandSums.NOTHING;
+    for (const book of this.books.values()) {
+      if (book.isUsable()) {
+        capacity = demandSums.toSum(capacity, book.readProfile().capacity);
+      }
+    }
+    return capacity;
+  }
+
+  /** What waits and runs. Looks at all jobs and runs. */
+  readLoad(wallMs: number): LoadSnapshot {
+    return measureLoad({ books: this.books.values(), jobs: this.jobs, usage: this.usage, wallMs });
+  }
+
   readBook(id: EndpointLife): EndpointBook | undefined {
     return this.books.get(id);
   }
@@ -398,8 +448,15 @@
     const [id, time, number] = step.split('.');
     const job = this.jobs.get(id as JobId);
     this.adviceHistory.recordAnswer(job?.definition.queue.name ?? '', asked, good?.size);
+    this.adviceCandidates.recordAnswer(step, asked);
     const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
-    job?.readAdvice(Number(time), Number(number)).recordAnswer(asked, good, now, validityMs);
+    const book = job?.readAdvice(Number(time), Number(number));
+    const tookMs = book === undefined ? 0 : now - book.readAskedAt();
+    if (good === undefined) {
+      this.turnAccount.recordUnanswered(tookMs);
+    }
+    const source = good && this.turnAccount.recordAnswer(tookMs, now + validityMs);
+    book?.recordAnswer(asked, good, now, validityMs, source);
     this.hasNews = true;
   }
 
@@ -425,12 +482,19 @@
       this.ledger.sendStopsAgain(book, now);
     }
     this.reservations.applyTime(now);
+    this.turnAccount.applyTime(now);
+    this.learner.applyTime(now);
     this.mover.applyTime(now);
     this.waits.applyTime(now);
     this.gangs.checkAll();
     this.applyRemovals();
   }
 
+  /** Fields of a line about each step that waits. */
+  readWaits(now: number): ReturnType<WaitTeller['readAll']> {
+    return this.waits.readAll(now);
+  }
+
   /** Starts what can start, if anything has happened since the last call. */
   placeWaiting(now: number, wallMs: number, turns = UNLIMITED_TURNS): void {
     if (!this.hasNews && !this.hasAskedAhead) {
@@ -475,6 +539,7 @@
     this.room.startRound();
     this.preemptor.startRound(now, wallMs);
     this.trust.startRound();
+    this.preference.startRound(wallMs);
     this.questions.startRound(turns);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
@@ -483,7 +548,11 @@
       }
     }
     const order = this.options.placementOrder ?? dispatchDefaults.placementOrder;
-    return placementOrders[order].toOrder(waiting, { wallMs, usage: this.usage });
+    return placementOrders[order].toOrder(waiting, {
+      wallMs,
+      usage: this.usage,
+      readCapacity: () => this.readCapacity(),
+    });
   }
 
   private sendEarlyQuestions(now: number, wallMs: number): void {
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -14,9 +14,13 @@
 import type { Result } from '../common/Result';
 import type { JobReplica } from '../jobs/JobReplica';
 import { leaderTimings } from '../leadership/leaderTimings';
+import { LoadTeller } from '../load/LoadTeller';
 import { appendRules } from '../store/appendRules';
 import type { LogClient } from '../store/LogClient';
-import { AdviceDesk } from './advice/AdviceDesk';
+import { adviceDesks } from './advice/adviceDesks';
+import type { QuestionDesk } from './advice/QuestionDesk';
+import type { QuestionDeskOptions } from './advice/QuestionDeskOptions';
+import type { TurnChoice } from './advice/TurnChoice';
 import { AnswerTimeout } from './endpoints/AnswerTimeout';
 import type { DispatchCount } from './DispatchCount';
 import type { DispatchEffect } from './DispatchEffect';
@@ -58,6 +62,9 @@
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
   readonly stopChoice: StopChoice;
+  readonly turnChoice: TurnChoice;
+  /** Takes each digest of the load that the other boxes are told of; without it none is made. */
+  readonly handleLoad?: (digest: string) => void;
   /** The limit of a customer in the configuration in force. */
   readonly readLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** On failure says what is wrong with the record. */
@@ -67,7 +74,7 @@
   readonly isServiceRouted: (service: ServiceName) => boolean;
   /** Longest lease that an endpoint grants, in milliseconds. */
   readonly longestLeaseMs: number;
-  readonly readAskers: () => ReturnType<ConstructorParameters<typeof AdviceDesk>[0]['readAskers']>;
+  readonly readAskers: QuestionDeskOptions['readAskers'];
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** A newer leader has been seen: this duty gives no more orders. */
   readonly handleDeposed: (detail: string) => void;
@@ -79,6 +86,7 @@
       | 'ends'
       | 'stops'
       | 'questions'
+      | 'digests'
       | 'unanswered'
       | 'livesBegun'
       | 'recordsRefused'
@@ -122,8 +130,9 @@
   private readonly journal: LeaderJournal;
   private readonly inheritance: ProgressInheritance;
   private readonly endpoints: EndpointSessions;
-  private readonly desk: AdviceDesk;
   private readonly lines: LineGatherer;
+  private readonly desk: QuestionDesk;
+  private readonly load: LoadTeller;
   private readonly orderTimeout = new AnswerTimeout();
   /** Services of the jobs that were taken in: their endpoints are needed also where the configuration has dropped them. */
   private readonly services = new Set<ServiceName>();
@@ -139,6 +148,7 @@
   constructor(private readonly options: LeaderDutyOptions) {
     const { clock, client, epoch, replica } = options;
     this.lines = new LineGatherer(options.logger);
+    this.load = new LoadTeller(epoch, clock.readNow());
     this.dispatcher = new Dispatcher({
       unheardUntil: options.earlierLeasesEndAt,
       longestLeaseMs: options.longestLeaseMs,
@@ -148,6 +158,7 @@
       speedChoice: options.speedChoice,
       hallChoice: options.hallChoice,
       stopChoice: options.stopChoice,
+      turnChoice: options.turnChoice,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.journal = new LeaderJournal({
@@ -183,15 +194,17 @@
       handleFenced: (detail) => this.handleDeposed(detail),
       handleLogBack: options.handleLogBack,
     });
-    this.desk = new AdviceDesk({
+    this.desk = adviceDesks[options.turnChoice]({
       clock,
       readAskers: options.readAskers,
       handleAnswer: (question, answer, tookMs) => {
         options.logger.info('Advice answered.', {
           step: question.step,
+          cause: question.cause,
           asked: question.endpoints.length,
           allowed: answer?.size ?? 'no answer',
           tookMs,
+          expectedMs: Math.round(question.expectedMs),
         });
         this.dispatcher.handleAdvice(question.step, question.endpoints, answer, clock.readNow());
         this.queueRound();
@@ -211,9 +224,11 @@
 
   /** Stops at once, with no more orders. */
   stop(): void {
+    if (!this.isStopped) {
+      this.writeWaits();
+    }
     this.isStopped = true;
     clearInterval(this.timer);
-    this.lines.stop();
     this.inheritance.stop();
     this.journal.stop();
     this.endpoints.stop();
@@ -273,6 +288,15 @@
     return this.hasTakenOver && !this.isStopped;
   }
 
+  /** Tells what is known of the waits that go on: it goes with this leader. */
+  private writeWaits(): void {
+    const now = this.options.clock.readNow();
+    for (const fields of this.dispatcher.readWaits(now)) {
+      this.lines.recordLine('Step waits.', fields, now);
+    }
+    this.lines.stop();
+  }
+
   private async startReadingJobs(): Promise<void> {
     // Jobs are read after earlier leaders have been shut out: each job that one of them began is then among them.
     await this.inheritance.start();
@@ -337,10 +361,25 @@
     if (this.hasTakenOver) {
       this.endpoints.applyTime();
       this.dispatcher.applyTime(now);
+      this.queueLoad(now);
       this.queueRound();
     }
   }
 
+  private queueLoad(now: number): void {
+    const { clock, handleLoad, recordCount } = this.options;
+    if (handleLoad === undefined) {
+      return;
+    }
+    const wallMs = clock.readWall();
+    const digest = this.load.createDue({ now, wallMs }, () => this.dispatcher.readLoad(wallMs));
+    if (digest !== undefined) {
+      recordCount('digests');
+      this.journal.queueLoad(digest);
+      handleLoad(digest);
+    }
+  }
+
   /** True while this leader may give leases; the next one waits until the last of them has ended. */
   private isRenewing(): boolean {
     return this.journal.isShownWithin(leaderTimings.unconfirmedMs);
@@ -456,6 +495,7 @@
       return;
     }
     recordCount('starts');
+    this.recordStart(effect.job, clock.readNow());
     WAIT_CAUSES.forEach((cause) => recordTime(WAIT_TIMES[cause], effect.waits[cause]));
     const sentAt = clock.readNow();
     session.recordLease(sentAt);
@@ -483,6 +523,13 @@
     this.queueRound();
   }
 
+  private recordStart(job: JobId, now: number): void {
+    const queue = this.dispatcher.readJob(job)?.definition.queue.name;
+    if (queue !== undefined && this.options.handleLoad !== undefined) {
+      this.load.recordStart(queue, now);
+    }
+  }
+
   private async sendStop(effect: Extract<DispatchEffect, { kind: 'stop' }>): Promise<void> {
     const { endpoint, task, run, isRepeated } = effect;
     const timeoutMs = isRepeated ? REPEATED_STOP_TIMEOUT_MS : this.orderTimeout.readTimeoutMs();
--- a/packages/dispatch/dispatchDefaults.ts
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -1,6 +1,7 @@
 import type { HallChoice } from './placing/HallChoice';
 import type { StopChoice } from './stops/StopChoice';
 import type { SpeedChoice } from './placing/SpeedChoice';
+import type { TurnChoice } from './advice/TurnChoice';
 import type { PlacementOrder } from './waiting/PlacementOrder';
 
 interface DispatchDefaults {
@@ -8,12 +9,14 @@
   readonly speedChoice: SpeedChoice;
   readonly hallChoice: HallChoice;
   readonly stopChoice: StopChoice;
+  readonly turnChoice: TurnChoice;
 }
 
 /** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
 export const dispatchDefaults: DispatchDefaults = {
   placementOrder: 'shares',
-  speedChoice: 'kinds',
+  speedChoice: 'endpoints',
   hallChoice: 'together',
   stopChoice: 'ranked',
+  turnChoice: 'asked',
 };
--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -13,13 +13,13 @@
 import type { PlacedRun } from '../runs/PlacedRun';
 import type { RunEnd } from '../runs/RunEnd';
 import type { RunLedger } from '../runs/RunLedger';
-import type { RunMover } from '../runs/RunMover';
+import type { RunLearner } from '../speeds/RunLearner';
 import type { RunningRow } from './RunningRow';
 
 interface LookReaderOptions {
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly ledger: RunLedger;
-  readonly mover: RunMover;
+  readonly learner: RunLearner;
   readonly crashes: CrashLedger;
   /** Definition of any job, also of one that has ended. */
   readonly readDefinition: (id: JobId) => JobDefinition | undefined;
@@ -69,7 +69,7 @@
     book.recordOutcome(outcome === 'failed', now);
     this.recordStreak(book, outcome, now);
     if (outcome === 'done') {
-      this.options.mover.recordDone(book, run, now);
+      this.options.learner.recordDone(book, run, now);
     }
     this.options.ledger.recordRunEnd(
       book,
@@ -89,7 +89,10 @@
       run.stage = 'running';
       // A start whose answer was missed began soon after it was sent.
       run.confirmedAt = run.unansweredAt === undefined ? now : run.recordedAt;
-      run.unansweredAt = undefined;
+      if (run.unansweredAt !== undefined) {
+        this.sendDoubtTell('Run is there, though its start had no answer.', book, run, now);
+        run.unansweredAt = undefined;
+      }
     }
     this.checkCarried(run, now);
     run.isListed = true;
@@ -102,7 +105,7 @@
       run.percent = row.percent;
       run.progressedAt = now;
     }
-    this.options.mover.recordRun(book, run, now);
+    this.options.learner.recordRun(book, run, now);
     if (row.checkpoint !== '' && row.checkpoint !== run.checkpoint) {
       run.checkpoint = row.checkpoint;
       run.checkpointedAt = now;
@@ -111,6 +114,16 @@
     return run;
   }
 
+  private sendDoubtTell(sentence: string, book: EndpointBook, run: PlacedRun, now: number): void {
+    this.options.ledger.sendTell(sentence, {
+      job: run.job,
+      task: run.task,
+      run: run.run,
+      endpoint: book.readProfile().life,
+      doubtedMs: Math.round(now - (run.unansweredAt ?? now)),
+    });
+  }
+
   private recordStreak(book: EndpointBook, outcome: RunOutcome, now: number): void {
     const streak = book.readFailureStreak();
     const wasBroken = streak.isBroken();
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -171,7 +171,7 @@
     }
     let reserveLeft = this.room.readReserveLeft(step);
     const runNumber = this.readNextRun(step);
-    const readCost = this.options.preference.createCostOf(step);
+    const readCost = this.options.preference.createCostOf(step, allowed);
     for (const { address, task, isSuspect } of this.readBeginners(step)) {
       if (step.shape.demand.cpuMillis > reserveLeft && !step.shape.isFiller) {
         break;
@@ -270,6 +270,7 @@
       progress.recordPlaced(address, run.run, endpoint);
       run.waits = waits;
       const order = { task, run: run.run, spec: definition.spec, checkpoint, ticket };
+      this.options.questions.recordUse(step, endpoint);
       this.options.sendEffect({ kind: 'start', job: definition.id, endpoint, order, waits });
       return {
         task,
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -3,9 +3,11 @@
 import type { JobProgress } from '../../jobs/JobProgress';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
+import { measureRemaining } from '../../jobs/measureRemaining';
 import { toTaskName } from '../../jobs/toTaskName';
 import { JobTrace } from '../../sight/JobTrace';
 import { AdviceBook } from '../advice/AdviceBook';
+import { StepTimes } from '../speeds/StepTimes';
 import type { GangSave } from '../stops/GangSave';
 import { StepSpeeds } from './StepSpeeds';
 import { StepWait } from './StepWait';
@@ -16,6 +18,7 @@
 interface StepMemory {
   readonly advice: AdviceBook;
   readonly speeds: StepSpeeds;
+  readonly times: StepTimes;
   /** Endpoints on which runs of the step failed. */
   readonly failedOn: Set<EndpointLife>;
   /** What its gang goes on from; undefined while nothing is known, or it is no gang. */
@@ -44,20 +47,12 @@
 const TURNED_DOWN_PAUSE_MS = 100;
 const MAX_TURNED_DOWN_PAUSE_MS = 2000;
 
-/** Longest chain of estimated work through the steps, in milliseconds. */
-const measureChain = (definition: JobDefinition): number => {
-  const ends: number[] = [];
-  for (const step of definition.steps) {
-    const startsAt = Math.max(0, ...step.dependsOn.map((earlier) => ends[earlier] ?? 0));
-    ends.push(startsAt + (step.isLongRunning ? 0 : step.estimatedMs));
-  }
-  return Math.max(0, ...ends);
-};
-
 /** A job that has not ended, as the leader works on it. */
 export class LiveJob {
   /** By `TIME.STEP`. */
   private readonly stepMemories = new Map<string, StepMemory>();
+  /** Longest chain of estimated work from each step's start to the end. */
+  private readonly remainingMs: readonly number[];
   private readonly chainMs: number;
   private waiting: KnownWaiting | undefined;
   private readonly preemptions = new Map<TaskName, number>();
@@ -77,8 +72,9 @@
     /** The customer had sent more than it is owed when it sent this job. */
     readonly isBeyondShare = false,
   ) {
-    this.chainMs = measureChain(definition);
     this.trace = new JobTrace(changedAt);
+    this.remainingMs = measureRemaining(definition.steps);
+    this.chainMs = Math.max(0, ...this.remainingMs);
   }
 
   /** Wall clock time at which repetition `time` may start. */
@@ -93,6 +89,11 @@
     return startsAt + queue.targetLatencyMs + queue.stretch * this.chainMs;
   }
 
+  /** Longest chain of estimated work from the start of a step to the job's end, in milliseconds. */
+  readRemainingMs(step: number): number {
+    return this.remainingMs[step] ?? 0;
+  }
+
   /** Steps with tasks to start at a wall clock time. Worked out anew only when something has changed. */
   readWaiting(wallMs: number): readonly WaitingStep[] {
     const version = this.progress.readVersion();
@@ -113,6 +114,10 @@
     return this.readStepMemory(time, step).speeds;
   }
 
+  readTimes(time: number, step: number): StepTimes {
+    return this.readStepMemory(time, step).times;
+  }
+
   /** The wait of a step's tasks, from the job's newest change on if there is none yet. */
   readWait(time: number, step: number): StepWait {
     const memory = this.readStepMemory(time, step);
@@ -222,6 +227,7 @@
     const created = {
       advice: new AdviceBook(),
       speeds: new StepSpeeds(),
+      times: new StepTimes(),
       failedOn: new Set<EndpointLife>(),
       gangSave: undefined,
       roomMade: NO_ROOM_MADE,
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -5,6 +5,11 @@
 const COUNTS = [
   'accepted',
   'notTaken',
+  'doorUnknown',
+  'doorRoom',
+  'doorBearable',
+  'doorHopeless',
+  'doorDoubtful',
   'impossible',
   'keysRefused',
   'unknown',
@@ -14,6 +19,8 @@
   'ends',
   'stops',
   'questions',
+  'digests',
+  'digestsRefused',
   'unanswered',
   'elections',
   'lifeEnds',
@@ -25,6 +32,16 @@
   'tasksGivenUp',
   ...lossCauses.map((cause): LossCount => `runsLostBy.${cause}`),
   ...lossCauses.map((cause): LossCount => `coreMsLostBy.${cause}`),
+  'questionsFirst',
+  'questionsMore',
+  'questionsAgain',
+  'questionsEarly',
+  'turnsUsed',
+  'turnsWasted',
+  'turnsUnanswered',
+  'turnUsedMs',
+  'turnWastedMs',
+  'turnUnansweredMs',
 ] as const;
 const QUANTILES = [50, 90, 99, 99.9] as const;
 const MICROS_PER_MS = 1000;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -16,6 +16,9 @@
 import type { LeaderIntroduction } from '../leadership/LeaderIntroduction';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
+import { doors } from '../load/doors';
+import { loadKeys } from '../load/loadKeys';
+import { LoadView } from '../load/LoadView';
 import type { LogClient } from '../store/LogClient';
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
@@ -25,6 +28,7 @@
 import { JobDesk } from './JobDesk';
 import { jobWritings } from './jobWritings';
 import { LeaderHandOver } from './LeaderHandOver';
+import { LoadDoor } from './LoadDoor';
 import { OtherBoxes } from './OtherBoxes';
 import { readCustomerFigures } from './readCustomerFigures';
 import type { ServeAdapter } from './ServeAdapter';
@@ -64,6 +68,7 @@
   private readonly replica = new JobReplica();
   private readonly router = new QueueRouter();
   private readonly metrics = new ServeMetrics();
+  private readonly load = new LoadView();
   private readonly writer: LogWriter;
   private readonly followers: TopicFollowers;
   private readonly leadership: Leadership;
@@ -232,6 +237,7 @@
       clock: this.options.clock,
       logger: this.options.createPartLogger('jobs'),
       metrics: this.metrics,
+      door: this.createDoor(),
       isReading: () => this.isReading(),
       isLeading: () => this.duty?.isActive() ?? false,
       startAskingLeader: (id, caller, timeoutMs) => this.others.startAskingLeader(id, caller, timeoutMs),
@@ -240,6 +246,20 @@
     });
   }
 
+  private createDoor(): LoadDoor {
+    const { clock, settings } = this.options;
+    return new LoadDoor({
+      door: settings.door,
+      view: this.load,
+      clock,
+      logger: this.options.createPartLogger('jobs'),
+      metrics: this.metrics,
+      readEpoch: () => this.leadership.readRecord()?.epoch,
+      startJobsRefresh: (deadline) => this.followers.jobs.startRefresh(deadline - clock.readNow()),
+      isKnown: (id) => this.replica.readDefinition(id) !== undefined,
+    });
+  }
+
   /** Another box says that it leads: one that the log turns away hears of it by this alone. */
   private handleIntroduction(introduction: LeaderIntroduction): void {
     const { record } = introduction;
@@ -282,6 +302,7 @@
       handleStates: (records) => {
         this.replica.foldStateRecords(records);
         this.leadership.foldRecords(records);
+        this.foldLoad(records);
       },
       handleOperator: (records) => this.configuration.handleRecords(records),
       handleStatesConnection: (isConnected) => this.leadership.handleConnection(isConnected),
@@ -289,6 +310,15 @@
     });
   }
 
+  private foldLoad(records: readonly LogWrite[]): void {
+    const epoch = this.leadership.readRecord()?.epoch ?? 0;
+    const refusedCount = this.load.foldRecords(records, this.options.clock.readNow(), epoch);
+    if (refusedCount > 0) {
+      this.metrics.recordCount('digestsRefused', refusedCount);
+      this.logger.warn('Load that no leader has told is passed over.', { records: refusedCount, epoch });
+    }
+  }
+
   /** One answer of the log shows that it is back: whatever still waits for an older call is tried again at once. */
   private handleLogBack(answeredSentAt: number): void {
     this.followers.startAgain(answeredSentAt);
@@ -377,6 +407,11 @@
       speedChoice: settings.speedChoice,
       hallChoice: settings.hallChoice,
       stopChoice: settings.stopChoice,
+      turnChoice: settings.turnChoice,
+      // A leader does not read what it writes.
+      ...(doors[settings.door].isTold
+        ? { handleLoad: (value) => this.foldLoad([{ key: loadKeys.digestKey, value }]) }
+        : {}),
       readLimit: (customer) => this.router.readCustomers().readByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile, readToken) => adapter.createEndpointClient(profile, readToken),
@@ -447,19 +482,31 @@
   }
 
   private formatMetrics(): string {
+    const speeds = this.duty?.readDispatcher().readSpeeds().readCounts();
     const text = this.metrics.formatText({
       leading: this.duty === undefined ? 0 : 1,
       liveJobs: this.duty?.readDispatcher().readJobCount() ?? 0,
+      slowEndpoints: speeds?.slow ?? 0,
+      fastEndpoints: speeds?.fast ?? 0,
       configurationVersion: this.router.readConfiguration()?.version ?? 0,
       logWriteFailingMs: Math.round(this.writer.readFailingMs()),
       readingOperatorTopic: Number(this.followers.operator.isFollowing()),
       readingStatesTopic: Number(this.followers.states.isFollowing()),
       readingJobsTopic: Number(this.followers.jobs.isFollowing()),
       knownJobs: this.replica.readJobCount(),
+      ...this.readLoadGauges(),
     });
     return text + this.formatCustomers();
   }
 
+  /** Of the newest digest, however old; none before the first. */
+  private readLoadGauges(): Readonly<Record<string, number>> {
+    const { clock } = this.options;
+    const epoch = this.leadership.readRecord()?.epoch;
+    const ageMs = this.load.readAgeMs({ now: clock.readNow(), wallMs: clock.readWall(), epoch });
+    return ageMs === undefined ? {} : { loadDigestAgeMs: Math.round(ageMs) };
+  }
+
   /** Nobody but the leader knows what runs. */
   private formatCustomers(): string {
     const dispatcher = this.duty?.readDispatcher();
--- a/packages/serve/ServeWays.ts
+++ b/packages/serve/ServeWays.ts
@@ -1,7 +1,9 @@
+import type { TurnChoice } from '../dispatch/advice/TurnChoice';
 import type { HallChoice } from '../dispatch/placing/HallChoice';
 import type { SpeedChoice } from '../dispatch/placing/SpeedChoice';
 import type { StopChoice } from '../dispatch/stops/StopChoice';
 import type { PlacementOrder } from '../dispatch/waiting/PlacementOrder';
+import type { Door } from '../load/Door';
 import type { ConfigurationSource } from './ConfigurationSource';
 import type { JobWriting } from './JobWriting';
 
@@ -15,8 +17,12 @@
   readonly speedChoice: SpeedChoice;
   /** Over which halls the tasks of a job go. */
   readonly hallChoice: HallChoice;
+  /** When turns at the advice service are taken. */
+  readonly turnChoice: TurnChoice;
   /** What is stopped for others, or moved. */
   readonly stopChoice: StopChoice;
+  /** Whether jobs are refused for load. */
+  readonly door: Door;
   /** Where the box hears of new versions of the configuration. */
   readonly configurationSource: ConfigurationSource;
 }
--- a/tests/helpers/LifeWorld.ts
+++ b/tests/helpers/LifeWorld.ts
@@ -139,6 +139,7 @@
       speedChoice: 'kinds',
       hallChoice: 'spread',
       stopChoice: 'ranked',
+      turnChoice: 'asked',
       readLimit: () => undefined,
       parseEndpoint: (_id, text) => ({ ok: true, value: JSON.parse(text) as EndpointProfile }),
       createEndpointClient: (profile, readToken) => this.createClient(profile, readToken, epoch),
