--- a/packages/dispatch/stops/isWorthStopping.ts
+++ b/packages/dispatch/stops/isWorthStopping.ts
@@ -3,7 +3,7 @@
 /** Room that is made is there after so long: a stop, the look that shows its end, and a round. */
 const MAKE_ROOM_MS = 500;
 /** Stops take their time, and estimates are off: a step that would have waited for more than this share of its slack is in danger. */
-const SLACK_SHARE = 0.25;
+const SLACK_SHARE = 0.1;
 /** Work that is late by so many times what it was allowed helps its caller little, and waits for room that is free. */
 const HOPELESS_FACTOR = 2;
 const MILLIS = 1000;
--- a/packages/dispatch/stops/stopChoices.ts
+++ b/packages/dispatch/stops/stopChoices.ts
@@ -12,6 +12,8 @@
 const SAFE_LEAVE_MARGIN_MS = 1300;
 /** A stop takes up to 900 ms by the platform's bounds; then come the look that shows its end, and a round. */
 const LONGEST_STOP_MS = 1200;
+/** Tickets must hold for so long that a usual stop, a look and a round pass; a gang seldom has so many that hold for the longest stop. */
+const TICKET_MS = 600;
 /** Beyond the time for which room is kept. */
 const RETRY_MS = 3000;
 /** Where more than this share of all runs seems slow, the whole fleet is, and moves gain nothing. */
@@ -30,7 +32,7 @@
       isTrimming: false,
       minWorkMs: 0,
       keepMs: 1200,
-      ticketMs: 600,
+      ticketMs: TICKET_MS,
       retryMs: 0,
     },
     isMovingGangs: false,
@@ -48,7 +50,7 @@
       isTrimming: true,
       minWorkMs: MIN_WORK_MS,
       keepMs: 2 * LONGEST_STOP_MS,
-      ticketMs: LONGEST_STOP_MS,
+      ticketMs: TICKET_MS,
       retryMs: RETRY_MS,
     },
     isMovingGangs: true,
