Held shares: each priority is counted for itself

Cause: a gang that waits for room at one priority used up the share of its customer's work at the others for as long as it waited, round after round, though it took nothing.

The new test of the order was seen failing with one count for all priorities.

--- a/packages/dispatch/waiting/toHeldOrder.ts
+++ b/packages/dispatch/waiting/toHeldOrder.ts
@@ -69,20 +69,26 @@
   return toOwedShares(claims, Math.max(0, 1 - others));
 };
 
-/** Marks what goes beyond its customer's share, each customer's steps counted in their own order, so that one round cannot take it all. */
+/**
+ * Marks what goes beyond its customer's share, each customer's steps counted in their own order, so that one round cannot take it all. Each priority
+ * is counted for itself: what waits long for room, as a gang may, must not use up the share of its customer's other work.
+ */
 const recordBeyond = (ranked: readonly RankedStep[], { usage }: OrderInput, capacity: TaskDemand): void => {
   const held = new Map<CustomerName, number>();
   for (const [name, { taken }] of usage.readAll()) {
     held.set(name, toDominantShare(taken, capacity));
   }
   const owed = readOwed(ranked, held);
+  const counted = new Map<number, Map<CustomerName, number>>();
   for (const entry of ranked) {
     const name = readShareholder(entry.step)?.name;
-    if (name !== undefined) {
-      const share = held.get(name) ?? 0;
-      entry.isBeyond = share >= owed.get(name)!;
-      held.set(name, share + entry.share);
+    if (name === undefined) {
+      continue;
     }
+    const shares = counted.get(entry.priority) ?? new Map(held);
+    const share = shares.get(name) ?? 0;
+    entry.isBeyond = share >= owed.get(name)!;
+    counted.set(entry.priority, shares.set(name, share + entry.share));
   }
 };
 
--- a/tests/heldShares.test.ts
+++ b/tests/heldShares.test.ts
@@ -81,12 +81,18 @@
 
   const createWaiting = (
     name: string,
-    fields: { customer?: JobCustomer; objectiveAtMs?: number; estimatedMs?: number; count?: number },
+    fields: {
+      customer?: JobCustomer;
+      objectiveAtMs?: number;
+      estimatedMs?: number;
+      count?: number;
+      priority?: number;
+    },
   ): WaitingStep & { readonly name: string } => {
-    const { customer, objectiveAtMs = wallMs + 5000, estimatedMs = 400, count = 2 } = fields;
+    const { customer, objectiveAtMs = wallMs + 5000, estimatedMs = 400, count = 2, priority = 0 } = fields;
     const shape = createStep({ count, estimatedMs });
     const definition = {
-      ...createJobDefinition(1, [shape]),
+      ...createJobDefinition(1, [shape], { priority }),
       ...(customer === undefined ? {} : { customer }),
       acceptedAtMs: wallMs - 2000,
     };
@@ -149,6 +155,15 @@
     expect(readOrder(mixed, { held: new Map([[big, 6000]]) })).toEqual(['big-0', 'big-1', 'nobody']);
   });
 
+  it('does not count what waits at another priority, which may wait for long', () => {
+    const waiting = [
+      createWaiting('wide', { customer: small, count: 8 }),
+      createWaiting('small', { customer: small, priority: 1, objectiveAtMs: wallMs + 4000 }),
+      createWaiting('big', { customer: big, priority: 1, count: 8 }),
+    ];
+    expect(readOrder(waiting)).toEqual(['wide', 'small', 'big']);
+  });
+
   it('lets what is past its use go first in an eighth of the time', () => {
     const waiting = [
       createWaiting('late', { customer: big, objectiveAtMs: 1 }),
