--- a/packages/dispatch/speeds/createExpectedEndCost.ts
+++ b/packages/dispatch/speeds/createExpectedEndCost.ts
@@ -80,7 +80,7 @@
     }
     // Members that would wait for slower ones anyway leave fast endpoints to others; slower ones would hold all up.
     const distance = Math.log(ratio / gangRatio);
-    return distance > 0 ? LATE_COST * distance : -FAST_COST * distance;
+    return (distance > 0 ? LATE_COST : FAST_COST) * Math.abs(distance);
   };
   const costs = new Map<number, number>([[1, gangRatio === undefined ? 0 : measureMemberCost(1)]]);
   return (book) => {
--- a/tests/endpointSpeeds.test.ts
+++ b/tests/endpointSpeeds.test.ts
@@ -1,14 +1,25 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import { createRandom } from '../packages/common/createRandom';
 import type { SpeedChoice } from '../packages/dispatch/placing/SpeedChoice';
+import { EndpointBook } from '../packages/dispatch/endpoints/EndpointBook';
+import type { SpeedSources } from '../packages/dispatch/placing/SpeedSources';
+import { createExpectedEndCost } from '../packages/dispatch/speeds/createExpectedEndCost';
+import { LiveJob } from '../packages/dispatch/waiting/LiveJob';
+import { JobProgress } from '../packages/jobs/JobProgress';
+import type { JobStep } from '../packages/jobs/JobStep';
 import { EndpointSpeeds } from '../packages/dispatch/speeds/EndpointSpeeds';
 import { measureLateChance } from '../packages/dispatch/speeds/measureLateChance';
 import { measureRestChain } from '../packages/dispatch/speeds/measureRestChain';
 import { RunTimes } from '../packages/dispatch/speeds/RunTimes';
 import { toId } from '../packages/common/toId';
 import type { ServiceName } from '../packages/jobs/ServiceName';
+import { StepTimes } from '../packages/dispatch/speeds/StepTimes';
+import { toUsualStepTime } from '../packages/dispatch/speeds/toUsualStepTime';
+import type { EndpointLife } from '../packages/jobs/EndpointLife';
 import { createProfile } from './helpers/createProfile';
+import { createJobDefinition } from './helpers/createJobDefinition';
 import { createStep } from './helpers/createStep';
 import { UnlikeWorld, type QueueLoad } from './helpers/UnlikeWorld';
 
@@ -209,6 +220,25 @@
   });
 });
 
+describe('the usual time of a step', () => {
+  it('comes from siblings elsewhere, one for each endpoint, corrected for it', () => {
+    const [here, slow, usual] = ['here', 'slow', 'usual'].map((name) => toId<EndpointLife>(name));
+    const times = new StepTimes();
+    times.recordTime(0, here!, Math.log(9000));
+    times.recordTime(1, slow!, Math.log(2000));
+    times.recordTime(2, slow!, Math.log(2000));
+    times.recordTime(3, usual!, Math.log(1000));
+    const siblings = times.readSiblings(here!, (life) => ({ ratio: life === slow ? 2 : 1, spread: 0.1 }));
+    expect(siblings.map(({ logMs }) => Math.round(Math.exp(logMs)))).toEqual([1000, 1000]);
+    const known = { logMs: Math.log(4000), spread: 0.6, taskSpread: 0.2, isLearnt: true };
+    const step = toUsualStepTime(known, siblings);
+    expect(Math.exp(step.logMs)).toBeGreaterThan(1000);
+    expect(Math.exp(step.logMs)).toBeLessThan(1400);
+    expect(step.variance).toBeLessThan(toUsualStepTime(known, siblings.slice(1)).variance);
+    expect(toUsualStepTime(known, []).logMs).toBe(known.logMs);
+  });
+});
+
 describe('the chance of being late', () => {
   it('rises with the ratio of the endpoint and the count of tasks, and falls with the time left', () => {
     const usual = { logMs: Math.log(1000), spread: 0.5, taskSpread: 0.3, isLearnt: true };
@@ -231,6 +261,56 @@
   });
 });
 
+describe('the cost of an endpoint by the expected end', () => {
+  const createBook = (id: string, freeCpuMillis: number): EndpointBook => {
+    const capacity = { cpuMillis: freeCpuMillis, memoryMb: 64_000, accelerators: 0 };
+    return new EndpointBook(createProfile(id, { capacity }), 0, new CustomerUsage());
+  };
+  const ratios: Readonly<Record<string, number>> = { usual: 1, slow: 2, slower: 3 };
+  const books = [createBook('usual', 2000), createBook('slow', 4000), createBook('slower', 9000)];
+  const readCosts = (
+    shape: Partial<JobStep>,
+    leftMs: number,
+    isMostUrgent = false,
+  ): Readonly<Record<string, number>> => {
+    const steps = [createStep({ estimatedMs: 1000, count: 1, ...shape })];
+    const definition = createJobDefinition(1, steps);
+    const job = new LiveJob(definition, new JobProgress(definition), 0);
+    const indexes = Array.from({ length: steps[0]!.count }, (_, index) => index);
+    const step = { job, time: 0, step: 0, shape: steps[0]!, indexes, objectiveAtMs: leftMs };
+    const sources = {
+      speeds: { readKnownRatio: ({ id }: { id: string }) => ratios[id]! },
+      times: new RunTimes(),
+      room: {
+        isMostUrgent: () => isMostUrgent,
+        measureFitCount: (free: { cpuMillis: number }) => Math.floor(free.cpuMillis / 1000),
+      },
+    } as unknown as SpeedSources;
+    const readCost = createExpectedEndCost(step, sources, books, 0);
+    return Object.fromEntries(books.map((book) => [book.readProfile().id, readCost(book)]));
+  };
+
+  it('is higher where work would be late, and lower on slow endpoints for work that bears them', () => {
+    const tight = readCosts({}, 1500);
+    expect(tight['usual']).toBe(0);
+    expect(tight['slow']).toBeGreaterThan(1);
+    expect(tight['slower']).toBeGreaterThan(tight['slow']!);
+    const ample = readCosts({}, 20_000);
+    expect(ample['slow']).toBeLessThan(-1);
+    expect(readCosts({}, 20_000, true)['slow']).toBeGreaterThan(1);
+    expect(readCosts({}, -1000, true)['slow']).toBeGreaterThan(1);
+  });
+
+  it('is for a gang that of its slowest member: like speeds first, no slower ones than it takes', () => {
+    const two = readCosts({ isGang: true, count: 2 }, 1500);
+    expect(two['usual']).toBe(0);
+    expect(two['slow']).toBeGreaterThan(1);
+    const five = readCosts({ isGang: true, count: 5 }, 1500);
+    expect(five['slow']).toBeLessThan(five['usual']!);
+    expect(five['slower']).toBeGreaterThan(five['usual']!);
+  });
+});
+
 const ENDPOINTS = 60;
 const WARM_UP_MS = 5000;
 const COUNTED_UNTIL_MS = 25_000;
