--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -23,6 +23,14 @@
     private readonly preference: EndpointPreference,
   ) {}
 
+  startRound(): void {
+    // Keeps nothing of a round.
+  }
+
+  recordStep(): void {
+    // Steps are asked about without regard to those before them.
+  }
+
   recordAnswer(): void {
     // Keeps nothing of what it has named.
   }
--- a/packages/dispatch/advice/AdviceQuestions.ts
+++ b/packages/dispatch/advice/AdviceQuestions.ts
@@ -46,6 +46,7 @@
    */
   startRound(turns: AdviceTurns): void {
     this.turns = turns;
+    this.options.candidates.startRound();
   }
 
   /**
@@ -62,6 +63,9 @@
   ): WaitCause {
     const { advice } = step.job.definition.queue;
     const book = step.job.readAdvice(step.time, step.step);
+    if (!isEarly) {
+      this.options.candidates.recordStep(step, missing);
+    }
     if (advice === undefined || book.isIdle(now)) {
       return 'room';
     }
@@ -75,7 +79,7 @@
     }
     const named = candidates.chooseNamed(step, eligible, missing, neededUntil, now).slice(0, way.maxNamed);
     if (named.length === 0) {
-      book.recordIdle(now, now + way.idleMs);
+      book.recordIdle(now, now + way.readIdleMs(advice));
       return 'room';
     }
     this.turns = { all: this.turns.all - 1, long: this.turns.long - (isLong ? 1 : 0) };
--- a/packages/dispatch/advice/CandidateChoice.ts
+++ b/packages/dispatch/advice/CandidateChoice.ts
@@ -4,6 +4,12 @@
 
 /** Chooses the endpoints about which the advice service is asked for a step, the most useful first. */
 export interface CandidateChoice {
+  /** A round of placement begins. */
+  startRound(): void;
+
+  /** Notes the next step, in the order of placement, that has not found all it needs. */
+  recordStep(step: WaitingStep, missing: number): void;
+
   /**
    * The endpoints to name for `missing` tasks that lack tickets which hold until `neededUntil`; none when a question is not worth
    * its turn. They are asked about at once.
--- a/packages/dispatch/advice/PlannedCandidates.ts
+++ b/packages/dispatch/advice/PlannedCandidates.ts
@@ -7,6 +7,7 @@
 import type { EndpointBook } from '../endpoints/EndpointBook';
 import type { EndpointPreference } from '../placing/EndpointPreference';
 import type { Preemptor } from '../placing/Preemptor';
+import { RoomAhead } from './RoomAhead';
 import { RoomClaims } from './RoomClaims';
 import type { RoomView } from '../placing/RoomView';
 import { toStepName } from '../waiting/toStepName';
@@ -31,6 +32,14 @@
   readonly cost: number;
 }
 
+/** When a question would be asked, and for when. */
+interface Moment {
+  /** The step may have less urgent work stopped. */
+  readonly canStop: boolean;
+  readonly neededUntil: number;
+  readonly now: number;
+}
+
 /** What a step has, and what it could ask about. */
 interface Prospect {
   /** Places on endpoints whose tickets still hold when an answer comes. */
@@ -57,8 +66,8 @@
 const MAX_NAMED = 100;
 /** Tasks of a step on one endpoint for which stops make room. */
 const MAX_PLACES_BY_STOPS = 3;
-/** A gang asks once so much of the room that it lacks is there: more of it comes while the question is under way. */
-const ROOM_AT_QUESTION_SHARE = 0.7;
+/** A gang asks once so much of the room that it lacks is there: more comes while the question is under way, and while the tickets hold. */
+const ROOM_AT_QUESTION_SHARE = 0.4;
 /** A start that may be expected of an answer is worth a turn of so long at once. */
 const TURN_PER_START_MS = 50;
 /** A step whose questions are worth less asks once in so long. */
@@ -78,9 +87,18 @@
 /** Asks only where the answer is expected to find room, and for as many endpoints as make a second round unlikely. */
 export class PlannedCandidates implements CandidateChoice {
   private readonly claims = new RoomClaims();
+  private readonly ahead = new RoomAhead();
 
   constructor(private readonly options: PlannedCandidatesOptions) {}
 
+  startRound(): void {
+    this.ahead.startRound();
+  }
+
+  recordStep(step: WaitingStep, missing: number): void {
+    this.ahead.recordStep(step, missing);
+  }
+
   chooseNamed(
     step: WaitingStep,
     eligible: readonly EndpointBook[],
@@ -88,7 +106,13 @@
     neededUntil: number,
     now: number,
   ): readonly EndpointBook[] {
-    const prospect = this.readProspect(step, eligible, neededUntil, now);
+    const { room } = this.options;
+    const canStop = room.isShortOfRoom(step, eligible);
+    const isPatient = !room.isMostUrgent(step.job.definition.queue);
+    if (isPatient && this.ahead.isTaken(step, eligible, canStop)) {
+      return [];
+    }
+    const prospect = this.readProspect(step, eligible, { canStop, neededUntil, now });
     const needed = missing - prospect.held;
     if (needed <= 0 || !this.isWorthAsking(step, prospect, needed, now)) {
       return [];
@@ -155,8 +179,7 @@
   private readProspect(
     step: WaitingStep,
     eligible: readonly EndpointBook[],
-    neededUntil: number,
-    now: number,
+    { canStop, neededUntil, now }: Moment,
   ): Prospect {
     const { room, history, preference } = this.options;
     const { queue } = step.job.definition;
@@ -168,7 +191,7 @@
     const freshUntil = now + validityMs * AGING_SHARE;
     const demand = room.toCountedDemand(step.shape);
     const share = history.readShare(queue.name);
-    const canStop = room.isShortOfRoom(step, eligible);
+    const isMostUrgent = room.isMostUrgent(queue);
     const readCost = preference.createCostOf(step);
     const prospect: Prospect = { held: 0, roomy: [], full: [], aging: [] };
     for (const book of eligible) {
@@ -185,7 +208,7 @@
         continue;
       }
       const allowed = advice.hasBeenAllowed(life) ? 1 : share;
-      const unclaimed = places === 0 ? 0 : this.measureUnclaimed(step, book, places);
+      const unclaimed = places === 0 || isMostUrgent ? places : this.measureUnclaimed(step, book, places);
       const cost = readCost(book);
       if (unclaimed > 0) {
         prospect.roomy.push({ book, places: unclaimed, allowed, chance: allowed * stays, cost });
@@ -200,7 +223,8 @@
   private measurePlaces(step: WaitingStep, book: EndpointBook, canStop: boolean, now: number): number {
     const room = demandSums.toSum(book.readFree(), this.readStopping(book));
     const places = this.options.room.measureFitCount(room, step.shape);
-    return canStop ? Math.max(places, this.measurePlacesByStops(step, book, now)) : places;
+    const mayStop = canStop && places < MAX_PLACES_BY_STOPS;
+    return mayStop ? Math.max(places, this.measurePlacesByStops(step, book, now)) : places;
   }
 
   /** Room of runs that are being stopped, be it for this step. */
--- a/packages/dispatch/advice/PlannedDesk.ts
+++ b/packages/dispatch/advice/PlannedDesk.ts
@@ -24,6 +24,8 @@
 const AVOID_MS = 2500;
 /** A question is given to so many boxes at most: the next one may be in the same hall that is cut off, each takes a turn. */
 const MAX_ATTEMPTS = 3;
+/** No answer is late before it takes so much longer than the service needs, as part of that. */
+const LATE_SHARE = 0.5;
 /** While the service fails for all boxes, it is tried so often. */
 const TRY_EVERY_MS = 100;
 
@@ -69,7 +71,7 @@
   private async startWaiting(question: Question, first: Attempt): Promise<Answer> {
     const attempts = [first];
     for (let newest = first; ;) {
-      const lateMs = question.expectedMs + newest.load.readLateMs(this.usual.readLateMs());
+      const lateMs = question.expectedMs + this.readLateMs(question, newest);
       const answer = await Promise.race([this.startFirstAnswer(attempts), startDelay(lateMs)]);
       if (answer !== undefined || this.isStopped) {
         return answer ?? undefined;
@@ -84,6 +86,11 @@
     }
   }
 
+  /** A long question is worth waiting for longer: a second one takes as much of the service again. */
+  private readLateMs({ expectedMs }: Question, { load }: Attempt): number {
+    return Math.max(load.readLateMs(this.usual.readLateMs()), expectedMs * LATE_SHARE);
+  }
+
   /** The first answer of several; none once all have failed. */
   private async startFirstAnswer(attempts: readonly Attempt[]): Promise<Answer> {
     const answers = attempts.map(
--- a/packages/dispatch/advice/TurnWay.ts
+++ b/packages/dispatch/advice/TurnWay.ts
@@ -17,7 +17,7 @@
   /** Most endpoints in one question. */
   readonly maxNamed: number;
   /** After no question was worth its turn, it is worked out anew so much later, in milliseconds. */
-  readonly idleMs: number;
+  readonly readIdleMs: (advice: NonNullable<JobQueue['advice']>) => number;
   /** True for questions that keep off the boxes that are kept for short ones. */
   readonly isLong: (advice: NonNullable<JobQueue['advice']>, isMostUrgent: boolean) => boolean;
   readonly createCandidates: (parts: CandidateParts) => CandidateChoice;
--- a/packages/dispatch/advice/turnChoices.ts
+++ b/packages/dispatch/advice/turnChoices.ts
@@ -9,21 +9,23 @@
 const LARGEST_CALL = 100;
 /** Questions longer than this are long ones. */
 const LONG_QUESTION_MS = 150;
-/** Rounds follow each message; room that a question needs does not come with every one of them. */
-const IDLE_MS = 20;
+/** Rounds follow each message; the room that a question needs does not come with every one of them. */
+const LEAST_IDLE_MS = 20;
+/** Part of a question's time that it may begin later, so that rounds stay short while many steps wait. */
+const IDLE_SHARE = 0.1;
 
 /** Ways of taking turns, by choice. */
 export const turnChoices: Readonly<Record<TurnChoice, TurnWay>> = {
   asked: {
     maxNamed: COUNTED_NAMED,
-    idleMs: 0,
+    readIdleMs: () => 0,
     isLong: (advice) => advice.decisionMs + advice.perEndpointMs * COUNTED_NAMED > LONG_QUESTION_MS,
     createCandidates: ({ room, preemptor, history, preference }) =>
       new AdviceCandidates(room, preemptor, history, preference),
   },
   planned: {
     maxNamed: LARGEST_CALL,
-    idleMs: IDLE_MS,
+    readIdleMs: ({ decisionMs }) => Math.max(LEAST_IDLE_MS, decisionMs * IDLE_SHARE),
     isLong: (advice, isMostUrgent) =>
       !isMostUrgent || advice.decisionMs + advice.perEndpointMs * COUNTED_NAMED > LONG_QUESTION_MS,
     createCandidates: (parts) => new PlannedCandidates(parts),
--- a/tests/adviceTurns.test.ts
+++ b/tests/adviceTurns.test.ts
@@ -1,7 +1,17 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { chooseQuestionSize } from '../packages/dispatch/advice/chooseQuestionSize';
+import { RoomAhead } from '../packages/dispatch/advice/RoomAhead';
+import { ShortTurns } from '../packages/dispatch/advice/ShortTurns';
 import type { TurnChoice } from '../packages/dispatch/advice/TurnChoice';
+import { EndpointBook } from '../packages/dispatch/endpoints/EndpointBook';
+import { CustomerUsage } from '../packages/customers/CustomerUsage';
+import { LiveJob } from '../packages/dispatch/waiting/LiveJob';
+import type { WaitingStep } from '../packages/dispatch/waiting/WaitingStep';
+import { JobProgress } from '../packages/jobs/JobProgress';
 import { AdviceLoad } from './helpers/AdviceLoad';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
+import { createStep } from './helpers/createStep';
 
 const ENDPOINTS = 80;
 const BOXES = 12;
@@ -228,3 +238,52 @@
     ).toBe(7);
   });
 });
+
+describe('boxes kept for short questions', () => {
+  it('are a quarter for a new leader, then as many as its short questions use with some to spare, half at most', () => {
+    const turns = new ShortTurns();
+    expect(turns.readKept(40, 0)).toBe(10);
+    expect(turns.readKept(40, 3000)).toBe(1);
+    // 50 questions a second of 80 ms each are four at once.
+    for (let now = 3000; now < 13_000; now += 20) {
+      turns.recordQuestion(80, now);
+    }
+    expect(turns.readKept(40, 13_000)).toBe(8);
+    expect(turns.readKept(10, 13_000)).toBe(5);
+    expect(turns.readKept(40, 33_000)).toBe(1);
+  });
+
+  it('are one of two, and none where there is only one', () => {
+    const turns = new ShortTurns();
+    expect(turns.readKept(2, 0)).toBe(1);
+    expect(turns.readKept(1, 0)).toBe(0);
+  });
+});
+
+describe('a backlog of gangs', () => {
+  it('asks for those that may find room, not for those behind them', () => {
+    const books = Array.from(
+      { length: 10 },
+      (_none, number) => new EndpointBook(createProfile(`i-${number}`), 0, new CustomerUsage()),
+    );
+    const ahead = new RoomAhead();
+    const readAsking = (): number => {
+      ahead.startRound();
+      return Array.from({ length: 100 }, (_none, number) => {
+        const step = createGang(number + 1);
+        ahead.recordStep(step, step.indexes.length);
+        return ahead.isTaken(step, books, true);
+      }).filter((isTaken) => !isTaken).length;
+    };
+    // Ten endpoints of four cores hold five gangs of eight cores; of those ahead some may not run there.
+    expect(readAsking()).toBe(11);
+    expect(readAsking()).toBe(11);
+  });
+
+  const createGang = (number: number): WaitingStep => {
+    const shape = createStep({ count: 8, isGang: true });
+    const definition = createJobDefinition(number, [shape]);
+    const job = new LiveJob(definition, new JobProgress(definition), 0);
+    return { job, time: 0, step: 0, shape, indexes: [0, 1, 2, 3, 4, 5, 6, 7], objectiveAtMs: 0 };
+  };
+});
