--- a/tests/endpointSpeeds.test.ts
+++ b/tests/endpointSpeeds.test.ts
@@ -427,7 +427,6 @@
     const { slow, fast } = world.dispatcher.readSpeeds().readCounts();
     expect(slow).toBeGreaterThan(15);
     expect(slow + fast).toBeLessThan(25);
-    // Runs that were under way at the change have no known beginning, and are not taken for fast ones.
     expect(world.readInTime('urgent', 17_000, 22_000)).toBeGreaterThanOrEqual(0.92);
   }, 30_000);
 
