--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -21,23 +21,19 @@
 import type { QuestionDesk } from './advice/QuestionDesk';
 import type { QuestionDeskOptions } from './advice/QuestionDeskOptions';
 import type { TurnChoice } from './advice/TurnChoice';
-import { AnswerTimeout } from './endpoints/AnswerTimeout';
 import type { DispatchCount } from './DispatchCount';
 import type { DispatchEffect } from './DispatchEffect';
 import { Dispatcher } from './Dispatcher';
 import type { EndpointClient } from './endpoints/EndpointClient';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
 import { EndpointSessions } from './endpoints/EndpointSessions';
+import { OrderSender } from './endpoints/OrderSender';
 import { LeaderJournal } from './LeaderJournal';
+import type { LeaderTime } from './LeaderTime';
 import { LineGatherer } from '../sight/LineGatherer';
-import type { OrderAnswer } from './endpoints/OrderAnswer';
 import { ProgressInheritance } from './ProgressInheritance';
 import { RoundPacer } from './placing/RoundPacer';
-import type { WaitCause } from './waiting/WaitCause';
-
-type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
-/** Times that a leader measures: `start` is the answer to a start order, the others are parts of the wait for it. */
-type LeaderTime = 'startMs' | 'roundMs' | (typeof WAIT_TIMES)[WaitCause];
+import { RoundWatch } from './placing/RoundWatch';
 
 interface LeaderDutyOptions {
   readonly epoch: number;
@@ -96,20 +92,6 @@
   readonly recordTime: (name: LeaderTime, valueMs: number) => void;
 }
 
-/** Names of the measured times by what a task waited for. */
-const WAIT_TIMES = {
-  round: 'waitRoundMs',
-  turn: 'waitTurnMs',
-  answer: 'waitAnswerMs',
-  room: 'waitRoomMs',
-  limit: 'waitLimitMs',
-  pause: 'waitPauseMs',
-} as const satisfies Readonly<Record<WaitCause, string>>;
-const WAIT_CAUSES = Object.keys(WAIT_TIMES) as WaitCause[];
-/** Rounds that hold the process up for longer are worth a line. */
-const LONG_ROUND_MS = 10;
-/** Most one such line in so long, with the number of rounds that it stands for. */
-const LONG_ROUND_LINE_MS = 1000;
 const TICK_MS = 100;
 /**
  * Age of the newest answered write, from its sending, beyond which the log may have gone out: one is sent every 400 ms at the latest, looked
@@ -121,9 +103,6 @@
  * the first time limit of an append and a repetition, so that a log that is merely slow (up to 0.7 s an append) is waited for.
  */
 const HOLD_STARTS_MS = 1000;
-/** Time for the answer to a stop that had none before: the endpoint may be slow, and only an answer frees the task. */
-const REPEATED_STOP_TIMEOUT_MS = 500;
-
 /** The work of the leader: joins the dispatcher with the log, the endpoints and the advice service. */
 export class LeaderDuty {
   private readonly dispatcher: Dispatcher;
@@ -133,16 +112,15 @@
   private readonly lines: LineGatherer;
   private readonly desk: QuestionDesk;
   private readonly load: LoadTeller;
-  private readonly orderTimeout = new AnswerTimeout();
+  private readonly orders: OrderSender;
   /** Services of the jobs that were taken in: their endpoints are needed also where the configuration has dropped them. */
   private readonly services = new Set<ServiceName>();
   private hasReadJobs = false;
   private hasTakenOver = false;
   private isHoldingStarts = false;
-  /** Long rounds since the last line about them, and when that was written. */
-  private longRounds = { count: 0, longestMs: 0, toldAt: -Infinity };
   private isStopped = false;
   private readonly rounds: RoundPacer;
+  private readonly roundWatch: RoundWatch;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: LeaderDutyOptions) {
@@ -161,6 +139,11 @@
       turnChoice: options.turnChoice,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
+    this.roundWatch = new RoundWatch({
+      logger: options.logger,
+      readJobCount: () => this.dispatcher.readJobCount(),
+      recordTime: options.recordTime,
+    });
     this.journal = new LeaderJournal({
       ...options,
       handleFenced: (detail) => this.handleDeposed(`the log refused a write: ${detail}`),
@@ -194,6 +177,17 @@
       handleFenced: (detail) => this.handleDeposed(detail),
       handleLogBack: options.handleLogBack,
     });
+    this.orders = new OrderSender({
+      ...options,
+      dispatcher: this.dispatcher,
+      endpoints: this.endpoints,
+      lines: this.lines,
+      isStopped: () => this.isStopped,
+      isRenewing: () => this.isRenewing(),
+      handleStarted: (job) => this.recordStart(job),
+      handleChanged: () => this.queueRound(),
+      handleDeposed: (detail) => this.handleDeposed(detail),
+    });
     this.desk = adviceDesks[options.turnChoice]({
       clock,
       readAskers: options.readAskers,
@@ -405,24 +399,7 @@
       this.dispatcher.placeWaiting(now, clock.readWall(), turns);
     }
     this.sendEffects();
-    this.recordRound(clock.readNow() - now, now);
-  }
-
-  private recordRound(tookMs: number, now: number): void {
-    this.options.recordTime('roundMs', tookMs);
-    if (tookMs <= LONG_ROUND_MS) {
-      return;
-    }
-    const { count, longestMs, toldAt } = this.longRounds;
-    this.longRounds = { count: count + 1, longestMs: Math.max(longestMs, tookMs), toldAt };
-    if (now - toldAt >= LONG_ROUND_LINE_MS) {
-      this.options.logger.info('Rounds took long.', {
-        rounds: this.longRounds.count,
-        longestMs: Math.round(this.longRounds.longestMs),
-        jobs: this.dispatcher.readJobCount(),
-      });
-      this.longRounds = { count: 0, longestMs: 0, toldAt: now };
-    }
+    this.roundWatch.recordRound(clock.readNow() - now, now);
   }
 
   /** Starts are held while they could not be recorded: they would keep room, and leave with tickets that have run out. */
@@ -453,10 +430,10 @@
         this.queueProgress(effect.job);
         return;
       case 'start':
-        this.queueProgress(effect.job, () => void this.sendStart(effect));
+        this.queueProgress(effect.job, () => void this.orders.sendStart(effect));
         return;
       case 'stop':
-        void this.sendStop(effect);
+        void this.orders.sendStop(effect);
         return;
       case 'look':
         void this.endpoints.readSession(effect.endpoint)?.startExtraLook();
@@ -481,78 +458,10 @@
     }
   }
 
-  private async sendStart(effect: StartEffect): Promise<void> {
-    const { clock, recordCount, recordTime } = this.options;
-    const { endpoint, order } = effect;
-    const session = this.endpoints.readSession(endpoint);
-    const isWanted = !this.isStopped && this.dispatcher.handleRecorded(effect, clock.readNow());
-    // A start grants a lease too.
-    if (session === undefined || !isWanted || !this.isRenewing()) {
-      if (isWanted) {
-        this.dispatcher.handleUnsent(effect, clock.readNow());
-      }
-      this.queueRound();
-      return;
-    }
-    recordCount('starts');
-    this.recordStart(effect.job, clock.readNow());
-    WAIT_CAUSES.forEach((cause) => recordTime(WAIT_TIMES[cause], effect.waits[cause]));
-    const sentAt = clock.readNow();
-    session.recordLease(sentAt);
-    const timeoutMs = this.orderTimeout.readTimeoutMs();
-    const answer = await session.readClient().sendStart(order, leaderTimings.leaseMs, timeoutMs);
-    const now = clock.readNow();
-    if (this.endpoints.readSession(endpoint) !== session) {
-      // The life is over, and what became of its orders is for the next one to show; that turns them down without another leader.
-      return;
-    }
-    if (answer.kind === 'unanswered') {
-      this.orderTimeout.recordUnanswered(now - sentAt);
-    } else {
-      this.orderTimeout.recordAnswer(now - sentAt);
-    }
-    recordTime('startMs', now - sentAt);
-    if (answer.kind !== 'done') {
-      const { task, run } = order;
-      this.lines.recordLine('Start not confirmed.', { job: effect.job, task, run, endpoint, ...answer }, now);
-    }
-    if (this.isFence(answer)) {
-      return;
-    }
-    this.dispatcher.handleStartAnswer(endpoint, order.task, order.run, answer, now);
-    this.queueRound();
-  }
-
-  private recordStart(job: JobId, now: number): void {
+  private recordStart(job: JobId): void {
     const queue = this.dispatcher.readJob(job)?.definition.queue.name;
     if (queue !== undefined && this.options.handleLoad !== undefined) {
-      this.load.recordStart(queue, now);
-    }
-  }
-
-  private async sendStop(effect: Extract<DispatchEffect, { kind: 'stop' }>): Promise<void> {
-    const { endpoint, task, run, isRepeated } = effect;
-    const timeoutMs = isRepeated ? REPEATED_STOP_TIMEOUT_MS : this.orderTimeout.readTimeoutMs();
-    this.options.recordCount('stops');
-    const session = this.endpoints.readSession(endpoint);
-    const answer = await session?.readClient().sendStop(task, run, timeoutMs);
-    if (answer === undefined || this.endpoints.readSession(endpoint) !== session || this.isFence(answer)) {
-      return;
-    }
-    this.dispatcher.handleStopAnswer(endpoint, task, run, answer, this.options.clock.readNow());
-    if (answer.kind === 'done' || answer.kind === 'rejected') {
-      // Only a look that is sent after the stop was answered can prove that the run is not there.
-      void session?.startExtraLook();
-    }
-    this.queueRound();
-  }
-
-  /** True when the endpoint obeys a newer leader; then this duty is over. */
-  private isFence(answer: OrderAnswer): boolean {
-    const isFenced = answer.kind === 'rejected' && answer.reason === 'fence';
-    if (isFenced) {
-      this.handleDeposed('an endpoint obeys a newer leader');
+      this.load.recordStart(queue, this.options.clock.readNow());
     }
-    return isFenced || this.isStopped;
   }
 }
--- /dev/null
+++ b/packages/dispatch/LeaderTime.ts
@@ -0,0 +1,5 @@
+import type { waitTimeNames } from './waiting/waitTimeNames';
+import type { WaitCause } from './waiting/WaitCause';
+
+/** Times that a leader measures: `startMs` is the answer to a start order, `roundMs` a round, the others are parts of the wait for a start. */
+export type LeaderTime = 'startMs' | 'roundMs' | (typeof waitTimeNames)[WaitCause];
