--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -14,11 +14,11 @@
 import { demandSums } from '../jobs/demandSums';
 import { endpointLives } from '../jobs/endpointLives';
 import type { LoadSnapshot } from '../load/LoadSnapshot';
-import { leaderTimings } from '../leadership/leaderTimings';
 import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
 import { EndpointBook } from './endpoints/EndpointBook';
-import { formatLifeEnd } from './endpoints/formatLifeEnd';
+import { LifeEnds } from './endpoints/LifeEnds';
+import { createUnlistedProfile } from './endpoints/createUnlistedProfile';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
 import type { HallChoice } from './placing/HallChoice';
 import { KindSpeeds } from './placing/KindSpeeds';
@@ -43,7 +43,6 @@
 import { LookReader } from './endpoints/LookReader';
 import { measureLoad } from './measureLoad';
 import { RoomView } from './placing/RoomView';
-import type { RunEnd } from './runs/RunEnd';
 import { RunLedger } from './runs/RunLedger';
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
@@ -81,8 +80,6 @@
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
 
-const LIFE_OVER: RunEnd = { outcome: 'interrupted', cause: 'lifeOver', checkpoint: '' };
-const LEASE_OVER: RunEnd = { outcome: 'interrupted', cause: 'leaseOver', checkpoint: '' };
 /** Of platforms that name no other. */
 const DEFAULT_LONGEST_LEASE_MS = 10_000;
 const UNLIMITED_TURNS: AdviceTurns = { all: Infinity, long: Infinity };
@@ -116,6 +113,7 @@
   private readonly gangs: GangWatch;
   private readonly waits: WaitTeller;
   private readonly crashes: CrashLedger;
+  private readonly lifeEnds: LifeEnds;
   /** True when something has happened since the last round that may let work start. */
   private hasNews = false;
   /** True when the last round only asked for tickets, so that the next one has to look at all that waits. */
@@ -141,6 +139,12 @@
       ledger: this.ledger,
       handleChanged: (job) => this.changed.add(job),
     });
+    this.lifeEnds = new LifeEnds({
+      books: this.books,
+      ledger: this.ledger,
+      crashes: this.crashes,
+      longestLeaseMs: options.longestLeaseMs ?? DEFAULT_LONGEST_LEASE_MS,
+    });
     const { reservations } = this;
     this.room = new RoomView(this.books, reservations);
     this.trust = new EndpointTrust(this.books, stops.isClosing);
@@ -362,33 +366,7 @@
    * or reach it still: it goes into that life's books, and the first look there that shuts out earlier orders tells what became of it.
    */
   handleLifeOver(life: EndpointLife, now: number, next?: EndpointLife): void {
-    const book = this.books.get(life);
-    if (book === undefined) {
-      return;
-    }
-    const runs = [...book.readRuns()];
-    const nextBook = next === undefined ? undefined : this.books.get(next);
-    const carried =
-      nextBook === undefined ? [] : runs.filter((run) => run.stage !== 'recording' && !run.isListed);
-    this.ledger.sendTell(
-      'Endpoint life is over.',
-      formatLifeEnd(book, runs, now, { next, carriedCount: carried.length }),
-    );
-    this.ledger.sendCount('lifeEnds');
-    this.ledger.sendCount('runsLost', runs.length - carried.length);
-    this.crashes.handleLifeOver(book, runs, now);
-    for (const run of runs) {
-      if (nextBook !== undefined && carried.includes(run)) {
-        this.ledger.recordCarried(book, nextBook, run);
-      } else {
-        this.ledger.recordRunEnd(book, run, LIFE_OVER, now);
-      }
-    }
-    // A call to the life before may have given the next one a lease by another clock: at most the longest there is.
-    const { clockDriftShare, marginMs } = leaderTimings;
-    const longestLeaseMs = this.options.longestLeaseMs ?? DEFAULT_LONGEST_LEASE_MS;
-    nextBook?.recordLease(now + longestLeaseMs * (1 + clockDriftShare) + marginMs);
-    this.books.delete(life);
+    this.lifeEnds.handleLifeOver(life, now, next);
   }
 
   /** True while a look at an endpoint that fell silent for good may still tell whether it crashed. */
@@ -475,10 +453,7 @@
     this.hasNews = true;
     this.hasTimePassed = true;
     for (const book of [...this.books.values()]) {
-      const isUnheard = book.readSilentSince() !== undefined || !book.isSettled();
-      if (isUnheard && now > book.readLeasedUntil()) {
-        this.applyLapse(book, now);
-      }
+      this.lifeEnds.applyTime(book, now);
       this.ledger.sendStopsAgain(book, now);
     }
     this.reservations.applyTime(now);
@@ -595,17 +570,7 @@
     let book = this.books.get(task.endpoint);
     if (book === undefined) {
       // Its record is gone: it may be cut off, and still run this until its lease ends.
-      const profile: EndpointProfile = {
-        id: endpointLives.readEndpoint(task.endpoint),
-        life: task.endpoint,
-        service: definition.queue.service,
-        address: '',
-        hall: '',
-        capacity: demandSums.NOTHING,
-        labels: [],
-        isDraining: false,
-        remainingMs: 0,
-      };
+      const profile = createUnlistedProfile(task.endpoint, definition.queue.service);
       book = new EndpointBook(profile, this.options.unheardUntil, this.usage);
       // Whether it left by plan is not known either: it may as well have crashed before this leader read the records.
       book.recordUnlisted();
@@ -619,15 +584,6 @@
     book.recordRun(run);
   }
 
-  private applyLapse(book: EndpointBook, now: number): void {
-    const runs = [...book.readRuns()].filter(({ stage }) => stage !== 'recording');
-    this.crashes.handleLapse(book, runs, now);
-    for (const run of runs) {
-      this.ledger.sendCount('runsLapsed');
-      this.ledger.recordRunEnd(book, run, LEASE_OVER, now);
-    }
-  }
-
   private applyRemovals(): void {
     for (const [id, job] of this.jobs) {
       if (job.progress.isEnded() && !this.changed.has(id)) {
--- /dev/null
+++ b/packages/dispatch/endpoints/LifeEnds.ts
@@ -0,0 +1,70 @@
+import type { EndpointLife } from '../../jobs/EndpointLife';
+import { leaderTimings } from '../../leadership/leaderTimings';
+import type { CrashLedger } from '../crashes/CrashLedger';
+import type { RunEnd } from '../runs/RunEnd';
+import type { RunLedger } from '../runs/RunLedger';
+import type { EndpointBook } from './EndpointBook';
+import { formatLifeEnd } from './formatLifeEnd';
+
+interface LifeEndsOptions {
+  readonly books: Map<EndpointLife, EndpointBook>;
+  readonly ledger: RunLedger;
+  readonly crashes: CrashLedger;
+  /** Longest lease that an endpoint grants, in milliseconds. */
+  readonly longestLeaseMs: number;
+}
+
+const LIFE_OVER: RunEnd = { outcome: 'interrupted', cause: 'lifeOver', checkpoint: '' };
+const LEASE_OVER: RunEnd = { outcome: 'interrupted', cause: 'leaseOver', checkpoint: '' };
+
+/** Ends what ran on endpoints whose life or lease is over. */
+export class LifeEnds {
+  constructor(private readonly options: LifeEndsOptions) {}
+
+  /**
+   * A life is over, so that nothing that it has listed runs any more. What was sent to it and never listed may have reached the life after it,
+   * or reach it still: it goes into that life's books, and the first look there that shuts out earlier orders tells what became of it.
+   */
+  handleLifeOver(life: EndpointLife, now: number, next?: EndpointLife): void {
+    const { books, ledger, crashes } = this.options;
+    const book = books.get(life);
+    if (book === undefined) {
+      return;
+    }
+    const runs = [...book.readRuns()];
+    const nextBook = next === undefined ? undefined : books.get(next);
+    const carried =
+      nextBook === undefined ? [] : runs.filter((run) => run.stage !== 'recording' && !run.isListed);
+    const fields = formatLifeEnd(book, runs, now, { next, carriedCount: carried.length });
+    ledger.sendTell('Endpoint life is over.', fields);
+    ledger.sendCount('lifeEnds');
+    ledger.sendCount('runsLost', runs.length - carried.length);
+    crashes.handleLifeOver(book, runs, now);
+    for (const run of runs) {
+      if (nextBook !== undefined && carried.includes(run)) {
+        ledger.recordCarried(book, nextBook, run);
+      } else {
+        ledger.recordRunEnd(book, run, LIFE_OVER, now);
+      }
+    }
+    // A call to the life before may have given the next one a lease by another clock: at most the longest there is.
+    const { clockDriftShare, marginMs } = leaderTimings;
+    nextBook?.recordLease(now + this.options.longestLeaseMs * (1 + clockDriftShare) + marginMs);
+    books.delete(life);
+  }
+
+  /** Lets time pass for an endpoint: where it has not been heard, all that was leased there ends with the lease. */
+  applyTime(book: EndpointBook, now: number): void {
+    const isUnheard = book.readSilentSince() !== undefined || !book.isSettled();
+    if (!isUnheard || now <= book.readLeasedUntil()) {
+      return;
+    }
+    const { ledger, crashes } = this.options;
+    const runs = [...book.readRuns()].filter(({ stage }) => stage !== 'recording');
+    crashes.handleLapse(book, runs, now);
+    for (const run of runs) {
+      ledger.sendCount('runsLapsed');
+      ledger.recordRunEnd(book, run, LEASE_OVER, now);
+    }
+  }
+}
