The time limit of orders does not fall with connections that are reset at once

Cause: a start whose connection is reset counts as one with no answer after 1 ms, and twice that was taken for an answer: in a hall that resets connections the limit would have fallen to its least. Test: unansweredStarts (fails without the change).

--- a/packages/dispatch/endpoints/AnswerTimeout.ts
+++ b/packages/dispatch/endpoints/AnswerTimeout.ts
@@ -26,9 +26,14 @@
     this.meanMs += MEAN_WEIGHT * (tookMs - this.meanMs);
   }
 
-  /** No answer came in a time: without it the limit would follow the quick answers alone, and strike ever sooner. */
+  /**
+   * No answer came in a time: without it the limit would follow the quick answers alone, and strike ever sooner. A connection that was reset at once
+   * tells nothing of how long answers take.
+   */
   recordUnanswered(waitedMs: number): void {
-    this.recordAnswer(waitedMs * UNANSWERED_FACTOR);
+    if (waitedMs >= MIN_MS) {
+      this.recordAnswer(waitedMs * UNANSWERED_FACTOR);
+    }
   }
 
   /** Time to wait, in milliseconds. */
--- a/tests/unansweredStarts.test.ts
+++ b/tests/unansweredStarts.test.ts
@@ -90,4 +90,12 @@
     Array.from({ length: 50 }).forEach(() => timeout.recordAnswer(5));
     expect(timeout.readTimeoutMs()).toBe(usualMs);
   });
+
+  it('does not fall with connections that are reset at once', () => {
+    const timeout = new AnswerTimeout();
+    Array.from({ length: 50 }).forEach((_, index) => timeout.recordAnswer(index % 2 === 0 ? 100 : 140));
+    const usualMs = timeout.readTimeoutMs();
+    Array.from({ length: 50 }).forEach(() => timeout.recordUnanswered(1));
+    expect(timeout.readTimeoutMs()).toBe(usualMs);
+  });
 });
