--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -7,7 +7,7 @@
   maxSole: 2,
   /**
    * The same where endpoints have lately been lost for which no start can be blamed: two losses from outside within 0.1 s of two starts of one
-   * task look like a harmful one, and a sound job was given up (tests/crashes, seed 151). One start more is borne.
+   * task look like a harmful one. One start more is borne, so that no sound job is given up for them.
    */
   maxSoleAmongLosses: 3,
   /** An endpoint that was lost with no start to blame makes others doubtful for so long, in milliseconds. */
--- a/packages/dispatch/crashes/isUnderSuspicion.ts
+++ b/packages/dispatch/crashes/isUnderSuspicion.ts
@@ -6,8 +6,8 @@
 
 /**
  * True when an endpoint has certainly ended under a task that had, or may have, just begun there, or so many have ended while it was there that
- * it has to be told from those that it was beside: it is started apart from them. Else sound tasks went down with the harmful ones that were
- * found one by one, and were given up after the fifth endpoint (tests/crashes, seed 38).
+ * it has to be told from those that it was beside: it is started apart from them. Else sound tasks would go down with the harmful ones that are
+ * found one by one, and be given up with them.
  */
 export const isUnderSuspicion = (crashes: readonly TaskCrash[]): boolean =>
   crashes.length >= crashLimits.maxTogether || crashes.some(({ blame }) => SUSPICIOUS.has(blame));
--- a/packages/dispatch/endpoints/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -120,8 +120,8 @@
     if (leaseMs !== undefined) {
       this.recordLease(sentAt);
     }
-    // Another life may answer after a silence, and on any new connection. It must not forget ends that it has not listed: three tasks that were
-    // done ran again (soak seed 501).
+    // Another life may answer after a silence, and on any new connection. It must not forget ends that it has not listed, or tasks
+    // that are done would run again.
     const lastSeen = isSilent || !this.isLifeConnected ? 0 : this.lastSeen;
     const answer = await client.sendHold({
       lastSeen,
--- a/packages/dispatch/placing/SuspicionCosts.ts
+++ b/packages/dispatch/placing/SuspicionCosts.ts
@@ -53,8 +53,8 @@
 
   /**
    * Cost of an endpoint for a task of a step under which `crashes` endpoints have ended; Infinity where it must not begin now. A task that has
-   * lost some already waits for its neighbour to be proven, 0.3 s: two sound jobs beside thirty harmful tasks lost their fourth endpoint so, and
-   * were given up after the fifth (tests/crashes, seed 1212).
+   * lost some already waits for its neighbour to be proven, 0.3 s: sound jobs beside harmful tasks would lose endpoint after endpoint to their
+   * neighbours, and be given up.
    */
   measureCost(step: WaitingStep, { isSuspect, crashes }: Candidate, book: EndpointBook, now: number): number {
     const hasOthers = this.hasOthersOnProbation(step, book);
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -214,7 +214,7 @@
       return undefined;
     }
     // The waits count from the read that showed it. All boxes read at the same moments, 850 ms apart: waits that counted from the last
-    // sign were over together, and of eight claims within 50 ms that of a weak box won (0.32 cores; 2 s with few starts).
+    // sign were over together, and of many claims at once that of a weak box might win.
     this.silenceSeenAt ??= now;
     const waitedMs = now - this.silenceSeenAt;
     const silentPatienceMs = patienceMs === 0 ? 0 : OUTRANKED_SILENT_WAIT_MS;
--- a/packages/serve/LeaderHandOver.ts
+++ b/packages/serve/LeaderHandOver.ts
@@ -28,8 +28,7 @@
 const FAILING_MS = 300;
 /**
  * A log that serves another box may just have come back for all: so long this one's calls, made again at once, may take to show it.
- * Without it some outages for all ended with a change of leader, and the first start came up to 0.84 s after the return instead of
- * within 0.2 s (10 and 12 runs on the stand-ins, 6 s of silence).
+ * Without it some outages for all would end with a change of leader, which starts anew long after the log's return.
  */
 const RETURN_CHECK_MS = 300;
 /** A leader that can read, but whose writes have failed for so long, hands over all the same. */
--- a/packages/serve/LeaderIntroducer.ts
+++ b/packages/serve/LeaderIntroducer.ts
@@ -46,8 +46,8 @@
 /**
  * While this box leads, tells every box that has announced itself who leads and where it can be called.
  *
- * Boxes learn this from the log. One that the log turned away 0.3 to 0.9 s after its start had read neither, and refused every job for as long
- * as that lasted, each after 1 s, though the leader could have taken it: 7 of 100 cells of eight boxes that started together.
+ * Boxes learn this from the log. One that the log turns away right after its start may have read neither, and would refuse every job for as long
+ * as that lasts, though the leader could take it.
  */
 export class LeaderIntroducer {
   private readonly told = new Map<string, Told>();
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -92,7 +92,7 @@
       } else if (error.kind === 'forgotten') {
         this.offset = undefined;
         this.newest = new NewestReader(this.options.client, this.options.topic);
-        // A log that goes on forgetting would be read whole without a pause: 545 times in 0.6 s where it answers in 1 ms.
+        // A log that goes on forgetting would be read whole without a pause.
         await this.startPause(this.backoff.chooseDelay());
       } else {
         this.recordFailure(error);
