--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -41,8 +41,8 @@
 }
 
 /**
- * Pause after the second start of a task that was not taken, doubled with each one more: without it 500 starts in 10 s were sent of a task that
- * no endpoint takes (a round every 20 ms, tests/turnedDownStarts). A job that has nothing running for 3 s counts as lost, hence the longest.
+ * Pause after the second start of a task that was not taken, doubled with each one more: a task that no
+ * endpoint takes would else be sent in every round. A job that has nothing running for 3 s counts as lost, hence the longest.
  */
 const TURNED_DOWN_PAUSE_MS = 100;
 const MAX_TURNED_DOWN_PAUSE_MS = 2000;
