A run that a look shows after its start had no answer has worked only since then

Cause: its age was counted from the sending of its order, so that it was taken for proven at once, and the end of its endpoint right after was not put down to its task: a task that ends its endpoints is then started more often than it may be.

--- a/packages/dispatch/endpoints/LookReader.ts
+++ b/packages/dispatch/endpoints/LookReader.ts
@@ -87,8 +87,8 @@
     const run = book.readRun(row.task, row.run) ?? this.recordStray(book, row, now);
     if (run.stage === 'ordered' || run.stage === 'unconfirmed') {
       run.stage = 'running';
-      // A start whose answer was missed began soon after it was sent.
-      run.confirmedAt = run.unansweredAt === undefined ? now : run.recordedAt;
+      // Also where its answer was missed: it may have begun just now, and counts as proven only once it has worked for long enough for certain.
+      run.confirmedAt = now;
       if (run.unansweredAt !== undefined) {
         this.sendDoubtTell('Run is there, though its start had no answer.', book, run, now);
         run.unansweredAt = undefined;
--- a/tests/unansweredStarts.test.ts
+++ b/tests/unansweredStarts.test.ts
@@ -5,6 +5,7 @@
 import { describe, expect, it } from 'vitest';
 import { toId } from '../packages/common/toId';
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
+import { isProven } from '../packages/dispatch/crashes/isProven';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import { AnswerTimeout } from '../packages/dispatch/endpoints/AnswerTimeout';
 import type { EndpointLife } from '../packages/jobs/EndpointLife';
@@ -80,6 +81,18 @@
   });
 });
 
+describe('a run that a look shows after its start had no answer', () => {
+  it('has worked for certain only since then, so that an end of its endpoint right after is put down to its task', () => {
+    const { dispatcher, start, sendLook } = createWorld();
+    sendLook(UNANSWERED_AT + 200, true);
+    const run = dispatcher.readBook(ENDPOINT)!.readRun(start.order.task, 1)!;
+    expect(isProven(run)).toBe(false);
+    dispatcher.handleLifeOver(ENDPOINT, UNANSWERED_AT + 250);
+    const [crash] = dispatcher.readJob(start.job)!.progress.readTask(run.address)!.crashes;
+    expect(crash?.blame).toBe('sole');
+  });
+});
+
 describe('the time limit of orders', () => {
   it('grows while answers do not come within it, and falls with those that do', () => {
     const timeout = new AnswerTimeout();
