The chain of later steps is read from what a job has worked out once; no change of behaviour meant

measureRestChain walked the steps anew, recursively, for each step in each round, beside measureRemaining, which LiveJob already keeps. Its test keeps its expectation and asks the job. Tests: endpointSpeeds, kindSpeeds, dispatch, placementOrders, makingRoom pass.

--- a/packages/dispatch/speeds/createExpectedEndCost.ts
+++ b/packages/dispatch/speeds/createExpectedEndCost.ts
@@ -2,7 +2,6 @@
 import type { SpeedSources } from '../placing/SpeedSources';
 import type { WaitingStep } from '../waiting/WaitingStep';
 import { measureLateChance } from './measureLateChance';
-import { measureRestChain } from './measureRestChain';
 
 /** Cost of being late for sure: less than a rack without the data (100), where work takes longer for sure. */
 const LATE_COST = 80;
@@ -66,7 +65,7 @@
   const usual = sources.times.readUsual(definition.queue.name, step.shape);
   // A gang is known as a whole.
   const count = step.shape.isGang ? 1 : step.shape.count;
-  const leftMs = step.objectiveAtMs - wallMs - measureRestChain(definition.steps, step.step);
+  const leftMs = step.objectiveAtMs - wallMs - step.job.readRestMs(step.step);
   const isMostUrgent = sources.room.isMostUrgent(definition.queue);
   const usualChance = measureLateChance({ usual, count, ratio: 1, leftMs });
   const measureCost = (ratio: number): number => {
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -4,6 +4,7 @@
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
 import { measureRemaining } from '../../jobs/measureRemaining';
+import { measureStepWork } from '../../jobs/measureStepWork';
 import { toTaskName } from '../../jobs/toTaskName';
 import { JobTrace } from '../../sight/JobTrace';
 import { AdviceBook } from '../advice/AdviceBook';
@@ -94,6 +95,13 @@
     return this.remainingMs[step] ?? 0;
   }
 
+  /** Longest chain of estimated work after a step, in milliseconds. */
+  readRestMs(step: number): number {
+    const shape = this.definition.steps[step];
+    const ownMs = shape === undefined ? 0 : measureStepWork(shape);
+    return this.readRemainingMs(step) - ownMs;
+  }
+
   /** Steps with tasks to start at a wall clock time. Worked out anew only when something has changed. */
   readWaiting(wallMs: number): readonly WaitingStep[] {
     const version = this.progress.readVersion();
--- a/packages/jobs/measureRemaining.ts
+++ b/packages/jobs/measureRemaining.ts
@@ -1,17 +1,19 @@
 import type { JobStep } from './JobStep';
-
-const toWorkMs = ({ isLongRunning, estimatedMs }: JobStep): number => (isLongRunning ? 0 : estimatedMs);
+import { measureStepWork } from './measureStepWork';
 
 /**
  * Longest chain of estimated work from the start of each step to the end of the job, in milliseconds, by the step's number. The largest is that
  * of the whole job.
  */
 export const measureRemaining = (steps: readonly JobStep[]): readonly number[] => {
-  const remaining = steps.map(toWorkMs);
+  const remaining = steps.map(measureStepWork);
   // Steps depend on earlier ones only, so that from the last to the first each one's followers are complete.
   for (const [number, { dependsOn }] of [...steps.entries()].reverse()) {
     for (const earlier of dependsOn) {
-      remaining[earlier] = Math.max(remaining[earlier]!, toWorkMs(steps[earlier]!) + remaining[number]!);
+      remaining[earlier] = Math.max(
+        remaining[earlier]!,
+        measureStepWork(steps[earlier]!) + remaining[number]!,
+      );
     }
   }
   return remaining;
--- a/tests/endpointSpeeds.test.ts
+++ b/tests/endpointSpeeds.test.ts
@@ -11,7 +11,6 @@
 import type { JobStep } from '../packages/jobs/JobStep';
 import { EndpointSpeeds } from '../packages/dispatch/speeds/EndpointSpeeds';
 import { measureLateChance } from '../packages/dispatch/speeds/measureLateChance';
-import { measureRestChain } from '../packages/dispatch/speeds/measureRestChain';
 import { RunTimes } from '../packages/dispatch/speeds/RunTimes';
 import { toId } from '../packages/common/toId';
 import type { ServiceName } from '../packages/jobs/ServiceName';
@@ -257,7 +256,9 @@
       createStep({ estimatedMs: 300, dependsOn: [0, 1] }),
       createStep({ estimatedMs: 900 }),
     ];
-    expect(steps.map((_, step) => measureRestChain(steps, step))).toEqual([500, 300, 0, 0]);
+    const definition = createJobDefinition(1, steps);
+    const job = new LiveJob(definition, new JobProgress(definition), 0);
+    expect(steps.map((_, step) => job.readRestMs(step))).toEqual([500, 300, 0, 0]);
   });
 });
 
