The leader's ways are one type, handed on as one; no change of behaviour meant

Five fields stood in the defaults, the settings, the duty and the dispatcher, copied one by one at each step. The order of placement is looked up once. Tests: dispatch, placementOrders, makingRoom, heldStarts, hallChoices, stops, lives, cli, serve/path (91) pass.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -16,11 +16,11 @@
 import type { LoadSnapshot } from '../load/LoadSnapshot';
 import { dispatchDefaults } from './dispatchDefaults';
 import type { DispatchEffect } from './DispatchEffect';
+import type { DispatchWays } from './DispatchWays';
 import { EndpointBook } from './endpoints/EndpointBook';
 import { LifeEnds } from './endpoints/LifeEnds';
 import { createUnlistedProfile } from './endpoints/createUnlistedProfile';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
-import type { HallChoice } from './placing/HallChoice';
 import { KindSpeeds } from './placing/KindSpeeds';
 import { LimitView } from './placing/LimitView';
 import { LiveJob } from './waiting/LiveJob';
@@ -36,7 +36,6 @@
 import type { AdviceTurns } from './advice/AdviceTurns';
 import type { CandidateChoice } from './advice/CandidateChoice';
 import { TurnAccount } from './advice/TurnAccount';
-import type { TurnChoice } from './advice/TurnChoice';
 import { turnChoices } from './advice/turnChoices';
 import { GangWatch } from './runs/GangWatch';
 import type { LookAnswer } from './endpoints/LookAnswer';
@@ -46,14 +45,12 @@
 import { RunLedger } from './runs/RunLedger';
 import { RunMover } from './runs/RunMover';
 import { RunOrders } from './runs/RunOrders';
-import type { SpeedChoice } from './placing/SpeedChoice';
 import { EndpointSpeeds } from './speeds/EndpointSpeeds';
 import { RunLearner } from './speeds/RunLearner';
 import { RunTimes } from './speeds/RunTimes';
 import { EndpointPreference } from './placing/EndpointPreference';
 import { EndpointTrust } from './stops/EndpointTrust';
 import type { MoveCandidate } from './stops/MoveCandidate';
-import type { StopChoice } from './stops/StopChoice';
 import { stopChoices } from './stops/stopChoices';
 import type { StopPrice } from './stops/StopPrice';
 import { SuspicionCosts } from './placing/SuspicionCosts';
@@ -62,7 +59,7 @@
 import type { WaitingStep } from './waiting/WaitingStep';
 import { WaitTeller } from './waiting/WaitTeller';
 
-interface DispatcherOptions {
+interface DispatcherOptions extends Partial<DispatchWays> {
   /** Definition of any job, also of one that has ended. */
   readonly readDefinition: (id: JobId) => JobDefinition | undefined;
   /** Monotonic time until which an endpoint that has not been heard may run what earlier leaders placed there. */
@@ -71,11 +68,6 @@
   readonly longestLeaseMs?: number;
   /** The limit of a customer in the configuration in force; where there is none, that kept with the job counts. */
   readonly readLimit?: (customer: CustomerName) => TaskDemand | undefined;
-  readonly placementOrder?: PlacementOrder;
-  readonly speedChoice?: SpeedChoice;
-  readonly hallChoice?: HallChoice;
-  readonly stopChoice?: StopChoice;
-  readonly turnChoice?: TurnChoice;
 }
 
 type StartEffect = Extract<DispatchEffect, { kind: 'start' }>;
@@ -96,6 +88,7 @@
   private readonly shares = new ShareMeter();
   private effects: DispatchEffect[] = [];
   private readonly changed = new Set<JobId>();
+  private readonly order: (typeof placementOrders)[PlacementOrder];
   private readonly placer: StepPlacer;
   private readonly ledger: RunLedger;
   private readonly orders: RunOrders;
@@ -125,7 +118,9 @@
 
   constructor(private readonly options: DispatcherOptions) {
     const sendEffect = (effect: DispatchEffect): void => void this.effects.push(effect);
-    const stops = stopChoices[options.stopChoice ?? dispatchDefaults.stopChoice];
+    const ways: DispatchWays = { ...dispatchDefaults, ...options };
+    this.order = placementOrders[ways.placementOrder];
+    const stops = stopChoices[ways.stopChoice];
     const sinks = {
       handleFreed: () => {
         this.hasNews = true;
@@ -159,18 +154,18 @@
     const kinds = new KindSpeeds();
     const { speeds } = this;
     const times = new RunTimes();
-    const speedChoice = options.speedChoice ?? dispatchDefaults.speedChoice;
+    const { speedChoice, hallChoice } = ways;
     const preference = new EndpointPreference({
       kinds,
       speeds,
       times,
       room: this.room,
       speedChoice,
-      hallChoice: options.hallChoice ?? dispatchDefaults.hallChoice,
+      hallChoice,
     });
     this.preference = preference;
     const { room, adviceHistory: history } = this;
-    const way = turnChoices[options.turnChoice ?? dispatchDefaults.turnChoice];
+    const way = turnChoices[ways.turnChoice];
     const candidates = way.createCandidates({ room, preemptor, history, preference });
     this.adviceCandidates = candidates;
     this.turnAccount = new TurnAccount((name, amount) => sendEffect({ kind: 'count', name, amount }));
@@ -522,8 +517,7 @@
         waiting.push(...job.readWaiting(wallMs));
       }
     }
-    const order = this.options.placementOrder ?? dispatchDefaults.placementOrder;
-    return placementOrders[order].toOrder(waiting, {
+    return this.order.toOrder(waiting, {
       wallMs,
       usage: this.usage,
       readCapacity: () => this.readCapacity(),
--- a/packages/dispatch/LeaderDuty.ts
+++ b/packages/dispatch/LeaderDuty.ts
@@ -1,9 +1,5 @@
 import type { CustomerName } from '../customers/CustomerName';
 import type { TaskDemand } from '../jobs/TaskDemand';
-import type { PlacementOrder } from './waiting/PlacementOrder';
-import type { HallChoice } from './placing/HallChoice';
-import type { StopChoice } from './stops/StopChoice';
-import type { SpeedChoice } from './placing/SpeedChoice';
 import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
@@ -20,10 +16,10 @@
 import { adviceDesks } from './advice/adviceDesks';
 import type { QuestionDesk } from './advice/QuestionDesk';
 import type { QuestionDeskOptions } from './advice/QuestionDeskOptions';
-import type { TurnChoice } from './advice/TurnChoice';
 import type { DispatchCount } from './DispatchCount';
 import type { DispatchEffect } from './DispatchEffect';
 import { Dispatcher } from './Dispatcher';
+import type { DispatchWays } from './DispatchWays';
 import type { EndpointClient } from './endpoints/EndpointClient';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
 import { EndpointSessions } from './endpoints/EndpointSessions';
@@ -54,11 +50,7 @@
   readonly clock: MachineClock;
   readonly random: Random;
   readonly logger: Logger;
-  readonly placementOrder: PlacementOrder;
-  readonly speedChoice: SpeedChoice;
-  readonly hallChoice: HallChoice;
-  readonly stopChoice: StopChoice;
-  readonly turnChoice: TurnChoice;
+  readonly ways: DispatchWays;
   /** Takes each digest of the load that the other boxes are told of; without it none is made. */
   readonly handleLoad?: (digest: string) => void;
   /** The limit of a customer in the configuration in force. */
@@ -128,15 +120,11 @@
     this.lines = new LineGatherer(options.logger);
     this.load = new LoadTeller(epoch, clock.readNow());
     this.dispatcher = new Dispatcher({
+      ...options.ways,
       unheardUntil: options.earlierLeasesEndAt,
       longestLeaseMs: options.longestLeaseMs,
       readDefinition: (id) => replica.readDefinition(id),
       readLimit: options.readLimit,
-      placementOrder: options.placementOrder,
-      speedChoice: options.speedChoice,
-      hallChoice: options.hallChoice,
-      stopChoice: options.stopChoice,
-      turnChoice: options.turnChoice,
     });
     this.rounds = new RoundPacer({ clock, handleRound: () => this.applyRound() });
     this.roundWatch = new RoundWatch({
@@ -188,7 +176,7 @@
       handleChanged: () => this.queueRound(),
       handleDeposed: (detail) => this.handleDeposed(detail),
     });
-    this.desk = adviceDesks[options.turnChoice]({
+    this.desk = adviceDesks[options.ways.turnChoice]({
       clock,
       readAskers: options.readAskers,
       handleAnswer: (question, answer, tookMs) => {
--- a/packages/dispatch/dispatchDefaults.ts
+++ b/packages/dispatch/dispatchDefaults.ts
@@ -1,19 +1,7 @@
-import type { HallChoice } from './placing/HallChoice';
-import type { StopChoice } from './stops/StopChoice';
-import type { SpeedChoice } from './placing/SpeedChoice';
-import type { TurnChoice } from './advice/TurnChoice';
-import type { PlacementOrder } from './waiting/PlacementOrder';
-
-interface DispatchDefaults {
-  readonly placementOrder: PlacementOrder;
-  readonly speedChoice: SpeedChoice;
-  readonly hallChoice: HallChoice;
-  readonly stopChoice: StopChoice;
-  readonly turnChoice: TurnChoice;
-}
+import type { DispatchWays } from './DispatchWays';
 
 /** The ways of deciding that hold unless others are chosen; docs/design/shifted-work.md has the figures for them. */
-export const dispatchDefaults: DispatchDefaults = {
+export const dispatchDefaults: DispatchWays = {
   placementOrder: 'shares',
   speedChoice: 'endpoints',
   hallChoice: 'together',
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -403,11 +403,7 @@
       clock,
       random,
       logger: this.options.createPartLogger('leader'),
-      placementOrder: settings.placementOrder,
-      speedChoice: settings.speedChoice,
-      hallChoice: settings.hallChoice,
-      stopChoice: settings.stopChoice,
-      turnChoice: settings.turnChoice,
+      ways: settings,
       // A leader does not read what it writes.
       ...(doors[settings.door].isTold
         ? { handleLoad: (value) => this.foldLoad([{ key: loadKeys.digestKey, value }]) }
