One copy each: smoothed times with their limit, quantiles of sorted values, the power that boxes tell, the reserve, scaled demands, the time of use; no change of behaviour meant

AskerLoad had written AnswerTimeout's arithmetic again, SpeedGroups and StepSpeeds the quantiles of SampleWindow, two schemas the same fields. A plan of stops adds up the price of the runs that it adds, not of all anew; the capacity is summed in one place. Tests: unansweredStarts, makingRoom, adviceTurns, adviceQuestions, endpointSpeeds, kindSpeeds, stops, heldShares, loadDoor, loadDigest, leadership, foreignRecords, dispatch, serve/door, serve/turnedAway (172) pass.

--- a/packages/boxes/BoxDirectory.ts
+++ b/packages/boxes/BoxDirectory.ts
@@ -2,15 +2,11 @@
 import { parseJson } from '../common/parseJson';
 import type { LogRecord } from '../store/LogRecord';
 import type { BoxPower } from './BoxPower';
+import { boxPowerSchema } from './boxPowerSchema';
 import { measureStrength } from './measureStrength';
 
 const KEY_PREFIX = 'b/';
-/** Boxes of earlier versions do not tell their link. */
-const recordSchema = z.object({
-  address: z.string(),
-  cores: z.number(),
-  linkMbps: z.number().positive().default(Infinity),
-});
+const recordSchema = boxPowerSchema.extend({ address: z.string() });
 /** A box with so many times the strength of another is the stronger one. */
 const STRONGER_RATIO = 1.5;
 
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -14,6 +14,7 @@
 import { leaderRecordSchema } from '../leadership/leaderRecordSchema';
 import type { LogWrite } from '../store/LogWrite';
 import type { WriteOutcome } from '../store/WriteOutcome';
+import { boxPowerSchema } from './boxPowerSchema';
 import type { ConfigurationAnswer } from './ConfigurationAnswer';
 
 interface BoxServerOptions {
@@ -63,11 +64,7 @@
 });
 const writeSchema = z.object({ key: z.string(), value: z.string(), timeoutMs: z.number().positive() });
 const configurationQuestionSchema = z.object({ knownVersion: z.number() });
-const introductionSchema = leaderRecordSchema.extend({
-  address: z.string(),
-  cores: z.number(),
-  linkMbps: z.number().positive().default(Infinity),
-});
+const introductionSchema = leaderRecordSchema.extend({ address: z.string(), ...boxPowerSchema.shape });
 const handOverSchema = z.object({ epoch: z.number() });
 
 const readBody = ({ body }: FastifyRequest): unknown =>
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -277,7 +277,8 @@
 
   /** What waits and runs. Looks at all jobs and runs. */
   readLoad(wallMs: number): LoadSnapshot {
-    return measureLoad({ books: this.books.values(), jobs: this.jobs, usage: this.usage, wallMs });
+    const capacity = this.readCapacity();
+    return measureLoad({ books: this.books.values(), jobs: this.jobs, usage: this.usage, capacity, wallMs });
   }
 
   readBook(id: EndpointLife): EndpointBook | undefined {
--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -60,8 +60,7 @@
     const { shape } = step;
     const demand = this.room.toCountedDemand(shape);
     const roomy = open.filter((book) => book.hasRoom(demand));
-    const hasReserveLeft = shape.isFiller || demand.cpuMillis <= this.room.readReserveLeft(step);
-    if (roomy.length === 0 || !hasReserveLeft) {
+    if (roomy.length === 0 || !this.room.isWithinReserve(step)) {
       return [];
     }
     const allowed = roomy.filter((book) => this.hasBeenAllowed(step, book));
--- a/packages/dispatch/advice/AskerLoad.ts
+++ b/packages/dispatch/advice/AskerLoad.ts
@@ -1,8 +1,5 @@
-/** How much of a new delay counts in the mean and the deviation, as in TCP's timer. */
-const MEAN_WEIGHT = 1 / 8;
-const DEVIATION_WEIGHT = 1 / 4;
-/** So many deviations above the mean an answer is late. */
-const LATE_DEVIATIONS = 4;
+import { SmoothedTime } from '../../common/SmoothedTime';
+
 /** Before an answer was seen, and at most, an answer may take so much longer than the service needs. */
 const MOST_DELAY_MS = 1200;
 /** A question goes to a second box no sooner, since that takes a second turn. */
@@ -14,8 +11,7 @@
 export class AskerLoad {
   /** Undefined while it has no question under way. */
   private question: { readonly isLong: boolean } | undefined;
-  private meanMs: number | undefined;
-  private deviationMs = 0;
+  private readonly delays = new SmoothedTime();
   private answeredAt = 0;
   /** It failed to answer; until this monotonic time others are asked. */
   private avoidedUntil = -Infinity;
@@ -34,16 +30,13 @@
 
   /** How much longer than the service needs the next answer is likely to take, in milliseconds. */
   readDelayMs(now: number): number {
-    return (this.meanMs ?? 0) * 0.5 ** ((now - this.answeredAt) / HALF_LIFE_MS);
+    return (this.delays.readMeanMs() ?? 0) * 0.5 ** ((now - this.answeredAt) / HALF_LIFE_MS);
   }
 
   /** How much longer than the service needs an answer takes at most, unless something is wrong; what is usual before the first. */
   readLateMs(usualMs = MOST_DELAY_MS): number {
-    if (this.meanMs === undefined) {
-      return usualMs;
-    }
-    const lateMs = this.meanMs + LATE_DEVIATIONS * this.deviationMs;
-    return Math.min(MOST_DELAY_MS, Math.max(LEAST_DELAY_MS, lateMs));
+    const lateMs = this.delays.readLimitMs();
+    return lateMs === undefined ? usualMs : Math.min(MOST_DELAY_MS, Math.max(LEAST_DELAY_MS, lateMs));
   }
 
   recordQuestion(isLong: boolean): void {
@@ -54,13 +47,7 @@
     this.question = undefined;
     this.avoidedUntil = -Infinity;
     this.answeredAt = now;
-    if (this.meanMs === undefined) {
-      this.meanMs = delayMs;
-      this.deviationMs = delayMs / 2;
-      return;
-    }
-    this.deviationMs += DEVIATION_WEIGHT * (Math.abs(delayMs - this.meanMs) - this.deviationMs);
-    this.meanMs += MEAN_WEIGHT * (delayMs - this.meanMs);
+    this.delays.recordTime(delayMs);
   }
 
   /** An answer is late; it may still come. */
--- a/packages/dispatch/advice/PlannedCandidates.ts
+++ b/packages/dispatch/advice/PlannedCandidates.ts
@@ -75,12 +75,6 @@
 /** A ticket with less of its life left is renewed by any question: one endpoint more is cheap, another question is not. */
 const AGING_SHARE = 0.6;
 
-const toScaled = (demand: TaskDemand, factor: number): TaskDemand => ({
-  cpuMillis: demand.cpuMillis * factor,
-  memoryMb: demand.memoryMb * factor,
-  accelerators: demand.accelerators * factor,
-});
-
 const toPlaceSum = (candidates: readonly Candidate[]): number =>
   candidates.reduce((sum, { places }) => sum + places, 0);
 
@@ -152,12 +146,7 @@
     }
     const isDue = now - advice.readAnsweredAt() >= MORE_EVERY_MS;
     const isWorthIt = expected * TURN_PER_START_MS >= decisionMs;
-    return roomy.length > 0 && (isDue || isWorthIt) && this.isWithinReserve(step);
-  }
-
-  private isWithinReserve(step: WaitingStep): boolean {
-    const demand = this.options.room.toCountedDemand(step.shape);
-    return step.shape.isFiller || demand.cpuMillis <= this.options.room.readReserveLeft(step);
+    return roomy.length > 0 && (isDue || isWorthIt) && this.options.room.isWithinReserve(step);
   }
 
   /** Those that are known to be allowed first; of each kind those that suit the step, and about which no other step asks. */
@@ -243,7 +232,7 @@
     const most =
       shape.maxPerEndpoint === 0 ? MAX_PLACES_BY_STOPS : Math.min(MAX_PLACES_BY_STOPS, shape.maxPerEndpoint);
     let count = 0;
-    while (count < most && preemptor.hasRoomWithStops(step, book, toScaled(one, count + 1), now)) {
+    while (count < most && preemptor.hasRoomWithStops(step, book, demandSums.toScaled(one, count + 1), now)) {
       count += 1;
     }
     return count;
@@ -256,7 +245,7 @@
     if (claimed === demandSums.NOTHING) {
       return places;
     }
-    const whole = toScaled(room.toCountedDemand(step.shape), places);
+    const whole = demandSums.toScaled(room.toCountedDemand(step.shape), places);
     return room.measureFitCount(demandSums.toDifference(whole, claimed), step.shape);
   }
 
@@ -266,7 +255,7 @@
     const part = Math.min(1, needed / Math.max(1, toPlaceSum(chosen)));
     const { priority } = step.job.definition.queue;
     for (const { book, places } of chosen) {
-      const claim = { step: toStepName(step), priority, room: toScaled(demand, places * part) };
+      const claim = { step: toStepName(step), priority, room: demandSums.toScaled(demand, places * part) };
       this.claims.recordClaim(book.readProfile().life, claim);
     }
   }
--- a/packages/dispatch/endpoints/AnswerTimeout.ts
+++ b/packages/dispatch/endpoints/AnswerTimeout.ts
@@ -1,7 +1,5 @@
-/** Weights of the newest answer in the mean and the deviation, and the factor on the deviation: those of TCP (RFC 6298). */
-const MEAN_WEIGHT = 1 / 8;
-const DEVIATION_WEIGHT = 1 / 4;
-const DEVIATION_FACTOR = 4;
+import { SmoothedTime } from '../../common/SmoothedTime';
+
 /** An answer that did not come within the limit counts as one that took so many times as long, since a full link makes all answers late. */
 const UNANSWERED_FACTOR = 2;
 /** Bounds in milliseconds. The lower one is far above an answer within a region, the upper one holds until answers are known. */
@@ -13,17 +11,10 @@
  * retransmissions. An order without an answer is cleared up by a stop and a look: the sooner, the less its task waits.
  */
 export class AnswerTimeout {
-  private meanMs: number | undefined;
-  private deviationMs = 0;
+  private readonly answers = new SmoothedTime();
 
   recordAnswer(tookMs: number): void {
-    if (this.meanMs === undefined) {
-      this.meanMs = tookMs;
-      this.deviationMs = tookMs / 2;
-      return;
-    }
-    this.deviationMs += DEVIATION_WEIGHT * (Math.abs(this.meanMs - tookMs) - this.deviationMs);
-    this.meanMs += MEAN_WEIGHT * (tookMs - this.meanMs);
+    this.answers.recordTime(tookMs);
   }
 
   /**
@@ -38,9 +29,7 @@
 
   /** Time to wait, in milliseconds. */
   readTimeoutMs(): number {
-    if (this.meanMs === undefined) {
-      return MAX_MS;
-    }
-    return Math.min(MAX_MS, Math.max(MIN_MS, this.meanMs + DEVIATION_FACTOR * this.deviationMs));
+    const limitMs = this.answers.readLimitMs();
+    return limitMs === undefined ? MAX_MS : Math.min(MAX_MS, Math.max(MIN_MS, limitMs));
   }
 }
--- a/packages/dispatch/measureLoad.ts
+++ b/packages/dispatch/measureLoad.ts
@@ -13,6 +13,8 @@
   readonly books: Iterable<EndpointBook>;
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly usage: CustomerUsage;
+  /** Room of all usable endpoints together, taken or not. */
+  readonly capacity: TaskDemand;
   readonly wallMs: number;
 }
 
@@ -22,10 +24,9 @@
 type CustomerRow = LoadSnapshot['customers'] extends ReadonlyMap<CustomerName, infer Row> ? Row : never;
 
 /** Sums up what waits and runs. Looks at all jobs and runs, so it is for once a second, not for each round. */
-export const measureLoad = ({ books, jobs, usage, wallMs }: LoadInput): LoadSnapshot => {
+export const measureLoad = ({ books, jobs, usage, capacity, wallMs }: LoadInput): LoadSnapshot => {
   const queues = new Map<string, QueueRow>();
   const customers = new Map<CustomerName, CustomerRow>();
-  let capacity: TaskDemand = demandSums.NOTHING;
   let freeCpuMillis = 0;
 
   const readQueue = (queue: string): QueueRow => {
@@ -36,7 +37,6 @@
 
   for (const book of books) {
     if (book.isUsable()) {
-      capacity = demandSums.toSum(capacity, book.readProfile().capacity);
       freeCpuMillis += book.readFreeCpuMillis();
     }
     for (const { job, demand } of book.readRuns()) {
--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -199,9 +199,9 @@
       ({ added, free } = this.toTrimmed(added, free, demand));
     }
     const victims = [...earlier, ...added];
-    const cost = victims.reduce(
+    const cost = added.reduce(
       (sum, run) => sum + this.options.room.measureCost(this.toStoppable(run, now)),
-      0,
+      before?.cost ?? 0,
     );
     const count = (before?.count ?? 0) + 1;
     return { left: demandSums.toDifference(free, demand), victims, cost, count };
--- a/packages/dispatch/placing/RoomView.ts
+++ b/packages/dispatch/placing/RoomView.ts
@@ -165,6 +165,12 @@
     return free - capacity * RESERVED_SHARE;
   }
 
+  /** True when one task of the step touches nothing of what is kept for the most urgent. */
+  isWithinReserve(step: WaitingStep): boolean {
+    const { shape } = step;
+    return shape.isFiller || this.toCountedDemand(shape).cpuMillis <= this.readReserveLeft(step);
+  }
+
   /**
    * The hall into which the tasks of a job go first: by the job's id, in proportion to the usable endpoints. It stays the same while
    * halls keep their sizes, for every leader; jobs go elsewhere once a hall is silent.
--- a/packages/dispatch/speeds/RunTimes.ts
+++ b/packages/dispatch/speeds/RunTimes.ts
@@ -21,15 +21,11 @@
 const TASK_SPREAD = 0.3;
 /** Windows whose values happen to agree do not make a single run prove anything: another kind of work may come any time. */
 const MIN_SPREAD = 0.2;
-/** Quantiles one standard deviation below and above the median: a few long runs do not move them. */
-const LOWER_SHARE = 0.16;
-const UPPER_SHARE = 0.84;
 const TAIL_SHARE = 0.9;
 /** Standard deviations between the median and the tail of normal values. */
 const TAIL_DEVIATIONS = 1.28;
 
-const measureSpread = (window: SampleWindow): number =>
-  Math.max(MIN_SPREAD, (window.readQuantile(UPPER_SHARE) - window.readQuantile(LOWER_SHARE)) / 2);
+const readSpread = (window: SampleWindow): number => Math.max(MIN_SPREAD, window.readSpread());
 
 const toBaseMs = (shape: JobStep): number => Math.max(1, shape.estimatedMs);
 
@@ -76,8 +72,8 @@
     return {
       logMs: Math.log(toBaseMs(shape)) + (ratios?.readQuantile(0.5) ?? 0),
       isLearnt: ratios !== undefined,
-      spread: ratios === undefined ? ESTIMATE_SPREAD : measureSpread(ratios),
-      taskSpread: deviations === undefined ? TASK_SPREAD : measureSpread(deviations),
+      spread: ratios === undefined ? ESTIMATE_SPREAD : readSpread(ratios),
+      taskSpread: deviations === undefined ? TASK_SPREAD : readSpread(deviations),
     };
   }
 
--- a/packages/dispatch/speeds/SampleWindow.ts
+++ b/packages/dispatch/speeds/SampleWindow.ts
@@ -1,3 +1,7 @@
+import { measureSpread } from '../../common/measureSpread';
+import { readQuantile } from '../../common/readQuantile';
+import { toSorted } from '../../common/toSorted';
+
 /** So many of the newest values count, so that what they tell may change. */
 const MAX_VALUES = 96;
 
@@ -25,7 +29,16 @@
 
   /** The value that a share of the values, 0 to 1, do not exceed; 0 for an empty window. */
   readQuantile(share: number): number {
-    this.sorted ??= [...this.values].sort((left, right) => left - right);
-    return this.sorted[Math.floor((this.sorted.length - 1) * share)] ?? 0;
+    return readQuantile(this.readSorted(), share) ?? 0;
+  }
+
+  /** How far the values are spread, as a standard deviation; 0 for an empty window. */
+  readSpread(): number {
+    return measureSpread(this.readSorted());
+  }
+
+  private readSorted(): readonly number[] {
+    this.sorted ??= toSorted(this.values);
+    return this.sorted;
   }
 }
--- a/packages/dispatch/speeds/SpeedGroups.ts
+++ b/packages/dispatch/speeds/SpeedGroups.ts
@@ -1,3 +1,6 @@
+import { measureSpread } from '../../common/measureSpread';
+import { readQuantile } from '../../common/readQuantile';
+import { toSorted } from '../../common/toSorted';
 import type { SpeedPrior } from './SpeedPrior';
 
 interface GroupMember {
@@ -18,23 +21,18 @@
 const MIN_VARIANCE = 0.06 ** 2;
 /** A group is unlike the rest when its median is further off than so many standard errors: many groups are compared. */
 const UNLIKE_ERRORS = 4;
-/** Quantiles one standard deviation below and above the median: single endpoints that are sick do not move them. */
-const LOWER_SHARE = 0.16;
-const UPPER_SHARE = 0.84;
-
-const readSorted = (values: readonly number[]): ((share: number) => number) => {
-  const sorted = [...values].sort((left, right) => left - right);
-  return (share) => sorted[Math.floor((sorted.length - 1) * share)]!;
-};
 
 /** How far chance in the members' own runs moves them. */
 const measureNoise = (members: readonly GroupMember[]): number =>
   members.reduce((sum, { variance }) => sum + variance, 0) / members.length;
 
 const toPrior = (members: readonly GroupMember[]): SpeedPrior => {
-  const readShare = readSorted(members.map(({ mean }) => mean));
-  const spread = (readShare(UPPER_SHARE) - readShare(LOWER_SHARE)) / 2;
-  return { mean: readShare(0.5), variance: Math.max(MIN_VARIANCE, spread ** 2 - measureNoise(members)) };
+  const means = toSorted(members.map(({ mean }) => mean));
+  const spread = measureSpread(means);
+  return {
+    mean: readQuantile(means, 0.5) ?? 0,
+    variance: Math.max(MIN_VARIANCE, spread ** 2 - measureNoise(members)),
+  };
 };
 
 /** What the known endpoints tell of others with the same label or in the same hall. */
--- a/packages/dispatch/waiting/StepSpeeds.ts
+++ b/packages/dispatch/waiting/StepSpeeds.ts
@@ -1,11 +1,9 @@
+import { readQuantile } from '../../common/readQuantile';
+import { toSorted } from '../../common/toSorted';
+
 /** Fewer runs than this say nothing about what is usual for a step. */
 const MIN_SAMPLES = 3;
 
-const readMiddle = (values: Iterable<number>): number => {
-  const sorted = [...values].sort((left, right) => left - right);
-  return sorted[Math.floor((sorted.length - 1) / 2)]!;
-};
-
 /** How fast the runs of one step work, in milliseconds for one percent, to tell slow ones from their siblings. */
 export class StepSpeeds {
   private readonly paces = new Map<number, number>();
@@ -28,7 +26,7 @@
     if (this.paces.size < MIN_SAMPLES) {
       return undefined;
     }
-    this.median ??= readMiddle(this.paces.values());
+    this.median ??= readQuantile(toSorted(this.paces.values()), 0.5);
     return this.median;
   }
 
@@ -37,7 +35,7 @@
     if (this.corrected.size < MIN_SAMPLES) {
       return undefined;
     }
-    this.correctedMedian ??= readMiddle(this.corrected.values());
+    this.correctedMedian ??= readQuantile(toSorted(this.corrected.values()), 0.5);
     return this.correctedMedian;
   }
 }
--- a/packages/dispatch/waiting/toHeldOrder.ts
+++ b/packages/dispatch/waiting/toHeldOrder.ts
@@ -1,5 +1,6 @@
 import type { CustomerName } from '../../customers/CustomerName';
 import type { TaskDemand } from '../../jobs/TaskDemand';
+import { toUsefulMs } from '../../jobs/toUsefulMs';
 import type { OwedShares } from '../../load/OwedShares';
 import { toDominantShare } from '../../load/toDominantShare';
 import { toOwedShares } from '../../load/toOwedShares';
@@ -23,8 +24,6 @@
 const TIMELINESS = { inTime: 0, late: 1, useless: 2 } as const;
 /** Callers' guesses of run times may be nine tenths too long: no work is given up as late for a guess. */
 const CERTAIN_PART = 0.1;
-/** Callers still have use for what ends within so many times its objective. */
-const USEFUL_FACTOR = 3;
 /** Once in so many turns what is past its use goes first: it was promised, and gets room however much newer work there is. */
 const LATE_TURN_EVERY = 8;
 /** A turn lasts longer than a round, and is short beside any objective. */
@@ -41,7 +40,7 @@
   const { job, time, objectiveAtMs } = step;
   const remainingMs = (input.readRemainingMs ?? readCertainMs)(step);
   const startedAtMs = Math.max(job.definition.acceptedAtMs, job.readDueAtMs(time));
-  const usefulUntilMs = startedAtMs + USEFUL_FACTOR * (objectiveAtMs - startedAtMs);
+  const usefulUntilMs = startedAtMs + toUsefulMs(objectiveAtMs - startedAtMs);
   const isInTime = input.wallMs + remainingMs <= objectiveAtMs;
   const isUseful = input.wallMs + remainingMs <= usefulUntilMs;
   return {
--- a/packages/load/chooseDoorAnswer.ts
+++ b/packages/load/chooseDoorAnswer.ts
@@ -1,11 +1,10 @@
 import { measureRemaining } from '../jobs/measureRemaining';
+import { toUsefulMs } from '../jobs/toUsefulMs';
 import type { DoorAnswer } from './DoorAnswer';
 import type { DoorCaller } from './DoorCaller';
 import type { KnownLoad } from './KnownLoad';
 import type { LoadDigest } from './LoadDigest';
 
-/** Callers still have use for what ends within so many times its objective. */
-const USEFUL_FACTOR = 3;
 /** Nobody is sent away for less: the next digest may tell otherwise. */
 const MIN_RETRY_MS = 1000;
 /** Callers that are refused together come back over so much more time, by their ids, rather than in one wave. */
@@ -22,7 +21,7 @@
 /** Longest time that a job may wait before it is of no use, by its caller's estimates; they err on the side of taking. */
 const measureUsefulMs = ({ queue, steps, dueInMs }: DoorCaller): number => {
   const objectiveMs = queue.targetLatencyMs + queue.stretch * Math.max(0, ...measureRemaining(steps));
-  return dueInMs + USEFUL_FACTOR * objectiveMs;
+  return dueInMs + toUsefulMs(objectiveMs);
 };
 
 /** A customer that holds less than it is owed waits behind others for so much less. */
