--- a/packages/common/HttpCaller.ts
+++ b/packages/common/HttpCaller.ts
@@ -37,8 +37,7 @@
  */
 export class HttpCaller {
   /**
-   * Made with the first call: one takes 19 kB, and of the three callers that a leader has for each of 1,000 endpoints one is hardly used (heap of
-   * 1,000 clients, 58 MB with all pools made at once).
+   * Made with the first call: a leader has three callers for each endpoint, and of a thousand endpoints most need one of them hardly ever.
    */
   private pool: Pool | undefined;
   private isStopped = false;
--- /dev/null
+++ b/packages/common/appendTo.ts
@@ -0,0 +1,9 @@
+/** Adds a value to the list under a key, which begins with it where there is none. */
+export const appendTo = <Key, Value>(lists: Map<Key, Value[]>, key: Key, value: Value): void => {
+  const list = lists.get(key);
+  if (list === undefined) {
+    lists.set(key, [value]);
+  } else {
+    list.push(value);
+  }
+};
--- a/packages/dispatch/advice/AdviceCandidates.ts
+++ b/packages/dispatch/advice/AdviceCandidates.ts
@@ -1,3 +1,4 @@
+import { toCountedDemand } from '../../jobs/toCountedDemand';
 import { demandSums } from '../../jobs/demandSums';
 import type { AdviceHistory } from './AdviceHistory';
 import type { CandidateChoice } from './CandidateChoice';
@@ -58,7 +59,7 @@
     missing: number,
   ): readonly EndpointBook[] {
     const { shape } = step;
-    const demand = this.room.toCountedDemand(shape);
+    const demand = toCountedDemand(shape);
     const roomy = open.filter((book) => book.hasRoom(demand));
     if (roomy.length === 0 || !this.room.isWithinReserve(step)) {
       return [];
@@ -110,7 +111,7 @@
     now: number,
   ): readonly EndpointBook[] {
     const { shape } = step;
-    const demand = this.room.toCountedDemand(shape);
+    const demand = toCountedDemand(shape);
     const unasked = open.filter(
       (book) => !this.hasBeenAllowed(step, book) && demandSums.isWithin(demand, book.readProfile().capacity),
     );
--- a/packages/dispatch/advice/PlannedCandidates.ts
+++ b/packages/dispatch/advice/PlannedCandidates.ts
@@ -1,3 +1,4 @@
+import { toCountedDemand } from '../../jobs/toCountedDemand';
 import { demandSums } from '../../jobs/demandSums';
 import type { EndpointLife } from '../../jobs/EndpointLife';
 import type { TaskDemand } from '../../jobs/TaskDemand';
@@ -178,7 +179,7 @@
     const answerAt = Math.max(neededUntil, now + answerMs + USE_ANSWER_MS);
     const stays = 0.5 ** (answerMs / ROOM_HALF_LIFE_MS);
     const freshUntil = now + validityMs * AGING_SHARE;
-    const demand = room.toCountedDemand(step.shape);
+    const demand = toCountedDemand(step.shape);
     const share = history.readShare(queue.name);
     const isMostUrgent = room.isMostUrgent(queue);
     const readCost = preference.createCostOf(step, eligible);
@@ -226,9 +227,9 @@
   }
 
   private measurePlacesByStops(step: WaitingStep, book: EndpointBook, now: number): number {
-    const { room, preemptor } = this.options;
+    const { preemptor } = this.options;
     const { shape } = step;
-    const one = room.toCountedDemand(shape);
+    const one = toCountedDemand(shape);
     const most =
       shape.maxPerEndpoint === 0 ? MAX_PLACES_BY_STOPS : Math.min(MAX_PLACES_BY_STOPS, shape.maxPerEndpoint);
     let count = 0;
@@ -245,13 +246,13 @@
     if (claimed === demandSums.NOTHING) {
       return places;
     }
-    const whole = demandSums.toScaled(room.toCountedDemand(step.shape), places);
+    const whole = demandSums.toScaled(toCountedDemand(step.shape), places);
     return room.measureFitCount(demandSums.toDifference(whole, claimed), step.shape);
   }
 
   /** The tasks that are needed will take the same part of the places on each endpoint. */
   private recordClaims(step: WaitingStep, chosen: readonly Candidate[], needed: number): void {
-    const demand = this.options.room.toCountedDemand(step.shape);
+    const demand = toCountedDemand(step.shape);
     const part = Math.min(1, needed / Math.max(1, toPlaceSum(chosen)));
     const { priority } = step.job.definition.queue;
     for (const { book, places } of chosen) {
--- a/packages/dispatch/placing/RoomView.ts
+++ b/packages/dispatch/placing/RoomView.ts
@@ -1,3 +1,4 @@
+import { toCountedDemand } from '../../jobs/toCountedDemand';
 import type { EndpointLife } from '../../jobs/EndpointLife';
 import type { JobQueue } from '../../jobs/JobQueue';
 import type { JobStep } from '../../jobs/JobStep';
@@ -58,7 +59,7 @@
       return true;
     }
     const capacity = this.readMeanCapacity(job.definition.queue.service, shape.requiredLabel);
-    const { cpuMillis, memoryMb, accelerators } = this.toCountedDemand(shape);
+    const { cpuMillis, memoryMb, accelerators } = toCountedDemand(shape);
     return (
       cpuMillis > capacity.cpuMillis * LARGE_SHARE ||
       memoryMb > capacity.memoryMb * LARGE_SHARE ||
@@ -84,7 +85,7 @@
 
   /** Tasks of a step that fit some room on one endpoint. */
   measureFitCount(room: TaskDemand, shape: JobStep): number {
-    const demand = this.toCountedDemand(shape);
+    const demand = toCountedDemand(shape);
     const toCount = (whole: number, part: number): number =>
       part === 0 ? Infinity : Math.max(0, Math.floor(whole / part));
     return Math.min(
@@ -103,11 +104,6 @@
     this.unmet.clear();
   }
 
-  /** Room that a task of the step takes: a filler takes no processor time that is kept for others. */
-  toCountedDemand(shape: JobStep): TaskDemand {
-    return shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand;
-  }
-
   /** Usable endpoints of the step's service with the label that it needs, but those kept for others. */
   readEligible(step: WaitingStep): readonly EndpointBook[] {
     const { job, shape } = step;
@@ -119,7 +115,7 @@
 
   /** True when some endpoint has room for one task of the step. */
   hasAnyRoom({ job, shape }: WaitingStep, eligible: readonly EndpointBook[]): boolean {
-    const demand = this.toCountedDemand(shape);
+    const demand = toCountedDemand(shape);
     const key = this.toKey(job.definition.queue.service, shape.requiredLabel);
     const unmet = this.unmet.get(key) ?? [];
     if (unmet.some((smaller) => demandSums.isWithin(smaller, demand))) {
@@ -168,7 +164,7 @@
   /** True when one task of the step touches nothing of what is kept for the most urgent. */
   isWithinReserve(step: WaitingStep): boolean {
     const { shape } = step;
-    return shape.isFiller || this.toCountedDemand(shape).cpuMillis <= this.readReserveLeft(step);
+    return shape.isFiller || toCountedDemand(shape).cpuMillis <= this.readReserveLeft(step);
   }
 
   /**
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -1,3 +1,4 @@
+import { toCountedDemand } from '../../jobs/toCountedDemand';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskProgress } from '../../jobs/TaskProgress';
 import { createPlacedRun } from '../runs/createPlacedRun';
@@ -223,7 +224,7 @@
     now: number,
   ): EndpointBook | undefined {
     const { shape } = step;
-    const demand = this.room.toCountedDemand(shape);
+    const demand = toCountedDemand(shape);
     const rules = rankingRules[shape.isFiller ? 'filler' : shape.isLongRunning ? 'serving' : 'batch'];
     let best: EndpointBook | undefined;
     let bestFit = Infinity;
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -1,3 +1,4 @@
+import { toCountedDemand } from '../../jobs/toCountedDemand';
 import type { JobDefinition } from '../../jobs/JobDefinition';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import { toTaskName } from '../../jobs/toTaskName';
@@ -23,7 +24,7 @@
     job: definition.id,
     address,
     run,
-    demand: shape.isFiller ? { ...shape.demand, cpuMillis: 0 } : shape.demand,
+    demand: toCountedDemand(shape),
     customer: definition.customer?.name,
     charge: shape.demand,
     isFiller: shape.isFiller,
--- a/packages/dispatch/speeds/EndpointSpeeds.ts
+++ b/packages/dispatch/speeds/EndpointSpeeds.ts
@@ -1,3 +1,4 @@
+import { appendTo } from '../../common/appendTo';
 import type { EndpointLife } from '../../jobs/EndpointLife';
 import type { ServiceName } from '../../jobs/ServiceName';
 import type { EndpointProfile } from '../endpoints/EndpointProfile';
@@ -135,9 +136,7 @@
   private applyGroups(): void {
     const byService = new Map<ServiceName, KnownSpeed[]>();
     for (const speed of this.known.values()) {
-      const known = byService.get(speed.service) ?? [];
-      known.push(speed);
-      byService.set(speed.service, known);
+      appendTo(byService, speed.service, speed);
     }
     for (const [service, speeds] of byService) {
       const members = speeds.flatMap(({ track, groups }) => {
--- a/packages/dispatch/speeds/SpeedGroups.ts
+++ b/packages/dispatch/speeds/SpeedGroups.ts
@@ -1,3 +1,4 @@
+import { appendTo } from '../../common/appendTo';
 import { measureSpread } from '../../common/measureSpread';
 import { readQuantile } from '../../common/readQuantile';
 import { toSorted } from '../../common/toSorted';
@@ -88,12 +89,7 @@
     const byGroup = new Map<string, GroupMember[]>();
     for (const member of members) {
       for (const group of member.groups) {
-        const known = byGroup.get(group);
-        if (known === undefined) {
-          byGroup.set(group, [member]);
-        } else {
-          known.push(member);
-        }
+        appendTo(byGroup, group, member);
       }
     }
     return byGroup;
--- a/packages/dispatch/speeds/StepTimes.ts
+++ b/packages/dispatch/speeds/StepTimes.ts
@@ -1,3 +1,4 @@
+import { appendTo } from '../../common/appendTo';
 import type { EndpointLife } from '../../jobs/EndpointLife';
 import { readMedian } from './readMedian';
 import type { SiblingTime } from './SiblingTime';
@@ -42,12 +43,7 @@
     const byLife = new Map<EndpointLife, number[]>();
     for (const { life, logMs } of this.tasks.values()) {
       if (life !== except) {
-        const known = byLife.get(life);
-        if (known === undefined) {
-          byLife.set(life, [logMs]);
-        } else {
-          known.push(logMs);
-        }
+        appendTo(byLife, life, logMs);
       }
     }
     return [...byLife].map(([life, times]) => {
