fix: ask for advice on free endpoints first when capacity is scarce

With one free endpoint among many full ones each request spent a slot and an answer on full ones first. Free endpoints now go first.

The new test in adviceQuestions failed before: candidates began with i-0 (full), not i-47 (free).

--- a/packages/dispatch/advice/EagerCandidateSelector.ts
+++ b/packages/dispatch/advice/EagerCandidateSelector.ts
@@ -1,5 +1,6 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
 import { resourceMath } from '../../jobs/resourceMath';
+import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { AdviceStats } from './AdviceStats';
 import type { CandidateSelector } from './CandidateSelector';
 import type { EndpointState } from '../endpoints/EndpointState';
@@ -105,7 +106,7 @@
 
   /**
    * Returns the endpoints allowed before that have free capacity for a task, or would have it after preemption; if the missing tasks would
-   * exceed their whole capacity, also all endpoints of sufficient capacity that have not been allowed before, whether free or not. Returns
+   * exceed their whole capacity, also all endpoints of sufficient capacity that have not been allowed before, free ones first. Returns
    * none for a gang that exceeds the capacity while no others are left.
    */
   private chooseWhenScarce(
@@ -133,7 +134,18 @@
     if (shape.isGang && readyCount < missing && unknown.length === 0) {
       return [];
     }
-    return readyCount >= missing ? ready : [...ready, ...unknown];
+    return readyCount >= missing ? ready : [...ready, ...this.sortWithFreeFirst(unknown, demand)];
+  }
+
+  /** Returns the endpoints with those first that have free capacity for the demand. */
+  private sortWithFreeFirst(
+    endpoints: readonly EndpointState[],
+    demand: TaskDemand,
+  ): readonly EndpointState[] {
+    return [
+      ...endpoints.filter((endpoint) => endpoint.hasCapacityFor(demand)),
+      ...endpoints.filter((endpoint) => !endpoint.hasCapacityFor(demand)),
+    ];
   }
 
   /** Returns whether the step may run another task on the endpoint, but has neither a refusal nor a ticket valid until `neededUntil`. */
--- a/tests/adviceQuestions.test.ts
+++ b/tests/adviceQuestions.test.ts
@@ -26,13 +26,17 @@
   beforeEach(() => {
     dispatcher = new Dispatcher({ getDefinition: () => undefined, earlierLeasesEndAt: 0 });
     for (let index = 0; index < ENDPOINTS; index += 1) {
-      const id = toId<EndpointIncarnation>(`i-${index}`);
-      const capacity = { cpuMillis: 1000, memoryMb: 10_000, accelerators: 0 };
-      dispatcher.handleEndpointProfile(createProfile(id, { capacity }));
-      dispatcher.handleStatus({ endpoint: id, running: [], ended: [], pollSentAt: 0 }, 0, 0);
+      sendEndpoint(index);
     }
   });
 
+  const sendEndpoint = (index: number): void => {
+    const id = toId<EndpointIncarnation>(`i-${index}`);
+    const capacity = { cpuMillis: 1000, memoryMb: 10_000, accelerators: 0 };
+    dispatcher.handleEndpointProfile(createProfile(id, { capacity }));
+    dispatcher.handleStatus({ endpoint: id, running: [], ended: [], pollSentAt: 0 }, 0, 0);
+  };
+
   const sendJob = (number: number): void => {
     const definition = createJob(number);
     dispatcher.handleJob(definition, new JobProgress(definition), 0);
@@ -82,6 +86,30 @@
     expect(second!.candidates.filter((id) => first!.candidates.includes(id))).toEqual([]);
   });
 
+  it('name the endpoint with free capacity among many full ones, so that a large task does not wait beside it', () => {
+    const filling = createJobDefinition(90, [
+      createStep({ count: ENDPOINTS, demand: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 } }),
+    ]);
+    dispatcher.handleJob(filling, new JobProgress(filling), 0);
+    dispatcher.placeWaiting(0, 0);
+    for (let index = ENDPOINTS; index < 2 * ENDPOINTS; index += 1) {
+      sendEndpoint(index);
+    }
+    const second = {
+      ...filling,
+      id: createJob(91).id,
+      steps: [createStep({ ...filling.steps[0], count: 23 })],
+    };
+    dispatcher.handleJob(second, new JobProgress(second), 0);
+    dispatcher.placeWaiting(0, 0);
+    const [free] = Array.from({ length: 2 * ENDPOINTS }, (_none, index) => `i-${index}`).filter(
+      (id) => dispatcher.getEndpointState(toId<EndpointIncarnation>(id))!.getFreeCpuMillis() > 0,
+    );
+    sendJob(1);
+    const [request] = takeRequests(0);
+    expect(request!.candidates[0]).toBe(free);
+  });
+
   it('are delayed after one without a response', () => {
     sendJob(1);
     const [first] = takeRequests(0);
