fix: restarts of long-running tasks may use the reserve of the most urgent queue

Its restart only takes back what it had, and batch work gives the reserve back as it ends, so restarts are exempt from the reserve. First runs are not.

--- a/packages/dispatch/placing/CapacityView.ts
+++ b/packages/dispatch/placing/CapacityView.ts
@@ -7,6 +7,7 @@
 import { resourceMath } from '../../jobs/resourceMath';
 import type { EndpointState } from '../endpoints/EndpointState';
 import type { EndpointReservations } from './EndpointReservations';
+import { isLongRunningRestart } from './isLongRunningRestart';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Share of the processor capacity of a service that only its most urgent queue may use. */
@@ -179,10 +180,20 @@
     return free - capacity * RESERVED_CPU_SHARE;
   }
 
-  /** Returns whether the free processor capacity outside the reserve suffices for one task of the step; always true for fillers. */
+  /**
+   * Returns whether the free processor capacity outside the reserve suffices for one task of the step; always true for fillers and for
+   * restarts of long-running tasks.
+   */
   hasUnreservedCpu(step: WaitingStep): boolean {
-    const { shape } = step;
-    return shape.isFiller || toReservedDemand(shape).cpuMillis <= this.computeUnreservedCpuMillis(step);
+    const { job, repetition, shape, indexes } = step;
+    return (
+      shape.isFiller ||
+      toReservedDemand(shape).cpuMillis <= this.computeUnreservedCpuMillis(step) ||
+      indexes.some((index) => {
+        const task = job.progress.getTask({ repetition, step: step.step, index });
+        return task !== undefined && isLongRunningRestart(shape, task);
+      })
+    );
   }
 
   /**
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -16,6 +16,7 @@
 import type { SuspectCosts } from './SuspectCosts';
 import type { EndpointQuarantine } from '../stops/EndpointQuarantine';
 import type { EndpointPreference } from './EndpointPreference';
+import { isLongRunningRestart } from './isLongRunningRestart';
 import { toRoundedWaitTimes } from '../waiting/toRoundedWaitTimes';
 import { toStepName } from '../waiting/toStepName';
 import type { WaitingStep } from '../waiting/WaitingStep';
@@ -188,8 +189,8 @@
   }
 
   /**
-   * Chooses endpoints task by task and takes capacity there. Stops when the processor capacity outside the reserve is used up, which
-   * doesn't limit fillers, or at the first task without crashes that fits nowhere; a task with crashes that fits nowhere is skipped.
+   * Chooses endpoints task by task and takes capacity there. Only fillers and restarts of long-running tasks get processor capacity of the
+   * reserve. Stops at the first task without crashes that fits nowhere; a task with crashes that fits nowhere is skipped.
    */
   private chooseTaskPlacements(
     step: WaitingStep,
@@ -206,8 +207,9 @@
     const runNumber = this.computeNextGangRun(step);
     const computePreferenceCost = this.options.preference.createCostFunction(step, allowed);
     for (const { address, task, isSuspect } of this.listStartableTasks(step)) {
-      if (step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller) {
-        break;
+      const isInReserve = step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller;
+      if (isInReserve && !isLongRunningRestart(step.shape, task)) {
+        continue;
       }
       const candidate = {
         isSuspect,
