fix: bound how long a step waits for an advice slot

Steps that have found no slot for 1 s are now overdue and send their requests first, if they are long-running or their queue has sent none for 2 s, within half of the time of all slots. 'Advice slots are short.' tells which queues use the slots.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -74,7 +74,7 @@
 
 /** Longest lease that an endpoint accepts, in milliseconds, unless the options give another. */
 const DEFAULT_LONGEST_LEASE_MS = 10_000;
-const UNLIMITED_ADVICE_SLOTS: AdviceSlots = { all: Infinity, long: Infinity };
+const UNLIMITED_ADVICE_SLOTS: AdviceSlots = { all: Infinity, long: Infinity, quarantined: 0 };
 
 /**
  * The leader's scheduler as a state machine without clock or I/O: events come in with the current time, and the side effects to
@@ -456,6 +456,7 @@
     const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
     const advice = job?.getStepAdvice(Number(repetition), Number(index));
     const tookMs = advice === undefined ? 0 : now - advice.getLastRequestedAt();
+    this.adviceRequester.recordRequestEnd(step, tookMs);
     if (tickets === undefined) {
       this.adviceMetrics.recordFailure(tookMs);
     }
@@ -490,6 +491,7 @@
     }
     this.reservations.removeExpiredReservations(now);
     this.adviceMetrics.handleTick(now);
+    this.logSlotShortage(now);
     this.runLearner.handleTick(now);
     this.runMover.handleTick(now);
     this.longWaitLogger.logLongWaits(now);
@@ -504,14 +506,17 @@
 
   /**
    * Runs a scheduling round, unless nothing has happened since the last one that may allow a start: places waiting tasks in
-   * placement order and requests missing advice, with the given free slots. Sends early advice requests at most once a tick.
+   * placement order and requests missing advice, with the given free slots: first that of an overdue step, then in placement order. Sends
+   * early advice requests at most once a tick.
    */
   placeWaiting(now: number, wallMs: number, slots = UNLIMITED_ADVICE_SLOTS): void {
     if (!this.isRoundDue && !this.hasOnlyRequestedAdvice) {
       return;
     }
     this.hasOnlyRequestedAdvice = false;
-    for (const step of this.startRound(now, wallMs, slots)) {
+    const waiting = this.startRound(now, wallMs, slots);
+    this.stepPlacer.requestOverdueAdvice(waiting, now);
+    for (const step of waiting) {
       if (this.stepPlacer.placeStep(step, now)) {
         this.changedJobs.add(step.job.definition.id);
       }
@@ -553,7 +558,7 @@
     this.preemptor.setRoundTime(now, wallMs);
     this.endpointQuarantine.clearCache();
     this.endpointPreference.setRoundWallTime(wallMs);
-    this.adviceRequester.startRound(slots);
+    this.adviceRequester.startRound(slots, now);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
       if (!job.progress.isEnded()) {
@@ -567,6 +572,14 @@
     });
   }
 
+  /** Logs which queues use the advice slots and which wait, when a step has waited long for one. */
+  private logSlotShortage(now: number): void {
+    const fields = this.adviceRequester.createShortageFields(now);
+    if (fields !== undefined) {
+      this.runTracker.sendLogLine('Advice slots are short.', fields);
+    }
+  }
+
   /** Requests advice for later steps of all jobs that are about to become ready. */
   private sendEarlyAdviceRequests(now: number, wallMs: number): void {
     for (const job of this.jobs.values()) {
--- a/packages/dispatch/advice/AdviceRequester.ts
+++ b/packages/dispatch/advice/AdviceRequester.ts
@@ -7,12 +7,15 @@
 import type { AdviceRequestReason } from './AdviceRequestReason';
 import type { AdviceMetrics } from './AdviceMetrics';
 import type { AdvicePolicy } from './AdvicePolicy';
+import { OverdueRequests } from './OverdueRequests';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { EndpointState } from '../endpoints/EndpointState';
 import type { StepLimiter } from '../placing/StepLimiter';
 import type { LiveJob } from '../waiting/LiveJob';
 import { estimateRemainingMs } from '../runs/estimateRemainingMs';
 import type { CapacityView } from '../placing/CapacityView';
+import type { LineFields } from '../../logging/LineFields';
+import { SlotUsage } from './SlotUsage';
 import { toStepName } from '../waiting/toStepName';
 import type { WaitCause } from '../waiting/WaitCause';
 import type { WaitingStep } from '../waiting/WaitingStep';
@@ -24,6 +27,14 @@
 /** Time by which the response to an early request is expected to arrive before its step becomes ready. */
 const EARLY_MARGIN_MS = 150;
 
+/**
+ * Where in a round a request is sent.
+ * - `ordered`: in placement order, for a step that is ready.
+ * - `overdue`: ahead of the placement order, for a step that is ready.
+ * - `early`: after the placement, for a step that is not ready yet.
+ */
+type RequestStage = 'ordered' | 'overdue' | 'early';
+
 interface AdviceRequesterOptions {
   readonly endpoints: ReadonlyMap<EndpointIncarnation, EndpointState>;
   readonly capacityView: CapacityView;
@@ -38,7 +49,9 @@
 /** Sends advice requests for steps, within the slots of a round and when the selector finds useful candidates. */
 export class AdviceRequester {
   /** Requests that this round may still send. */
-  private remainingSlots: AdviceSlots = { all: 0, long: 0 };
+  private remainingSlots: AdviceSlots = { all: 0, long: 0, quarantined: 0 };
+  private readonly overdueRequests = new OverdueRequests();
+  private readonly slotUsage = new SlotUsage();
 
   constructor(private readonly options: AdviceRequesterOptions) {}
 
@@ -46,15 +59,18 @@
    * Begins a round of placement, also for the selector, and sets how many requests it may send. Requests without a slot are not queued:
    * a later round decides anew, in placement order, whether they are still needed.
    */
-  startRound(slots: AdviceSlots): void {
+  startRound(slots: AdviceSlots, now: number): void {
     this.remainingSlots = slots;
+    this.slotUsage.startRound(slots);
+    this.overdueRequests.startRound(this.slotUsage.countSlots(), now);
     this.options.selector.startRound();
   }
 
   /**
    * Requests advice for `missing` tasks of a step, which found no endpoint with a ticket valid until `neededUntil`. Sends no request while
    * requests are deferred, one is pending, a failed one is not to be repeated yet, or no slot is free; defers requests if the selector
-   * finds no useful candidates. Records the step with the selector, unless the request is early. Returns what the tasks wait for.
+   * finds no useful candidates. Records the step with the selector if the request is sent in placement order. Returns what the tasks
+   * wait for.
    */
   requestAdvice(
     step: WaitingStep,
@@ -62,11 +78,12 @@
     missing: number,
     now: number,
     neededUntil = now,
-    isEarly = false,
+    stage: RequestStage = 'ordered',
   ): WaitCause {
-    const { advice } = step.job.definition.queue;
+    const { queue } = step.job.definition;
+    const { advice } = queue;
     const stepAdvice = step.job.getStepAdvice(step.repetition, step.step);
-    if (!isEarly) {
+    if (stage === 'ordered') {
       this.options.selector.recordStep(step, missing);
     }
     if (advice === undefined || stepAdvice.isRequestDeferred(now)) {
@@ -76,8 +93,12 @@
       return 'answer';
     }
     const { capacityView, policy, selector } = this.options;
-    const isLong = policy.isLongRequest(advice, capacityView.isMostUrgentQueue(step.job.definition.queue));
+    const isLong = policy.isLongRequest(advice, capacityView.isMostUrgentQueue(queue));
     if (!this.hasSlot(isLong)) {
+      if (stage === 'ordered') {
+        stepAdvice.recordSlotWait(now);
+        this.slotUsage.recordSlotWait(queue.name, now - (stepAdvice.getSlotWaitSince() ?? now));
+      }
       return 'turn';
     }
     const candidates = selector
@@ -88,17 +109,29 @@
       return 'room';
     }
     this.remainingSlots = {
+      ...this.remainingSlots,
       all: this.remainingSlots.all - 1,
       long: this.remainingSlots.long - (isLong ? 1 : 0),
     };
     const endpoints = candidates.map((endpoint) => endpoint.getProfile().incarnation);
-    const cause = isEarly ? 'early' : this.getReason(stepAdvice, endpoints);
+    const cause = stage === 'early' ? 'early' : this.getReason(stepAdvice, endpoints);
     const name = toStepName(step);
     const { stats, metrics, sendEffect } = this.options;
     stepAdvice.recordRequest(now);
     stats.recordRequest(endpoints);
     metrics.recordRequest(cause);
     const expectedResponseMs = advice.decisionMs + advice.perEndpointMs * candidates.length;
+    this.slotUsage.recordRequest(name, {
+      queue: queue.name,
+      isLong,
+      isOverdue: stage === 'overdue',
+      expectedResponseMs,
+      requestedAt: now,
+    });
+    this.overdueRequests.recordRequest(queue.name, now);
+    if (stage === 'overdue') {
+      this.overdueRequests.recordSlotTime(expectedResponseMs);
+    }
     sendEffect({
       kind: 'advise',
       step: name,
@@ -110,6 +143,42 @@
     return 'answer';
   }
 
+  /** Records the end of the request for a step (see `toStepName`), `tookMs` after it was sent, with or without a response. */
+  recordRequestEnd(step: string, tookMs: number): void {
+    const request = this.slotUsage.takeRequest(step);
+    if (request?.isOverdue === true) {
+      this.overdueRequests.recordSlotTime(Math.max(0, tookMs - request.expectedResponseMs));
+    }
+  }
+
+  /** Returns the fields of a log line on the use of the slots when a step has waited long for one; undefined when none is due. */
+  createShortageFields(now: number): LineFields | undefined {
+    return this.slotUsage.createShortageFields(now);
+  }
+
+  /**
+   * Calls `requestAdvice` for the waiting steps that are overdue, until it sends a request or finds no slot for one. It returns what the
+   * tasks of a step wait for; if no request would be useful, the step begins a new wait for a slot.
+   */
+  sendOverdueRequest(
+    waiting: readonly WaitingStep[],
+    now: number,
+    requestAdvice: (step: WaitingStep) => WaitCause,
+  ): void {
+    const isTried = this.slotUsage.hasLongWait() && this.overdueRequests.canSendRequest();
+    if (this.remainingSlots.all === 0 || !isTried) {
+      return;
+    }
+    for (const step of this.overdueRequests.listFirstSteps(waiting, now)) {
+      const cause = requestAdvice(step);
+      if (cause === 'answer' || cause === 'turn') {
+        // Without a slot for long requests, the share is kept for the round in which one is free.
+        return;
+      }
+      step.job.getStepAdvice(step.repetition, step.step).clearSlotWait();
+    }
+  }
+
   /** Returns the reason for a request that is not early, by the responses known for the step. */
   private getReason(advice: StepAdvice, endpoints: readonly EndpointIncarnation[]): AdviceRequestReason {
     if (!advice.hasResponse()) {
@@ -180,7 +249,14 @@
     const { limiter, capacityView } = this.options;
     const step = limiter.computeMaxStartablePart(whole);
     if (step !== undefined) {
-      this.requestAdvice(step, capacityView.listEligibleEndpoints(step), step.indexes.length, now, now, true);
+      this.requestAdvice(
+        step,
+        capacityView.listEligibleEndpoints(step),
+        step.indexes.length,
+        now,
+        now,
+        'early',
+      );
     }
   }
 
--- a/packages/dispatch/advice/AdviceSlots.ts
+++ b/packages/dispatch/advice/AdviceSlots.ts
@@ -4,4 +4,6 @@
   readonly all: number;
   /** Number of these that may be long; the rest is reserved for short requests. */
   readonly long: number;
+  /** Number of channels that send no requests for now, after a late or missing response. */
+  readonly quarantined: number;
 }
--- a/packages/dispatch/advice/DemandAhead.ts
+++ b/packages/dispatch/advice/DemandAhead.ts
@@ -23,6 +23,7 @@
   /** Begins a round of placement without demand. */
   startRound(): void {
     this.cpuDemands.clear();
+    this.cpuDemandAhead = 0;
   }
 
   /** Records the next step in placement order, with the number of its tasks that lack tickets, as demand ahead of later ones. */
--- a/packages/dispatch/advice/FirstFreeBalancer.ts
+++ b/packages/dispatch/advice/FirstFreeBalancer.ts
@@ -35,6 +35,7 @@
     return {
       all: free.length,
       long: hasOthers ? free.filter(({ isOwnBox }) => !isOwnBox).length : free.length,
+      quarantined: channels.filter(({ box }) => this.isChannelQuarantined(box)).length,
     };
   }
 
--- a/packages/dispatch/advice/HedgingBalancer.ts
+++ b/packages/dispatch/advice/HedgingBalancer.ts
@@ -49,7 +49,12 @@
 
   getFreeSlots(): AdviceSlots {
     const free = this.listFreeChannels();
-    return { all: free.length, long: Math.max(0, free.length - this.countReservedChannels()) };
+    const healthyCount = this.listHealthyChannels(this.options.clock.getNow()).length;
+    return {
+      all: free.length,
+      long: Math.max(0, free.length - this.countReservedChannels()),
+      quarantined: this.options.listChannels().length - healthyCount,
+    };
   }
 
   async sendRequest(request: AdviceRequest): Promise<void> {
--- /dev/null
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -0,0 +1,70 @@
+import type { WaitingStep } from '../waiting/WaitingStep';
+
+/** Time without a slot after which a step is overdue. */
+const MAX_SLOT_WAIT_MS = 1000;
+/** Time since the latest request of a queue after which the queue is starved. */
+const MAX_QUEUE_PAUSE_MS = 2000;
+/** Share of the time of all slots that requests ahead of the placement order may take. */
+const MAX_TIME_SHARE = 0.5;
+/** Maximum number of steps considered in a round. */
+const MAX_STEPS_PER_ROUND = 4;
+
+/**
+ * Bounds how long a step waits for a slot while steps ahead of it in the placement order keep sending requests. Overdue steps send theirs
+ * first if they are long-running, which serve nobody until they start, or if their queue is starved. These requests take a limited share
+ * of the time of all slots, so that long ones don't crowd out the steps of the most urgent queue.
+ */
+export class OverdueRequests {
+  /** Slot time that such requests may take, in milliseconds: at most 0, and negative until the time of earlier ones is made up for. */
+  private balanceMs = 0;
+  private balanceUpdatedAt = 0;
+  /** Monotonic time of each queue's latest request. */
+  private readonly lastRequestedAt = new Map<string, number>();
+
+  /** Begins a round. `slotCount` is the number of slots, free or not. */
+  startRound(slotCount: number, now: number): void {
+    const earnedMs = Math.max(0, now - this.balanceUpdatedAt) * slotCount * MAX_TIME_SHARE;
+    this.balanceMs = Math.min(0, this.balanceMs + earnedMs);
+    this.balanceUpdatedAt = now;
+  }
+
+  /** Returns whether a request may be sent ahead of the placement order now. */
+  canSendRequest(): boolean {
+    return this.balanceMs >= 0;
+  }
+
+  /**
+   * Returns the overdue steps that may send a request ahead of the placement order, at most `MAX_STEPS_PER_ROUND`: long-running ones
+   * first, then those of the queue whose latest request is longest ago, then those that have waited longest.
+   */
+  listFirstSteps(waiting: readonly WaitingStep[], now: number): readonly WaitingStep[] {
+    return waiting
+      .flatMap((step) => {
+        const advice = step.job.getStepAdvice(step.repetition, step.step);
+        const since = advice.getSlotWaitSince() ?? Infinity;
+        const queueRequestedAt = this.lastRequestedAt.get(step.job.definition.queue.name) ?? -Infinity;
+        const isOverdue = now - since >= MAX_SLOT_WAIT_MS && advice.canRequest(now);
+        const isFirst = step.shape.isLongRunning || now - queueRequestedAt >= MAX_QUEUE_PAUSE_MS;
+        return isOverdue && isFirst ? [{ step, since, queueRequestedAt }] : [];
+      })
+      .sort(
+        (left, right) =>
+          Number(right.step.shape.isLongRunning) - Number(left.step.shape.isLongRunning) ||
+          Number(left.queueRequestedAt > right.queueRequestedAt) -
+            Number(left.queueRequestedAt < right.queueRequestedAt) ||
+          left.since - right.since,
+      )
+      .slice(0, MAX_STEPS_PER_ROUND)
+      .map(({ step }) => step);
+  }
+
+  /** Records that a step of the queue has sent a request. */
+  recordRequest(queue: string, now: number): void {
+    this.lastRequestedAt.set(queue, now);
+  }
+
+  /** Records slot time that a request ahead of the placement order takes, in milliseconds. */
+  recordSlotTime(ms: number): void {
+    this.balanceMs -= ms;
+  }
+}
--- a/packages/dispatch/advice/StepAdvice.ts
+++ b/packages/dispatch/advice/StepAdvice.ts
@@ -29,6 +29,8 @@
   private deferredUntil = -Infinity;
   /** Monotonic time of the first deferral after the latest request; undefined when there was none. */
   private deferredSince: number | undefined;
+  /** Monotonic time since which the step has waited for a slot, without a response in between; undefined while it doesn't wait. */
+  private slotWaitSince: number | undefined;
   /** Monotonic time of the latest request. */
   private lastRequestedAt = 0;
   /** Monotonic time of the latest response. */
@@ -87,6 +89,21 @@
     return this.deferredSince === undefined ? 0 : now - this.deferredSince;
   }
 
+  /** Records that no slot was free for a request at `now`. */
+  recordSlotWait(now: number): void {
+    this.slotWaitSince ??= now;
+  }
+
+  /** Returns the monotonic time since which the step has waited for a slot, without a response in between; undefined if it doesn't wait. */
+  getSlotWaitSince(): number | undefined {
+    return this.slotWaitSince;
+  }
+
+  /** Ends the wait for a slot, since a request would not be useful. */
+  clearSlotWait(): void {
+    this.slotWaitSince = undefined;
+  }
+
   /** Records that a request is sent, which ends the deferral. */
   recordRequest(now: number): void {
     this.hasPendingRequest = true;
@@ -112,6 +129,7 @@
   /**
    * Ends the pending request. Stores the tickets of its response, valid for `validityMs` from `now`; candidates without one are refused.
    * `tickets` is undefined when there was no response: the request may then be repeated after a delay, and nothing else is changed.
+   * A response ends the wait for a slot.
    */
   recordResponse(
     candidates: readonly EndpointIncarnation[],
@@ -126,6 +144,7 @@
       return;
     }
     this.lastRespondedAt = now;
+    this.slotWaitSince = undefined;
     for (const endpoint of candidates) {
       const text = tickets.get(endpoint);
       if (text === undefined) {
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -19,6 +19,7 @@
 import { isLongRunningRestart } from './isLongRunningRestart';
 import { toRoundedWaitTimes } from '../waiting/toRoundedWaitTimes';
 import { toStepName } from '../waiting/toStepName';
+import type { WaitCause } from '../waiting/WaitCause';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** A run that takes capacity on an endpoint, before its start is recorded. */
@@ -134,11 +135,45 @@
     }
   }
 
+  /** Requests advice for the first overdue step that lacks tickets and for which it is useful, ahead of the placement order. */
+  requestOverdueAdvice(waiting: readonly WaitingStep[], now: number): void {
+    this.options.adviceRequester.sendOverdueRequest(waiting, now, (step) =>
+      this.requestAdviceForOverdueStep(step, now),
+    );
+  }
+
   /** Releases all capacity taken by `requestAdviceAhead`. */
   releaseTentativePlacements(): void {
     this.tentativePlacements.splice(0).forEach((placement) => this.releasePlacement(placement));
   }
 
+  /** Requests advice for an overdue step under the same conditions as `placeStep`, and places nothing. Returns what its tasks wait for. */
+  private requestAdviceForOverdueStep(waitingStep: WaitingStep, now: number): WaitCause {
+    const due = this.computePartWithoutBackoff(waitingStep, now);
+    if (due === undefined) {
+      return 'pause';
+    }
+    const step = this.options.stepLimiter.computeStartablePart(due);
+    if (step === undefined) {
+      return 'limit';
+    }
+    const eligible = this.capacityView.listEligibleEndpoints(step);
+    if (
+      !this.capacityView.isCapacityScarce(step, eligible) &&
+      !this.capacityView.hasCapacityForTask(step, eligible)
+    ) {
+      return 'room';
+    }
+    const placements = this.choosePlacements(step, eligible, now);
+    const missing = step.indexes.length - placements.length;
+    const cause =
+      missing === 0
+        ? 'room'
+        : this.options.adviceRequester.requestAdvice(step, eligible, missing, now, now, 'overdue');
+    placements.forEach((placement) => this.releasePlacement(placement));
+    return cause;
+  }
+
   /** Returns the step without the tasks in backoff; undefined when none is left, or when a gang wouldn't be complete. */
   private computePartWithoutBackoff(waitingStep: WaitingStep, now: number): WaitingStep | undefined {
     const { job, repetition, step } = waitingStep;
--- a/tests/heldStarts.test.ts
+++ b/tests/heldStarts.test.ts
@@ -15,7 +15,7 @@
 const ENDPOINT = toId<EndpointIncarnation>('i-0');
 const VALIDITY_MS = 2500;
 const CAPACITY = 4;
-const SLOTS = { all: 1, long: 1 };
+const SLOTS = { all: 1, long: 1, quarantined: 0 };
 
 const createJob = (number: number, priority: number, count: number): JobDefinition =>
   createJobDefinition(
--- a/tests/helpers/AdviceSimulation.ts
+++ b/tests/helpers/AdviceSimulation.ts
@@ -131,6 +131,22 @@
     this.sendStatuses();
   }
 
+  /** Sends one job of a stream, with a random number of tasks around that of the stream's step. Returns the job. */
+  sendJob(number: number): SimulatedJob {
+    const { queue, step } = this.options.streams[number]!;
+    const count = Math.max(1, Math.round(step.count * (0.4 + 1.2 * this.random())));
+    const id = this.jobs.length * this.options.streams.length + number;
+    const definition = {
+      ...createJobDefinition(id, [createStep({ ...step, count })], queue),
+      acceptedAtMs: this.now,
+    };
+    const progress = new JobProgress(definition);
+    const job = { definition, progress, sentAt: this.now, startedAt: undefined, endedAt: undefined };
+    this.jobs.push(job);
+    this.dispatcher.handleJob(definition, progress, this.now);
+    return job;
+  }
+
   private createDispatcher(): Dispatcher {
     const { policy } = this.options;
     const dispatcher = new Dispatcher({
@@ -192,17 +208,9 @@
   }
 
   private sendJobs(): void {
-    for (const [number, { queue, step, perSecond }] of this.options.streams.entries()) {
+    for (const [number, { perSecond }] of this.options.streams.entries()) {
       if (this.random() < (perSecond * TICK_MS) / 1000) {
-        const count = Math.max(1, Math.round(step.count * (0.4 + 1.2 * this.random())));
-        const id = this.jobs.length * this.options.streams.length + number;
-        const definition = {
-          ...createJobDefinition(id, [createStep({ ...step, count })], queue),
-          acceptedAtMs: this.now,
-        };
-        const progress = new JobProgress(definition);
-        this.jobs.push({ definition, progress, sentAt: this.now, startedAt: undefined, endedAt: undefined });
-        this.dispatcher.handleJob(definition, progress, this.now);
+        this.sendJob(number);
       }
     }
   }
