store: a topic that is read anew is not up to date

Callers could see: states of jobs, and a leader, of minutes ago from a box that said that it was ready. Cause: after `forgotten` the follower began with the first page again and still reported `isUpToDate`. Evidence: `tests/logFollower` failed before (`isUpToDate` true for false while the first page was pending). Fix: dropped records count as a failed read, so the connection is reported as lost until the whole topic has been read.

--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -96,6 +96,7 @@
         this.recordSuccess();
         await this.waitForPause(this.pauseMs);
       } else if (outcome.kind === 'forgotten') {
+        this.recordFailure(outcome);
         this.nextOffset = undefined;
         this.newestReader = new NewestReader(this.options.client, this.options.topic);
         // Avoids a tight loop of full reads when the log retains too little.
--- a/tests/logFollower.test.ts
+++ b/tests/logFollower.test.ts
@@ -142,6 +142,39 @@
     expect(log.handled).toEqual([0, 1, 2]);
   });
 
+  it('does not count as up to date while it reads the topic anew, after the log has dropped the next record', async () => {
+    let isForgotten = false;
+    const log: LogClient = {
+      ...createLog([]),
+      readPageOfNewestByKey: async () =>
+        isForgotten
+          ? new Promise(() => undefined)
+          : { ok: true, value: { records: [], endOffset: 0, hasMore: false } },
+      readRecords: async () => {
+        await waitFor(IMMEDIATE_MS / 2);
+        isForgotten = true;
+        return { ok: false, error: { kind: 'forgotten', firstOffset: 5 } };
+      },
+    };
+    const connections: boolean[] = [];
+    follower = new LogFollower({
+      client: log,
+      topic: 'keyed.jobs',
+      clock: systemClock,
+      random: () => 0.5,
+      pauseMs: 0,
+      pollWaitMs: POLL_MS,
+      handleRecords: () => undefined,
+      handleConnection: (isConnected) => connections.push(isConnected),
+    });
+    void follower.start();
+    await waitFor(20);
+    expect(follower.isUpToDate()).toBe(true);
+    await waitFor(IMMEDIATE_MS);
+    expect(follower.isUpToDate()).toBe(false);
+    expect(connections).toEqual([true, false]);
+  });
+
   it('retries when a call sent after its pending read has shown that the log has recovered', async () => {
     const readTimes: number[] = [];
     const started = startFollower(readTimes);
