dispatch: a new leader whose claim took long sends its heartbeat first

Callers saw: two more seconds without a leader after a loss of power of all boxes. Cause: on a box of 0.12 cores the claim took 0.77 s to be read back; the next write was due then, and waited for a tick behind the responses to the first reads. The others saw no sign for 1.4 s and replaced the leader. Fix: `start` queues the due heartbeat before it reads. `tests/firstHeartbeat` failed before ([] for ['heartbeat']). Not shown: that this heartbeat arrives in time on such a box; the processor's share there is another matter.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -199,10 +199,12 @@
   }
 
   /**
-   * Starts to fence earlier leaders, to read the jobs and the endpoints' records, and to write heartbeats. Polls and scheduling
+   * Starts to write heartbeats, to fence earlier leaders, and to read the jobs and the endpoints' records. Polls and scheduling
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
+    // After a slow claim the first heartbeat is due already, and the responses to the reads may delay the tick.
+    this.journal.handleTick(this.options.clock.getNow());
     this.endpointSessions.start();
     void this.readJobs();
     this.tickTimer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
