leadership: an earlier process of the same box leaves only its leases

Callers could see: a lasting task that waits for 12.4 s beside free capacity (bound: 6 s and 3 s) after a loss of power of all boxes, if its endpoint went with them. Cause: the record of the earlier leader, read by the next process of the same box, left room for 8 s of renewals without the log. That process has ended: a box has one at a time. Fix: `LeaseHistory.recordProcessEnded` bounds renewals by the time at which the process had certainly ended, whatever of its records is read later.

--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -98,8 +98,7 @@
       }
       const parsed = leaderRecordSchema.safeParse(parseJson(value));
       if (parsed.success && parsed.data.epoch >= (this.leaderRecord?.epoch ?? 0)) {
-        this.leaseHistory.recordLeader(parsed.data, now);
-        this.setLeaderRecord(parsed.data);
+        this.recordLeader(parsed.data, now);
       }
     }
   }
@@ -114,8 +113,7 @@
     }
     const now = this.options.clock.getNow();
     this.leaderActiveAt = now;
-    this.leaseHistory.recordLeader(record, now);
-    this.setLeaderRecord(record);
+    this.recordLeader(record, now);
     return true;
   }
 
@@ -180,6 +178,20 @@
     return JSON.stringify(record);
   }
 
+  /** Sets the leader record and records it for the leases. A box has one process at a time, so that an earlier one of this box has ended. */
+  private recordLeader(record: LeaderRecord, now: number): void {
+    this.leaseHistory.recordLeader(record, now);
+    if (this.isEarlierProcess(record)) {
+      this.leaseHistory.recordProcessEnded(record.process, now);
+    }
+    this.setLeaderRecord(record);
+  }
+
+  /** Returns whether the leader ran in an earlier process of this box. */
+  private isEarlierProcess({ box, process }: LeaderRecord): boolean {
+    return box === this.options.box && process !== this.options.process;
+  }
+
   private setLeaderRecord(record: LeaderRecord): void {
     const isNew = record.epoch !== this.leaderRecord?.epoch;
     this.leaderRecord = record;
@@ -190,7 +202,7 @@
 
   /** Returns why this process should claim leadership now; undefined when this process should not, or when it has not read the log up to its end. */
   private findClaimReason(): ClaimReason | undefined {
-    const { follower, clock, process, box } = this.options;
+    const { follower, clock } = this.options;
     if (this.logReadableSince === undefined || !follower.isUpToDate()) {
       return undefined;
     }
@@ -219,7 +231,7 @@
         ? 'leader resigned'
         : undefined;
     }
-    if (this.leaderRecord.box === box && this.leaderRecord.process !== process) {
+    if (this.isEarlierProcess(this.leaderRecord)) {
       return 'an earlier process of this box led';
     }
     const confirmedInactiveMs =
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -12,17 +12,23 @@
  */
 export class LeaseHistory {
   private newestEpoch = 0;
+  /** Process of the leader of `newestEpoch`. */
+  private leaderProcess: string | undefined;
   /** Monotonic time of the last activity of the leader of `newestEpoch`. */
   private leaderActiveAt = -Infinity;
   private hasLeaderStopped = false;
+  /** Monotonic time by which the process of that leader has certainly ended; Infinity while it may run. */
+  private leaderEndedAt = Infinity;
   /** Monotonic time at which the leases of all leaders before `newestEpoch` have expired. */
   private earlierLeasesEndAt = -Infinity;
 
   /** Records that a leader record was read. With a newer epoch, the leases of the known leader become earlier ones. */
-  recordLeader({ epoch, isResigned }: LeaderRecord, now: number): void {
+  recordLeader({ epoch, process, isResigned }: LeaderRecord, now: number): void {
     if (epoch > this.newestEpoch) {
       this.earlierLeasesEndAt = Math.max(this.earlierLeasesEndAt, this.computeLeasesEndAt());
       this.newestEpoch = epoch;
+      this.leaderProcess = process;
+      this.leaderEndedAt = Infinity;
     }
     this.recordActivity(now);
     this.hasLeaderStopped = isResigned;
@@ -46,12 +52,23 @@
     }
   }
 
+  /**
+   * Records that a process has certainly ended by a monotonic time. If it is that of the newest leader, its leases are not renewed after that
+   * time, whatever of its records is read later. Ignored for other processes.
+   */
+  recordProcessEnded(process: string, now: number): void {
+    if (process === this.leaderProcess) {
+      this.leaderEndedAt = Math.min(this.leaderEndedAt, now);
+    }
+  }
+
   /** Returns the monotonic time at which all leases of the leaders before the newest one have expired. */
   getEarlierLeasesEndAt(): number {
     return this.earlierLeasesEndAt;
   }
 
   private computeLeasesEndAt(): number {
-    return this.leaderActiveAt + MAX_LEASE_MS + (this.hasLeaderStopped ? 0 : unconfirmedGraceMs);
+    const lastRenewalAt = this.leaderActiveAt + (this.hasLeaderStopped ? 0 : unconfirmedGraceMs);
+    return Math.min(lastRenewalAt, this.leaderEndedAt) + MAX_LEASE_MS;
   }
 }
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -230,6 +230,85 @@
     expect(notified.getEarlierLeasesEndAt()).toBe(5000 + LEASE_BOUND_MS);
   });
 
+  it('expire without the grace period when the process of the leader has ended, also if its records are read later', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordProcessEnded('box-1#1', 5000);
+    leases.recordLeader(toRecord(1), 5200);
+    leases.recordProcessEnded('box-1#1', 5300);
+    leases.recordLeader(toRecord(2), 6000);
+    expect(leases.getEarlierLeasesEndAt()).toBe(5000 + LEASE_BOUND_MS);
+  });
+
+  it('expire no later when the end of the process is noticed long after its last activity', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordProcessEnded('box-1#1', 30_000);
+    leases.recordLeader(toRecord(2), 31_000);
+    expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
+  it('expire with the grace period when another process than that of the leader has ended', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordProcessEnded('box-1#1', 1100);
+    leases.recordLeader(toRecord(2), 2000);
+    leases.recordProcessEnded('box-1#1', 3000);
+    leases.recordLeader(toRecord(3), 4000);
+    expect(leases.getEarlierLeasesEndAt()).toBe(2000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
+  /** Elects `box-1#2`, whose process reads the record of a leader as it starts, and returns the end of the earlier leases. */
+  const computeEarlierLeasesEndAt = async (
+    leader: LeaderRecord,
+    handleLeader: (leadership: Leadership) => void,
+  ): Promise<number> => {
+    let now = 1000;
+    const clock = { getNow: () => (now += 1), getWallTime: () => now };
+    let leadership: Leadership | undefined;
+    const follower = {
+      getLastSuccessAt: () => 1000,
+      isUpToDate: () => true,
+      getOffset: () => 1,
+      waitForOffset: () => {
+        const own: LeaderRecord = { epoch: 2, box: 'box-1', process: 'box-1#2', isResigned: false };
+        leadership!.foldRecords([{ offset: 1, key: leaderKeys.recordKey, value: JSON.stringify(own) }]);
+        return Promise.resolve(true);
+      },
+    };
+    return new Promise((resolve) => {
+      leadership = new Leadership({
+        client: { ...createLog([], clock.getNow), append: () => Promise.resolve({ ok: true, value: 1 }) },
+        topic: 'keyed.states',
+        follower: follower as unknown as LogFollower,
+        box: 'box-1',
+        process: 'box-1#2',
+        clock,
+        random: () => 0,
+        logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        isOutranked: () => false,
+        handleElected: ({ earlierLeasesEndAt }) => resolve(earlierLeasesEndAt),
+      });
+      leadership.handleLogConnection(true);
+      leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(leader) }]);
+      handleLeader(leadership);
+    });
+  };
+
+  it('expire without the grace period when an earlier process of the same box led', async () => {
+    const leases = computeEarlierLeasesEndAt(toRecord(1), (leadership) => leadership.handleTick());
+    expect(await leases).toBeLessThan(1020 + LEASE_BOUND_MS);
+  });
+
+  it('expire with the grace period when the address of the leader refused a connection, which is only a hint', async () => {
+    const leader = { ...toRecord(1), box: 'box-0', process: 'box-0#1' };
+    const leases = computeEarlierLeasesEndAt(leader, (leadership) => {
+      leadership.handleLeaderEnded(leader.process);
+      leadership.handleTick();
+    });
+    expect(await leases).toBeGreaterThan(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
   it('are still bounded by an earlier leader when the one in between was short', () => {
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(1), 1000);
