--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -282,10 +282,13 @@
       return;
     }
     this.isLeading = true;
-    this.options.handleElected({
+    const earlierLeasesEndAt = this.leaseHistory.getEarlierLeasesEndAt();
+    const now = clock.getNow();
+    logger.info('Claim won.', {
       epoch,
-      claimedAt,
-      earlierLeasesEndAt: this.leaseHistory.getEarlierLeasesEndAt(),
+      claimMs: Math.round(now - claimedAt),
+      earlierLeasesMs: Math.max(0, Math.round(earlierLeasesEndAt - now)),
     });
+    this.options.handleElected({ epoch, claimedAt, earlierLeasesEndAt });
   }
 }
