serve: a leader that is asked about the log does not read its own states

Callers could see: jobs refused on boxes that reach the log only through the leader. Evidence: `tests/topicFollowers` failed before (`completed` was read again by the leader). Fix: a leader refreshes the jobs, which it follows; other boxes the states, as before.

--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -458,7 +458,10 @@
       return true;
     }
     const requestedAt = clock.getNow();
-    const isReadable = await this.followers.states.waitForRefresh(LOG_CHECK_TIMEOUT_MS);
+    const isReadable = await this.followers.waitForLogRead(
+      this.controller !== undefined,
+      LOG_CHECK_TIMEOUT_MS,
+    );
     const failingMs = this.writer.getOutageMs();
     const isUsable = isReadable && failingMs === 0 && !this.isStopping;
     if (!isUsable) {
--- a/packages/serve/TopicFollowers.ts
+++ b/packages/serve/TopicFollowers.ts
@@ -84,6 +84,12 @@
     return isFollowingStates && this.jobs.isLogReachable() && this.operator.isUpToDate();
   }
 
+  /** Reads a topic that this box follows to its end; resolves to false if that fails or takes longer than `timeoutMs`. */
+  waitForLogRead(isLeading: boolean, timeoutMs: number): Promise<boolean> {
+    // A leader has not read the states since its election: it would read all that it has written, and take older states for newer ones.
+    return (isLeading ? this.jobs : this.states).waitForRefresh(timeoutMs);
+  }
+
   /** Retries requests sent before a monotonic time, since the log is known to respond to requests sent then. */
   retryPending(sentAt: number): void {
     this.jobs.retryPendingRead(sentAt);
