dispatch: a suspect waits for 5 s at most for a sibling that nobody hears

Callers could see: a lasting task that waits for 12.5 to 12.8 s beside free capacity (bound: 6 s and 3 s). Cause: suspects of a step start one after the other, and the run of an earlier leader on an endpoint that the new one never hears counts as in its startup until the leases of earlier leaders have expired. Fix: the wait ends 5 s after the placement or the recovery of that run.

--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -14,6 +14,11 @@
   suspectAfterCrashes: 3,
   /** Number of crashes with any degree of blame from which a task is not started beside a crash suspect in its startup. */
   protectedAfterCrashes: 2,
+  /**
+   * Time after its placement, or its recovery by a new leader, during which a suspect's run that isn't past its startup delays its siblings, in
+   * milliseconds: longer than the lease of an endpoint that falls silent under this leader, and shorter than leases of earlier leaders may last.
+   */
+  maxSiblingWaitMs: 5000,
   /** Age of a run, as listed by a poll, from which it is past its startup, in milliseconds. */
   startupMs: 300,
   /**
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -205,7 +205,7 @@
     let unreservedCpuMillis = this.capacityView.computeUnreservedCpuMillis(step);
     const runNumber = this.computeNextGangRun(step);
     const computePreferenceCost = this.options.preference.createCostFunction(step, allowed);
-    for (const { address, task, isSuspect } of this.listStartableTasks(step)) {
+    for (const { address, task, isSuspect } of this.listStartableTasks(step, now)) {
       if (step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller) {
         break;
       }
@@ -244,7 +244,7 @@
    * Returns the waiting tasks of a step that may start now. Of the crash suspects only the first is included, and none while a suspect
    * of the step is in its startup; a gang is returned whole.
    */
-  private listStartableTasks(step: WaitingStep): readonly StartableTask[] {
+  private listStartableTasks(step: WaitingStep, now: number): readonly StartableTask[] {
     const startable = step.indexes.flatMap((index): readonly StartableTask[] => {
       const address = { repetition: step.repetition, step: step.step, index };
       const task = step.job.progress.getTask(address);
@@ -254,7 +254,8 @@
     if (firstSuspect === undefined || step.shape.isGang) {
       return startable;
     }
-    const nextSuspect = this.options.suspectCosts.hasStartingSuspectSibling(step) ? undefined : firstSuspect;
+    const { suspectCosts } = this.options;
+    const nextSuspect = suspectCosts.hasStartingSuspectSibling(step, now) ? undefined : firstSuspect;
     return startable.filter((startableTask) => !startableTask.isSuspect || startableTask === nextSuspect);
   }
 
--- a/packages/dispatch/placing/SuspectCosts.ts
+++ b/packages/dispatch/placing/SuspectCosts.ts
@@ -36,10 +36,11 @@
   ) {}
 
   /**
-   * Returns whether a suspect task of the step is in its startup. The other suspects of the step then have to wait, since they are likely
-   * to behave alike. Always false for gangs, whose members start together.
+   * Returns whether a suspect task of the step is in its startup, or may be since no poll has listed its run yet, for a limited time after
+   * its placement. The other suspects of the step then have to wait, since they are likely to behave alike. Always false for gangs, whose
+   * members start together.
    */
-  hasStartingSuspectSibling({ job, repetition, step, shape }: WaitingStep): boolean {
+  hasStartingSuspectSibling({ job, repetition, step, shape }: WaitingStep, now: number): boolean {
     if (shape.isGang) {
       return false;
     }
@@ -49,7 +50,7 @@
       }
       const name = toTaskName(job.definition.id, { repetition, step, index });
       const run = this.endpoints.get(task.endpoint)?.getRun(name, task.runNumber);
-      return run !== undefined && !isPastStartup(run);
+      return run !== undefined && !isPastStartup(run) && now - run.placedAt < crashLimits.maxSiblingWaitMs;
     });
   }
 
