fix: a second signal does not end a stop at once

Callers saw: a request that a stopping box had read was cut without an answer when a second SIGTERM or SIGINT came. Cause: ServeProcess.stop() returned at once when called again, which resolved the wait of serveCommand and ended the process. Fix: all calls of stop() share the one stop, so the process ends when that has ended. Whether a platform sends a second signal is not known.

--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -86,6 +86,7 @@
   private controller: LeaderController | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
+  private stopped: Promise<void> | undefined;
 
   constructor(private readonly options: ServeProcessOptions) {
     const { adapter, clock, settings, random } = options;
@@ -160,13 +161,15 @@
   }
 
   /**
-   * Stops gracefully: hands leadership over, waits until callers are sent elsewhere, then stops all components. Does nothing if called
-   * again.
+   * Stops gracefully: hands leadership over, waits until callers are sent elsewhere, then stops all components. All calls resolve when
+   * the one stop has ended.
    */
-  async stop(): Promise<void> {
-    if (this.isStopping) {
-      return;
-    }
+  stop(): Promise<void> {
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
     this.isStopping = true;
     this.logger.info('Stopping.', { isLeading: this.controller !== undefined });
     this.leadership.stop();
