fix: a planned stop ends within its grace period and cuts no request that has arrived

Causes: - FrontServer.stop() waited without a limit for every connection of callers and of the readiness probe. Node counts a connection that has received nothing as active, so one unused open connection kept the process for the header timeout of 60 s, and half of a request forever. Evidence: one unused connection to the front or the ready address, still running 7 s after SIGTERM; to the internal address 2.6 s, since that server destroyed its connections. - Idle connections were closed before their pending input was read: on a box whose event loop was late, a request that had been sent 400 ms before was reset, on a kept connection as well as on one that was not accepted yet. - The handover, the responses and the other waits of the stop each had limits of their own or none; nobody added them up. Fix: StopBudget gives each phase the time that the grace period leaves it, and logs a phase that takes all of it or fails. The handover and the drain of callers run side by side. Box servers finish requests in progress instead of cutting them.

--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -7,6 +7,7 @@
 import type { CustomerName } from '../customers/CustomerName';
 import type { JobCaller } from '../customers/JobCaller';
 import { createRawBodyApp } from '../gateway/createRawBodyApp';
+import { stopAppWithin } from '../gateway/stopAppWithin';
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
@@ -136,8 +137,8 @@
     await this.app.listen(parseHostPort(this.options.address));
   }
 
-  async stop(): Promise<void> {
-    this.app.server.closeAllConnections();
-    await this.app.close();
+  /** Stops accepting connections and finishes the requests in progress; resolves to the number of connections cut after `timeoutMs`. */
+  stop(timeoutMs: number): Promise<number> {
+    return stopAppWithin(this.app, timeoutMs);
   }
 }
--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '../common/Logger';
 import { systemClock } from '../common/systemClock';
 import { formatError } from '../common/formatError';
+import { waitWithTimeout } from '../common/waitWithTimeout';
 import { ServeProcess } from '../serve/ServeProcess';
 import { DecisionLog } from '../logging/DecisionLog';
 import type { Command } from './Command';
@@ -20,6 +21,14 @@
 const LOG_LINES_PER_SECOND = 400;
 /** Interval at which the log checks whether counts of suppressed lines are due. */
 const SUPPRESSED_COUNT_CHECK_MS = 1000;
+/** Time at the end of the process for the log collector to take the last lines. */
+const MAX_OUTPUT_WAIT_MS = 200;
+
+/** Resolves once all lines written to the standard output have been taken, or it has failed. */
+const waitForOutput = (): Promise<void> =>
+  new Promise((resolve) => {
+    process.stdout.write('', () => resolve());
+  });
 
 /** Waits for SIGTERM or SIGINT and for the graceful stop; SIGHUP reloads the settings. */
 const waitForStop = (serve: ServeProcess): Promise<void> =>
@@ -96,6 +105,7 @@
     }
     await stopped;
     decisionLog.stop();
+    await waitWithTimeout(waitForOutput(), MAX_OUTPUT_WAIT_MS, undefined);
     // Long polls would keep the process running for seconds.
     process.exit(exitCodes.done);
   },
--- a/packages/gateway/serverSockets.ts
+++ b/packages/gateway/serverSockets.ts
@@ -15,6 +15,21 @@
     });
   },
 
-  /** Destroys all tracked connections of a server. */
-  stopAll: (server: Server): void => sockets.get(server)?.forEach((socket) => socket.destroy()),
+  /** Destroys all tracked connections of a server; returns their number. */
+  stopAll: (server: Server): number => {
+    const open = [...(sockets.get(server) ?? [])];
+    open.forEach((socket) => socket.destroy());
+    return open.length;
+  },
+
+  /** Destroys the tracked connections on which no request is in progress, including those that have received nothing yet. */
+  stopIdle: (server: Server): void => {
+    server.closeIdleConnections();
+    // Node counts a connection that has received nothing as active.
+    sockets.get(server)?.forEach((socket) => {
+      if (socket.bytesRead === 0) {
+        socket.destroy();
+      }
+    });
+  },
 } as const;
--- a/packages/serve/LeaderHandover.ts
+++ b/packages/serve/LeaderHandover.ts
@@ -3,6 +3,7 @@
 import type { BoxDirectory } from '../boxes/BoxDirectory';
 import type { Clock } from '../common/Clock';
 import { waitForDelay } from '../common/waitForDelay';
+import { waitWithTimeout } from '../common/waitWithTimeout';
 import type { LeaderController } from '../dispatch/LeaderController';
 import type { ServeSettings } from './ServeSettings';
 
@@ -36,8 +37,8 @@
 const HANDOVER_WRITE_OUTAGE_MS = 2000;
 /** Time between two searches for a stronger box, and between the election and the first one. */
 const STRONGER_SEARCH_INTERVAL_MS = 2000;
-/** Part of the grace period that is reserved for what follows the wait for the log at a planned stop. */
-const STOP_RESERVE_MS = 2000;
+/** Part of the time for a planned handover that is reserved for what follows the wait for the log. */
+const HANDOVER_RESERVE_MS = 1000;
 /** Time between searches for a box that can use the log, during a planned stop. */
 const CANDIDATE_POLL_INTERVAL_MS = 100;
 
@@ -73,36 +74,41 @@
 
   /**
    * Hands leadership over at a planned stop, if this process leads. While writes to the log fail and no other box can use it, this process
-   * first keeps leading and renewing leases for as long as its grace period allows.
+   * first keeps leading and renewing leases for as long as the timeout allows.
    */
-  async runPlannedHandover(): Promise<void> {
-    const {
-      clock,
-      settings,
-      boxes,
-      getController,
-      getEpoch,
-      handleGracefulStop: handleResigned,
-    } = this.options;
+  async runPlannedHandover(timeoutMs: number): Promise<void> {
+    const { clock, getController, getEpoch, handleGracefulStop } = this.options;
     this.isHandingOver = true;
-    const until = clock.getNow() + settings.graceMs - STOP_RESERVE_MS;
-    while ((getController()?.getLogOutageMs() ?? 0) > 0 && clock.getNow() < until) {
-      if ((await boxes.findLeaderCandidate()) !== undefined) {
-        break;
-      }
-      await waitForDelay(CANDIDATE_POLL_INTERVAL_MS);
-    }
+    const deadline = clock.getNow() + timeoutMs;
+    await this.waitForLogOrCandidate(deadline - HANDOVER_RESERVE_MS);
     const controller = getController();
     if (controller === undefined) {
       return;
     }
     const epoch = getEpoch();
-    handleResigned();
+    handleGracefulStop();
     await controller.stopGracefully();
-    const next = await boxes.findLeaderCandidate();
+    const next = await this.findCandidateUntil(deadline);
     await next?.sendHandover(epoch);
   }
 
+  /** Resolves once this leader's writes to the log succeed, it stops leading, or another box can use the log; at the latest at `until`. */
+  private async waitForLogOrCandidate(until: number): Promise<void> {
+    const { clock, getController } = this.options;
+    while ((getController()?.getLogOutageMs() ?? 0) > 0 && clock.getNow() < until) {
+      if ((await this.findCandidateUntil(until)) !== undefined) {
+        return;
+      }
+      await waitForDelay(CANDIDATE_POLL_INTERVAL_MS);
+    }
+  }
+
+  /** Returns a box that can lead next; undefined when none is found by a monotonic time. */
+  private findCandidateUntil(until: number): Promise<BoxClient | undefined> {
+    const timeoutMs = Math.max(0, until - this.options.clock.getNow());
+    return waitWithTimeout(this.options.boxes.findLeaderCandidate(), timeoutMs, undefined);
+  }
+
   /** Runs a handover attempt; no other starts before it ends. */
   private runExclusively(attempt: () => Promise<void>): void {
     this.isHandingOver = true;
--- a/packages/serve/ServeAdapter.ts
+++ b/packages/serve/ServeAdapter.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '../common/Logger';
 import type { Result } from '../common/Result';
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import type { CallerAuthorizer } from '../gateway/CallerAuthorizer';
@@ -14,11 +15,13 @@
   readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
   readonly authorizer: CallerAuthorizer;
+  readonly logger: Logger;
 }
 
 interface CallerServerHandle {
   start(): Promise<void>;
-  stop(): Promise<void>;
+  /** Stops accepting callers, answers the requests in progress, and ends within the timeout in milliseconds. */
+  stop(timeoutMs: number): Promise<void>;
 }
 
 /** Protocols and record formats of the platform. Implemented in `platform/`. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -34,6 +34,7 @@
 import type { ServeAdapter } from './ServeAdapter';
 import { ServeMetrics } from './ServeMetrics';
 import type { ServeSettings } from './ServeSettings';
+import { StopBudget } from './StopBudget';
 import { TopicFollowers } from './TopicFollowers';
 import { topics } from './topics';
 
@@ -61,6 +62,8 @@
 const FORWARDED_APPEND_TIME_SHARE = 0.9;
 /** Time in which the load balancer notices from its readiness probes that this box is stopping. */
 const DRAIN_NOTICE_MS = 2600;
+/** Largest share of the time for callers that the notice may take, when the grace period is short. */
+const MAX_DRAIN_NOTICE_SHARE = 0.6;
 /** Duration of failing writes from which a leader is not ready, and beyond which forwarded writes are refused. */
 const UNREADY_WRITE_OUTAGE_MS = 600;
 
@@ -136,6 +139,7 @@
       isReady: () => this.isReady(),
       isStopping: () => this.isStopping,
       authorizer: this.createAuthorizer(),
+      logger: this.logger,
     });
     this.boxServer = new BoxServer({
       address: settings.internal,
@@ -161,8 +165,8 @@
   }
 
   /**
-   * Stops gracefully: hands leadership over, waits until callers are sent elsewhere, then stops all components. All calls resolve when
-   * the one stop has ended.
+   * Stops gracefully within the grace period: hands leadership over, waits until callers are sent elsewhere, then stops all components.
+   * All calls resolve when the one stop has ended.
    */
   stop(): Promise<void> {
     this.stopped ??= this.runStop();
@@ -170,19 +174,36 @@
   }
 
   private async runStop(): Promise<void> {
+    const { clock, settings } = this.options;
+    const budget = new StopBudget({ clock, logger: this.logger, graceMs: settings.graceMs });
     this.isStopping = true;
     this.logger.info('Stopping.', { isLeading: this.controller !== undefined });
     this.leadership.stop();
-    const stopAt = this.options.clock.getNow() + DRAIN_NOTICE_MS;
-    await this.leaderHandover.runPlannedHandover();
-    await waitForDelay(Math.max(0, stopAt - this.options.clock.getNow()));
+    await Promise.all([
+      budget.runPhase('handover', (timeoutMs) => this.leaderHandover.runPlannedHandover(timeoutMs)),
+      budget.runPhase('callers', (timeoutMs) => this.stopCallerServer(timeoutMs)),
+    ]);
     clearInterval(this.tickTimer);
     this.leaderWatch.setLeader(undefined);
-    await this.callerServer.stop();
-    await this.boxServer.stop();
+    await budget.runPhase('boxes', (timeoutMs) => this.stopBoxServer(timeoutMs));
     this.followers.stop();
-    await this.logClient.stop();
-    this.logger.info('Stopped.');
+    await budget.runPhase('log', () => this.logClient.stop());
+    this.logger.info('Stopped.', { tookMs: Math.round(budget.getElapsedMs()) });
+  }
+
+  /** Stops the server for callers once the load balancer sends no more of them, with time left for the responses in progress. */
+  private async stopCallerServer(timeoutMs: number): Promise<void> {
+    const { clock } = this.options;
+    const deadline = clock.getNow() + timeoutMs;
+    await waitForDelay(Math.min(DRAIN_NOTICE_MS, timeoutMs * MAX_DRAIN_NOTICE_SHARE));
+    await this.callerServer.stop(Math.max(0, deadline - clock.getNow()));
+  }
+
+  private async stopBoxServer(timeoutMs: number): Promise<void> {
+    const cutCount = await this.boxServer.stop(timeoutMs);
+    if (cutCount > 0) {
+      this.logger.warn('Connections of other boxes cut at the stop.', { connections: cutCount });
+    }
   }
 
   /** Handles that the settings were reloaded. Nothing changes, since they are fixed while the process runs. */
