--- a/tests/frontServerStop.test.ts
+++ b/tests/frontServerStop.test.ts
@@ -152,6 +152,16 @@
     expect(connection.findResponse()?.headers).toContain('retry-after: 1');
   });
 
+  it('answers requests that a caller has sent without waiting for the first response', async () => {
+    const count = 'GET /jobs/ HTTP/1.1\r\nhost: jobs.example\r\n\r\n';
+    isStopping = true;
+    const connection = await sendText(count.repeat(3));
+    await waitFor(100);
+    expect(connection.countResponses()).toBe(3);
+    expect(await stopWithin(1000)).toBeLessThan(500);
+    expect(connection.closedAt).toBeDefined();
+  });
+
   it('cuts connections that have sent half of a request only when its time is over', async () => {
     const connection = await sendText(formatRequest('POST', BODY).slice(0, -10));
     await waitFor(100);
--- a/tests/helpers/RawConnection.ts
+++ b/tests/helpers/RawConnection.ts
@@ -41,6 +41,11 @@
     return isComplete ? { status: Number(match[1]), headers: match[2]!.toLowerCase() } : undefined;
   }
 
+  /** Returns the number of responses that have been received, complete or not. */
+  countResponses(): number {
+    return this.received.split('HTTP/1.1 ').length - 1;
+  }
+
   stop(): void {
     this.socket.destroy();
   }
