--- a/dev/bench/benchSections.ts
+++ b/dev/bench/benchSections.ts
@@ -7,11 +7,13 @@
 import { outageSection } from './outageSection';
 import { overloadSection } from './overloadSection';
 import { policySection } from './policySection';
+import { roundsSection } from './roundsSection';
 
 /** All sections, in the order of the report. */
 export const benchSections: readonly BenchSection[] = [
   decisionSection,
   leaderSection,
+  roundsSection,
   customersSection,
   policySection,
   overloadSection,
