A round of placement no longer checks the whole fleet for each waiting step

On small boxes with a large fleet the leader fell behind: rounds were long, responses of the advice service were handled late, and work waited beside free capacity. A round scanned all endpoints several times for each waiting step, also for steps that couldn't start: for ample capacity, for tickets, for preemption and, with free slots, for candidates.

Counts and sums of free capacity are now cached for all steps of a round until a placement changes them; eligible endpoints are cached while there are reservations, too; tickets are looked up from the step's side; a step is not placed if its demand fits nowhere; runs that may be preempted are found once a round, and preemption is not tried if none is less urgent.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -146,6 +146,7 @@
     this.capacityView = new CapacityView(this.endpoints, reservations);
     this.endpointQuarantine = new EndpointQuarantine(this.endpoints, stopPolicy.isQuarantineEnabled);
     this.preemptor = new Preemptor({
+      endpoints: this.endpoints,
       jobs: this.jobs,
       reservations,
       preemptionRules: stopPolicy.preemptionRules,
@@ -550,7 +551,7 @@
     this.crashTracker.applyCrashLimits(now, wallMs);
     this.isRoundDue = false;
     this.capacityView.clearCache();
-    this.preemptor.setRoundTime(now, wallMs);
+    this.preemptor.startRound(now, wallMs);
     this.endpointQuarantine.clearCache();
     this.endpointPreference.setRoundWallTime(wallMs);
     this.adviceRequester.startRound(slots);
--- a/packages/dispatch/advice/EagerCandidateSelector.ts
+++ b/packages/dispatch/advice/EagerCandidateSelector.ts
@@ -1,5 +1,6 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
 import { resourceMath } from '../../jobs/resourceMath';
+import type { StepAdvice } from './StepAdvice';
 import type { AdviceStats } from './AdviceStats';
 import type { CandidateSelector } from './CandidateSelector';
 import type { EndpointState } from '../endpoints/EndpointState';
@@ -15,7 +16,10 @@
 
 const computeSum = (counts: readonly number[]): number => counts.reduce((sum, count) => sum + count, 0);
 
-/** Selects candidates whenever tickets are missing: endpoints with free capacity, or all large enough ones if capacity is scarce. */
+/**
+ * Selects candidates whenever tickets are missing: endpoints with free capacity, or all large enough ones if capacity is scarce. Selects
+ * none for a step that would use the reserve of the most urgent queue, unless capacity is scarce.
+ */
 export class EagerCandidateSelector implements CandidateSelector {
   constructor(
     private readonly capacityView: CapacityView,
@@ -42,16 +46,20 @@
     missing: number,
     neededUntil: number,
   ): readonly EndpointState[] {
-    const open = eligible.filter((endpoint) => this.isAdviceMissing(step, endpoint, neededUntil));
-    return this.capacityView.isCapacityScarce(step, eligible)
+    const isScarce = this.capacityView.isCapacityScarce(step, eligible);
+    if (!isScarce && !this.capacityView.hasUnreservedCpu(step)) {
+      return [];
+    }
+    const advice = step.job.getStepAdvice(step.repetition, step.step);
+    const open = eligible.filter((endpoint) => this.isAdviceMissing(step, advice, endpoint, neededUntil));
+    return isScarce
       ? this.chooseWhenScarce(step, open, missing, neededUntil)
       : this.chooseAvailable(step, open, missing);
   }
 
   /**
    * Returns endpoints that have free capacity for a task: only those allowed before if the missing tasks fit there, otherwise as many as
-   * the tasks are likely to need, sorted by cost, then by the number of pending requests, then by free capacity. Returns none if the step
-   * would use the reserve of the most urgent queue.
+   * the tasks are likely to need, sorted by cost, then by the number of pending requests, then by free capacity.
    */
   private chooseAvailable(
     step: WaitingStep,
@@ -61,7 +69,7 @@
     const { shape } = step;
     const demand = toReservedDemand(shape);
     const available = open.filter((endpoint) => endpoint.hasCapacityFor(demand));
-    if (available.length === 0 || !this.capacityView.hasUnreservedCpu(step)) {
+    if (available.length === 0) {
       return [];
     }
     const allowed = available.filter((endpoint) => this.hasBeenAllowed(step, endpoint));
@@ -137,8 +145,12 @@
   }
 
   /** Returns whether the step may run another task on the endpoint, but has neither a refusal nor a ticket valid until `neededUntil`. */
-  private isAdviceMissing(step: WaitingStep, endpoint: EndpointState, neededUntil: number): boolean {
-    const advice = step.job.getStepAdvice(step.repetition, step.step);
+  private isAdviceMissing(
+    step: WaitingStep,
+    advice: StepAdvice,
+    endpoint: EndpointState,
+    neededUntil: number,
+  ): boolean {
     const { incarnation } = endpoint.getProfile();
     const isKnown =
       advice.isEndpointRefused(incarnation) || advice.getTicket(incarnation, neededUntil) !== undefined;
--- a/packages/dispatch/advice/StepAdvice.ts
+++ b/packages/dispatch/advice/StepAdvice.ts
@@ -22,6 +22,8 @@
 export class StepAdvice {
   private readonly tickets = new Map<EndpointIncarnation, Ticket>();
   private readonly refusedEndpoints = new Set<EndpointIncarnation>();
+  /** Latest time until which any ticket received so far may be used; -Infinity before the first. */
+  private latestUsableUntil = -Infinity;
   private hasPendingRequest = false;
   /** Monotonic time from which a request without a response may be repeated. */
   private retryAt = -Infinity;
@@ -40,6 +42,27 @@
     return ticket !== undefined && ticket.usableUntil > now ? ticket.text : undefined;
   }
 
+  /** Returns false if no ticket is usable at a monotonic time; true if one may be. Does not look at the single tickets. */
+  canHaveTicket(until: number): boolean {
+    return this.latestUsableUntil > until;
+  }
+
+  /** Returns the endpoints whose tickets a start chosen at `now` may use. */
+  listTicketedEndpoints(now: number): readonly EndpointIncarnation[] {
+    const ticketed: EndpointIncarnation[] = [];
+    for (const [endpoint, { usableUntil }] of this.tickets) {
+      if (usableUntil > now) {
+        ticketed.push(endpoint);
+      }
+    }
+    return ticketed;
+  }
+
+  /** Returns whether the service has refused any endpoint for the step. */
+  hasRefusal(): boolean {
+    return this.refusedEndpoints.size > 0;
+  }
+
   /** Returns whether the endpoint's ticket is valid until a start that is sent at `now` would arrive; false without a ticket. */
   hasSendableTicket(endpoint: EndpointIncarnation, now: number): boolean {
     const ticket = this.tickets.get(endpoint);
@@ -131,7 +154,9 @@
       if (text === undefined) {
         this.refusedEndpoints.add(endpoint);
       } else {
-        this.tickets.set(endpoint, { text, usableUntil: now + validityMs - START_LATENCY_MS, request });
+        const usableUntil = now + validityMs - START_LATENCY_MS;
+        this.tickets.set(endpoint, { text, usableUntil, request });
+        this.latestUsableUntil = Math.max(this.latestUsableUntil, usableUntil);
       }
     }
   }
--- a/packages/dispatch/placing/CapacityView.ts
+++ b/packages/dispatch/placing/CapacityView.ts
@@ -7,6 +7,7 @@
 import { resourceMath } from '../../jobs/resourceMath';
 import type { EndpointState } from '../endpoints/EndpointState';
 import type { EndpointReservations } from './EndpointReservations';
+import { FreeCapacityCache } from './FreeCapacityCache';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** Share of the processor capacity of a service that only its most urgent queue may use. */
@@ -34,6 +35,14 @@
   private readonly meanEndpointCapacities = new Map<string, TaskDemand>();
   /** Demands found to fit on no endpoint in this round, by service and required label. Free capacity only shrinks within a round. */
   private readonly unmetDemands = new Map<string, TaskDemand[]>();
+  /** Eligible endpoints of the steps without a reservation, by service, label and priority, as of `eligibleVersion`. */
+  private readonly eligibleEndpoints = new Map<string, readonly EndpointState[]>();
+  /** Version of the reservations for which `eligibleEndpoints` is valid. */
+  private eligibleVersion = 0;
+  /** Positions of endpoints in a list of eligible ones. */
+  private readonly positions = new Map<readonly EndpointState[], ReadonlyMap<EndpointIncarnation, number>>();
+  /** What follows from the free capacity of the endpoints, until it changes. */
+  private readonly freeCapacityCache = new FreeCapacityCache();
   /** Lowest, which is the most urgent, priority of the queues recorded so far, by service. Not cleared between rounds. */
   private readonly mostUrgentPriorities = new Map<ServiceName, number>();
 
@@ -81,6 +90,12 @@
   ): boolean {
     const advice = job.getStepAdvice(repetition, step);
     const ampleCount = indexes.length * AMPLE_CAPACITY_FACTOR;
+    const isAmpleWithRefused =
+      this.freeCapacityCache.getFitCount(eligible, shape, (free) => this.countFittingTasks(free, shape)) >=
+      ampleCount;
+    if (!isAmpleWithRefused || !advice.hasRefusal()) {
+      return isAmpleWithRefused;
+    }
     let count = 0;
     for (const endpoint of eligible) {
       count += advice.isEndpointRefused(endpoint.getProfile().incarnation)
@@ -112,6 +127,14 @@
     this.endpointCountsByHall.clear();
     this.meanEndpointCapacities.clear();
     this.unmetDemands.clear();
+    this.eligibleEndpoints.clear();
+    this.positions.clear();
+    this.freeCapacityCache.clear();
+  }
+
+  /** Clears what was cached from the free capacity of the endpoints. Has to be called after each change of it within a round. */
+  clearFreeCapacityCache(): void {
+    this.freeCapacityCache.clear();
   }
 
   /**
@@ -121,11 +144,66 @@
   listEligibleEndpoints(step: WaitingStep): readonly EndpointState[] {
     const { job, shape } = step;
     const schedulable = this.listSchedulableEndpoints(job.definition.queue.service, shape.requiredLabel);
-    return this.reservations.isEmpty()
-      ? schedulable
-      : schedulable.filter(
-          (endpoint) => !this.reservations.isReservedForOtherStep(step, endpoint.getProfile().incarnation),
-        );
+    if (this.reservations.isEmpty()) {
+      return schedulable;
+    }
+    const list = (): readonly EndpointState[] =>
+      schedulable.filter(
+        (endpoint) => !this.reservations.isReservedForOtherStep(step, endpoint.getProfile().incarnation),
+      );
+    return this.reservations.hasReservationFor(step) ? list() : this.getOrListEligible(step, list);
+  }
+
+  /** Returns the cached eligible endpoints of the steps of one service, label and priority without a reservation; else lists them. */
+  private getOrListEligible(
+    { job, shape }: WaitingStep,
+    list: () => readonly EndpointState[],
+  ): readonly EndpointState[] {
+    if (this.eligibleVersion !== this.reservations.getVersion()) {
+      this.eligibleVersion = this.reservations.getVersion();
+      this.eligibleEndpoints.clear();
+    }
+    const { service, priority } = job.definition.queue;
+    const key = `${priority} ${this.toCacheKey(service, shape.requiredLabel)}`;
+    const known = this.eligibleEndpoints.get(key);
+    if (known !== undefined) {
+      return known;
+    }
+    const listed = list();
+    this.eligibleEndpoints.set(key, listed);
+    return listed;
+  }
+
+  /**
+   * Returns those of the eligible endpoints that are in `incarnations` and, if `demand` is given, have free capacity for it; in the order
+   * of `eligible`.
+   */
+  listEligibleAmong(
+    eligible: readonly EndpointState[],
+    incarnations: Iterable<EndpointIncarnation>,
+    demand?: TaskDemand,
+  ): readonly EndpointState[] {
+    const positions = this.getPositions(eligible);
+    const found: number[] = [];
+    for (const incarnation of incarnations) {
+      const position = positions.get(incarnation);
+      if (position !== undefined && (demand === undefined || eligible[position]!.hasCapacityFor(demand))) {
+        found.push(position);
+      }
+    }
+    return found.sort((left, right) => left - right).map((position) => eligible[position]!);
+  }
+
+  private getPositions(eligible: readonly EndpointState[]): ReadonlyMap<EndpointIncarnation, number> {
+    const known = this.positions.get(eligible);
+    if (known !== undefined) {
+      return known;
+    }
+    const positions = new Map(
+      eligible.map((endpoint, position) => [endpoint.getProfile().incarnation, position]),
+    );
+    this.positions.set(eligible, positions);
+    return positions;
   }
 
   /** Returns whether the reserved demand of one task of the step fits into the free capacity of any eligible endpoint. */
@@ -136,7 +214,7 @@
     if (unmet.some((smaller) => resourceMath.isWithin(smaller, demand))) {
       return false;
     }
-    if (eligible.some((endpoint) => endpoint.hasCapacityFor(demand))) {
+    if (this.freeCapacityCache.hasCapacityFor(eligible, demand)) {
       return true;
     }
     // With reservations, the eligible endpoints differ from step to step, so the result isn't cached.
@@ -170,12 +248,9 @@
     if (this.isMostUrgentQueue(queue)) {
       return Infinity;
     }
-    let free = 0;
-    let capacity = 0;
-    for (const endpoint of this.listSchedulableEndpoints(queue.service, '')) {
-      free += endpoint.getFreeCpuMillis();
-      capacity += endpoint.getProfile().capacity.cpuMillis;
-    }
+    const { free, capacity } = this.freeCapacityCache.getCpuTotals(
+      this.listSchedulableEndpoints(queue.service, ''),
+    );
     return free - capacity * RESERVED_CPU_SHARE;
   }
 
--- a/packages/dispatch/placing/EndpointReservations.ts
+++ b/packages/dispatch/placing/EndpointReservations.ts
@@ -17,6 +17,15 @@
  */
 export class EndpointReservations {
   private readonly reservations = new Map<EndpointIncarnation, Reservation>();
+  /** Number of reservations by the step that they are for; steps without one have no entry. */
+  private readonly countsByStep = new Map<string, number>();
+  /** Number of changes so far. */
+  private version = 0;
+
+  /** Returns a number that rises with each change of the reservations. */
+  getVersion(): number {
+    return this.version;
+  }
 
   isEmpty(): boolean {
     return this.reservations.size === 0;
@@ -25,22 +34,28 @@
   /** Reserves an endpoint for a step until a monotonic time. Replaces any reservation of the endpoint, also by another step. */
   setReservation(endpoint: EndpointIncarnation, step: WaitingStep, expiresAt: number): void {
     const { priority } = step.job.definition.queue;
-    this.reservations.set(endpoint, { stepName: toStepName(step), priority, expiresAt });
+    const stepName = toStepName(step);
+    this.removeReservation(endpoint);
+    this.reservations.set(endpoint, { stepName, priority, expiresAt });
+    this.countsByStep.set(stepName, (this.countsByStep.get(stepName) ?? 0) + 1);
+    this.version += 1;
   }
 
   releaseStepReservations(step: WaitingStep): void {
+    if (!this.hasReservationFor(step)) {
+      return;
+    }
     const stepName = toStepName(step);
     for (const [endpoint, reservation] of this.reservations) {
       if (reservation.stepName === stepName) {
-        this.reservations.delete(endpoint);
+        this.removeReservation(endpoint);
       }
     }
   }
 
   /** Returns whether at least one endpoint is reserved for the step. */
   hasReservationFor(step: WaitingStep): boolean {
-    const stepName = toStepName(step);
-    return [...this.reservations.values()].some((reservation) => reservation.stepName === stepName);
+    return !this.isEmpty() && this.countsByStep.has(toStepName(step));
   }
 
   /** Returns whether the endpoint is reserved for another step of the same or a higher priority. */
@@ -56,8 +71,25 @@
   removeExpiredReservations(now: number): void {
     for (const [endpoint, { expiresAt }] of this.reservations) {
       if (now >= expiresAt) {
-        this.reservations.delete(endpoint);
+        this.removeReservation(endpoint);
       }
     }
   }
+
+  /** Removes the reservation of an endpoint, if there is one. */
+  private removeReservation(endpoint: EndpointIncarnation): void {
+    const reservation = this.reservations.get(endpoint);
+    if (reservation === undefined) {
+      return;
+    }
+    this.reservations.delete(endpoint);
+    const { stepName } = reservation;
+    const left = this.countsByStep.get(stepName)! - 1;
+    if (left > 0) {
+      this.countsByStep.set(stepName, left);
+    } else {
+      this.countsByStep.delete(stepName);
+    }
+    this.version += 1;
+  }
 }
--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -1,3 +1,4 @@
+import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import type { JobId } from '../../jobs/JobId';
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import { resourceMath } from '../../jobs/resourceMath';
@@ -13,6 +14,7 @@
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 interface PreemptorOptions {
+  readonly endpoints: ReadonlyMap<EndpointIncarnation, EndpointState>;
   readonly jobs: ReadonlyMap<JobId, LiveJob>;
   readonly reservations: EndpointReservations;
   readonly preemptionRules: PreemptionRules;
@@ -50,11 +52,19 @@
 export class Preemptor {
   /** Wall clock time minus monotonic time, in milliseconds. */
   private wallOffsetMs = 0;
+  /** Runs that may be preempted for steps of any higher priority, in the order of preemption, by endpoint; as of `preemptibleAt`. */
+  private readonly preemptibleRuns = new Map<EndpointState, readonly PlacedRun[]>();
+  /** Monotonic time for which `preemptibleRuns` is valid. */
+  private preemptibleAt = -Infinity;
+  /** Priority of the least urgent run that may be preempted; undefined until it is computed in this round. */
+  private leastUrgentPriority: number | undefined;
 
   constructor(private readonly options: PreemptorOptions) {}
 
-  /** Sets the offset between the monotonic and the wall clock, by which slack is computed, from their times in this round. */
-  setRoundTime(now: number, wallMs: number): void {
+  /** Begins a round: sets the offset between the monotonic and the wall clock, by which slack is computed, and clears cached runs. */
+  startRound(now: number, wallMs: number): void {
+    this.preemptibleRuns.clear();
+    this.leastUrgentPriority = undefined;
     this.wallOffsetMs = wallMs - now;
   }
 
@@ -73,6 +83,16 @@
     return this.options.preemptionRules.minTicketValidityMs;
   }
 
+  /** Returns whether any run may be preempted for the step, which has no reservation and whose last attempt isn't backing off. */
+  canStartPreemption(step: WaitingStep, now: number): boolean {
+    this.leastUrgentPriority ??= this.computeLeastUrgentPriority(now);
+    return (
+      step.job.definition.queue.priority < this.leastUrgentPriority &&
+      now >= step.job.getStepPreemptionRetryAt(step.repetition, step.step) &&
+      !this.options.reservations.hasReservationFor(step)
+    );
+  }
+
   /**
    * Reserves endpoints for a step and reports the runs to preempt there by `handlePreempted`. Does nothing while the step has a
    * reservation, while its last attempt is backing off, or when no runs can be preempted. If the preemption isn't worthwhile, only
@@ -80,10 +100,7 @@
    */
   startPreemption(step: WaitingStep, allowed: readonly EndpointState[], now: number): void {
     const { reservations, handleRunPreempted: handlePreempted } = this.options;
-    if (
-      reservations.hasReservationFor(step) ||
-      now < step.job.getStepPreemptionRetryAt(step.repetition, step.step)
-    ) {
+    if (!this.canStartPreemption(step, now)) {
       return;
     }
     const plans = this.createPreemptionPlans(step, allowed, now);
@@ -108,6 +125,7 @@
         step,
         now + this.options.preemptionRules.reservationMs,
       );
+      this.preemptibleRuns.delete(endpoint);
       for (const run of victims) {
         this.options.jobs.get(run.job)?.recordTaskPreemption(run.task);
         handlePreempted(endpoint, run, step, estimate);
@@ -275,9 +293,38 @@
   /** Returns the runs on an endpoint that may be preempted for the step, the least urgent first, then by progress, the least first. */
   private listPreemptibleRuns(step: WaitingStep, endpoint: EndpointState, now: number): readonly PlacedRun[] {
     const { priority } = step.job.definition.queue;
-    return [...endpoint.getRuns()]
-      .filter((run) => run.priority > priority && this.isPreemptible(run, now))
-      .sort((left, right) => right.priority - left.priority || left.percent - right.percent);
+    const preemptible = this.getPreemptibleRuns(endpoint, now);
+    return preemptible.length === 0 ? preemptible : preemptible.filter((run) => run.priority > priority);
+  }
+
+  /** Returns the highest number of a priority among the runs that may be preempted; -Infinity when there are none. */
+  private computeLeastUrgentPriority(now: number): number {
+    let priority = -Infinity;
+    for (const endpoint of this.options.endpoints.values()) {
+      priority = Math.max(priority, this.getPreemptibleRuns(endpoint, now)[0]?.priority ?? -Infinity);
+    }
+    return priority;
+  }
+
+  /** Returns the runs on an endpoint that may be preempted at all, in the order of `listPreemptibleRuns`; cached for one time in a round. */
+  private getPreemptibleRuns(endpoint: EndpointState, now: number): readonly PlacedRun[] {
+    if (now !== this.preemptibleAt) {
+      this.preemptibleAt = now;
+      this.preemptibleRuns.clear();
+    }
+    const known = this.preemptibleRuns.get(endpoint);
+    if (known !== undefined) {
+      return known;
+    }
+    const runs: PlacedRun[] = [];
+    for (const run of endpoint.getRuns()) {
+      if (this.isPreemptible(run, now)) {
+        runs.push(run);
+      }
+    }
+    runs.sort((left, right) => right.priority - left.priority || left.percent - right.percent);
+    this.preemptibleRuns.set(endpoint, runs);
+    return runs;
   }
 
   /**
@@ -287,7 +334,7 @@
   private isPreemptible(run: PlacedRun, now: number): boolean {
     const job = this.options.jobs.get(run.job);
     const shape = job?.definition.steps[run.address.step];
-    if (job === undefined || shape === undefined || run.stage !== 'running' || !shape.isCheckpointing) {
+    if (run.stage !== 'running' || job === undefined || shape?.isCheckpointing !== true) {
       return false;
     }
     const isExcluded = shape.isGang || shape.isLongRunning || shape.isFiller;
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -1,4 +1,5 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
+import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskProgress } from '../../jobs/TaskProgress';
 import { createPlacedRun } from '../runs/createPlacedRun';
@@ -78,11 +79,12 @@
     }
     const eligible = this.capacityView.listEligibleEndpoints(step);
     const isScarce = this.capacityView.isCapacityScarce(step, eligible);
-    if (!isScarce && !this.capacityView.hasCapacityForTask(step, eligible)) {
+    const hasCapacity = this.capacityView.hasCapacityForTask(step, eligible);
+    if (!isScarce && !hasCapacity) {
       wait.recordCause('room', now);
       return false;
     }
-    const placements = this.choosePlacements(step, eligible, now);
+    const placements = hasCapacity ? this.choosePlacements(step, eligible, now) : [];
     const missing = step.indexes.length - placements.length;
     const cause =
       missing === 0 ? 'room' : this.options.adviceRequester.requestAdvice(step, eligible, missing, now);
@@ -141,6 +143,9 @@
   /** Returns the step without the tasks in backoff; undefined when none is left, or when a gang wouldn't be complete. */
   private computePartWithoutBackoff(waitingStep: WaitingStep, now: number): WaitingStep | undefined {
     const { job, repetition, step } = waitingStep;
+    if (!job.hasBackoff()) {
+      return waitingStep;
+    }
     const indexes = waitingStep.indexes.filter(
       (index) => !job.isBackingOff({ repetition, step, index }, now),
     );
@@ -153,6 +158,9 @@
   /** Starts preemption on the eligible endpoints that have a ticket valid for long enough and aren't quarantined. */
   private startPreemption(step: WaitingStep, eligible: readonly EndpointState[], now: number): void {
     const { preemptor, quarantine } = this.options;
+    if (!preemptor.canStartPreemption(step, now)) {
+      return;
+    }
     const candidate = { isInGang: step.shape.isGang, failureCount: 0 };
     const allowed = this.listAllowedEndpoints(
       step,
@@ -162,19 +170,23 @@
     preemptor.startPreemption(step, allowed, now);
   }
 
-  /** Returns the eligible endpoints with a ticket that is valid until a monotonic time; all of them when the queue needs no advice. */
+  /**
+   * Returns the eligible endpoints with a ticket that is valid until a monotonic time, or all of them when the queue needs no advice; if
+   * `demand` is given, only those with free capacity for it.
+   */
   private listAllowedEndpoints(
     step: WaitingStep,
     eligible: readonly EndpointState[],
     until: number,
+    demand?: TaskDemand,
   ): readonly EndpointState[] {
     if (step.job.definition.queue.advice === undefined) {
-      return eligible;
+      return demand === undefined ? eligible : eligible.filter((endpoint) => endpoint.hasCapacityFor(demand));
     }
     const advice = this.getStepAdvice(step);
-    return eligible.filter(
-      (endpoint) => advice.getTicket(endpoint.getProfile().incarnation, until) !== undefined,
-    );
+    return advice.canHaveTicket(until)
+      ? this.capacityView.listEligibleAmong(eligible, advice.listTicketedEndpoints(until), demand)
+      : [];
   }
 
   /** Chooses endpoints for as many tasks as possible and takes capacity there. For a gang, chooses them for all members or none. */
@@ -198,12 +210,17 @@
   ): Placement[] {
     const placements: Placement[] = [];
     const advice = step.job.definition.queue.advice === undefined ? undefined : this.getStepAdvice(step);
-    const allowed = this.listAllowedEndpoints(step, eligible, now);
+    let unreservedCpuMillis = this.capacityView.computeUnreservedCpuMillis(step);
+    if (step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller) {
+      return placements;
+    }
+    const demand = toReservedDemand(step.shape);
+    // Within a round, an endpoint without free capacity for a task stays without.
+    const allowed = this.listAllowedEndpoints(step, eligible, now, demand);
     if (allowed.length === 0) {
       return placements;
     }
-    let unreservedCpuMillis = this.capacityView.computeUnreservedCpuMillis(step);
-    const runNumber = this.computeNextGangRun(step);
+    const runNumber = step.shape.isGang ? this.computeNextGangRun(step) : 0;
     const computePreferenceCost = this.options.preference.createCostFunction(step, allowed);
     for (const { address, task, isSuspect } of this.listStartableTasks(step)) {
       if (step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller) {
@@ -230,6 +247,7 @@
         isCrashSuspect: isSuspect,
       });
       endpoint.addRun(run);
+      this.capacityView.clearFreeCapacityCache();
       unreservedCpuMillis -= step.shape.demand.cpuMillis;
       placements.push({
         endpoint,
@@ -300,6 +318,7 @@
 
   private releasePlacement({ endpoint, run }: Placement): void {
     endpoint.removeRun(run);
+    this.capacityView.clearFreeCapacityCache();
   }
 
   /**
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -47,8 +47,8 @@
 
 /** State of a job that the leader keeps in memory: its progress, its waiting steps, and the waits, backoffs and preemptions. */
 export class LiveJob {
-  /** State of the steps, by `REPETITION.STEP`. */
-  private readonly stepStates = new Map<string, StepState>();
+  /** State of the steps, by the number of steps in all repetitions before them. */
+  private readonly stepStates = new Map<number, StepState>();
   /** Critical path from the start of each step to the end of the job, in milliseconds, by the index of the step. */
   private readonly stepCriticalPathsMs: readonly number[];
   private readonly jobCriticalPathMs: number;
@@ -141,7 +141,10 @@
 
   /** Returns the waits of all steps that wait, each with the `REPETITION.STEP` of the step. */
   listStepWaits(): readonly (readonly [string, StepWait])[] {
-    return [...this.stepStates].flatMap(([name, { wait }]) => (wait === undefined ? [] : [[name, wait]]));
+    const stepCount = this.definition.steps.length;
+    return [...this.stepStates].flatMap(([key, { wait }]) =>
+      wait === undefined ? [] : [[`${Math.floor(key / stepCount)}.${key % stepCount}`, wait]],
+    );
   }
 
   /**
@@ -232,6 +235,11 @@
     }
   }
 
+  /** Returns whether a start of any task has ever been delayed. */
+  hasBackoff(): boolean {
+    return this.retryAt.size > 0;
+  }
+
   /** Returns whether the next start of the task is still delayed at the monotonic time `now`, after a crash or rejected starts. */
   isBackingOff(address: TaskAddress, now: number): boolean {
     return this.retryAt.size > 0 && now < (this.retryAt.get(toTaskName(this.definition.id, address)) ?? now);
@@ -239,7 +247,7 @@
 
   /** Returns the state of a step, which it creates on the first call. */
   private getStepState(repetition: number, step: number): StepState {
-    const key = `${repetition}.${step}`;
+    const key = repetition * this.definition.steps.length + step;
     const known = this.stepStates.get(key);
     if (known !== undefined) {
       return known;
