The leader lists its advice channels only for due rounds, and only when boxes have changed

With many boxes, each status of an endpoint made the leader create three objects for each box, to count free slots for a round that was mostly not due. Lists of the announced boxes are now kept until an announcement changes them, and slots are counted for due rounds only.

--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -13,16 +13,27 @@
 /** HTTP clients of the other announced entry boxes, and the search for a box that should lead next. */
 export class BoxClients {
   private readonly clients = new Map<string, BoxClient>();
+  /** The boxes of the directory for which `others` was listed. */
+  private listedBoxes: ReturnType<BoxDirectory['listBoxes']> | undefined;
+  private others: readonly ConnectedBox[] = [];
 
   constructor(
     private readonly directory: BoxDirectory,
     private readonly ownBox: BoxResources & { readonly box: string },
   ) {}
 
-  /** Returns all other announced boxes with their clients. */
+  /** Returns all other announced boxes with their clients; the same array until the directory changes. */
   listOthers(): readonly ConnectedBox[] {
-    return this.directory
-      .listBoxes()
+    const boxes = this.directory.listBoxes();
+    if (boxes !== this.listedBoxes) {
+      this.listedBoxes = boxes;
+      this.others = this.createConnectedBoxes(boxes);
+    }
+    return this.others;
+  }
+
+  private createConnectedBoxes(boxes: ReturnType<BoxDirectory['listBoxes']>): readonly ConnectedBox[] {
+    return boxes
       .filter(({ box }) => box !== this.ownBox.box)
       .map(({ box, address, announcedAt, cores, linkMbps }) => ({
         box,
--- a/packages/boxes/BoxDirectory.ts
+++ b/packages/boxes/BoxDirectory.ts
@@ -21,6 +21,8 @@
 /** Entry boxes that have announced themselves, in the log or by a request. Some may no longer exist. */
 export class BoxDirectory {
   private readonly boxes = new Map<string, KnownBox>();
+  /** Cached result of `listBoxes`; undefined after a change. */
+  private boxList: readonly KnownBox[] | undefined;
 
   /** Returns the log key of the announcement of a box. */
   static toAnnouncementKey(box: string): string {
@@ -41,6 +43,7 @@
       if (!key.startsWith(ANNOUNCEMENT_KEY_PREFIX)) {
         continue;
       }
+      this.boxList = undefined;
       const box = key.slice(ANNOUNCEMENT_KEY_PREFIX.length);
       const parsed = announcementSchema.safeParse(parseJson(value));
       if (parsed.success) {
@@ -55,10 +58,13 @@
   setBox(box: string, address: string, { cores, linkMbps }: BoxResources): void {
     const announcedAt = this.boxes.get(box)?.announcedAt ?? -Infinity;
     this.boxes.set(box, { box, address, cores, linkMbps, announcedAt });
+    this.boxList = undefined;
   }
 
+  /** Returns all known boxes; the same array until the next change. */
   listBoxes(): readonly KnownBox[] {
-    return [...this.boxes.values()];
+    this.boxList ??= [...this.boxes.values()];
+    return this.boxList;
   }
 
   /** Returns the boxes that are not clearly weaker than a box with the given resources. */
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -503,12 +503,17 @@
     return this.longWaitLogger.listOpenWaits(now);
   }
 
+  /** Returns false when `placeWaiting` and `requestAdviceAhead` would do nothing, since nothing has happened that may allow a start. */
+  hasDueRound(): boolean {
+    return this.isRoundDue || this.hasOnlyRequestedAdvice;
+  }
+
   /**
    * Runs a scheduling round, unless nothing has happened since the last one that may allow a start: places waiting tasks in
    * placement order and requests missing advice, with the given free slots. Sends early advice requests at most once a tick.
    */
   placeWaiting(now: number, wallMs: number, slots = UNLIMITED_ADVICE_SLOTS): void {
-    if (!this.isRoundDue && !this.hasOnlyRequestedAdvice) {
+    if (!this.hasDueRound()) {
       return;
     }
     this.hasOnlyRequestedAdvice = false;
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -412,11 +412,13 @@
     const { clock } = this.options;
     const now = clock.getNow();
     this.updateStartHold(now);
-    const slots = this.adviceBalancer.getFreeSlots();
-    if (this.isHoldingStarts) {
-      this.dispatcher.requestAdviceAhead(now, clock.getWallTime(), slots);
-    } else {
-      this.dispatcher.placeWaiting(now, clock.getWallTime(), slots);
+    if (this.dispatcher.hasDueRound()) {
+      const slots = this.adviceBalancer.getFreeSlots();
+      if (this.isHoldingStarts) {
+        this.dispatcher.requestAdviceAhead(now, clock.getWallTime(), slots);
+      } else {
+        this.dispatcher.placeWaiting(now, clock.getWallTime(), slots);
+      }
     }
     this.sendEffects();
     this.slowRoundLogger.recordRoundDuration(clock.getNow() - now, now);
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -3,6 +3,7 @@
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { waitForDelay } from '../common/waitForDelay';
+import type { AdviceChannel } from '../dispatch/advice/AdviceChannel';
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import { LeaderController } from '../dispatch/LeaderController';
 import { QueueRouter } from '../gateway/QueueRouter';
@@ -84,6 +85,9 @@
   private readonly callerServer: ReturnType<ServeAdapter['createCallerServer']>;
   private readonly jobService: BoxJobService;
   private controller: LeaderController | undefined;
+  /** The other boxes for which `adviceChannels` was created. */
+  private listedOthers: readonly unknown[] | undefined;
+  private adviceChannels: readonly AdviceChannel[] = [];
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
 
@@ -442,10 +446,14 @@
   }
 
   /** Returns the clients for advice requests: that of this box first, then those of the other announced boxes. */
-  private listAdviceClients(): { box: string; isOwnBox: boolean; client: AdviceClient }[] {
-    const own = { box: this.options.settings.box, isOwnBox: true, client: this.adviceClient };
-    const others = this.otherBoxes.clients.listOthers().map((other) => ({ ...other, isOwnBox: false }));
-    return [own, ...others];
+  private listAdviceClients(): readonly AdviceChannel[] {
+    const others = this.otherBoxes.clients.listOthers();
+    if (others !== this.listedOthers) {
+      const own = { box: this.options.settings.box, isOwnBox: true, client: this.adviceClient };
+      this.listedOthers = others;
+      this.adviceChannels = [own, ...others.map(({ box, client }) => ({ box, client, isOwnBox: false }))];
+    }
+    return this.adviceChannels;
   }
 
   /**
--- a/tests/roundCosts.test.ts
+++ b/tests/roundCosts.test.ts
@@ -1,4 +1,6 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
+import { BoxClients } from '../packages/boxes/BoxClients';
+import { BoxDirectory } from '../packages/boxes/BoxDirectory';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import { EndpointState } from '../packages/dispatch/endpoints/EndpointState';
 import { JobProgress } from '../packages/jobs/JobProgress';
@@ -97,3 +99,31 @@
     },
   );
 });
+
+describe('the list of boxes that can send advice requests', () => {
+  it('is created again only after an announcement', () => {
+    const directory = new BoxDirectory();
+    const resources = { cores: 1, linkMbps: 100 };
+    const clients = new BoxClients(directory, { box: 'box-0', ...resources });
+    directory.setBox('box-0', 'box-0:80', resources);
+    directory.setBox('box-1', 'box-1:80', resources);
+    const others = clients.listOthers();
+    expect(others.map(({ box }) => box)).toEqual(['box-1']);
+    expect(clients.listOthers()).toBe(others);
+    const value = BoxDirectory.formatAnnouncement('box-2:80', resources);
+    directory.foldRecords([{ offset: 1, key: BoxDirectory.toAnnouncementKey('box-2'), value }], 5);
+    expect(clients.listOthers().map(({ box }) => box)).toEqual(['box-1', 'box-2']);
+    directory.foldRecords([{ offset: 2, key: BoxDirectory.toAnnouncementKey('box-1'), value: '' }], 6);
+    expect(clients.listOthers().map(({ box }) => box)).toEqual(['box-2']);
+  });
+});
+
+describe('a dispatcher without news', () => {
+  it('has no due round', () => {
+    const dispatcher = createDispatcher();
+    dispatcher.placeWaiting(0, 0, NO_SLOTS);
+    expect(dispatcher.hasDueRound()).toBe(false);
+    dispatcher.handleTick(100);
+    expect(dispatcher.hasDueRound()).toBe(true);
+  });
+});
