--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -146,6 +146,7 @@
     this.capacityView = new CapacityView(this.endpoints, reservations);
     this.endpointQuarantine = new EndpointQuarantine(this.endpoints, stopPolicy.isQuarantineEnabled);
     this.preemptor = new Preemptor({
+      endpoints: this.endpoints,
       jobs: this.jobs,
       reservations,
       preemptionRules: stopPolicy.preemptionRules,
@@ -504,13 +505,18 @@
     return this.longWaitLogger.listOpenWaits(now);
   }
 
+  /** Returns false when `placeWaiting` and `requestAdviceAhead` would do nothing, since nothing has happened that may allow a start. */
+  hasDueRound(): boolean {
+    return this.isRoundDue || this.hasOnlyRequestedAdvice;
+  }
+
   /**
    * Runs a scheduling round, unless nothing has happened since the last one that may allow a start: places waiting tasks in
    * placement order and requests missing advice, with the given free slots: first that of an overdue step, then in placement order. Sends
    * early advice requests at most once a tick.
    */
   placeWaiting(now: number, wallMs: number, slots = UNLIMITED_ADVICE_SLOTS): void {
-    if (!this.isRoundDue && !this.hasOnlyRequestedAdvice) {
+    if (!this.hasDueRound()) {
       return;
     }
     this.hasOnlyRequestedAdvice = false;
@@ -555,7 +561,7 @@
     this.crashTracker.applyCrashLimits(now, wallMs);
     this.isRoundDue = false;
     this.capacityView.clearCache();
-    this.preemptor.setRoundTime(now, wallMs);
+    this.preemptor.startRound(now, wallMs);
     this.endpointQuarantine.clearCache();
     this.endpointPreference.setRoundWallTime(wallMs);
     this.adviceRequester.startRound(slots, now);
