dispatch: an endpoint that has answered holds no leases of earlier leaders for longer than one lease

Callers could see: a lasting task that waits for 12.5 s beside free capacity (bound: 6 s and 3 s), and any other work as long, when its endpoint is lost within 8 s of a change of leader. Cause: the bound of earlier leaders' leases (8 s of renewals and a lease) is meant for endpoints that the new leader has never heard, and stayed with those that had answered. An endpoint that has answered has seen the new token and takes no renewal of an earlier leader. Evidence: `tests/earlierLeases` failed before (12,500 for under 6,370 ms). Fix: the first response lowers the bound to one lease from then on; it never raises it. Leases of this leader count apart. `tests/dispatch` (random worlds), `crashes`, `incarnations` and `suspension` pass.

--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -2,6 +2,7 @@
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskName } from '../../jobs/TaskName';
 import { resourceMath } from '../../jobs/resourceMath';
+import { leaderTimings } from '../../leadership/leaderTimings';
 import type { EndpointProfile } from './EndpointProfile';
 import type { PlacedRun } from '../runs/PlacedRun';
 import { FailureStreak } from '../stops/FailureStreak';
@@ -45,17 +46,16 @@
   private unreachableSince: number | undefined;
   /** Monotonic time of the newest response to a poll; undefined before the first. */
   private respondedAt: number | undefined;
-  /** Monotonic time by which all leases of the endpoint have expired. */
-  private leasedUntil: number;
+  /** Monotonic time by which all leases granted by this leader have expired; -Infinity before the first. */
+  private leasedUntil = -Infinity;
 
   constructor(
     private profile: EndpointProfile,
-    leasedUntil: number,
+    /** Monotonic time by which all leases granted by earlier leaders have expired. */
+    private earlierLeasesEndAt: number,
     /** Usage of the customers, updated with each run that is added or removed. */
     private readonly customerUsage: CustomerUsage,
-  ) {
-    this.leasedUntil = leasedUntil;
-  }
+  ) {}
 
   getProfile(): EndpointProfile {
     return this.profile;
@@ -171,8 +171,16 @@
     return this.unreachableSince;
   }
 
-  /** Records a response to a poll: the endpoint is reachable and synced. If its record was removed, its removal counts as planned. */
+  /**
+   * Records a response to a poll: the endpoint is reachable and synced, and no earlier leader can renew its lease any more. If its record was
+   * removed, its removal counts as planned.
+   */
   recordResponse(now: number): void {
+    if (!this.synced) {
+      const { leaseMs, clockDriftShare, marginMs } = leaderTimings;
+      const renewedLeaseEndsAt = now + leaseMs * (1 + clockDriftShare) + marginMs;
+      this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, renewedLeaseEndsAt);
+    }
     this.respondedAt = now;
     this.hasRespondedDeregistered ||= !this.registered;
     this.synced = true;
@@ -191,7 +199,7 @@
 
   /** Returns the monotonic time by which all leases of the endpoint have expired. */
   getLeasedUntil(): number {
-    return this.leasedUntil;
+    return Math.max(this.leasedUntil, this.earlierLeasesEndAt);
   }
 
   /** Updates the run failure rate with the outcome of a run or of its start. */
