jobs: a run of a gang counts as one failed attempt, however many members fail

Callers could see: `failed` for a job whose gang had failed twice with three attempts allowed. Cause: the failures of all members were added up, also those of one run. Evidence: `tests/gangFailures` failed before (`failed` after the second run for `running`). Fix: the first member that fails in a run is counted, and the run's others are not. Runs that failed by different members still count together. Left: two members of one run whose failures are recorded by two leaders count twice; the record of progress doesn't name the failed run.

--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -268,7 +268,7 @@
     return Infinity;
   }
 
-  /** Returns the number of failed runs of a task, or of all members of its gang, which the allowed attempts limit. */
+  /** Returns the number of failed runs of a task, or of its gang by any member, which the allowed attempts limit. */
   countFailures(repetition: number, step: number, index: number): number {
     const tasks = this.progress.listTasks(repetition, step);
     if (this.definition.steps[step]?.isGang === true) {
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -34,6 +34,8 @@
   private endedAtMs = 0;
   /** Outcome of the job; undefined while it has not ended. */
   private finalState: 'completed' | 'failed' | 'cancelled' | undefined;
+  /** Newest run of each gang in which a member failed, by `REPETITION.STEP`. */
+  private readonly failedGangRuns = new Map<string, number>();
   /** Number that increases with each change of a task. */
   private version = 0;
 
@@ -113,7 +115,8 @@
   }
 
   /**
-   * Records how the newest run ended: the task is done, or waits again with the checkpoint if one is given. A failed run is counted.
+   * Records how the newest run ended: the task is done, or waits again with the checkpoint if one is given. A failed run is counted, that of
+   * a gang once however many members fail in it.
    * Returns false, without a change, for another run than the newest and for one that has already ended.
    */
   recordRunEnd(address: TaskAddress, runNumber: number, outcome: RunOutcome, checkpoint: string): boolean {
@@ -126,7 +129,8 @@
       this.setTaskDone(address, task);
       return true;
     }
-    const failureCount = task.failureCount + (outcome === 'failed' ? 1 : 0);
+    const isCounted = outcome === 'failed' && this.recordFailure(address, runNumber);
+    const failureCount = task.failureCount + (isCounted ? 1 : 0);
     this.setTask(address, { ...task, phase: 'waiting', failureCount, checkpoint: kept });
     return true;
   }
@@ -219,6 +223,19 @@
     }
   }
 
+  /** Records a failed run. Returns false for the run of a gang in which another member has failed already. */
+  private recordFailure({ repetition, step }: TaskAddress, runNumber: number): boolean {
+    const key = `${repetition}.${step}`;
+    if (this.definition.steps[step]?.isGang !== true) {
+      return true;
+    }
+    if (this.failedGangRuns.get(key) === runNumber) {
+      return false;
+    }
+    this.failedGangRuns.set(key, runNumber);
+    return true;
+  }
+
   private setTaskDone(address: TaskAddress, task: TaskProgress): void {
     this.setTask(address, { ...task, phase: 'done', checkpoint: '', crashes: [], unconfirmedCrashes: [] });
     const steps = this.openTaskCounts[address.repetition]!;
