--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { request } from 'undici';
@@ -7,6 +7,7 @@
 import { ExecutorStandin } from '../../packages/standins/platform/ExecutorStandin';
 import { LogStandin } from '../../packages/standins/platform/LogStandin';
 import { RunChecker } from '../../packages/standins/platform/RunChecker';
+import { topics } from '../../packages/serve/topics';
 import { chooseFreePorts } from '../fleet/chooseFreePorts';
 import { ManagedProcess } from '../fleet/ManagedProcess';
 
@@ -39,6 +40,7 @@
   readonly ready: string;
   readonly internal: string;
   readonly settingsFile: string;
+  readonly logFile: string;
   process: ManagedProcess;
 }
 
@@ -78,6 +80,10 @@
 const MEMORY_PER_TASK_MB = 100;
 /** How long an executor is away after a crash. */
 const RETURN_MS = 1000;
+const OPERATOR_TOPIC = 'keyed.op';
+const ENDPOINTS_TOPIC = 'keyed.servers';
+/** Maximum size of the kept output of one box; the last part is kept. */
+const MAX_KEPT_LOG_BYTES = 8_000_000;
 
 /** One cell on this machine: real entry processes, and stand-ins for log, endpoints and advice. */
 export class Cell {
@@ -120,9 +126,13 @@
     return cell;
   }
 
-  async stop(): Promise<void> {
+  /** Stops everything. With `keptLogs`, the output of the boxes is first copied to that directory. */
+  async stop(keptLogs?: string): Promise<void> {
     this.isStopped = true;
     await Promise.all(this.boxes.map(({ process }) => process.stop()));
+    if (keptLogs !== undefined) {
+      this.writeKeptLogs(keptLogs);
+    }
     await Promise.all(this.executors.map(({ standin }) => standin.stop()));
     await this.advice.stop();
     await this.log.stop();
@@ -161,7 +171,7 @@
     }));
     const known = tenants === undefined ? {} : { tenants };
     const configuration = { version, routes, services: [{ name: SERVICE }], limits: {}, ...known };
-    this.log.writeRecord('keyed.op', 'config', configuration);
+    this.log.writeRecord(OPERATOR_TOPIC, 'config', configuration);
   }
 
   async startExecutor(id: string, address: string, recordAfterMs = 0): Promise<void> {
@@ -191,6 +201,40 @@
     }
   }
 
+  /**
+   * Ends an executor without a word, as a loss of power does. Its record is deleted and another executor appears under a new id after a while.
+   */
+  async startExecutorReplacement(id: string, downMs: number): Promise<void> {
+    const index = this.executors.findIndex((executor) => executor.id === id);
+    const ended = this.executors[index];
+    if (ended === undefined) {
+      return;
+    }
+    this.executors.splice(index, 1);
+    await ended.standin.stop();
+    await waitForDelay(downMs);
+    if (!this.isStopped) {
+      this.log.writeRecord(ENDPOINTS_TOPIC, id, '');
+      await this.startExecutor(`${id}-next`, ended.address);
+    }
+  }
+
+  /** Drops the history of all topics; the newest record of each key stays. */
+  runCompaction(): void {
+    [OPERATOR_TOPIC, ENDPOINTS_TOPIC, ...Object.values(topics)].forEach((topic) =>
+      this.log.getTopic(topic).runCompaction(),
+    );
+  }
+
+  /** Counts the further tasks of one core that the executors have room for. */
+  countFreeRoom(): number {
+    const { roomPerExecutor } = this.options;
+    return this.executors.reduce(
+      (sum, { standin }) => sum + Math.max(0, roomPerExecutor - standin.countRuns()),
+      0,
+    );
+  }
+
   private async handleCrash(id: string): Promise<void> {
     this.crashCount += 1;
     await this.startExecutorAgain(id, { downMs: RETURN_MS });
@@ -206,7 +250,7 @@
   writeExecutor(id: string, address: string, state: 'ready' | 'draining', remainingMs?: number): void {
     const { roomPerExecutor } = this.options;
     const bornAtMs = this.executors.find((executor) => executor.id === id)?.bornAtMs;
-    this.log.writeRecord('keyed.servers', id, {
+    this.log.writeRecord(ENDPOINTS_TOPIC, id, {
       service: SERVICE,
       address,
       zone: 'hall-a',
@@ -237,7 +281,7 @@
 
   /** Starts a box again under its name. */
   startBox(box: CellBox): void {
-    box.process = this.createProcess(box.name, box.settingsFile);
+    box.process = this.createProcess(box.name, box.settingsFile, box.logFile);
   }
 
   /** Waits until the box takes callers. */
@@ -283,8 +327,12 @@
     );
   }
 
-  async readState(box: CellBox, id: string): Promise<CellAnswer> {
-    return this.sendCall(box, 'GET', `/jobs/${id}`);
+  async readState(box: CellBox, id: string, queue = 'jobs'): Promise<CellAnswer> {
+    return this.sendCall(box, 'GET', `/${queue}/${id}`);
+  }
+
+  async cancelJob(box: CellBox, id: string, queue = 'jobs'): Promise<CellAnswer> {
+    return this.sendCall(box, 'DELETE', `/${queue}/${id}`);
   }
 
   async sendCall(
@@ -317,9 +365,15 @@
   }
 
   /** Waits until a job has a state, as a box shows it. */
-  async startState(box: CellBox, id: string, state: string, timeoutMs = 15_000): Promise<void> {
+  async startState(
+    box: CellBox,
+    id: string,
+    state: string,
+    timeoutMs = 15_000,
+    queue = 'jobs',
+  ): Promise<void> {
     await this.startUntil(
-      async () => (await this.readState(box, id).catch(() => undefined))?.body.state === state,
+      async () => (await this.readState(box, id, queue).catch(() => undefined))?.body.state === state,
       timeoutMs,
     );
   }
@@ -359,15 +413,23 @@
       'a-field-of-later': true,
     };
     writeFileSync(settingsFile, JSON.stringify(settings));
-    const process = this.createProcess(name, settingsFile);
-    this.boxes.push({ name, front, ready, internal, settingsFile, process });
+    const logFile = join(this.folder, `${name}.log`);
+    const process = this.createProcess(name, settingsFile, logFile);
+    this.boxes.push({ name, front, ready, internal, settingsFile, logFile, process });
+  }
+
+  private writeKeptLogs(directory: string): void {
+    mkdirSync(directory, { recursive: true });
+    for (const { name, logFile } of this.boxes) {
+      writeFileSync(join(directory, `${name}.log`), readFileSync(logFile).subarray(-MAX_KEPT_LOG_BYTES));
+    }
   }
 
-  private createProcess(name: string, settingsFile: string): ManagedProcess {
+  private createProcess(name: string, settingsFile: string, logFile: string): ManagedProcess {
     return new ManagedProcess({
       name,
       args: [PROGRAM, 'serve', '--settings', settingsFile, ...(this.options.args ?? [])],
-      logFile: join(this.folder, `${name}.log`),
+      logFile,
     });
   }
 }
--- a/dev/fleet/ManagedProcess.ts
+++ b/dev/fleet/ManagedProcess.ts
@@ -16,6 +16,8 @@
   private readonly log: WriteStream;
   private output = '';
   readonly exit: Promise<number | null>;
+  /** Resolves once it has ended and all its output is in the log file. */
+  private readonly logged: Promise<void>;
 
   constructor(readonly options: ManagedProcessOptions) {
     this.log = createWriteStream(options.logFile, { flags: 'a' });
@@ -27,6 +29,7 @@
       });
     }
     this.exit = new Promise((resolve) => this.child.once('exit', (code) => resolve(code)));
+    this.logged = new Promise((resolve) => this.child.once('close', () => this.log.end(resolve)));
   }
 
   /** Everything that it has printed so far. */
@@ -61,13 +64,13 @@
     }
   }
 
-  /** Ends it at once and waits. */
+  /** Ends it at once, and waits until its output has been written to the log file. */
   async stop(): Promise<void> {
     if (this.isAlive()) {
       this.child.kill('SIGCONT');
       this.child.kill('SIGKILL');
       await this.exit;
     }
-    this.log.end();
+    await this.logged;
   }
 }
--- a/dev/soak/SoakPlan.ts
+++ b/dev/soak/SoakPlan.ts
@@ -5,4 +5,6 @@
   readonly executors: number;
   /** Time in which things go wrong, in milliseconds. */
   readonly troubledMs: number;
+  /** Directory for the logs of a failed run; undefined to drop them. */
+  readonly keptLogs?: string;
 }
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -1,14 +1,26 @@
 import type { Random } from '../../packages/common/Random';
 import { waitForDelay } from '../../packages/common/waitForDelay';
 import type { Cell } from '../cell/Cell';
+import type { SoakJob } from './SoakJob';
+
+type Box = Cell['boxes'][number];
+
+const POLL_MS = 20;
 
 /** What the troubles of a soak act on. All that they begin is over by the end of `startCalm`. */
 export class SoakWorld {
   private readonly underWay = new Set<Promise<void>>();
   private readonly busyBoxes = new Set<string>();
   private version = 1;
+  private acceptWaiters: (() => void)[] = [];
+  /** True while a trouble waits for all boxes, and no other may take one. */
+  private isClaimingAll = false;
   /** Callers send many times as much as usual: more than there is room for. */
   isBursting = false;
+  /** All jobs that callers have sent. */
+  readonly jobs: SoakJob[] = [];
+  /** Broken promises that were seen while the soak ran. */
+  readonly problems: string[] = [];
 
   constructor(
     readonly cell: Cell,
@@ -33,14 +45,34 @@
   }
 
   /** Uses a box that no other trouble ends or pauses, if there is one. */
-  async startWithBox(work: (box: Cell['boxes'][number]) => Promise<void>): Promise<void> {
-    const free = this.cell.boxes.filter(({ name }) => !this.busyBoxes.has(name));
+  async startWithBox(work: (box: Box) => Promise<void>): Promise<void> {
+    const free = this.listFreeBoxes();
     const box = free[this.chooseUpTo(free.length - 1)];
-    if (box === undefined) {
+    if (box !== undefined) {
+      await this.startWithBoxes([box], () => work(box));
+    }
+  }
+
+  /** Uses several boxes at once, but not all; does nothing without two that no other trouble uses. */
+  async startWithSeveralBoxes(work: (boxes: readonly Box[]) => Promise<void>): Promise<void> {
+    const free = this.listFreeBoxes().slice(0, this.cell.boxes.length - 1);
+    if (free.length > 1) {
+      await this.startWithBoxes(free, work);
+    }
+  }
+
+  /** Uses all boxes, once no other trouble uses one. */
+  async startWithAllBoxes(work: (boxes: readonly Box[]) => Promise<void>): Promise<void> {
+    if (this.isClaimingAll) {
       return;
     }
-    this.busyBoxes.add(box.name);
-    await work(box).finally(() => this.busyBoxes.delete(box.name));
+    this.isClaimingAll = true;
+    while (this.busyBoxes.size > 0) {
+      await waitForDelay(POLL_MS);
+    }
+    const isOver = this.startWithBoxes(this.cell.boxes, work);
+    this.isClaimingAll = false;
+    await isOver;
   }
 
   /** One of the executors that are there. */
@@ -49,6 +81,29 @@
     return executors[this.chooseUpTo(executors.length - 1)];
   }
 
+  /** One of the boxes. */
+  chooseBox(): Box {
+    return this.cell.boxes[this.chooseUpTo(this.cell.boxes.length - 1)]!;
+  }
+
+  /** One of the accepted jobs. */
+  chooseAcceptedJob(): SoakJob | undefined {
+    const accepted = this.jobs.filter(({ fate }) => fate === 'accepted');
+    return accepted[this.chooseUpTo(accepted.length - 1)];
+  }
+
+  recordAccepted(job: SoakJob): void {
+    job.fate = 'accepted';
+    job.acceptedAt ??= performance.now();
+    this.acceptWaiters.splice(0).forEach((resolve) => resolve());
+  }
+
+  /** Resolves right after the next job was accepted, or after a timeout. */
+  waitForNextAccept(timeoutMs: number): Promise<void> {
+    const accepted = new Promise<void>((resolve) => this.acceptWaiters.push(resolve));
+    return Promise.race([accepted, waitForDelay(timeoutMs)]);
+  }
+
   writeNextConfiguration(): void {
     this.version += 1 + this.chooseUpTo(3);
     this.cell.writeConfiguration(this.version, [`queue-${this.version}`]);
@@ -57,4 +112,16 @@
   startPause(mostMs: number): Promise<void> {
     return waitForDelay(this.chooseUpTo(mostMs));
   }
+
+  private listFreeBoxes(): readonly Box[] {
+    return this.isClaimingAll ? [] : this.cell.boxes.filter(({ name }) => !this.busyBoxes.has(name));
+  }
+
+  private async startWithBoxes(
+    boxes: readonly Box[],
+    work: (boxes: readonly Box[]) => Promise<void>,
+  ): Promise<void> {
+    boxes.forEach(({ name }) => this.busyBoxes.add(name));
+    await work(boxes).finally(() => boxes.forEach(({ name }) => this.busyBoxes.delete(name)));
+  }
 }
--- a/dev/soak/soakTroubles.ts
+++ b/dev/soak/soakTroubles.ts
@@ -1,8 +1,10 @@
 import { waitForDelay } from '../../packages/common/waitForDelay';
 import type { ExecutorFault } from '../../packages/standins/platform/ExecutorFault';
 import type { LogFault } from '../../packages/standins/platform/LogFault';
+import type { Cell } from '../cell/Cell';
 import type { SoakWorld } from './SoakWorld';
 
+type Box = Cell['boxes'][number];
 type Trouble = (world: SoakWorld) => Promise<void>;
 
 const PAUSE_MS = 5000;
@@ -13,6 +15,53 @@
 const BURST_MS = 1500;
 /** After it a process that a signal has ended is gone. */
 const SETTLE_MS = 200;
+const NEXT_ACCEPT_MS = 2000;
+/** Time in which a program that was told to stop has to end. */
+const GRACE_MS = 6000;
+const REQUEST_LEAD_MS = 20;
+const REPLACEMENT_MS = 1500;
+
+const stopTogether = async (world: SoakWorld, boxes: readonly Box[], mostDownMs: number): Promise<void> => {
+  boxes.forEach(({ process }) => process.sendSignal('SIGKILL'));
+  await Promise.all(boxes.map(({ process }) => process.exit));
+  await world.startPause(mostDownMs);
+  boxes.forEach((box) => world.cell.startBox(box));
+};
+
+/** Stops a box as the platform does, which kills it after a grace time, and starts it again. */
+const stopGracefully = async (world: SoakWorld, box: Box): Promise<void> => {
+  const { process } = box;
+  process.sendSignal('SIGTERM');
+  const isEnded = await Promise.race([
+    process.exit.then(() => true),
+    waitForDelay(GRACE_MS).then(() => false),
+  ]);
+  if (!isEnded) {
+    world.problems.push(`${box.name} had not ended ${GRACE_MS} ms after it was told to stop`);
+    process.sendSignal('SIGKILL');
+    await process.exit;
+  }
+  world.cell.startBox(box);
+};
+
+/** Stops a box that takes callers while it answers a request, which must get its response. */
+const stopWhileAnswering = async (world: SoakWorld, box: Box): Promise<void> => {
+  const job = world.chooseAcceptedJob();
+  const isTaking = await world.cell.isTakingCallers(box);
+  const answer =
+    job === undefined || !isTaking
+      ? Promise.resolve(undefined)
+      : world.cell.readState(box, job.id, job.queue).then(
+          () => undefined,
+          (error: unknown) => `${box.name} was told to stop and broke a request off: ${String(error)}`,
+        );
+  await waitForDelay(REQUEST_LEAD_MS);
+  await stopGracefully(world, box);
+  const problem = await answer;
+  if (problem !== undefined) {
+    world.problems.push(problem);
+  }
+};
 
 const startExecutorFault = async (world: SoakWorld, fault: ExecutorFault): Promise<void> => {
   const executor = world.chooseExecutor();
@@ -51,11 +100,34 @@
         world.cell.startBox(box);
       }
     }),
-  stopBox: (world) =>
-    world.startWithBox(async (box) => {
-      box.process.sendSignal('SIGTERM');
-      await box.process.exit;
-      world.cell.startBox(box);
+  killSeveral: (world) => world.startWithSeveralBoxes((boxes) => stopTogether(world, boxes, DOWN_MS)),
+  powerLossOfAll: (world) => world.startWithAllBoxes((boxes) => stopTogether(world, boxes, DOWN_MS)),
+  powerLossAfterAccept: (world) =>
+    world.startWithAllBoxes(async (boxes) => {
+      await world.waitForNextAccept(NEXT_ACCEPT_MS);
+      await stopTogether(world, boxes, 0);
+    }),
+  powerLossInChange: (world) =>
+    world.startWithAllBoxes(async (boxes) => {
+      world.writeNextConfiguration();
+      await world.startPause(SETTLE_MS);
+      await stopTogether(world, boxes, DOWN_MS);
+    }),
+  powerLossWithExecutor: (world) =>
+    world.startWithAllBoxes(async (boxes) => {
+      const executor = world.chooseExecutor();
+      const replaced =
+        executor === undefined
+          ? Promise.resolve()
+          : world.cell.startExecutorReplacement(executor.id, world.chooseUpTo(REPLACEMENT_MS));
+      await Promise.all([stopTogether(world, boxes, DOWN_MS), replaced]);
+    }),
+  stopBox: (world) => world.startWithBox((box) => stopGracefully(world, box)),
+  stopAllInTurn: (world) =>
+    world.startWithAllBoxes(async (boxes) => {
+      for (const box of boxes) {
+        await stopWhileAnswering(world, box);
+      }
     }),
   pauseBox: (world) =>
     world.startWithBox(async (box) => {
@@ -97,8 +169,20 @@
     await waitForDelay(0);
   },
   silentLog: (world) => startLogFault(world, 'silent'),
-  busyLogForOne: (world) =>
-    startLogFault(world, 'busy', world.cell.boxes[world.chooseUpTo(world.cell.boxes.length - 1)]?.name),
+  busyLogForOne: (world) => startLogFault(world, 'busy', world.chooseBox().name),
+  lostLogAnswers: (world) => startLogFault(world, 'loseAnswers'),
+  lostLogAnswersForOne: (world) => startLogFault(world, 'loseAnswers', world.chooseBox().name),
+  compactLog: async (world) => {
+    world.cell.runCompaction();
+    await waitForDelay(0);
+  },
+  compactLogWhileSilent: async (world) => {
+    const { name } = world.chooseBox();
+    world.cell.log.setFault('silent', name);
+    await world.startPause(FAULT_MS);
+    world.cell.runCompaction();
+    world.cell.log.setFault('none', name);
+  },
   slowLog: async (world) => {
     world.cell.log.setLatency(SLOW_LOG_MS);
     await world.startPause(FAULT_MS);
--- a/packages/standins/platform/RunChecker.ts
+++ b/packages/standins/platform/RunChecker.ts
@@ -88,6 +88,11 @@
     return this.startCountsByTask.get(task) ?? 0;
   }
 
+  /** Returns whether a run of the task is in progress. */
+  isRunning(task: string): boolean {
+    return (this.runningByTask.get(task) ?? []).length > 0;
+  }
+
   /** Returns how many endpoints ended while they ran the task. */
   countLosses(task: string): number {
     return this.lossCountsByTask.get(task) ?? 0;
--- a/tests/serve/soak.test.ts
+++ b/tests/serve/soak.test.ts
@@ -2,6 +2,7 @@
 import { startSoak } from '../../dev/soak/startSoak';
 
 const SEED = Number(process.env['STAIRLINE_SOAK_SEED'] ?? 1);
+const KEPT_LOGS = process.env['STAIRLINE_SOAK_KEEP'];
 
 describe('a short soak of real processes', () => {
   it('keeps every promise while signals, restarts, changes and faults overlap', async () => {
@@ -10,6 +11,7 @@
       boxes: 3,
       executors: 6,
       troubledMs: 15_000,
+      ...(KEPT_LOGS === undefined ? {} : { keptLogs: KEPT_LOGS }),
     });
     expect(problems).toEqual([]);
     expect(accepted).toBeGreaterThan(40);
