leadership: leases of leaders whose process has ended are not waited for any longer

Cause: a new leader waits for leases of earlier leaders (4.4 s) and for the time in which one without the log renews them (8 s), although no earlier process runs any more. Fix: a box runs one process at a time. Boxes name their process in the answer to the leader's announcement; a leader in another process of that box had ended by its start. A new process knows no leader but the newest, and others may still renew leases: the leader's record says for how long (`earlierLeasesMs`), else the longest time is assumed. Before, a new process after a leader that resigned didn't count earlier leaders at all.

--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -10,6 +10,7 @@
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import type { LogWrite } from '../store/LogWrite';
 import type { WriteOutcome } from '../store/WriteOutcome';
+import type { AnnouncementResponse } from './AnnouncementResponse';
 import type { ConfigurationResponse } from './ConfigurationResponse';
 import type { LogStatus } from './LogStatus';
 
@@ -23,6 +24,12 @@
   state: z.enum(['queued', 'running', 'completed', 'failed', 'cancelled', 'absent']),
 });
 
+const announcementResponseSchema: z.ZodType<AnnouncementResponse> = z.object({
+  box: z.string().optional(),
+  process: z.string().optional(),
+  upMs: z.number().min(0).optional(),
+});
+
 const writeResponseSchema = z.object({ outcome: z.enum(['written', 'refused', 'unknown']) });
 const configurationResponseSchema: z.ZodType<ConfigurationResponse> = z.object({
   ageMs: z.number().min(0),
@@ -88,10 +95,14 @@
     return result.status === 200 ? 'usable' : 'unusable';
   }
 
-  /** Announces the leader and its address; false when the box did not confirm it. */
-  async sendLeaderAnnouncement({ record, ...contact }: LeaderAnnouncement): Promise<boolean> {
+  /** Announces the leader and its address; undefined when the box did not confirm it. */
+  async sendLeaderAnnouncement({
+    record,
+    ...contact
+  }: LeaderAnnouncement): Promise<AnnouncementResponse | undefined> {
     const body = { ...record, ...contact };
-    return (await this.httpClient.sendJson('/leader', body, CONTROL_TIMEOUT_MS)) !== undefined;
+    const response = await this.httpClient.sendJson('/leader', body, CONTROL_TIMEOUT_MS);
+    return announcementResponseSchema.safeParse(response).data;
   }
 
   /** Asks the box to lead next, after the leader of an epoch has stopped; false when it did not confirm it. */
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -15,6 +15,7 @@
 import type { LogWrite } from '../store/LogWrite';
 import type { WriteOutcome } from '../store/WriteOutcome';
 import { boxResourcesSchema } from './boxResourcesSchema';
+import type { AnnouncementResponse } from './AnnouncementResponse';
 import type { ConfigurationResponse } from './ConfigurationResponse';
 
 interface BoxServerOptions {
@@ -34,8 +35,8 @@
   readonly writeForBox: (write: LogWrite, timeoutMs: number) => Promise<WriteOutcome>;
   /** Returns the configuration if it is newer than the known version, and its age. */
   readonly getConfiguration: (knownVersion: number) => ConfigurationResponse;
-  /** Handles the announcement of the leader and its address. */
-  readonly handleLeaderAnnouncement: (announcement: LeaderAnnouncement) => void;
+  /** Handles the announcement of the leader and its address, and returns what this process says of itself. */
+  readonly handleLeaderAnnouncement: (announcement: LeaderAnnouncement) => AnnouncementResponse;
   /** Handles the request of the stopped leader of an epoch that this box lead next. */
   readonly handleHandover: (epoch: number) => void;
 }
@@ -109,8 +110,7 @@
         return reply.code(400).send({ error: 'malformed introduction' });
       }
       const { address, cores, linkMbps, ...record } = parsed.data;
-      options.handleLeaderAnnouncement({ record, address, cores, linkMbps });
-      return reply.send({});
+      return reply.send(options.handleLeaderAnnouncement({ record, address, cores, linkMbps }));
     });
     this.app.post('/hand-over', (request, reply) => {
       const parsed = handoverSchema.safeParse(parseBody(request));
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -115,10 +115,13 @@
   private hasOnlyRequestedAdvice = false;
   /** True when a tick has passed since `placeWaiting` last sent early advice requests, which it does at most once a tick. */
   private isEarlyAdviceDue = false;
+  /** Monotonic time at which leases granted by earlier leaders have expired on endpoints that are not yet synced. */
+  private earlierLeasesEndAt: number;
   private readonly capacityView: CapacityView;
   private readonly reservations = new EndpointReservations();
 
   constructor(private readonly options: DispatcherOptions) {
+    this.earlierLeasesEndAt = options.earlierLeasesEndAt;
     const sendEffect = (effect: DispatchEffect): void => void this.pendingEffects.push(effect);
     const policies: DispatchPolicies = { ...defaultPolicies, ...options };
     this.placementOrder = placementOrders[policies.placementOrder];
@@ -297,6 +300,14 @@
     });
   }
 
+  /** Sets an earlier monotonic time at which all leases of earlier leaders have expired. */
+  setEarlierLeasesEnd(endAt: number): void {
+    this.earlierLeasesEndAt = endAt;
+    for (const endpoint of this.endpoints.values()) {
+      endpoint.setEarlierLeasesEnd(endAt);
+    }
+  }
+
   getEndpointState(incarnation: EndpointIncarnation): EndpointState | undefined {
     return this.endpoints.get(incarnation);
   }
@@ -348,7 +359,7 @@
     if (endpoint === undefined) {
       this.endpoints.set(
         profile.incarnation,
-        new EndpointState(profile, this.options.earlierLeasesEndAt, this.customerUsage),
+        new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage),
       );
       return;
     }
@@ -620,7 +631,7 @@
     if (endpoint === undefined) {
       // Without a record the endpoint may still be running the task, until its lease expires.
       const profile = createDeregisteredProfile(task.endpoint, definition.queue.service);
-      endpoint = new EndpointState(profile, this.options.earlierLeasesEndAt, this.customerUsage);
+      endpoint = new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage);
       // The endpoint's record may have been deleted, by a drain or a crash, before this leader read the records.
       endpoint.recordDeregistration();
       this.endpoints.set(task.endpoint, endpoint);
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -115,12 +115,17 @@
   /** True while rounds only request advice, since starts cannot be recorded. */
   private isHoldingStarts = false;
   private isStopped = false;
+  /** Monotonic time at which leases of earlier leaders have expired. */
+  private earlierLeasesEndAt: number;
+  /** True once the leader's record says that leases of earlier leaders have expired. */
+  private hasWrittenLeasesEnd = false;
   private readonly roundThrottle: RoundThrottle;
   private readonly slowRoundLogger: SlowRoundLogger;
   private tickTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: LeaderControllerOptions) {
     const { clock, client, epoch, replica } = options;
+    this.earlierLeasesEndAt = options.earlierLeasesEndAt;
     this.lineBatcher = new LineBatcher(options.logger);
     this.loadPublisher = new LoadPublisher(epoch, clock.getNow());
     this.dispatcher = new Dispatcher({
@@ -203,6 +208,7 @@
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
+    this.journal.queueLeaderRecord();
     this.endpointSessions.start();
     void this.readJobs();
     this.tickTimer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
@@ -272,6 +278,12 @@
     this.endpointSessions.retryPendingRead(sentAt);
   }
 
+  /** Sets an earlier monotonic time at which leases of earlier leaders have expired. */
+  setEarlierLeasesEnd(endAt: number): void {
+    this.earlierLeasesEndAt = endAt;
+    this.dispatcher.setEarlierLeasesEnd(endAt);
+  }
+
   getDispatcher(): Dispatcher {
     return this.dispatcher;
   }
@@ -361,6 +373,7 @@
   private handleTick(): void {
     const now = this.options.clock.getNow();
     this.journal.handleTick(now);
+    this.recordLeasesEnd(now);
     this.lineBatcher.writeDueBatches(now);
     if (this.hasTakenOver) {
       this.endpointSessions.startPendingSessions();
@@ -370,6 +383,14 @@
     }
   }
 
+  /** Queues a write of the leader's record once leases of earlier leaders have expired, as a later leader may know none of them. */
+  private recordLeasesEnd(now: number): void {
+    if (!this.hasWrittenLeasesEnd && now >= this.earlierLeasesEndAt) {
+      this.hasWrittenLeasesEnd = true;
+      this.journal.queueLeaderRecord();
+    }
+  }
+
   /** Writes a load digest to the log and passes it on, if one is due and `handleLoadDigest` is given. */
   private queueLoadDigest(now: number): void {
     const { clock, handleLoadDigest, recordCount } = this.options;
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -113,10 +113,15 @@
   /** Queues a heartbeat if `heartbeatMs` have passed since the newest acknowledged write to the states topic was sent. */
   handleTick(now: number): void {
     if (now - this.acknowledgedSentAt >= leaderTimings.heartbeatMs) {
-      this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(false));
+      this.queueLeaderRecord();
     }
   }
 
+  /** Queues a write of the leader's record, which says until when leases of earlier leaders may run. */
+  queueLeaderRecord(): void {
+    this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(false));
+  }
+
   /** Queues a write of a load digest to the states topic. */
   queueLoadDigest(digest: string): void {
     this.stateWriter.queueWrite(loadKeys.digestKey, () => digest);
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -45,17 +45,16 @@
   private unreachableSince: number | undefined;
   /** Monotonic time of the newest response to a poll; undefined before the first. */
   private respondedAt: number | undefined;
-  /** Monotonic time by which all leases of the endpoint have expired. */
-  private leasedUntil: number;
+  /** Monotonic time by which all leases of this leader have expired. */
+  private leasedUntil = -Infinity;
 
   constructor(
     private profile: EndpointProfile,
-    leasedUntil: number,
+    /** Monotonic time by which all leases of earlier leaders have expired. */
+    private earlierLeasesEndAt: number,
     /** Usage of the customers, updated with each run that is added or removed. */
     private readonly customerUsage: CustomerUsage,
-  ) {
-    this.leasedUntil = leasedUntil;
-  }
+  ) {}
 
   getProfile(): EndpointProfile {
     return this.profile;
@@ -191,7 +190,12 @@
 
   /** Returns the monotonic time by which all leases of the endpoint have expired. */
   getLeasedUntil(): number {
-    return this.leasedUntil;
+    return Math.max(this.leasedUntil, this.earlierLeasesEndAt);
+  }
+
+  /** Sets an earlier time by which all leases of earlier leaders have expired. */
+  setEarlierLeasesEnd(endAt: number): void {
+    this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, endAt);
   }
 
   /** Updates the run failure rate with the outcome of a run or of its start. */
--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -7,4 +7,9 @@
   readonly process: string;
   /** True once the leader has stopped gracefully and sends no more commands. */
   readonly isResigned: boolean;
+  /**
+   * Milliseconds from the writing of this record until the leases of all leaders before this one have expired. Not given in a claim, and by
+   * earlier versions.
+   */
+  readonly earlierLeasesMs?: number | undefined;
 }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -5,6 +5,7 @@
 import type { LogClient } from '../store/LogClient';
 import type { LogFollower } from '../store/LogFollower';
 import type { LogRecord } from '../store/LogRecord';
+import type { BoxProcess } from './BoxProcess';
 import type { LeaderRecord } from './LeaderRecord';
 import { LeaseHistory } from './LeaseHistory';
 import { leaderKeys } from './leaderKeys';
@@ -76,6 +77,9 @@
   /** Random number from 0 to 1, fixed for this process, that scales the delays of its claims. */
   private readonly claimJitter: number;
 
+  /** This process, from its first read of a leader record on; earlier ones of its box have ended. */
+  private ownProcess: BoxProcess | undefined;
+
   constructor(private readonly options: LeadershipOptions) {
     this.claimJitter = options.random();
   }
@@ -98,8 +102,7 @@
       }
       const parsed = leaderRecordSchema.safeParse(parseJson(value));
       if (parsed.success && parsed.data.epoch >= (this.leaderRecord?.epoch ?? 0)) {
-        this.leaseHistory.recordLeader(parsed.data, now);
-        this.setLeaderRecord(parsed.data);
+        this.recordLeader(parsed.data, now);
       }
     }
   }
@@ -114,8 +117,7 @@
     }
     const now = this.options.clock.getNow();
     this.leaderActiveAt = now;
-    this.leaseHistory.recordLeader(record, now);
-    this.setLeaderRecord(record);
+    this.recordLeader(record, now);
     return true;
   }
 
@@ -175,9 +177,32 @@
 
   /** Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. */
   formatLeaderRecord(epoch: number, isResigned: boolean): string {
-    const { box, process } = this.options;
+    const { box, process, clock } = this.options;
     const record: LeaderRecord = { epoch, box, process, isResigned };
-    return JSON.stringify(record);
+    const isNewest = this.leaderRecord?.epoch === epoch;
+    const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
+    return JSON.stringify(isNewest ? { ...record, earlierLeasesMs } : record);
+  }
+
+  /** Returns the monotonic time at which all leases of the leaders before the newest one have expired. */
+  getEarlierLeasesEndAt(): number {
+    return this.leaseHistory.getEarlierLeasesEndAt();
+  }
+
+  /**
+   * Handles the response of a process of another box to an announcement of this leader's epoch: leaders of earlier epochs in other processes
+   * of that box have ended.
+   */
+  handleBoxProcess(boxProcess: BoxProcess, announcedEpoch: number): void {
+    this.leaseHistory.recordBoxProcess(boxProcess, announcedEpoch - 1);
+  }
+
+  private recordLeader(record: LeaderRecord, now: number): void {
+    this.leaseHistory.recordLeader(record, now);
+    const { box, process } = this.options;
+    this.ownProcess ??= { box, process, startedBy: now };
+    this.leaseHistory.recordBoxProcess(this.ownProcess, record.epoch);
+    this.setLeaderRecord(record);
   }
 
   private setLeaderRecord(record: LeaderRecord): void {
@@ -254,6 +279,7 @@
     const claimedAt = clock.getNow();
     const response = await client.append({
       topic,
+      // The claim does not say when earlier leases end: the present leader may still renew its own until the claim is written.
       writes: [{ key: leaderKeys.recordKey, value: this.formatLeaderRecord(epoch, false) }],
       writer: { producer: leaderKeys.producer, epoch, sequence: leaderKeys.claimSequence },
       timeoutMs: CLAIM_TIMEOUT_MS,
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -1,31 +1,50 @@
+import type { BoxProcess } from './BoxProcess';
 import type { LeaderRecord } from './LeaderRecord';
 import { leaderTimings } from './leaderTimings';
 
+/** A leader before the newest one; without box and process, all leaders whose records were not read. */
+interface EarlierLeader {
+  readonly epoch: number;
+  readonly box: string | undefined;
+  readonly process: string | undefined;
+  /** Monotonic time at which its leases have expired. */
+  readonly leasesEndAt: number;
+}
+
 const { leaseMs, clockDriftShare, marginMs, unconfirmedGraceMs } = leaderTimings;
 /** Time from the sending of a grant until its lease has expired by any clock within the tolerance. */
 const MAX_LEASE_MS = leaseMs * (1 + clockDriftShare) + marginMs;
 
 /**
  * Computes until when runs may continue on leases of earlier leaders, on endpoints that have not responded since. A leader renews
- * leases for a bounded time after its last write to the log, and not at all once it has stopped. The bound counts from the last
- * activity of a leader that was read, which is later than the write, and not from the next election, which may be much later still.
+ * leases for a bounded time after its last write to the log, and not at all once it has stopped or its process has ended. The bound counts
+ * from the last activity of a leader that was read, which is later than the write, and not from the next election, which may be much later
+ * still.
  */
 export class LeaseHistory {
-  private newestEpoch = 0;
-  /** Monotonic time of the last activity of the leader of `newestEpoch`. */
+  private newestLeader: LeaderRecord | undefined;
+  /** Monotonic time of the last activity of the newest leader. */
   private leaderActiveAt = -Infinity;
   private hasLeaderStopped = false;
-  /** Monotonic time at which the leases of all leaders before `newestEpoch` have expired. */
-  private earlierLeasesEndAt = -Infinity;
-
-  /** Records that a leader record was read. With a newer epoch, the leases of the known leader become earlier ones. */
-  recordLeader({ epoch, isResigned }: LeaderRecord, now: number): void {
-    if (epoch > this.newestEpoch) {
-      this.earlierLeasesEndAt = Math.max(this.earlierLeasesEndAt, this.computeLeasesEndAt());
-      this.newestEpoch = epoch;
+  /** Monotonic time by which the process of the newest leader has certainly ended; Infinity while it may run. */
+  private leaderEndedAt = Infinity;
+  private earlierLeaders: readonly EarlierLeader[] = [];
+
+  /**
+   * Records that a leader record was read. With a newer epoch, the leases of the known leader become earlier ones. What the record says of
+   * the leases of earlier leaders includes leaders whose records this process has not read.
+   */
+  recordLeader(record: LeaderRecord, now: number): void {
+    if (record.epoch > (this.newestLeader?.epoch ?? 0)) {
+      this.earlierLeaders = this.listLeadersBefore(record.epoch, now);
+      this.leaderEndedAt = Infinity;
+    }
+    this.newestLeader = record;
+    if (record.earlierLeasesMs !== undefined) {
+      this.setLatestEnd(now + record.earlierLeasesMs, () => true);
     }
     this.recordActivity(now);
-    this.hasLeaderStopped = isResigned;
+    this.hasLeaderStopped = record.isResigned;
   }
 
   /**
@@ -40,18 +59,55 @@
    * the newest.
    */
   recordLeaderStopped(epoch: number, now: number): void {
-    if (epoch === this.newestEpoch) {
+    if (epoch === this.newestLeader?.epoch) {
       this.leaderActiveAt = now;
       this.hasLeaderStopped = true;
     }
   }
 
-  /** Returns the monotonic time at which all leases of the leaders before the newest one have expired. */
+  /**
+   * Records that a process of a box runs. Leaders up to an epoch that ran in another process of the box had ended when it started. The
+   * records of these leaders must have been read before the process was found to run.
+   */
+  recordBoxProcess({ box, process, startedBy }: BoxProcess, upToEpoch: number): void {
+    const hasEnded = (leader: Pick<EarlierLeader, 'epoch' | 'box' | 'process'>): boolean =>
+      leader.epoch <= upToEpoch && leader.box === box && leader.process !== process;
+    if (this.newestLeader !== undefined && hasEnded(this.newestLeader)) {
+      this.leaderEndedAt = Math.min(this.leaderEndedAt, startedBy);
+    }
+    this.setLatestEnd(startedBy + MAX_LEASE_MS, hasEnded);
+  }
+
+  /** Returns the monotonic time at which all leases of the leaders before the newest one have expired; -Infinity without such leaders. */
   getEarlierLeasesEndAt(): number {
-    return this.earlierLeasesEndAt;
+    return Math.max(-Infinity, ...this.earlierLeaders.map(({ leasesEndAt }) => leasesEndAt));
+  }
+
+  private listLeadersBefore(epoch: number, now: number): readonly EarlierLeader[] {
+    const { newestLeader } = this;
+    const knownEpoch = newestLeader?.epoch ?? 0;
+    const unread: EarlierLeader = {
+      epoch: epoch - 1,
+      box: undefined,
+      process: undefined,
+      leasesEndAt: now + MAX_LEASE_MS + unconfirmedGraceMs,
+    };
+    return [
+      ...this.earlierLeaders.filter(({ leasesEndAt }) => leasesEndAt > now),
+      ...(newestLeader === undefined ? [] : [{ ...newestLeader, leasesEndAt: this.computeLeasesEndAt() }]),
+      ...(epoch > knownEpoch + 1 ? [unread] : []),
+    ];
+  }
+
+  /** Lowers the bounds of the earlier leaders that a condition selects. */
+  private setLatestEnd(leasesEndAt: number, isSelected: (leader: EarlierLeader) => boolean): void {
+    this.earlierLeaders = this.earlierLeaders.map((leader) =>
+      isSelected(leader) ? { ...leader, leasesEndAt: Math.min(leader.leasesEndAt, leasesEndAt) } : leader,
+    );
   }
 
   private computeLeasesEndAt(): number {
-    return this.leaderActiveAt + MAX_LEASE_MS + (this.hasLeaderStopped ? 0 : unconfirmedGraceMs);
+    const lastRenewalAt = this.leaderActiveAt + (this.hasLeaderStopped ? 0 : unconfirmedGraceMs);
+    return Math.min(lastRenewalAt, this.leaderEndedAt) + MAX_LEASE_MS;
   }
 }
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -6,4 +6,5 @@
   box: z.string(),
   process: z.string(),
   isResigned: z.boolean(),
+  earlierLeasesMs: z.number().min(0).optional(),
 });
--- a/packages/serve/LeaderAnnouncer.ts
+++ b/packages/serve/LeaderAnnouncer.ts
@@ -1,7 +1,10 @@
+import type { AnnouncementResponse } from '../boxes/AnnouncementResponse';
 import type { BoxClient } from '../boxes/BoxClient';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
+import type { BoxProcess } from '../leadership/BoxProcess';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
+import { leaderTimings } from '../leadership/leaderTimings';
 
 interface AnnouncedBox {
   readonly box: string;
@@ -16,6 +19,8 @@
   readonly listOthers: () => readonly AnnouncedBox[];
   /** Creates the announcement of this box as leader; undefined while it does not lead. */
   readonly createLeaderAnnouncement: () => LeaderAnnouncement | undefined;
+  /** Handles the process of another box that has confirmed the announcement of an epoch. */
+  readonly handleBoxProcess: (boxProcess: BoxProcess, announcedEpoch: number) => void;
 }
 
 /** Delivery of the announcement of one epoch to one box. */
@@ -94,6 +99,19 @@
     return delivery;
   }
 
+  /** Ignores the response of another box at the address, or of an earlier version. */
+  private handleResponse(
+    box: string,
+    { box: respondingBox, process, upMs }: AnnouncementResponse,
+    announcedEpoch: number,
+  ): void {
+    if (respondingBox === box && process !== undefined && upMs !== undefined) {
+      // The clock of that box may be too fast.
+      const startedBy = this.options.clock.getNow() - upMs * (1 - leaderTimings.clockDriftShare);
+      this.options.handleBoxProcess({ box, process, startedBy }, announcedEpoch);
+    }
+  }
+
   private async sendAnnouncement(
     other: AnnouncedBox,
     delivery: AnnouncementDelivery,
@@ -102,9 +120,10 @@
     this.inFlightCount += 1;
     delivery.nextAttemptAt = Infinity;
     delivery.attemptCount += 1;
-    const isDelivered = await other.client.sendLeaderAnnouncement(announcement);
+    const response = await other.client.sendLeaderAnnouncement(announcement);
     this.inFlightCount -= 1;
-    if (isDelivered) {
+    if (response !== undefined) {
+      this.handleResponse(other.box, response, announcement.record.epoch);
       return;
     }
     if (delivery.attemptCount < MAX_DELIVERY_ATTEMPTS) {
--- a/packages/serve/OtherBoxes.ts
+++ b/packages/serve/OtherBoxes.ts
@@ -6,6 +6,7 @@
 import type { JobCaller } from '../customers/JobCaller';
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
+import type { BoxProcess } from '../leadership/BoxProcess';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import type { LeaderRecord } from '../leadership/LeaderRecord';
 import type { LogWrite } from '../store/LogWrite';
@@ -25,6 +26,8 @@
   /** Returns whether this process leads and is not stopping. */
   readonly isLeading: () => boolean;
   readonly isStopping: () => boolean;
+  /** Handles the process of another box that has confirmed the announcement of an epoch. */
+  readonly handleBoxProcess: (boxProcess: BoxProcess, announcedEpoch: number) => void;
 }
 
 /** Timeout of one write of this box's announcement. */
@@ -45,6 +48,7 @@
       logger,
       listOthers: () => this.clients.listOthers(),
       createLeaderAnnouncement: () => this.createLeaderAnnouncement(),
+      handleBoxProcess: options.handleBoxProcess,
     });
   }
 
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -1,3 +1,4 @@
+import type { AnnouncementResponse } from '../boxes/AnnouncementResponse';
 import { BoxServer } from '../boxes/BoxServer';
 import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
@@ -13,6 +14,7 @@
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
+import type { BoxProcess } from '../leadership/BoxProcess';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
@@ -86,6 +88,8 @@
   private controller: LeaderController | undefined;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
+  /** Monotonic time from which this process has its addresses, so that no other process of its box has them. */
+  private startedAt = Infinity;
 
   constructor(private readonly options: ServeProcessOptions) {
     const { adapter, clock, settings, random } = options;
@@ -100,6 +104,7 @@
       getLeader: () => this.leadership.getLeaderRecord(),
       isLeading: () => this.controller !== undefined && !this.isStopping,
       isStopping: () => this.isStopping,
+      handleBoxProcess: (boxProcess, announcedEpoch) => this.handleBoxProcess(boxProcess, announcedEpoch),
     });
     this.writer = new LogWriter({
       client: this.logClient,
@@ -151,6 +156,7 @@
 
   async start(): Promise<void> {
     await this.boxServer.start();
+    this.startedAt = this.options.clock.getNow();
     await this.callerServer.start();
     this.followers.startNextFollower();
     void this.otherBoxes.writeBoxAnnouncement(this.writer);
@@ -272,7 +278,13 @@
   }
 
   /** Records the address and leadership of an announced leader, and stops leading if the announcement supersedes it. */
-  private handleLeaderAnnouncement(announcement: LeaderAnnouncement): void {
+  private handleLeaderAnnouncement(announcement: LeaderAnnouncement): AnnouncementResponse {
+    this.applyLeaderAnnouncement(announcement);
+    const { settings, process, clock } = this.options;
+    return { box: settings.box, process, upMs: Math.max(0, clock.getNow() - this.startedAt) };
+  }
+
+  private applyLeaderAnnouncement(announcement: LeaderAnnouncement): void {
     const { record } = announcement;
     this.otherBoxes.applyLeaderAnnouncement(announcement);
     const ledEpoch = this.leadership.getLeaderRecord()?.epoch ?? 0;
@@ -283,6 +295,25 @@
     this.handleLeadershipLost(ledEpoch, `${record.process} leads epoch ${record.epoch}`);
   }
 
+  /** Lowers the bound of the leases of earlier leaders, as one of them that ran in an earlier process of that box has ended. */
+  private handleBoxProcess(boxProcess: BoxProcess, announcedEpoch: number): void {
+    const { leadership, controller } = this;
+    const previousEndAt = leadership.getEarlierLeasesEndAt();
+    leadership.handleBoxProcess(boxProcess, announcedEpoch);
+    const endAt = leadership.getEarlierLeasesEndAt();
+    if (endAt >= previousEndAt) {
+      return;
+    }
+    controller?.setEarlierLeasesEnd(endAt);
+    this.logger.info('Leases of earlier leaders end sooner.', {
+      other: boxProcess.box,
+      process: boxProcess.process,
+      epoch: announcedEpoch,
+      soonerMs: Math.round(previousEndAt - endAt),
+      earlierLeasesMs: Math.max(0, Math.round(endAt - this.options.clock.getNow())),
+    });
+  }
+
   private createHandover(): LeaderHandover {
     const { clock, settings } = this.options;
     return new LeaderHandover({
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -248,4 +248,40 @@
     leases.recordLeader(toRecord(2), 1400);
     expect(leases.getEarlierLeasesEndAt()).toBe(1200 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
   });
+
+  it('expire without the grace period once another process of the box of their leader runs', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordLeader(toRecord(2), 2000);
+    leases.recordBoxProcess({ box: 'box-1', process: 'box-1#2', startedBy: 1800 }, 1);
+    expect(leases.getEarlierLeasesEndAt()).toBe(1800 + LEASE_BOUND_MS);
+  });
+
+  it('are not shortened by the same process, by other boxes, or for leaders that were announced later', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordLeader(toRecord(2), 2000);
+    leases.recordLeader(toRecord(3), 2000);
+    leases.recordBoxProcess({ box: 'box-2', process: 'box-2#1', startedBy: 0 }, 2);
+    leases.recordBoxProcess({ box: 'box-9', process: 'box-9#2', startedBy: 0 }, 2);
+    leases.recordBoxProcess({ box: 'box-2', process: 'box-2#0', startedBy: 0 }, 1);
+    expect(leases.getEarlierLeasesEndAt()).toBe(2000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
+  it('include those of leaders that a new process has not read, which may still renew them', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(6, true), 1000);
+    leases.recordBoxProcess({ box: 'box-6', process: 'box-6#2', startedBy: 1000 }, 6);
+    leases.recordLeader(toRecord(7), 1500);
+    expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
+  it('end for a new process when the record of the leader says so', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700 }, 1000);
+    expect(leases.getEarlierLeasesEndAt()).toBe(1700);
+    leases.recordBoxProcess({ box: 'box-6', process: 'box-6#2', startedBy: 900 }, 6);
+    leases.recordLeader(toRecord(7), 1500);
+    expect(leases.getEarlierLeasesEndAt()).toBe(900 + LEASE_BOUND_MS);
+  });
 });
--- a/tests/serve/powerLoss.test.ts
+++ b/tests/serve/powerLoss.test.ts
@@ -11,7 +11,9 @@
 const RUNNING_AGAIN_MS = 9000;
 /** After it the leases of all runs have ended. */
 const LAPSED_MS = 5000;
+const LATE_MS = 700;
 const STEP = { count: 1, cpu: 1000, 'mem-mb': 100 };
+const LASTING_ONE = { spec: 'lasts', steps: [{ ...STEP, 'long-running': true }] };
 const LASTING = { spec: 'lasts', steps: [{ ...STEP, count: 3, 'long-running': true }] };
 
 describe('a loss of power of all boxes at the same moment', () => {
@@ -85,6 +87,30 @@
     await expectAllKnown(started, ids, 'urgent');
   });
 
+  it.each([0, 1, 2])(
+    'leaves a lasting task to run again when its endpoint is lost with the boxes, and box %i returns late',
+    async (lateIndex) => {
+      const started = await createCell();
+      const leader = await started.startLeader();
+      const lasting = toJobIdText(0xabc);
+      await started.sendJob(started.boxes[0]!, lasting, LASTING_ONE, 'advised');
+      const task = `${lasting}.0.0.0`;
+      const isRunning = (): Promise<boolean> => Promise.resolve(started.runChecker.isRunning(task));
+      await started.startUntil(isRunning);
+      const endpoint = started.executors.find(({ standin }) => standin.countRuns() > 0)!;
+      const late = lateIndex === 0 ? leader : started.boxes.filter((box) => box !== leader)[lateIndex - 1]!;
+      started.boxes.forEach(({ process }) => process.sendSignal('SIGKILL'));
+      await Promise.all(started.boxes.map(({ process }) => process.exit));
+      // No record names the lost endpoint when the boxes return.
+      await started.startExecutorReplacement(endpoint.id, 0);
+      started.boxes.filter((box) => box !== late).forEach((box) => started.startBox(box));
+      await waitForDelay(LATE_MS);
+      started.startBox(late);
+      await started.startUntil(isRunning, RUNNING_AGAIN_MS);
+      expect(started.runChecker.getViolations()).toEqual([]);
+    },
+  );
+
   it('leaves lasting tasks to run again beside more urgent jobs, also after the log has dropped its history', async () => {
     const started = await createCell();
     const lasting = toJobIdText(0xabc);
