--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -202,6 +202,11 @@
     return Math.max(this.leasedUntil, this.earlierLeasesEndAt);
   }
 
+  /** Sets an earlier time by which all leases of earlier leaders have expired. */
+  setEarlierLeasesEnd(endAt: number): void {
+    this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, endAt);
+  }
+
   /** Updates the run failure rate with the outcome of a run or of its start. */
   recordRunOutcome(isFailure: boolean, now: number): void {
     const rate = this.computeRunFailureRate(now);
