--- a/tests/frontServerStop.test.ts
+++ b/tests/frontServerStop.test.ts
@@ -71,6 +71,7 @@
   let server: FrontServer;
   let front: string;
   let isStopping: boolean;
+  let jobs: JobService;
   let warnings: { message: string; fields: Record<string, unknown> | undefined }[];
   let connections: RawConnection[];
 
@@ -81,13 +82,19 @@
     expect(configuration.ok && router.applyConfiguration(configuration.value)).toBe(true);
     front = `127.0.0.1:${first}`;
     isStopping = false;
+    jobs = SILENT_JOBS;
     warnings = [];
     connections = [];
     server = new FrontServer({
       front,
       ready: `127.0.0.1:${second}`,
       router,
-      jobs: SILENT_JOBS,
+      jobs: {
+        createJob: (...input) => jobs.createJob(...input),
+        getJobState: (...input) => jobs.getJobState(...input),
+        cancelJob: (...input) => jobs.cancelJob(...input),
+        countPendingJobs: (...input) => jobs.countPendingJobs(...input),
+      },
       authorizer: new CallerAuthorizer({ router, isFresh: () => true, handleRejected: () => undefined }),
       getNow: () => performance.now(),
       isReady: () => !isStopping,
@@ -162,6 +169,20 @@
     expect(connection.closedAt).toBeDefined();
   });
 
+  it('answers such requests also when it refuses one without a stop, and closes the connection after the last', async () => {
+    jobs = {
+      ...SILENT_JOBS,
+      createJob: async () => {
+        await waitFor(20);
+        return { kind: 'unavailable', retryAfterMs: 1000 };
+      },
+    };
+    const connection = await sendText(formatRequest('POST', BODY).repeat(3));
+    await waitFor(200);
+    expect(connection.countResponses()).toBe(3);
+    expect(connection.closedAt).toBeDefined();
+  });
+
   it('cuts connections that have sent half of a request only when its time is over', async () => {
     const connection = await sendText(formatRequest('POST', BODY).slice(0, -10));
     await waitFor(100);
