store: a refresh that callers share lasts as long as the most patient of them waits

Callers could see: 503 for a read, or an older state of a job, although the log responded in time. The refresh that several callers share took its time from the one that came first, and failed for all when that one had next to none left (a caller near its deadline, or a wait for a claim). Evidence: `tests/logFollower` failed before ([true, false, false] for [true, false, true]). Fix: the next refresh takes the longest time of its callers; each still stops waiting by its own.

--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -62,6 +62,8 @@
   private pendingRefresh: Promise<boolean> | undefined;
   /** The read after the pending one, which serves callers that arrive meanwhile. */
   private nextRefresh: Promise<boolean> | undefined;
+  /** Longest timeout of the callers that `nextRefresh` serves, in milliseconds. */
+  private nextRefreshTimeoutMs = 0;
   private readonly readBackoff: Backoff;
 
   constructor(private readonly options: LogFollowerOptions) {
@@ -169,9 +171,12 @@
       return this.pendingRefresh;
     }
     // The pending read may be older than this call: only the next one certainly shows the present state.
+    this.nextRefreshTimeoutMs = Math.max(this.nextRefreshTimeoutMs, timeoutMs);
     this.nextRefresh ??= this.pendingRefresh.then(() => {
+      const longestMs = this.nextRefreshTimeoutMs;
       this.nextRefresh = undefined;
-      return this.queueRefresh(timeoutMs);
+      this.nextRefreshTimeoutMs = 0;
+      return this.queueRefresh(longestMs);
     });
     return this.nextRefresh;
   }
--- a/tests/logFollower.test.ts
+++ b/tests/logFollower.test.ts
@@ -131,6 +131,20 @@
     expect(await follower.waitForRefresh(POLL_MS)).toBe(false);
   });
 
+  it('gives each caller its own time for a refresh that is shared with a caller of less time', async () => {
+    const log = createPagedLog();
+    follower = createPagedFollower(log);
+    void follower.start();
+    await waitFor(20);
+    log.endOffset = 3;
+    const refreshes = [POLL_MS, 1, POLL_MS].map((timeoutMs) => follower!.waitForRefresh(timeoutMs));
+    void refreshes[0]!.then(() => {
+      log.endOffset = 10;
+    });
+    expect(await Promise.all(refreshes)).toEqual([true, false, true]);
+    expect(log.handled).toHaveLength(10);
+  });
+
   it('reads pending records one response after the other without the pause between polls', async () => {
     const log = createPagedLog();
     follower = createPagedFollower(log);
