jobs: a run of a gang counts as one failed attempt also across a change of leader

Callers could see: a job shown as failed after fewer failed runs than its queue allows (LOST, an end without cause), when one member's failure was recorded by one leader and that of another member in the same run by the next. Cause: which run had been counted was kept in memory only. Evidence: `tests/gangFailures` failed before ([2, 1] for [2, 0]). Fix: the progress record names that run while a member of it hasn't ended.

--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -135,6 +135,22 @@
     return true;
   }
 
+  /** Records, as read from the log, that a member of a gang has failed in a run. */
+  recordFailedGangRun(repetition: number, step: number, runNumber: number): void {
+    this.failedGangRuns.set(`${repetition}.${step}`, runNumber);
+  }
+
+  /** Returns the run of a gang in which a member has failed while others have not ended, so that their failures aren't counted; else undefined. */
+  getFailedGangRun(repetition: number, step: number): number | undefined {
+    const failedRun = this.failedGangRuns.get(`${repetition}.${step}`);
+    const hasOpenMember =
+      failedRun !== undefined &&
+      this.listTasks(repetition, step).some(
+        ({ phase, runNumber }) => phase === 'placed' && runNumber === failedRun,
+      );
+    return hasOpenMember ? failedRun : undefined;
+  }
+
   /** Records that all tasks of a gang are done, including tasks whose own end was not reported. */
   recordGangDone(repetition: number, step: number): void {
     for (const [index, task] of this.listTasks(repetition, step).entries()) {
@@ -225,14 +241,13 @@
 
   /** Records a failed run. Returns false for the run of a gang in which another member has failed already. */
   private recordFailure({ repetition, step }: TaskAddress, runNumber: number): boolean {
-    const key = `${repetition}.${step}`;
     if (this.definition.steps[step]?.isGang !== true) {
       return true;
     }
-    if (this.failedGangRuns.get(key) === runNumber) {
+    if (this.failedGangRuns.get(`${repetition}.${step}`) === runNumber) {
       return false;
     }
-    this.failedGangRuns.set(key, runNumber);
+    this.recordFailedGangRun(repetition, step, runNumber);
     return true;
   }
 
--- a/packages/jobs/formatProgress.ts
+++ b/packages/jobs/formatProgress.ts
@@ -6,6 +6,7 @@
 
 type CrashRow = readonly [endpoint: string, blame: CrashBlame, ageMs: number];
 type TaskCrashRows = readonly [time: number, step: number, index: number, rows: readonly CrashRow[]];
+type FailedGangRun = readonly [time: number, step: number, run: number];
 type StartedTask = readonly [time: number, step: number, index: number, task: TaskProgress];
 
 const toCrashRow = ({ endpoint, blame, ageMs }: TaskCrash): CrashRow => [endpoint, blame, ageMs];
@@ -33,6 +34,15 @@
     .filter(([, , , task]) => task[field].length > 0)
     .map(([repetition, step, index, task]) => [repetition, step, index, task[field].map(toCrashRow)]);
 
+/** Lists the runs of gangs in which a member has failed while others have not ended. */
+const listFailedGangRuns = (definition: JobDefinition, progress: JobProgress): readonly FailedGangRun[] =>
+  Array.from({ length: definition.times }, (_none, repetition) =>
+    definition.steps.flatMap((_step, step): readonly FailedGangRun[] => {
+      const run = progress.getFailedGangRun(repetition, step);
+      return run === undefined ? [] : [[repetition, step, run]];
+    }),
+  ).flat();
+
 /** Formats the progress of a job as the JSON text of its log record. `parseProgress` reads it back. */
 export const formatProgress = (definition: JobDefinition, progress: JobProgress): string => {
   const started = listStartedTasks(definition, progress);
@@ -42,6 +52,7 @@
   });
   const crashes = toCrashRows(started, 'crashes');
   const doubts = toCrashRows(started, 'unconfirmedCrashes');
+  const failedGangRuns = listFailedGangRuns(definition, progress);
   const ending = progress.isEnded() ? progress.getState() : undefined;
   return JSON.stringify({
     ending,
@@ -49,5 +60,6 @@
     tasks: rows,
     ...(crashes.length === 0 ? {} : { crashes }),
     ...(doubts.length === 0 ? {} : { doubts }),
+    ...(failedGangRuns.length === 0 ? {} : { failedGangRuns }),
   });
 };
--- a/packages/jobs/parseProgress.ts
+++ b/packages/jobs/parseProgress.ts
@@ -39,6 +39,8 @@
   crashes: crashRowsSchema,
   /** Unconfirmed crashes by task. */
   doubts: crashRowsSchema,
+  /** Runs of gangs in which a member has failed while others have not ended. Not given by earlier versions. */
+  failedGangRuns: z.array(z.tuple([wholeSchema, wholeSchema, wholeSchema])).default([]),
 });
 
 /** Parses the log record of a job's progress; undefined when it is malformed. */
@@ -75,6 +77,9 @@
       );
     }
   }
+  for (const [repetition, step, run] of parsed.data.failedGangRuns) {
+    progress.recordFailedGangRun(repetition, step, run);
+  }
   if (parsed.data.ending !== undefined) {
     progress.recordJobEnd(parsed.data.ending, parsed.data.endedAtMs);
   }
--- a/tests/gangFailures.test.ts
+++ b/tests/gangFailures.test.ts
@@ -3,8 +3,10 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndedTaskStatus } from '../packages/dispatch/endpoints/EndedTaskStatus';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
+import { formatProgress } from '../packages/jobs/formatProgress';
 import { JobProgress } from '../packages/jobs/JobProgress';
 import type { JobState } from '../packages/jobs/JobState';
+import { parseProgress } from '../packages/jobs/parseProgress';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
@@ -69,4 +71,23 @@
       ]),
     ).toEqual(['running', 'running', 'failed']);
   });
+
+  it('counts a run once when a new leader learns of the failure of the second member', () => {
+    const definition = createJobDefinition(1, [createStep({ count: 2, isGang: true })], {
+      attempts: ATTEMPTS,
+    });
+    const progress = new JobProgress(definition);
+    const members = [0, 1].map((index) => ({ repetition: 0, step: 0, index }));
+    for (let run = 1; run < ATTEMPTS; run += 1) {
+      members.forEach((member) => progress.recordRunPlaced(member, run, ENDPOINT));
+      progress.recordRunEnd(members[0]!, run, 'failed', '');
+      if (run < ATTEMPTS - 1) {
+        progress.recordRunEnd(members[1]!, run, 'interrupted', '');
+      }
+    }
+    const recovered = parseProgress(definition, formatProgress(definition, progress))!;
+    recovered.recordRunEnd(members[1]!, ATTEMPTS - 1, 'failed', '');
+    const failureCounts = recovered.listTasks(0, 0).map(({ failureCount }) => failureCount);
+    expect(failureCounts).toEqual([ATTEMPTS - 1, 0]);
+  });
 });
