leadership: a box of the same name at another address proves no end of an earlier process

Callers could see: two runs of one task (TWICE), and a leader superseded for nothing, if a new machine gets the name of the one that it replaces before that one has ended. The new box took the earlier leader for ended, claimed at once, and counted its leases only until its own start. Cause: "one process at a time" was taken from the box's name; what proves it is the address, which only one process can have. Evidence: two cases in `tests/leadership` failed before (a claim at once; 5,470 for 13,370 ms). Fix: a leader names its address in its record, and only a process of its box at that address proves its end. The other cases of `tests/leadership` got an address each, and check what they did.

--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -110,7 +110,8 @@
       if (!parsed.success) {
         return reply.code(400).send({ error: 'malformed introduction' });
       }
-      const { address, cores, linkMbps, ...record } = parsed.data;
+      const { cores, linkMbps, ...record } = parsed.data;
+      const { address } = record;
       return reply.send(options.handleLeaderAnnouncement({ record, address, cores, linkMbps }));
     });
     this.app.post('/hand-over', (request, reply) => {
--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -3,6 +3,8 @@
   /** Epoch of the leader; also the fencing token of each of its commands to endpoints. */
   readonly epoch: number;
   readonly box: string;
+  /** Address of the leader's box for other boxes. Not given by earlier versions. */
+  readonly address?: string | undefined;
   /** Id of the leader's process, unique for each process of a box. */
   readonly process: string;
   /** True once the leader has stopped gracefully and sends no more commands. */
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -17,6 +17,8 @@
   readonly topic: string;
   readonly follower: LogFollower;
   readonly box: string;
+  /** Address of this box for other boxes. */
+  readonly address: string;
   readonly process: string;
   readonly clock: Clock;
   readonly random: Random;
@@ -183,8 +185,8 @@
 
   /** Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. */
   formatLeaderRecord(epoch: number, isResigned: boolean): string {
-    const { box, process, clock } = this.options;
-    const record: LeaderRecord = { epoch, box, process, isResigned };
+    const { box, address, process, clock } = this.options;
+    const record: LeaderRecord = { epoch, box, address, process, isResigned };
     const isNewest = this.leaderRecord?.epoch === epoch;
     const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
     return JSON.stringify(isNewest ? { ...record, earlierLeasesMs } : record);
@@ -202,24 +204,26 @@
 
   /**
    * Handles the response of a process of another box to an announcement of this leader's epoch: leaders of earlier epochs in other processes
-   * of that box have ended.
+   * of that box, at the same address, have ended.
    */
   handleBoxProcess(boxProcess: BoxProcess, announcedEpoch: number): void {
     this.leaseHistory.recordBoxProcess(boxProcess, announcedEpoch - 1);
   }
 
-  /** Sets the leader record and records it for the leases. A box has one process at a time, so that an earlier one of this box has ended. */
+  /** Sets the leader record and records it for the leases. An earlier process of this box at its address has ended. */
   private recordLeader(record: LeaderRecord, now: number): void {
     this.leaseHistory.recordLeader(record, now);
-    const { box, process } = this.options;
-    this.ownProcess ??= { box, process, startedBy: now };
+    const { box, address, process } = this.options;
+    this.ownProcess ??= { box, address, process, startedBy: now };
     this.leaseHistory.recordBoxProcess(this.ownProcess, record.epoch);
     this.setLeaderRecord(record);
   }
 
-  /** Returns whether the leader ran in an earlier process of this box. */
-  private isEarlierProcess({ box, process }: LeaderRecord): boolean {
-    return box === this.options.box && process !== this.options.process;
+  /** Returns whether the leader ran in an earlier process of this box, and at its address if that is known. */
+  private isEarlierProcess({ box, address, process }: LeaderRecord): boolean {
+    const { options } = this;
+    const hasSameAddress = address === undefined || address === options.address;
+    return box === options.box && hasSameAddress && process !== options.process;
   }
 
   private setLeaderRecord(record: LeaderRecord): void {
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -6,6 +6,7 @@
 interface EarlierLeader {
   readonly epoch: number;
   readonly box: string | undefined;
+  readonly address?: string | undefined;
   readonly process: string | undefined;
   /** Monotonic time at which its leases have expired. */
   readonly leasesEndAt: number;
@@ -71,12 +72,15 @@
   }
 
   /**
-   * Records that a process of a box runs. Leaders up to an epoch that ran in another process of the box had ended when it started. The
-   * records of these leaders must have been read before the process was found to run.
+   * Records that a process of a box runs. Leaders up to an epoch that ran in another process of the box, at the same address, had ended when
+   * it started. The records of these leaders must have been read before the process was found to run.
    */
-  recordBoxProcess({ box, process, startedBy }: BoxProcess, upToEpoch: number): void {
-    const hasEnded = (leader: Pick<EarlierLeader, 'epoch' | 'box' | 'process'>): boolean =>
-      leader.epoch <= upToEpoch && leader.box === box && leader.process !== process;
+  recordBoxProcess({ box, address, process, startedBy }: BoxProcess, upToEpoch: number): void {
+    const hasEnded = (leader: Pick<EarlierLeader, 'epoch' | 'box' | 'address' | 'process'>): boolean =>
+      leader.epoch <= upToEpoch &&
+      leader.box === box &&
+      leader.address === address &&
+      leader.process !== process;
     if (this.newestLeader !== undefined && hasEnded(this.newestLeader)) {
       this.leaderEndedAt = Math.min(this.leaderEndedAt, startedBy);
     }
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -4,6 +4,7 @@
 export const leaderRecordSchema = z.object({
   epoch: z.number(),
   box: z.string(),
+  address: z.string().optional(),
   process: z.string(),
   isResigned: z.boolean(),
   earlierLeasesMs: z.number().min(0).optional(),
--- a/packages/serve/LeaderAnnouncer.ts
+++ b/packages/serve/LeaderAnnouncer.ts
@@ -104,14 +104,14 @@
 
   /** Ignores the response of another box at the address, or of an earlier version. */
   private handleResponse(
-    box: string,
+    { box, client }: AnnouncedBox,
     { box: respondingBox, process, upMs }: AnnouncementResponse,
     announcedEpoch: number,
   ): void {
     if (respondingBox === box && process !== undefined && upMs !== undefined) {
       // The clock of that box may be too fast.
       const startedBy = this.options.clock.getNow() - upMs * (1 - leaderTimings.clockDriftShare);
-      this.options.handleBoxProcess({ box, process, startedBy }, announcedEpoch);
+      this.options.handleBoxProcess({ box, address: client.address, process, startedBy }, announcedEpoch);
     }
   }
 
@@ -126,7 +126,7 @@
     const response = await other.client.sendLeaderAnnouncement(announcement);
     this.inFlightCount -= 1;
     if (response !== undefined) {
-      this.handleResponse(other.box, response, announcement.record.epoch);
+      this.handleResponse(other, response, announcement.record.epoch);
       return;
     }
     if (delivery.attemptCount < MAX_DELIVERY_ATTEMPTS) {
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -130,6 +130,7 @@
       topic: topics.states,
       follower: this.followers.states,
       box: settings.box,
+      address: settings.internal,
       process: options.process,
       clock,
       random,
--- a/tests/leaderAnnouncer.test.ts
+++ b/tests/leaderAnnouncer.test.ts
@@ -16,6 +16,7 @@
       box,
       announcedAt: 0,
       client: {
+        address: `${box}:1`,
         sendLeaderAnnouncement: () => {
           announcedTo.push({ box, atMs: now - LED_SINCE });
           return Promise.resolve(response);
@@ -62,7 +63,12 @@
     await runUntil(STABLE_AGE_MS + 200);
     expect(processes).toEqual([
       {
-        boxProcess: { box: 'earlier', process: 'earlier#2', startedBy: expect.closeTo(LED_SINCE - 970) },
+        boxProcess: {
+          box: 'earlier',
+          address: 'earlier:1',
+          process: 'earlier#2',
+          startedBy: expect.closeTo(LED_SINCE - 970),
+        },
         epoch: EPOCH,
       },
     ]);
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -49,6 +49,7 @@
       topic: 'keyed.states',
       follower,
       box: 'box-1',
+      address: 'box-1:1',
       process: 'box-1#1',
       clock,
       random: () => 0.2,
@@ -95,6 +96,7 @@
       topic: 'keyed.states',
       follower: follower as unknown as LogFollower,
       box: 'box-1',
+      address: 'box-1:1',
       process: 'box-1#1',
       clock,
       random: () => random,
@@ -204,12 +206,13 @@
   const toRecord = (epoch: number, isResigned = false): LeaderRecord => ({
     epoch,
     box: `box-${epoch}`,
+    address: `box-${epoch}:1`,
     process: `box-${epoch}#1`,
     isResigned,
   });
   const LEASE_BOUND_MS = 4370;
   const UNCONFIRMED_GRACE_MS = 8000;
-  const NEXT_PROCESS = { box: 'box-1', process: 'box-1#2' };
+  const NEXT_PROCESS = { box: 'box-1', address: 'box-1:1', process: 'box-1#2' };
 
   it('expire a bounded time after the last activity of a leader, however late the next one is elected', () => {
     const leases = new LeaseHistory();
@@ -273,7 +276,13 @@
       isUpToDate: () => true,
       getOffset: () => 1,
       waitForOffset: () => {
-        const own: LeaderRecord = { epoch: 2, box: 'box-1', process: 'box-1#2', isResigned: false };
+        const own: LeaderRecord = {
+          epoch: 2,
+          box: 'box-1',
+          address: 'box-1:1',
+          process: 'box-1#2',
+          isResigned: false,
+        };
         leadership!.foldRecords([{ offset: 1, key: leaderKeys.recordKey, value: JSON.stringify(own) }]);
         return Promise.resolve(true);
       },
@@ -284,6 +293,7 @@
         topic: 'keyed.states',
         follower: follower as unknown as LogFollower,
         box: 'box-1',
+        address: 'box-1:1',
         process: 'box-1#2',
         clock,
         random: () => 0,
@@ -302,8 +312,29 @@
     expect(await leases).toBeLessThan(1020 + LEASE_BOUND_MS);
   });
 
+  it('do not make a box of the same name and another address claim at once', () => {
+    const claims: number[] = [];
+    const leadership = new Leadership({
+      client: createLog(claims, () => 1000),
+      topic: 'keyed.states',
+      follower: { isUpToDate: () => true, getLastSuccessAt: () => 1000 } as unknown as LogFollower,
+      box: 'box-1',
+      address: 'box-1:2',
+      process: 'box-1#2',
+      clock: { getNow: () => 1000, getWallTime: () => 1000 },
+      random: () => 0,
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      isOutranked: () => false,
+      handleElected: () => undefined,
+    });
+    leadership.handleLogConnection(true);
+    leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(toRecord(1)) }]);
+    leadership.handleTick();
+    expect(claims).toEqual([]);
+  });
+
   it('expire with the grace period when the address of the leader refused a connection, which is only a hint', async () => {
-    const leader = { ...toRecord(1), box: 'box-0', process: 'box-0#1' };
+    const leader = { ...toRecord(1), box: 'box-0', address: 'box-0:1', process: 'box-0#1' };
     const leases = computeEarlierLeasesEndAt(leader, (leadership) => {
       leadership.handleLeaderEnded(leader.process);
       leadership.handleTick();
@@ -330,6 +361,7 @@
       topic: 'keyed.states',
       follower: { isUpToDate: () => false } as unknown as LogFollower,
       box: 'box-3',
+      address: 'box-3:1',
       process: 'box-3#1',
       clock: { getNow: () => now, getWallTime: () => now },
       random: () => 0,
@@ -393,7 +425,7 @@
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 2000);
-    leases.recordBoxProcess({ box: 'box-1', process: 'box-1#2', startedBy: 1800 }, 1);
+    leases.recordBoxProcess({ box: 'box-1', address: 'box-1:1', process: 'box-1#2', startedBy: 1800 }, 1);
     expect(leases.getEarlierLeasesEndAt()).toBe(1800 + LEASE_BOUND_MS);
   });
 
@@ -402,16 +434,28 @@
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 2000);
     leases.recordLeader(toRecord(3), 2000);
-    leases.recordBoxProcess({ box: 'box-2', process: 'box-2#1', startedBy: 0 }, 2);
-    leases.recordBoxProcess({ box: 'box-9', process: 'box-9#2', startedBy: 0 }, 2);
-    leases.recordBoxProcess({ box: 'box-2', process: 'box-2#0', startedBy: 0 }, 1);
+    leases.recordBoxProcess({ box: 'box-2', address: 'box-2:1', process: 'box-2#1', startedBy: 0 }, 2);
+    leases.recordBoxProcess({ box: 'box-9', address: 'box-9:1', process: 'box-9#2', startedBy: 0 }, 2);
+    leases.recordBoxProcess({ box: 'box-2', address: 'box-2:1', process: 'box-2#0', startedBy: 0 }, 1);
     expect(leases.getEarlierLeasesEndAt()).toBe(2000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
   });
 
+  it('are not shortened by a process of that box at another address, as the earlier machine may still run', () => {
+    const addresses = ['box-1:1', undefined];
+    for (const address of addresses) {
+      const leases = new LeaseHistory();
+      leases.recordLeader({ ...toRecord(1), address }, 1000);
+      leases.recordBoxProcess({ ...NEXT_PROCESS, address: 'box-1:2', startedBy: 1100 }, 1);
+      leases.recordLeader(toRecord(2), 2000);
+      leases.recordBoxProcess({ ...NEXT_PROCESS, address: 'box-1:2', startedBy: 1100 }, 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+    }
+  });
+
   it('include those of leaders that a new process has not read, which may still renew them', () => {
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(6, true), 1000);
-    leases.recordBoxProcess({ box: 'box-6', process: 'box-6#2', startedBy: 1000 }, 6);
+    leases.recordBoxProcess({ box: 'box-6', address: 'box-6:1', process: 'box-6#2', startedBy: 1000 }, 6);
     leases.recordLeader(toRecord(7), 1500);
     expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
   });
@@ -420,7 +464,7 @@
     const leases = new LeaseHistory();
     leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700 }, 1000);
     expect(leases.getEarlierLeasesEndAt()).toBe(1700);
-    leases.recordBoxProcess({ box: 'box-6', process: 'box-6#2', startedBy: 900 }, 6);
+    leases.recordBoxProcess({ box: 'box-6', address: 'box-6:1', process: 'box-6#2', startedBy: 900 }, 6);
     leases.recordLeader(toRecord(7), 1500);
     expect(leases.getEarlierLeasesEndAt()).toBe(900 + LEASE_BOUND_MS);
   });
