dispatch: lasting tasks of one step, suspected together, no longer restart one by one

Cause: all are crash suspects then, and suspects of a step started one after the other, each after the startup of the one before. Evidence: `tests/suspectSiblings` failed before (20 of 40 run after 6 s), and 40 of 40 do now. Fix: in a long-running step as many suspects may be in their startup as have passed it under this leader, at most 4. While none has passed, one starts at a time (a case that passed before and does now). Other steps and gangs are as they were. `tests/crashes`, `crashCharges` unchanged, and pass. If only some tasks of such a step are harmful, up to 4 endpoints may crash at a time.

--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -19,6 +19,8 @@
    * milliseconds: longer than the lease of an endpoint that falls silent under this leader, and shorter than leases of earlier leaders may last.
    */
   maxSiblingWaitMs: 5000,
+  /** Most suspects of a long-running step in their startup at the same time, so that few endpoints crash if only some of them are harmful. */
+  maxStartingSuspects: 4,
   /** Age of a run, as listed by a poll, from which it is past its startup, in milliseconds. */
   startupMs: 300,
   /**
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -295,23 +295,20 @@
     return placements;
   }
 
-  /**
-   * Returns the waiting tasks of a step that may start now. Of the crash suspects only the first is included, and none while a suspect
-   * of the step is in its startup; a gang is returned whole.
-   */
+  /** Returns the waiting tasks of a step that may start now. Of the crash suspects only as many as may start now are included. */
   private listStartableTasks(step: WaitingStep, now: number): readonly StartableTask[] {
     const startable = step.indexes.flatMap((index): readonly StartableTask[] => {
       const address = { repetition: step.repetition, step: step.step, index };
       const task = step.job.progress.getTask(address);
       return task === undefined ? [] : [{ address, task, isSuspect: isCrashSuspect(task.crashes) }];
     });
-    const firstSuspect = startable.find(({ isSuspect }) => isSuspect);
-    if (firstSuspect === undefined || step.shape.isGang) {
+    const suspects = startable.filter(({ isSuspect }) => isSuspect);
+    if (suspects.length === 0) {
       return startable;
     }
-    const { suspectCosts } = this.options;
-    const nextSuspect = suspectCosts.hasStartingSuspectSibling(step, now) ? undefined : firstSuspect;
-    return startable.filter((startableTask) => !startableTask.isSuspect || startableTask === nextSuspect);
+    const suspectCount = this.options.suspectCosts.countStartableSuspects(step, now);
+    const nextSuspects = new Set(suspects.slice(0, suspectCount));
+    return startable.filter((startableTask) => !startableTask.isSuspect || nextSuspects.has(startableTask));
   }
 
   /** Returns the endpoint with the lowest total cost on which the task may start; undefined when there is none. */
--- a/packages/dispatch/placing/SuspectCosts.ts
+++ b/packages/dispatch/placing/SuspectCosts.ts
@@ -36,21 +36,36 @@
   ) {}
 
   /**
-   * Returns whether a suspect task of the step is in its startup, or may be since no poll has listed its run yet, for a limited time after
-   * its placement. The other suspects of the step then have to wait, since they are likely to behave alike. Always false for gangs, whose
-   * members start together.
+   * Returns how many suspects of the step may start now, beside those in their startup; a gang isn't limited. The suspects of a step are
+   * likely to behave alike, so that one starts at a time. In a long-running step as many may be in their startup as have passed it under
+   * this leader, up to a limit. A run that no poll has listed may be in its startup for a limited time after its placement.
    */
-  hasStartingSuspectSibling({ job, repetition, step, shape }: WaitingStep, now: number): boolean {
-    if (shape.isGang) {
-      return false;
+  countStartableSuspects(step: WaitingStep, now: number): number {
+    if (step.shape.isGang) {
+      return Infinity;
     }
-    return job.progress.listTasks(repetition, step).some((task, index) => {
-      if (task.phase !== 'placed' || !isCrashSuspect(task.crashes)) {
-        return false;
+    let passedCount = 0;
+    let startingCount = 0;
+    for (const run of this.listSuspectRuns(step)) {
+      if (isPastStartup(run)) {
+        passedCount += 1;
+      } else if (now - run.placedAt < crashLimits.maxSiblingWaitMs) {
+        startingCount += 1;
       }
+    }
+    const maxStartingCount = step.shape.isLongRunning
+      ? Math.min(Math.max(1, passedCount), crashLimits.maxStartingSuspects)
+      : 1;
+    return Math.max(0, maxStartingCount - startingCount);
+  }
+
+  /** Returns the runs of a step's tasks that were suspects when the runs were placed, or are suspects now. */
+  private listSuspectRuns({ job, repetition, step }: WaitingStep): readonly PlacedRun[] {
+    return job.progress.listTasks(repetition, step).flatMap((task, index) => {
       const name = toTaskName(job.definition.id, { repetition, step, index });
-      const run = this.endpoints.get(task.endpoint)?.getRun(name, task.runNumber);
-      return run !== undefined && !isPastStartup(run) && now - run.placedAt < crashLimits.maxSiblingWaitMs;
+      const run =
+        task.phase === 'placed' ? this.endpoints.get(task.endpoint)?.getRun(name, task.runNumber) : undefined;
+      return run !== undefined && (run.isCrashSuspect || isCrashSuspect(task.crashes)) ? [run] : [];
     });
   }
 
--- a/tests/suspectSiblings.test.ts
+++ b/tests/suspectSiblings.test.ts
@@ -58,3 +58,64 @@
     }
   });
 });
+
+describe('lasting tasks of one step, all suspected of crashes', () => {
+  const TASK_COUNT = 40;
+  const STATUS_MS = 100;
+
+  /** Returns how many tasks run at a time, and how many endpoints have crashed; a task crashes its endpoint at once if `isCrashing`. */
+  const countStartedTasks = (
+    isCrashing: boolean,
+    untilMs: number,
+  ): { readonly started: number; readonly crashed: number } => {
+    const definition = createJobDefinition(1, [createStep({ count: TASK_COUNT, isLongRunning: true })]);
+    const progress = new JobProgress(definition);
+    const endpoints = Array.from({ length: TASK_COUNT }, (_none, number) =>
+      toId<EndpointIncarnation>(`i-${number}`),
+    );
+    for (let index = 0; index < TASK_COUNT; index += 1) {
+      const address = { repetition: 0, step: 0, index };
+      const endpoint = toId<EndpointIncarnation>(`gone-${index}`);
+      progress.recordRunPlaced(address, 1, endpoint);
+      progress.recordRunEnd(address, 1, 'interrupted', '');
+      progress.recordCrash(address, { endpoint, blame: 'inherited', ageMs: 4500 });
+    }
+    const dispatcher = new Dispatcher({ getDefinition: () => definition, earlierLeasesEndAt: 0 });
+    endpoints.forEach((endpoint) => dispatcher.handleEndpointProfile(createProfile(endpoint)));
+    dispatcher.handleJob(definition, progress, 0);
+    const crashed = new Set<EndpointIncarnation>();
+    for (let now = 0; now < untilMs; now += STATUS_MS) {
+      for (const endpoint of endpoints) {
+        const runs = [...dispatcher.getEndpointState(endpoint)!.getRuns()];
+        if (isCrashing && runs.length > 0) {
+          crashed.add(endpoint);
+        }
+        if (crashed.has(endpoint)) {
+          dispatcher.handleEndpointUnreachable(endpoint, now);
+          continue;
+        }
+        const running = runs.map(({ task, run }) => ({ task, run, checkpoint: '', percent: 1, load: 0 }));
+        dispatcher.handleStatus({ endpoint, running, ended: [], pollSentAt: now - 1 }, now, now);
+        dispatcher.getEndpointState(endpoint)!.recordLease(now + LEASE_MS);
+      }
+      dispatcher.handleTick(now);
+      dispatcher.placeWaiting(now, now);
+      for (const effect of dispatcher.takeEffects()) {
+        if (effect.kind === 'start' && dispatcher.handleStartRecorded(effect, now)) {
+          const { task, run } = effect.command;
+          dispatcher.handleStartResult(effect.endpoint, task, run, { kind: 'done' }, now);
+        }
+      }
+    }
+    const started = progress.listTasks(0, 0).filter(({ phase }) => phase === 'placed').length;
+    return { started, crashed: crashed.size };
+  };
+
+  it('all run again in time, as those that have passed their startup speak for their siblings', () => {
+    expect(countStartedTasks(false, RESTART_MS)).toEqual({ started: TASK_COUNT, crashed: 0 });
+  });
+
+  it('start one at a time while none has passed its startup', () => {
+    expect(countStartedTasks(true, LEASE_MS).crashed).toBe(1);
+  });
+});
