leadership: earlier leaders are told of the new one before all other boxes

Callers could see: an earlier leader without the log that acts beside the new one, and work that waits for its leases, for longer than needed on a large fleet after a loss of power: 16 announcements run at a time, in the order of the directory, and each box that doesn't respond takes 200 ms. Evidence: `tests/leaderAnnouncer` failed before (box-0 first, for box-89). Fix: due announcements to boxes in which a leader ran whose leases may be valid go first.

--- a/packages/serve/LeaderAnnouncer.ts
+++ b/packages/serve/LeaderAnnouncer.ts
@@ -32,6 +32,8 @@
    * `announcedAt` of the box when the delivery was created. A different value means that the box has restarted and needs a new delivery.
    */
   readonly announcedAt: number;
+  /** Whether an earlier leader ran in the box, which is told first: it may act until then. */
+  readonly isToEarlierLeader: boolean;
   attemptCount: number;
   /** Monotonic time of the next attempt; Infinity while one is in flight, and once it has succeeded or none is left. */
   nextAttemptAt: number;
@@ -76,11 +78,15 @@
       this.ledEpoch = announcement.record.epoch;
       this.ledSince = now;
     }
-    for (const other of this.options.listOthers()) {
-      const delivery = this.getDelivery(other);
-      if (this.inFlightCount < MAX_CONCURRENT_REQUESTS && now >= delivery.nextAttemptAt) {
-        void this.sendAnnouncement(other, delivery, announcement);
-      }
+    const due = this.options
+      .listOthers()
+      .map((other) => ({ other, delivery: this.getDelivery(other) }))
+      .filter(({ delivery }) => now >= delivery.nextAttemptAt)
+      .sort(
+        (left, right) => Number(right.delivery.isToEarlierLeader) - Number(left.delivery.isToEarlierLeader),
+      );
+    for (const { other, delivery } of due.slice(0, MAX_CONCURRENT_REQUESTS - this.inFlightCount)) {
+      void this.sendAnnouncement(other, delivery, announcement);
     }
   }
 
@@ -90,11 +96,13 @@
       return known;
     }
     // An earlier leader that cannot read the log acts until it learns of this one.
-    const isUrgent = announcedAt + NEW_BOX_AGE_MS > this.ledSince || this.options.hasLedRecently(box);
+    const isToEarlierLeader = this.options.hasLedRecently(box);
+    const isUrgent = announcedAt + NEW_BOX_AGE_MS > this.ledSince || isToEarlierLeader;
     const nextAttemptAt = isUrgent ? -Infinity : this.ledSince + STABLE_LEADER_AGE_MS;
     const delivery: AnnouncementDelivery = {
       epoch: this.ledEpoch,
       announcedAt,
+      isToEarlierLeader,
       attemptCount: 0,
       nextAttemptAt,
     };
--- a/tests/leaderAnnouncer.test.ts
+++ b/tests/leaderAnnouncer.test.ts
@@ -73,4 +73,33 @@
       },
     ]);
   });
+
+  it('reach an earlier leader first when all boxes have just announced themselves and some do not respond', () => {
+    const announcedTo: string[] = [];
+    const others = Array.from({ length: 90 }, (_none, number) => ({
+      box: `box-${number}`,
+      announcedAt: LED_SINCE,
+      client: {
+        sendLeaderAnnouncement: () => {
+          announcedTo.push(`box-${number}`);
+          return new Promise(() => undefined);
+        },
+      } as unknown as BoxClient,
+    }));
+    const announcer = new LeaderAnnouncer({
+      clock: { getNow: () => LED_SINCE, getWallTime: () => LED_SINCE },
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      listOthers: () => others,
+      createLeaderAnnouncement: () => ({
+        record: { epoch: EPOCH, box: 'new', process: 'new#1', isResigned: false },
+        address: '127.0.0.1:1',
+        cores: 1,
+        linkMbps: 0,
+      }),
+      handleBoxProcess: () => undefined,
+      hasLedRecently: (box) => box === 'box-89',
+    });
+    announcer.handleTick();
+    expect(announcedTo[0]).toBe('box-89');
+  });
 });
