--- a/packages/dispatch/endpoints/EndpointLossHandler.ts
+++ b/packages/dispatch/endpoints/EndpointLossHandler.ts
@@ -1,5 +1,5 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
-import { leaderTimings } from '../../leadership/leaderTimings';
+import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
 import type { CrashTracker } from '../crashes/CrashTracker';
 import type { RunEnd } from '../runs/RunEnd';
 import type { RunTracker } from '../runs/RunTracker';
@@ -53,8 +53,7 @@
     }
     // A poll meant for this incarnation may have given the next one a lease, counted by its own clock: assume the longest lease that an
     // endpoint accepts.
-    const { clockDriftShare, marginMs } = leaderTimings;
-    nextEndpoint?.recordLease(now + this.options.longestLeaseMs * (1 + clockDriftShare) + marginMs);
+    nextEndpoint?.recordLease(now + computeMaxLeaseMs(this.options.longestLeaseMs));
     endpoints.delete(incarnation);
   }
 
--- a/packages/dispatch/endpoints/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../common/Clock';
 import { waitWithTimeout } from '../../common/waitWithTimeout';
 import { waitForDelay } from '../../common/waitForDelay';
+import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
 import { leaderTimings } from '../../leadership/leaderTimings';
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import type { EndpointState } from './EndpointState';
@@ -148,8 +149,7 @@
 
   /** Records a lease that is sent to the endpoint at `sentAt`: the lease is assumed to arrive, and its recorded end allows for clock drift. */
   recordLease(sentAt: number): void {
-    const { leaseMs, clockDriftShare, marginMs } = leaderTimings;
-    this.options.endpoint.recordLease(sentAt + leaseMs * (1 + clockDriftShare) + marginMs);
+    this.options.endpoint.recordLease(sentAt + computeMaxLeaseMs(leaderTimings.leaseMs));
   }
 
   private async handlePollResult(result: PollResult, sentAt: number): Promise<void> {
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -2,6 +2,7 @@
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskName } from '../../jobs/TaskName';
 import { resourceMath } from '../../jobs/resourceMath';
+import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
 import { leaderTimings } from '../../leadership/leaderTimings';
 import type { EndpointProfile } from './EndpointProfile';
 import type { PlacedRun } from '../runs/PlacedRun';
@@ -177,9 +178,7 @@
    */
   recordResponse(now: number): void {
     if (!this.synced) {
-      const { leaseMs, clockDriftShare, marginMs } = leaderTimings;
-      const renewedLeaseEndsAt = now + leaseMs * (1 + clockDriftShare) + marginMs;
-      this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, renewedLeaseEndsAt);
+      this.setEarlierLeasesEnd(now + computeMaxLeaseMs(leaderTimings.leaseMs));
     }
     this.respondedAt = now;
     this.hasRespondedDeregistered ||= !this.registered;
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -1,4 +1,5 @@
 import type { BoxProcess } from './BoxProcess';
+import { computeMaxLeaseMs } from './computeMaxLeaseMs';
 import type { LeaderRecord } from './LeaderRecord';
 import { leaderTimings } from './leaderTimings';
 
@@ -12,9 +13,9 @@
   readonly leasesEndAt: number;
 }
 
-const { leaseMs, clockDriftShare, marginMs, unconfirmedGraceMs } = leaderTimings;
+const { leaseMs, unconfirmedGraceMs } = leaderTimings;
 /** Time from the sending of a grant until its lease has expired by any clock within the tolerance. */
-const MAX_LEASE_MS = leaseMs * (1 + clockDriftShare) + marginMs;
+const MAX_LEASE_MS = computeMaxLeaseMs(leaseMs);
 
 /**
  * Computes until when runs may continue on leases of earlier leaders, on endpoints that have not responded since. A leader renews
