fix: name so many endpoints in an advice request that hardly all are refused

Each candidate is now named while it shortens the expected time until one is allowed, up to 30; queues with few refusals or cheap requests ask as before.

The new test in adviceQuestions failed before: 5 candidates, more than 12 expected.

--- a/packages/dispatch/advice/EagerCandidateSelector.ts
+++ b/packages/dispatch/advice/EagerCandidateSelector.ts
@@ -1,5 +1,6 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
 import { resourceMath } from '../../jobs/resourceMath';
+import type { JobQueue } from '../../jobs/JobQueue';
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { AdviceStats } from './AdviceStats';
 import type { CandidateSelector } from './CandidateSelector';
@@ -14,8 +15,28 @@
 /** Minimum number of candidates, if there are as many, since the fixed cost of a request exceeds their cost. */
 const MIN_REQUEST_CANDIDATES = 5;
 
+/** Upper bound on the number of candidates that make it unlikely that all are refused. */
+const MAX_MIN_CANDIDATES = 30;
+
 const computeSum = (counts: readonly number[]): number => counts.reduce((sum, count) => sum + count, 0);
 
+/**
+ * Returns the number of candidates up to which each one shortens the expected time until an endpoint is allowed: it lowers the chance of
+ * another request, of which the fixed time is saved, by more than it adds.
+ */
+const computeMinCandidates = (
+  { decisionMs, perEndpointMs }: NonNullable<JobQueue['advice']>,
+  allowedShare: number,
+): number => {
+  let count = 0;
+  let refusedChance = 1;
+  while (count < MAX_MIN_CANDIDATES && refusedChance * allowedShare * decisionMs > perEndpointMs) {
+    refusedChance *= 1 - allowedShare;
+    count += 1;
+  }
+  return count;
+};
+
 /** Selects candidates whenever tickets are missing: endpoints with free capacity, or all large enough ones if capacity is scarce. */
 export class EagerCandidateSelector implements CandidateSelector {
   constructor(
@@ -83,16 +104,22 @@
     return this.chooseEnough(step, ranked, missing);
   }
 
-  /** Returns the first endpoints whose free capacity likely suffices for the missing tasks, given refusals and starts of other steps. */
+  /**
+   * Returns the first endpoints whose free capacity likely suffices for the missing tasks, given refusals and starts of other steps, and
+   * so many that hardly all are refused.
+   */
   private chooseEnough(
     step: WaitingStep,
     ranked: readonly EndpointState[],
     missing: number,
   ): readonly EndpointState[] {
-    const wanted = (missing * PLACES_PER_TASK) / this.stats.getAllowedShare(step.job.definition.queue.name);
+    const { queue } = step.job.definition;
+    const allowedShare = this.stats.getAllowedShare(queue.name);
+    const wanted = (missing * PLACES_PER_TASK) / allowedShare;
+    const minCount = Math.max(MIN_REQUEST_CANDIDATES, computeMinCandidates(queue.advice!, allowedShare));
     let fitCount = 0;
     let count = 0;
-    while (count < ranked.length && (fitCount < wanted || count < MIN_REQUEST_CANDIDATES)) {
+    while (count < ranked.length && (fitCount < wanted || count < minCount)) {
       fitCount += this.capacityView.countFittingTasks(ranked[count]!.getFreeCapacity(), step.shape);
       count += 1;
     }
--- a/tests/adviceQuestions.test.ts
+++ b/tests/adviceQuestions.test.ts
@@ -110,6 +110,26 @@
     expect(request!.candidates[0]).toBe(free);
   });
 
+  it('name enough endpoints that hardly any is refused by all, also when one endpoint has capacity for all tasks', () => {
+    const shape = createStep({ count: 1, demand: { cpuMillis: 10, memoryMb: 10, accelerators: 0 } });
+    const advice = { decisionMs: 640, perEndpointMs: 6.5, validityMs: 2500 };
+    const takeRequestOf = (number: number): AdviceRequest => {
+      const definition = createJobDefinition(number, [shape], { advice });
+      dispatcher.handleJob(definition, new JobProgress(definition), number);
+      return takeRequests(number)[0]!;
+    };
+    for (let number = 1; number < 60; number += 1) {
+      const { step, candidates } = takeRequestOf(number);
+      const allowed = candidates.filter((_id, index) => (number + index) % 5 === 0);
+      const tickets = new Map(allowed.map((id) => [id, 'ticket']));
+      dispatcher.handleAdviceResponse(step, candidates, tickets, number);
+      dispatcher.handleCancel(createJob(number).id, number);
+      dispatcher.handleTick(number);
+    }
+    // With a fifth allowed, five candidates are all refused one time in three, and thirteen one time in eighteen.
+    expect(takeRequestOf(60).candidates.length).toBeGreaterThan(12);
+  });
+
   it('are delayed after one without a response', () => {
     sendJob(1);
     const [first] = takeRequests(0);
