Rounds of placement don't follow each single message

With a backlog, each advice response, end of a run or start result made a round due, and the throttle let rounds take a third of the processor time however short they were. So shorter rounds only meant more of them.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -402,17 +402,18 @@
   }
 
   /**
-   * Runs a scheduling round, or only requests advice while starts are held, and carries out the effects. Does nothing while
-   * this leader is inactive.
+   * Runs a scheduling round if one is due, or only requests advice while starts are held, and carries out the effects. Does nothing
+   * while this leader is inactive. Returns whether a round was due.
    */
-  private runSchedulingRound(): void {
+  private runSchedulingRound(): boolean {
     if (!this.isActive()) {
-      return;
+      return false;
     }
     const { clock } = this.options;
     const now = clock.getNow();
     this.updateStartHold(now);
-    if (this.dispatcher.hasDueRound()) {
+    const isRoundDue = this.dispatcher.hasDueRound();
+    if (isRoundDue) {
       const slots = this.adviceBalancer.getFreeSlots();
       if (this.isHoldingStarts) {
         this.dispatcher.requestAdviceAhead(now, clock.getWallTime(), slots);
@@ -422,6 +423,7 @@
     }
     this.sendEffects();
     this.slowRoundLogger.recordRoundDuration(clock.getNow() - now, now);
+    return isRoundDue;
   }
 
   /** Holds starts and cancels unrecorded ones when progress could not be written for `START_HOLD_OUTAGE_MS`, until it can be again. */
