--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -117,8 +117,8 @@
   private isStopped = false;
   /** Monotonic time at which leases of earlier leaders have expired. */
   private earlierLeasesEndAt: number;
-  /** True once the leader's record says that leases of earlier leaders have expired. */
-  private hasWrittenLeasesEnd = false;
+  /** Whether leases of earlier leaders had expired when the leader's record was last queued for it; undefined before. */
+  private recordedLeasesOver: boolean | undefined;
   private readonly roundThrottle: RoundThrottle;
   private readonly slowRoundLogger: SlowRoundLogger;
   private tickTimer: NodeJS.Timeout | undefined;
@@ -208,7 +208,6 @@
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
-    this.journal.queueLeaderRecord();
     this.endpointSessions.start();
     void this.readJobs();
     this.tickTimer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
@@ -383,10 +382,14 @@
     }
   }
 
-  /** Queues a write of the leader's record once leases of earlier leaders have expired, as a later leader may know none of them. */
+  /**
+   * Queues a write of the leader's record, which says how long leases of earlier leaders may run, at the first tick and once they have
+   * expired: a later leader may know none of them, and the claim doesn't say it.
+   */
   private recordLeasesEnd(now: number): void {
-    if (!this.hasWrittenLeasesEnd && now >= this.earlierLeasesEndAt) {
-      this.hasWrittenLeasesEnd = true;
+    const isOver = now >= this.earlierLeasesEndAt;
+    if (isOver !== this.recordedLeasesOver) {
+      this.recordedLeasesOver = isOver;
       this.journal.queueLeaderRecord();
     }
   }
