leader: one that resigns does not take over again

Cause: a graceful stop cleared `hasTakenOver`; an endpoint's record read while the last records were written then started a takeover, with no progress left to recover, so that every job of the log was new. Fix: resigning is a state of its own, in which nothing is taken over or taken in.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -110,8 +110,10 @@
   /** Services of all known jobs, whose endpoints are needed even when the configuration no longer names them. */
   private readonly jobServices = new Set<ServiceName>();
   private hasReadJobs = false;
-  /** True once the jobs of earlier leaders were added to the dispatcher; false again once this leader stops gracefully. */
+  /** True once the jobs of earlier leaders were added to the dispatcher, which happens once: their progress is not kept for another time. */
   private hasTakenOver = false;
+  /** True from the begin of a graceful stop on. */
+  private isResigning = false;
   /** True while rounds only request advice, since starts cannot be recorded. */
   private isHoldingStarts = false;
   private isStopped = false;
@@ -231,7 +233,7 @@
    * log fail, then stops.
    */
   async stopGracefully(): Promise<void> {
-    this.hasTakenOver = false;
+    this.isResigning = true;
     clearInterval(this.tickTimer);
     this.endpointSessions.stop();
     this.adviceBalancer.stop();
@@ -242,9 +244,9 @@
     this.stop();
   }
 
-  /** Adds a newly accepted job and queues a round. Does nothing before the takeover, which adds all known jobs. */
+  /** Adds a newly accepted job and queues a round. Does nothing before the takeover, which adds all known jobs, and once this leader resigns. */
   handleJob(definition: JobDefinition): void {
-    if (this.hasTakenOver) {
+    if (this.isActive()) {
       const { id, queue, steps } = definition;
       this.options.logger.info('Job taken in.', { job: id, queue: queue.name, steps: steps.length });
       this.addJob(definition);
@@ -287,9 +289,9 @@
     return this.dispatcher;
   }
 
-  /** Returns true from the takeover of earlier leaders' jobs and endpoints until this leader stops. */
+  /** Returns true from the takeover of earlier leaders' jobs and endpoints until this leader stops or resigns. */
   isActive(): boolean {
-    return this.hasTakenOver && !this.isStopped;
+    return this.hasTakenOver && !this.isResigning && !this.isStopped;
   }
 
   /** Logs the open waits, which the next leader does not know, and stops the line batcher. */
@@ -318,10 +320,11 @@
 
   /**
    * Adds the jobs of earlier leaders, with their cancellations, and starts to poll the endpoints. Does nothing before all jobs and
-   * endpoints' records have been read, after the takeover, or after a stop.
+   * endpoints' records have been read, after the takeover, or once this leader has stopped or resigns.
    */
   private takeOver(): void {
-    if (this.hasTakenOver || this.isStopped || !this.endpointSessions.hasReadRecords() || !this.hasReadJobs) {
+    const canTakeOver = !this.hasTakenOver && !this.isResigning && !this.isStopped;
+    if (!canTakeOver || !this.endpointSessions.hasReadRecords() || !this.hasReadJobs) {
       return;
     }
     const { replica, clock, logger, epoch } = this.options;
