leadership: a claim names the leader before it, and the record is kept up to date

A claim now names the present leader, whose process may be known to have ended, and bounds those before it; the leader's record is written again each second while earlier leases may run, and when their bound is lowered. `leadership.test.ts`: two cases of claims, which earlier code cannot express.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -89,6 +89,8 @@
 }
 
 const TICK_INTERVAL_MS = 100;
+/** Interval of writes of the leader's record while leases of earlier leaders may run. Heartbeats also write it, but not beside other writes. */
+const LEASES_RECORD_INTERVAL_MS = 1000;
 /** Time since the newest acknowledged write was sent, above which heartbeats count as late. */
 const MAX_ACK_AGE_MS = leaderTimings.heartbeatMs + TICK_INTERVAL_MS + appendRules.initialTimeoutMs;
 /** Outage of writes to the progress topic above which starts are held; longer than an append with one retry. */
@@ -119,8 +121,8 @@
   private isStopped = false;
   /** Monotonic time at which leases of earlier leaders have expired. */
   private earlierLeasesEndAt: number;
-  /** Whether leases of earlier leaders had expired when the leader's record was last queued for it; undefined before. */
-  private recordedLeasesOver: boolean | undefined;
+  /** Monotonic time at which the leader's record is written again for the leases of earlier leaders; Infinity once it says that they have expired. */
+  private leasesRecordDueAt = -Infinity;
   private readonly roundThrottle: RoundThrottle;
   private readonly slowRoundLogger: SlowRoundLogger;
   private tickTimer: NodeJS.Timeout | undefined;
@@ -282,6 +284,7 @@
   /** Sets an earlier monotonic time at which leases of earlier leaders have expired. */
   setEarlierLeasesEnd(endAt: number): void {
     this.earlierLeasesEndAt = endAt;
+    this.leasesRecordDueAt = -Infinity;
     this.dispatcher.setEarlierLeasesEnd(endAt);
   }
 
@@ -386,13 +389,15 @@
   }
 
   /**
-   * Queues a write of the leader's record, which says how long leases of earlier leaders may run, at the first tick and once they have
-   * expired: a later leader may know none of them, and the claim doesn't say it.
+   * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the first tick, at intervals until they
+   * have expired, and then. A later leader may know none of them, and counts what the record says from when it reads it.
    */
   private recordLeasesEnd(now: number): void {
-    const isOver = now >= this.earlierLeasesEndAt;
-    if (isOver !== this.recordedLeasesOver) {
-      this.recordedLeasesOver = isOver;
+    if (now >= this.leasesRecordDueAt) {
+      const isOver = now >= this.earlierLeasesEndAt;
+      this.leasesRecordDueAt = isOver
+        ? Infinity
+        : Math.min(now + LEASES_RECORD_INTERVAL_MS, this.earlierLeasesEndAt);
       this.journal.queueLeaderRecord();
     }
   }
--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -8,8 +8,10 @@
   /** True once the leader has stopped gracefully and sends no more commands. */
   readonly isResigned: boolean;
   /**
-   * Milliseconds from the writing of this record until the leases of all leaders before this one have expired. Not given in a claim, and by
-   * earlier versions.
+   * Milliseconds from the writing of this record until the leases of all leaders before this one have expired, except for `previous`. Not
+   * given by earlier versions.
    */
   readonly earlierLeasesMs?: number | undefined;
+  /** In a claim, the leader of the epoch before it, which may act until the claim is written. */
+  readonly previous?: { readonly box: string; readonly process: string } | undefined;
 }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -178,10 +178,19 @@
   /** Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. */
   formatLeaderRecord(epoch: number, isResigned: boolean): string {
     const { box, process, clock } = this.options;
+    const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
     const record: LeaderRecord = { epoch, box, process, isResigned };
-    const isNewest = this.leaderRecord?.epoch === epoch;
+    return JSON.stringify(this.leaderRecord?.epoch === epoch ? { ...record, earlierLeasesMs } : record);
+  }
+
+  /** Formats a claim. It cannot say when leases of the present leader end, which may still renew them until the claim is written. */
+  private formatClaim(epoch: number): string {
+    const { box, process, clock } = this.options;
+    const { leaderRecord } = this;
     const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
-    return JSON.stringify(isNewest ? { ...record, earlierLeasesMs } : record);
+    const previous = leaderRecord && { box: leaderRecord.box, process: leaderRecord.process };
+    const record: LeaderRecord = { epoch, box, process, isResigned: false, earlierLeasesMs, previous };
+    return JSON.stringify(record);
   }
 
   /** Returns the monotonic time at which all leases of the leaders before the newest one have expired. */
@@ -284,8 +293,7 @@
     const claimedAt = clock.getNow();
     const response = await client.append({
       topic,
-      // The claim does not say when earlier leases end: the present leader may still renew its own until the claim is written.
-      writes: [{ key: leaderKeys.recordKey, value: this.formatLeaderRecord(epoch, false) }],
+      writes: [{ key: leaderKeys.recordKey, value: this.formatClaim(epoch) }],
       writer: { producer: leaderKeys.producer, epoch, sequence: leaderKeys.claimSequence },
       timeoutMs: CLAIM_TIMEOUT_MS,
     });
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -36,12 +36,13 @@
    */
   recordLeader(record: LeaderRecord, now: number): void {
     if (record.epoch > (this.newestLeader?.epoch ?? 0)) {
-      this.earlierLeaders = this.listLeadersBefore(record.epoch, now);
+      this.earlierLeaders = this.listLeadersBefore(record, now);
       this.leaderEndedAt = Infinity;
     }
     this.newestLeader = record;
     if (record.earlierLeasesMs !== undefined) {
-      this.setLatestEnd(now + record.earlierLeasesMs, () => true);
+      const firstOther = record.previous === undefined ? record.epoch : record.epoch - 1;
+      this.setLatestEnd(now + record.earlierLeasesMs, ({ epoch }) => epoch < firstOther);
     }
     this.recordActivity(now);
     this.hasLeaderStopped = record.isResigned;
@@ -88,19 +89,18 @@
     return this.earlierLeaders.some((leader) => leader.box === box && leader.leasesEndAt > now);
   }
 
-  private listLeadersBefore(epoch: number, now: number): readonly EarlierLeader[] {
+  private listLeadersBefore({ epoch, previous }: LeaderRecord, now: number): readonly EarlierLeader[] {
     const { newestLeader } = this;
     const knownEpoch = newestLeader?.epoch ?? 0;
-    const unread: EarlierLeader = {
-      epoch: epoch - 1,
-      box: undefined,
-      process: undefined,
-      leasesEndAt: now + MAX_LEASE_MS + unconfirmedGraceMs,
-    };
+    const leasesEndAt = now + MAX_LEASE_MS + unconfirmedGraceMs;
+    const unread: readonly EarlierLeader[] = [
+      { epoch: epoch - 1, box: previous?.box, process: previous?.process, leasesEndAt },
+      { epoch: epoch - 2, box: undefined, process: undefined, leasesEndAt },
+    ];
     return [
-      ...this.earlierLeaders.filter(({ leasesEndAt }) => leasesEndAt > now),
+      ...this.earlierLeaders.filter((leader) => leader.leasesEndAt > now),
       ...(newestLeader === undefined ? [] : [{ ...newestLeader, leasesEndAt: this.computeLeasesEndAt() }]),
-      ...(epoch > knownEpoch + 1 ? [unread] : []),
+      ...unread.filter((leader) => leader.epoch > knownEpoch),
     ];
   }
 
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -7,4 +7,5 @@
   process: z.string(),
   isResigned: z.boolean(),
   earlierLeasesMs: z.number().min(0).optional(),
+  previous: z.object({ box: z.string(), process: z.string() }).optional(),
 });
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -284,4 +284,22 @@
     leases.recordLeader(toRecord(7), 1500);
     expect(leases.getEarlierLeasesEndAt()).toBe(900 + LEASE_BOUND_MS);
   });
+
+  it('end with the process that the claim of a leader names as the previous one, when it ran in a box that has restarted', () => {
+    const leases = new LeaseHistory();
+    const previous = { box: 'box-0', process: 'box-0#1' };
+    leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700, previous }, 1000);
+    expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+    leases.recordBoxProcess({ box: 'box-0', process: 'box-0#3', startedBy: 900 }, 6);
+    expect(leases.getEarlierLeasesEndAt()).toBe(900 + LEASE_BOUND_MS);
+  });
+
+  it('are not bounded for the previous leader by what a claim says of those before it', () => {
+    const leases = new LeaseHistory();
+    leases.recordLeader(toRecord(1), 1000);
+    leases.recordLeader({ ...toRecord(2), earlierLeasesMs: 0, previous: toRecord(1) }, 2000);
+    expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+    leases.recordLeader({ ...toRecord(2), earlierLeasesMs: 3000 }, 2500);
+    expect(leases.getEarlierLeasesEndAt()).toBe(5500);
+  });
 });
