store: a refresh reads to the end of the topic

Callers saw: 410 to a GET for an accepted job on a box that had fallen behind by more than one response of the log. Cause: a read returns 1,024 kB at most, and `waitForRefresh` reported true after the first response. The box then took the job for absent; a leader took over without the jobs behind the first response. Fix: a response names the end of the topic; a refresh goes on until the records before that end are handled, and is true only then. The loop reads pending records without the pause between polls. Records that another read has brought meanwhile are skipped one by one, so that a response is not thrown away and asked for again.

--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -9,6 +9,8 @@
 import type { LogRecord } from './LogRecord';
 import { NewestReader } from './NewestReader';
 
+type ReadResponse = Extract<Awaited<ReturnType<LogClient['readRecords']>>, { ok: true }>['value'];
+
 interface LogFollowerOptions {
   readonly client: LogClient;
   readonly topic: string;
@@ -81,23 +83,25 @@
       this.readSentAt = this.options.clock.getNow();
       const read =
         this.nextOffset === undefined ? this.readNewestPages() : this.readNextRecords(this.nextOffset);
-      const error = await this.interruption.waitFor(read.then((failure) => failure ?? 'done'));
+      const outcome = await this.interruption.waitFor(read);
       if (!this.isCurrentGeneration(generation)) {
         break;
       }
-      if (error === undefined) {
+      if (outcome === undefined) {
         continue;
       }
-      if (error === 'done') {
+      if (outcome === 'more') {
+        this.recordResponse();
+      } else if (outcome === 'complete') {
         this.recordSuccess();
         await this.waitForPause(this.pauseMs);
-      } else if (error.kind === 'forgotten') {
+      } else if (outcome.kind === 'forgotten') {
         this.nextOffset = undefined;
         this.newestReader = new NewestReader(this.options.client, this.options.topic);
         // Avoids a tight loop of full reads when the log retains too little.
         await this.waitForPause(this.readBackoff.computeNextDelay());
       } else {
-        this.recordFailure(error);
+        this.recordFailure(outcome);
         await this.waitForPause(this.readBackoff.computeNextDelay());
       }
     }
@@ -149,7 +153,7 @@
   }
 
   /**
-   * Resolves to true once a read that was sent after this call has been handled. Resolves to false after the timeout, or at once while
+   * Resolves to true once all records written before this call have been handled. Resolves to false after the timeout, or at once while
    * the whole topic has not been read.
    */
   waitForRefresh(timeoutMs: number): Promise<boolean> {
@@ -172,27 +176,28 @@
   }
 
   /**
-   * Reads the newest records at once, independently of the read loop. Resolves to false when the read fails, or when the whole topic has
-   * not been read yet.
+   * Reads to the end of the topic at once, independently of the read loop. Resolves to false when a read fails, when the end is not reached in
+   * time, or when the whole topic has not been read yet.
    */
   private async readLatest(timeoutMs: number): Promise<boolean> {
-    const { client, topic } = this.options;
-    while (this.nextOffset !== undefined) {
+    const { client, topic, clock } = this.options;
+    const until = clock.getNow() + timeoutMs;
+    while (this.nextOffset !== undefined && clock.getNow() < until) {
       const { nextOffset } = this;
       const response = await client.readRecords({ topic, fromOffset: nextOffset, waitMs: 0, timeoutMs });
       if (!response.ok) {
         return false;
       }
-      if (this.nextOffset === nextOffset) {
-        this.applyRecords(response.value.records);
-        return true;
+      const progress = this.applyResponse(response.value);
+      if (progress !== 'more') {
+        return progress === 'complete';
       }
     }
     return false;
   }
 
   /** Reads pages of the newest records until the topic is complete or a read fails. The next attempt resumes after the last page. */
-  private async readNewestPages(): Promise<LogError | undefined> {
+  private async readNewestPages(): Promise<LogError | 'complete'> {
     while (this.nextOffset === undefined && !this.isStopped) {
       this.responseDueAt = this.options.clock.getNow() + this.callTimeoutMs;
       const page = await this.newestReader.readPage(this.callTimeoutMs);
@@ -204,10 +209,11 @@
       this.nextOffset ??= page.value.endOffset;
       this.options.handleRecords(page.value.records);
     }
-    return undefined;
+    return 'complete';
   }
 
-  private async readNextRecords(offset: number): Promise<LogError | undefined> {
+  /** Reads the next records once; `more` when further records are known to be pending, which the next read returns at once. */
+  private async readNextRecords(offset: number): Promise<LogError | 'complete' | 'more'> {
     const { client, topic } = this.options;
     // No long poll after a failure, so that recovery of the log is noticed early.
     const waitMs = this.isConnected ? this.options.pollWaitMs : 0;
@@ -217,19 +223,29 @@
     if (!response.ok) {
       return response.error;
     }
-    // Skipped when a refresh or a later start has advanced the offset.
-    if (this.nextOffset === offset) {
-      this.applyRecords(response.value.records);
-    }
-    return undefined;
+    return this.applyResponse(response.value) === 'more' ? 'more' : 'complete';
   }
 
-  private applyRecords(records: readonly LogRecord[]): void {
-    const last = records[records.length - 1];
+  /**
+   * Handles the records of a response that no other read has brought meanwhile. Returns `complete` when all records are handled that the
+   * log had when it responded, `more` when others are pending since the size of a response is limited, and `stuck` when the response brought
+   * none of the pending ones, or the topic is being read anew.
+   */
+  private applyResponse({ records, endOffset }: ReadResponse): 'complete' | 'more' | 'stuck' {
+    const { nextOffset } = this;
+    if (nextOffset === undefined) {
+      return 'stuck';
+    }
+    const newRecords = records.filter(({ offset }) => offset >= nextOffset);
+    const last = newRecords[newRecords.length - 1];
     if (last !== undefined) {
       this.nextOffset = last.offset + 1;
-      this.options.handleRecords(records);
+      this.options.handleRecords(newRecords);
+    }
+    if ((this.nextOffset ?? 0) >= endOffset) {
+      return 'complete';
     }
+    return records.length === 0 ? 'stuck' : 'more';
   }
 
   private recordSuccess(): void {
--- a/tests/logFollower.test.ts
+++ b/tests/logFollower.test.ts
@@ -10,6 +10,37 @@
 /** One per 30 ms, the shortest backoff. */
 const MAX_FORGOTTEN_READS = 20;
 
+interface PagedLog {
+  readonly client: LogClient;
+  /** Offsets of the handled records, in order. */
+  readonly handled: number[];
+  endOffset: number;
+  /** True while reads return no records. */
+  isWithholding: boolean;
+}
+
+/** Creates a log with `endOffset` records, of which a read returns the first one. */
+const createPagedLog = (): PagedLog => {
+  const log: PagedLog = {
+    handled: [],
+    endOffset: 0,
+    isWithholding: false,
+    client: {
+      append: () => Promise.reject(new Error('not used')),
+      readPageOfNewestByKey: () =>
+        Promise.resolve({ ok: true, value: { records: [], endOffset: 0, hasMore: false } }),
+      readRecords: async ({ fromOffset }) => {
+        await new Promise((resolve) => setTimeout(resolve, 1));
+        const hasRecord = !log.isWithholding && fromOffset < log.endOffset;
+        const records = hasRecord ? [{ offset: fromOffset, key: `job.${fromOffset}`, value: 'x' }] : [];
+        return { ok: true, value: { records, endOffset: log.endOffset } };
+      },
+      stop: () => Promise.resolve(),
+    },
+  };
+  return log;
+};
+
 describe('a follower of a topic', () => {
   let follower: LogFollower | undefined;
 
@@ -68,6 +99,49 @@
 
   const waitFor = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 
+  /** Creates a follower of a log that returns one record a read, as a log with a limited response size does. */
+  const createPagedFollower = (log: PagedLog): LogFollower =>
+    new LogFollower({
+      client: log.client,
+      topic: 'keyed.jobs',
+      clock: systemClock,
+      random: () => 0.5,
+      pauseMs: POLL_MS,
+      pollWaitMs: POLL_MS,
+      handleRecords: (records) => log.handled.push(...records.map(({ offset }) => offset)),
+    });
+
+  it('refreshes to the end of the topic when a response holds only the first of the pending records', async () => {
+    const log = createPagedLog();
+    follower = createPagedFollower(log);
+    void follower.start();
+    await waitFor(20);
+    log.endOffset = 3;
+    expect(await follower.waitForRefresh(POLL_MS)).toBe(true);
+    expect(log.handled).toEqual([0, 1, 2]);
+  });
+
+  it('does not report a refresh when the log returns nothing of the pending records', async () => {
+    const log = createPagedLog();
+    follower = createPagedFollower(log);
+    void follower.start();
+    await waitFor(20);
+    log.endOffset = 3;
+    log.isWithholding = true;
+    expect(await follower.waitForRefresh(POLL_MS)).toBe(false);
+  });
+
+  it('reads pending records one response after the other without the pause between polls', async () => {
+    const log = createPagedLog();
+    follower = createPagedFollower(log);
+    void follower.start();
+    await waitFor(20);
+    log.endOffset = 3;
+    follower.setPause(POLL_MS);
+    await waitFor(IMMEDIATE_MS);
+    expect(log.handled).toEqual([0, 1, 2]);
+  });
+
   it('retries when a call sent after its pending read has shown that the log has recovered', async () => {
     const readTimes: number[] = [];
     const started = startFollower(readTimes);
