standins: a read of the log returns a bounded number of bytes, as the platform's does

Without the bound no test on real processes could show a box that is further behind than one read returns.

--- a/packages/standins/platform/KeyedTopic.ts
+++ b/packages/standins/platform/KeyedTopic.ts
@@ -76,15 +76,28 @@
     return { status: 200, body: result };
   }
 
-  /** Returns the response body of a read from an offset on; undefined when the offset is before the first readable one. */
-  getReadBody(fromOffset: number): Buffer | undefined {
+  /**
+   * Returns the response body of a read from an offset on, with records of at most `maxBytes` but at least one; undefined when the offset is
+   * before the first readable one.
+   */
+  getReadBody(fromOffset: number, maxBytes: number): Buffer | undefined {
     if (fromOffset < this.firstOffset) {
       return undefined;
     }
     const header = Buffer.alloc(16);
     header.writeBigUInt64BE(BigInt(this.records.length), 0);
     header.writeBigUInt64BE(BigInt(this.firstOffset), 8);
-    return Buffer.concat([header, ...this.records.slice(fromOffset).map((record) => record.frame)]);
+    const frames: Buffer[] = [];
+    let bytes = 0;
+    for (let offset = fromOffset; offset < this.records.length; offset += 1) {
+      const { frame } = this.records[offset]!;
+      bytes += frame.length;
+      if (frames.length > 0 && bytes > maxBytes) {
+        break;
+      }
+      frames.push(frame);
+    }
+    return Buffer.concat([header, ...frames]);
   }
 
   /** Returns the offset of the next record. */
--- a/packages/standins/platform/LogStandin.ts
+++ b/packages/standins/platform/LogStandin.ts
@@ -21,6 +21,8 @@
 
 const MAX_PAGE_ITEMS = 500;
 const FRAME_LENGTH_BYTES = 4;
+const DEFAULT_READ_KB = 1024;
+const BYTES_PER_KB = 1024;
 const MAX_APPEND_WAIT_MS = 2000;
 
 /** Stands in for the platform's log over HTTP: keyed topics of one partition, with the paths and bodies that the platform documents. */
@@ -199,7 +201,8 @@
         return;
       }
     }
-    const frames = topic.getReadBody(from);
+    const maxKb = Number(url.searchParams.get('max_kb') ?? DEFAULT_READ_KB);
+    const frames = topic.getReadBody(from, maxKb * BYTES_PER_KB);
     if (frames === undefined) {
       sendJson(response, 410, { first: topic.getFirstOffset() });
       return;
--- a/tests/helpers/MemoryLog.ts
+++ b/tests/helpers/MemoryLog.ts
@@ -47,7 +47,7 @@
       await topicState.waitForAppend(waitMs);
     }
     await waitForDelay(LATENCY_MS);
-    return { ok: true, value: logFrames.parseRecords(fromOffset, topicState.getReadBody(fromOffset)!) };
+    return { ok: true, value: logFrames.parseRecords(fromOffset, topicState.getReadBody(fromOffset, Infinity)!) };
   }
 
   async readPageOfNewestByKey({
