--- a/tests/serve/stopping.test.ts
+++ b/tests/serve/stopping.test.ts
@@ -69,6 +69,8 @@
     (await connectTo(box.internal)).sendText(text);
     await waitFor(100);
     expect(await stopBox(box)).toBeLessThan(MAX_STOP_MS);
+    const isLogged = box.process.readOutput().includes('"Connections of callers cut at the stop."');
+    expect(isLogged).toBe(text !== '');
   });
 
   it('ends within its grace period while another box reconnects as soon as it is disconnected', async () => {
