fix: steps of one queue that wait long for an advice slot get one in turn

Cause: a step that was refused asks again at once, and its place in the order has not changed. Steps at the head of a queue asked two to three times each (28 'more' for 11 'first' in 4 s) before those behind them had asked once. The bound on waits for slots was for long-running steps and for queues that send nothing at all; other steps of a queue that keeps sending had none. Fix: a step that has found no slot for 2 s is starved, as a queue is, and asks ahead of the order, within the same share of slot time.

--- a/packages/dispatch/advice/OverdueRequests.ts
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -2,8 +2,8 @@
 
 /** Time without a slot after which a step is overdue. */
 const MAX_SLOT_WAIT_MS = 1000;
-/** Time since the latest request of a queue after which the queue is starved. */
-const MAX_QUEUE_PAUSE_MS = 2000;
+/** Time without a slot after which a step is starved, and time since its latest request after which a queue is. */
+const STARVATION_MS = 2000;
 /** Share of the time of all slots that requests ahead of the placement order may take. */
 const MAX_TIME_SHARE = 0.5;
 /** Maximum number of steps considered in a round. */
@@ -11,8 +11,8 @@
 
 /**
  * Bounds how long a step waits for a slot while steps ahead of it in the placement order keep sending requests. Overdue steps send theirs
- * first if they are long-running, which serve nobody until they start, or if their queue is starved. These requests take a limited share
- * of the time of all slots, so that long ones don't crowd out the steps of the most urgent queue.
+ * first if they are long-running, which serve nobody until they start, or if they or their queue are starved. These requests take a limited
+ * share of the time of all slots, so that long ones don't crowd out the steps of the most urgent queue.
  */
 export class OverdueRequests {
   /** Slot time that such requests may take, in milliseconds: at most 0, and negative until the time of earlier ones is made up for. */
@@ -44,7 +44,8 @@
         const since = advice.getSlotWaitSince() ?? Infinity;
         const queueRequestedAt = this.lastRequestedAt.get(step.job.definition.queue.name) ?? -Infinity;
         const isOverdue = now - since >= MAX_SLOT_WAIT_MS && advice.canRequest(now);
-        const isFirst = step.shape.isLongRunning || now - queueRequestedAt >= MAX_QUEUE_PAUSE_MS;
+        const isStarved = Math.max(now - since, now - queueRequestedAt) >= STARVATION_MS;
+        const isFirst = step.shape.isLongRunning || isStarved;
         return isOverdue && isFirst ? [{ step, since, queueRequestedAt }] : [];
       })
       .sort(
