--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -74,7 +74,7 @@
 
 /** Longest lease that an endpoint accepts, in milliseconds, unless the options give another. */
 const DEFAULT_LONGEST_LEASE_MS = 10_000;
-const UNLIMITED_ADVICE_SLOTS: AdviceSlots = { all: Infinity, long: Infinity };
+const UNLIMITED_ADVICE_SLOTS: AdviceSlots = { all: Infinity, long: Infinity, quarantined: 0 };
 
 /**
  * The leader's scheduler as a state machine without clock or I/O: events come in with the current time, and the side effects to
@@ -149,6 +149,7 @@
     this.capacityView = new CapacityView(this.endpoints, reservations);
     this.endpointQuarantine = new EndpointQuarantine(this.endpoints, stopPolicy.isQuarantineEnabled);
     this.preemptor = new Preemptor({
+      endpoints: this.endpoints,
       jobs: this.jobs,
       reservations,
       preemptionRules: stopPolicy.preemptionRules,
@@ -467,6 +468,7 @@
     const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
     const advice = job?.getStepAdvice(Number(repetition), Number(index));
     const tookMs = advice === undefined ? 0 : now - advice.getLastRequestedAt();
+    this.adviceRequester.recordRequestEnd(step, tookMs);
     if (tickets === undefined) {
       this.adviceMetrics.recordFailure(tookMs);
     }
@@ -501,6 +503,7 @@
     }
     this.reservations.removeExpiredReservations(now);
     this.adviceMetrics.handleTick(now);
+    this.logSlotShortage(now);
     this.runLearner.handleTick(now);
     this.runMover.handleTick(now);
     this.longWaitLogger.logLongWaits(now);
@@ -513,16 +516,24 @@
     return this.longWaitLogger.listOpenWaits(now);
   }
 
+  /** Returns false when `placeWaiting` and `requestAdviceAhead` would do nothing, since nothing has happened that may allow a start. */
+  hasDueRound(): boolean {
+    return this.isRoundDue || this.hasOnlyRequestedAdvice;
+  }
+
   /**
    * Runs a scheduling round, unless nothing has happened since the last one that may allow a start: places waiting tasks in
-   * placement order and requests missing advice, with the given free slots. Sends early advice requests at most once a tick.
+   * placement order and requests missing advice, with the given free slots: first that of an overdue step, then in placement order. Sends
+   * early advice requests at most once a tick.
    */
   placeWaiting(now: number, wallMs: number, slots = UNLIMITED_ADVICE_SLOTS): void {
-    if (!this.isRoundDue && !this.hasOnlyRequestedAdvice) {
+    if (!this.hasDueRound()) {
       return;
     }
     this.hasOnlyRequestedAdvice = false;
-    for (const step of this.startRound(now, wallMs, slots)) {
+    const waiting = this.startRound(now, wallMs, slots);
+    this.stepPlacer.requestOverdueAdvice(waiting, now);
+    for (const step of waiting) {
       if (this.stepPlacer.placeStep(step, now)) {
         this.changedJobs.add(step.job.definition.id);
       }
@@ -561,10 +572,10 @@
     this.crashTracker.applyCrashLimits(now, wallMs);
     this.isRoundDue = false;
     this.capacityView.clearCache();
-    this.preemptor.setRoundTime(now, wallMs);
+    this.preemptor.startRound(now, wallMs);
     this.endpointQuarantine.clearCache();
     this.endpointPreference.setRoundWallTime(wallMs);
-    this.adviceRequester.startRound(slots);
+    this.adviceRequester.startRound(slots, now);
     const waiting: WaitingStep[] = [];
     for (const job of this.jobs.values()) {
       if (!job.progress.isEnded()) {
@@ -578,6 +589,14 @@
     });
   }
 
+  /** Logs which queues use the advice slots and which wait, when a step has waited long for one. */
+  private logSlotShortage(now: number): void {
+    const fields = this.adviceRequester.createShortageFields(now);
+    if (fields !== undefined) {
+      this.runTracker.sendLogLine('Advice slots are short.', fields);
+    }
+  }
+
   /** Requests advice for later steps of all jobs that are about to become ready. */
   private sendEarlyAdviceRequests(now: number, wallMs: number): void {
     for (const job of this.jobs.values()) {
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -208,10 +208,12 @@
   }
 
   /**
-   * Starts to fence earlier leaders, to read the jobs and the endpoints' records, and to write heartbeats. Polls and scheduling
+   * Starts to write heartbeats, to fence earlier leaders, and to read the jobs and the endpoints' records. Polls and scheduling
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
+    // After a slow claim a heartbeat is due already, and the responses to the reads may delay the tick.
+    this.recordLeasesEnd(this.options.clock.getNow());
     this.endpointSessions.start();
     void this.readJobs();
     this.tickTimer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
@@ -389,7 +391,7 @@
   }
 
   /**
-   * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the first tick, at intervals until they
+   * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the start, at intervals until they
    * have expired, and then. A later leader may know none of them, and counts what the record says from when it reads it.
    */
   private recordLeasesEnd(now: number): void {
@@ -434,24 +436,28 @@
   }
 
   /**
-   * Runs a scheduling round, or only requests advice while starts are held, and carries out the effects. Does nothing while
-   * this leader is inactive.
+   * Runs a scheduling round if one is due, or only requests advice while starts are held, and carries out the effects. Does nothing
+   * while this leader is inactive. Returns whether a round was due.
    */
-  private runSchedulingRound(): void {
+  private runSchedulingRound(): boolean {
     if (!this.isActive()) {
-      return;
+      return false;
     }
     const { clock } = this.options;
     const now = clock.getNow();
     this.updateStartHold(now);
-    const slots = this.adviceBalancer.getFreeSlots();
-    if (this.isHoldingStarts) {
-      this.dispatcher.requestAdviceAhead(now, clock.getWallTime(), slots);
-    } else {
-      this.dispatcher.placeWaiting(now, clock.getWallTime(), slots);
+    const isRoundDue = this.dispatcher.hasDueRound();
+    if (isRoundDue) {
+      const slots = this.adviceBalancer.getFreeSlots();
+      if (this.isHoldingStarts) {
+        this.dispatcher.requestAdviceAhead(now, clock.getWallTime(), slots);
+      } else {
+        this.dispatcher.placeWaiting(now, clock.getWallTime(), slots);
+      }
     }
     this.sendEffects();
     this.slowRoundLogger.recordRoundDuration(clock.getNow() - now, now);
+    return isRoundDue;
   }
 
   /** Holds starts and cancels unrecorded ones when progress could not be written for `START_HOLD_OUTAGE_MS`, until it can be again. */
--- a/packages/dispatch/advice/EagerCandidateSelector.ts
+++ b/packages/dispatch/advice/EagerCandidateSelector.ts
@@ -1,5 +1,8 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
 import { resourceMath } from '../../jobs/resourceMath';
+import type { JobQueue } from '../../jobs/JobQueue';
+import type { TaskDemand } from '../../jobs/TaskDemand';
+import type { StepAdvice } from './StepAdvice';
 import type { AdviceStats } from './AdviceStats';
 import type { CandidateSelector } from './CandidateSelector';
 import type { EndpointState } from '../endpoints/EndpointState';
@@ -13,9 +16,32 @@
 /** Minimum number of candidates, if there are as many, since the fixed cost of a request exceeds their cost. */
 const MIN_REQUEST_CANDIDATES = 5;
 
+/** Upper bound on the number of candidates that make it unlikely that all are refused. */
+const MAX_MIN_CANDIDATES = 30;
+
 const computeSum = (counts: readonly number[]): number => counts.reduce((sum, count) => sum + count, 0);
 
-/** Selects candidates whenever tickets are missing: endpoints with free capacity, or all large enough ones if capacity is scarce. */
+/**
+ * Returns the number of candidates up to which each one shortens the expected time until an endpoint is allowed: it lowers the chance of
+ * another request, of which the fixed time is saved, by more than it adds.
+ */
+const computeMinCandidates = (
+  { decisionMs, perEndpointMs }: NonNullable<JobQueue['advice']>,
+  allowedShare: number,
+): number => {
+  let count = 0;
+  let refusedChance = 1;
+  while (count < MAX_MIN_CANDIDATES && refusedChance * allowedShare * decisionMs > perEndpointMs) {
+    refusedChance *= 1 - allowedShare;
+    count += 1;
+  }
+  return count;
+};
+
+/**
+ * Selects candidates whenever tickets are missing: endpoints with free capacity, or all large enough ones if capacity is scarce. Selects
+ * none for a step that would use the reserve of the most urgent queue, unless capacity is scarce.
+ */
 export class EagerCandidateSelector implements CandidateSelector {
   constructor(
     private readonly capacityView: CapacityView,
@@ -42,16 +68,20 @@
     missing: number,
     neededUntil: number,
   ): readonly EndpointState[] {
-    const open = eligible.filter((endpoint) => this.isAdviceMissing(step, endpoint, neededUntil));
-    return this.capacityView.isCapacityScarce(step, eligible)
+    const isScarce = this.capacityView.isCapacityScarce(step, eligible);
+    if (!isScarce && !this.capacityView.hasUnreservedCpu(step)) {
+      return [];
+    }
+    const advice = step.job.getStepAdvice(step.repetition, step.step);
+    const open = eligible.filter((endpoint) => this.isAdviceMissing(step, advice, endpoint, neededUntil));
+    return isScarce
       ? this.chooseWhenScarce(step, open, missing, neededUntil)
       : this.chooseAvailable(step, open, missing);
   }
 
   /**
    * Returns endpoints that have free capacity for a task: only those allowed before if the missing tasks fit there, otherwise as many as
-   * the tasks are likely to need, sorted by cost, then by the number of pending requests, then by free capacity. Returns none if the step
-   * would use the reserve of the most urgent queue.
+   * the tasks are likely to need, sorted by cost, then by the number of pending requests, then by free capacity.
    */
   private chooseAvailable(
     step: WaitingStep,
@@ -61,7 +91,7 @@
     const { shape } = step;
     const demand = toReservedDemand(shape);
     const available = open.filter((endpoint) => endpoint.hasCapacityFor(demand));
-    if (available.length === 0 || !this.capacityView.hasUnreservedCpu(step)) {
+    if (available.length === 0) {
       return [];
     }
     const allowed = available.filter((endpoint) => this.hasBeenAllowed(step, endpoint));
@@ -82,16 +112,22 @@
     return this.chooseEnough(step, ranked, missing);
   }
 
-  /** Returns the first endpoints whose free capacity likely suffices for the missing tasks, given refusals and starts of other steps. */
+  /**
+   * Returns the first endpoints whose free capacity likely suffices for the missing tasks, given refusals and starts of other steps, and
+   * so many that hardly all are refused.
+   */
   private chooseEnough(
     step: WaitingStep,
     ranked: readonly EndpointState[],
     missing: number,
   ): readonly EndpointState[] {
-    const wanted = (missing * PLACES_PER_TASK) / this.stats.getAllowedShare(step.job.definition.queue.name);
+    const { queue } = step.job.definition;
+    const allowedShare = this.stats.getAllowedShare(queue.name);
+    const wanted = (missing * PLACES_PER_TASK) / allowedShare;
+    const minCount = Math.max(MIN_REQUEST_CANDIDATES, computeMinCandidates(queue.advice!, allowedShare));
     let fitCount = 0;
     let count = 0;
-    while (count < ranked.length && (fitCount < wanted || count < MIN_REQUEST_CANDIDATES)) {
+    while (count < ranked.length && (fitCount < wanted || count < minCount)) {
       fitCount += this.capacityView.countFittingTasks(ranked[count]!.getFreeCapacity(), step.shape);
       count += 1;
     }
@@ -105,7 +141,7 @@
 
   /**
    * Returns the endpoints allowed before that have free capacity for a task, or would have it after preemption; if the missing tasks would
-   * exceed their whole capacity, also all endpoints of sufficient capacity that have not been allowed before, whether free or not. Returns
+   * exceed their whole capacity, also all endpoints of sufficient capacity that have not been allowed before, free ones first. Returns
    * none for a gang that exceeds the capacity while no others are left.
    */
   private chooseWhenScarce(
@@ -133,12 +169,27 @@
     if (shape.isGang && readyCount < missing && unknown.length === 0) {
       return [];
     }
-    return readyCount >= missing ? ready : [...ready, ...unknown];
+    return readyCount >= missing ? ready : [...ready, ...this.sortWithFreeFirst(unknown, demand)];
+  }
+
+  /** Returns the endpoints with those first that have free capacity for the demand. */
+  private sortWithFreeFirst(
+    endpoints: readonly EndpointState[],
+    demand: TaskDemand,
+  ): readonly EndpointState[] {
+    return [
+      ...endpoints.filter((endpoint) => endpoint.hasCapacityFor(demand)),
+      ...endpoints.filter((endpoint) => !endpoint.hasCapacityFor(demand)),
+    ];
   }
 
   /** Returns whether the step may run another task on the endpoint, but has neither a refusal nor a ticket valid until `neededUntil`. */
-  private isAdviceMissing(step: WaitingStep, endpoint: EndpointState, neededUntil: number): boolean {
-    const advice = step.job.getStepAdvice(step.repetition, step.step);
+  private isAdviceMissing(
+    step: WaitingStep,
+    advice: StepAdvice,
+    endpoint: EndpointState,
+    neededUntil: number,
+  ): boolean {
     const { incarnation } = endpoint.getProfile();
     const isKnown =
       advice.isEndpointRefused(incarnation) || advice.getTicket(incarnation, neededUntil) !== undefined;
--- a/packages/dispatch/advice/StepAdvice.ts
+++ b/packages/dispatch/advice/StepAdvice.ts
@@ -22,6 +22,8 @@
 export class StepAdvice {
   private readonly tickets = new Map<EndpointIncarnation, Ticket>();
   private readonly refusedEndpoints = new Set<EndpointIncarnation>();
+  /** Latest time until which any ticket received so far may be used; -Infinity before the first. */
+  private latestUsableUntil = -Infinity;
   private hasPendingRequest = false;
   /** Monotonic time from which a request without a response may be repeated. */
   private retryAt = -Infinity;
@@ -29,6 +31,8 @@
   private deferredUntil = -Infinity;
   /** Monotonic time of the first deferral after the latest request; undefined when there was none. */
   private deferredSince: number | undefined;
+  /** Monotonic time since which the step has waited for a slot, without a response in between; undefined while it doesn't wait. */
+  private slotWaitSince: number | undefined;
   /** Monotonic time of the latest request. */
   private lastRequestedAt = 0;
   /** Monotonic time of the latest response. */
@@ -40,6 +44,27 @@
     return ticket !== undefined && ticket.usableUntil > now ? ticket.text : undefined;
   }
 
+  /** Returns false if no ticket is usable at a monotonic time; true if one may be. Does not look at the single tickets. */
+  canHaveTicket(until: number): boolean {
+    return this.latestUsableUntil > until;
+  }
+
+  /** Returns the endpoints whose tickets a start chosen at `now` may use. */
+  listTicketedEndpoints(now: number): readonly EndpointIncarnation[] {
+    const ticketed: EndpointIncarnation[] = [];
+    for (const [endpoint, { usableUntil }] of this.tickets) {
+      if (usableUntil > now) {
+        ticketed.push(endpoint);
+      }
+    }
+    return ticketed;
+  }
+
+  /** Returns whether the service has refused any endpoint for the step. */
+  hasRefusal(): boolean {
+    return this.refusedEndpoints.size > 0;
+  }
+
   /** Returns whether the endpoint's ticket is valid until a start that is sent at `now` would arrive; false without a ticket. */
   hasSendableTicket(endpoint: EndpointIncarnation, now: number): boolean {
     const ticket = this.tickets.get(endpoint);
@@ -87,6 +112,21 @@
     return this.deferredSince === undefined ? 0 : now - this.deferredSince;
   }
 
+  /** Records that no slot was free for a request at `now`. */
+  recordSlotWait(now: number): void {
+    this.slotWaitSince ??= now;
+  }
+
+  /** Returns the monotonic time since which the step has waited for a slot, without a response in between; undefined if it doesn't wait. */
+  getSlotWaitSince(): number | undefined {
+    return this.slotWaitSince;
+  }
+
+  /** Ends the wait for a slot, since a request would not be useful. */
+  clearSlotWait(): void {
+    this.slotWaitSince = undefined;
+  }
+
   /** Records that a request is sent, which ends the deferral. */
   recordRequest(now: number): void {
     this.hasPendingRequest = true;
@@ -112,6 +152,7 @@
   /**
    * Ends the pending request. Stores the tickets of its response, valid for `validityMs` from `now`; candidates without one are refused.
    * `tickets` is undefined when there was no response: the request may then be repeated after a delay, and nothing else is changed.
+   * A response ends the wait for a slot.
    */
   recordResponse(
     candidates: readonly EndpointIncarnation[],
@@ -126,12 +167,15 @@
       return;
     }
     this.lastRespondedAt = now;
+    this.slotWaitSince = undefined;
     for (const endpoint of candidates) {
       const text = tickets.get(endpoint);
       if (text === undefined) {
         this.refusedEndpoints.add(endpoint);
       } else {
-        this.tickets.set(endpoint, { text, usableUntil: now + validityMs - START_LATENCY_MS, request });
+        const usableUntil = now + validityMs - START_LATENCY_MS;
+        this.tickets.set(endpoint, { text, usableUntil, request });
+        this.latestUsableUntil = Math.max(this.latestUsableUntil, usableUntil);
       }
     }
   }
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -1,4 +1,5 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
+import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskProgress } from '../../jobs/TaskProgress';
 import { createPlacedRun } from '../runs/createPlacedRun';
@@ -16,8 +17,10 @@
 import type { SuspectCosts } from './SuspectCosts';
 import type { EndpointQuarantine } from '../stops/EndpointQuarantine';
 import type { EndpointPreference } from './EndpointPreference';
+import { isLongRunningRestart } from './isLongRunningRestart';
 import { toRoundedWaitTimes } from '../waiting/toRoundedWaitTimes';
 import { toStepName } from '../waiting/toStepName';
+import type { WaitCause } from '../waiting/WaitCause';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
 /** A run that takes capacity on an endpoint, before its start is recorded. */
@@ -78,11 +81,12 @@
     }
     const eligible = this.capacityView.listEligibleEndpoints(step);
     const isScarce = this.capacityView.isCapacityScarce(step, eligible);
-    if (!isScarce && !this.capacityView.hasCapacityForTask(step, eligible)) {
+    const hasCapacity = this.capacityView.hasCapacityForTask(step, eligible);
+    if (!isScarce && !hasCapacity) {
       wait.recordCause('room', now);
       return false;
     }
-    const placements = this.choosePlacements(step, eligible, now);
+    const placements = hasCapacity ? this.choosePlacements(step, eligible, now) : [];
     const missing = step.indexes.length - placements.length;
     const cause =
       missing === 0 ? 'room' : this.options.adviceRequester.requestAdvice(step, eligible, missing, now);
@@ -133,14 +137,51 @@
     }
   }
 
+  /** Requests advice for the first overdue step that lacks tickets and for which it is useful, ahead of the placement order. */
+  requestOverdueAdvice(waiting: readonly WaitingStep[], now: number): void {
+    this.options.adviceRequester.sendOverdueRequest(waiting, now, (step) =>
+      this.requestAdviceForOverdueStep(step, now),
+    );
+  }
+
   /** Releases all capacity taken by `requestAdviceAhead`. */
   releaseTentativePlacements(): void {
     this.tentativePlacements.splice(0).forEach((placement) => this.releasePlacement(placement));
   }
 
+  /** Requests advice for an overdue step under the same conditions as `placeStep`, and places nothing. Returns what its tasks wait for. */
+  private requestAdviceForOverdueStep(waitingStep: WaitingStep, now: number): WaitCause {
+    const due = this.computePartWithoutBackoff(waitingStep, now);
+    if (due === undefined) {
+      return 'pause';
+    }
+    const step = this.options.stepLimiter.computeStartablePart(due);
+    if (step === undefined) {
+      return 'limit';
+    }
+    const eligible = this.capacityView.listEligibleEndpoints(step);
+    if (
+      !this.capacityView.isCapacityScarce(step, eligible) &&
+      !this.capacityView.hasCapacityForTask(step, eligible)
+    ) {
+      return 'room';
+    }
+    const placements = this.choosePlacements(step, eligible, now);
+    const missing = step.indexes.length - placements.length;
+    const cause =
+      missing === 0
+        ? 'room'
+        : this.options.adviceRequester.requestAdvice(step, eligible, missing, now, now, 'overdue');
+    placements.forEach((placement) => this.releasePlacement(placement));
+    return cause;
+  }
+
   /** Returns the step without the tasks in backoff; undefined when none is left, or when a gang wouldn't be complete. */
   private computePartWithoutBackoff(waitingStep: WaitingStep, now: number): WaitingStep | undefined {
     const { job, repetition, step } = waitingStep;
+    if (!job.hasBackoff()) {
+      return waitingStep;
+    }
     const indexes = waitingStep.indexes.filter(
       (index) => !job.isBackingOff({ repetition, step, index }, now),
     );
@@ -153,6 +194,9 @@
   /** Starts preemption on the eligible endpoints that have a ticket valid for long enough and aren't quarantined. */
   private startPreemption(step: WaitingStep, eligible: readonly EndpointState[], now: number): void {
     const { preemptor, quarantine } = this.options;
+    if (!preemptor.canStartPreemption(step, now)) {
+      return;
+    }
     const candidate = { isInGang: step.shape.isGang, failureCount: 0 };
     const allowed = this.listAllowedEndpoints(
       step,
@@ -162,19 +206,23 @@
     preemptor.startPreemption(step, allowed, now);
   }
 
-  /** Returns the eligible endpoints with a ticket that is valid until a monotonic time; all of them when the queue needs no advice. */
+  /**
+   * Returns the eligible endpoints with a ticket that is valid until a monotonic time, or all of them when the queue needs no advice; if
+   * `demand` is given, only those with free capacity for it.
+   */
   private listAllowedEndpoints(
     step: WaitingStep,
     eligible: readonly EndpointState[],
     until: number,
+    demand?: TaskDemand,
   ): readonly EndpointState[] {
     if (step.job.definition.queue.advice === undefined) {
-      return eligible;
+      return demand === undefined ? eligible : eligible.filter((endpoint) => endpoint.hasCapacityFor(demand));
     }
     const advice = this.getStepAdvice(step);
-    return eligible.filter(
-      (endpoint) => advice.getTicket(endpoint.getProfile().incarnation, until) !== undefined,
-    );
+    return advice.canHaveTicket(until)
+      ? this.capacityView.listEligibleAmong(eligible, advice.listTicketedEndpoints(until), demand)
+      : [];
   }
 
   /** Chooses endpoints for as many tasks as possible and takes capacity there. For a gang, chooses them for all members or none. */
@@ -188,8 +236,8 @@
   }
 
   /**
-   * Chooses endpoints task by task and takes capacity there. Stops when the processor capacity outside the reserve is used up, which
-   * doesn't limit fillers, or at the first task without crashes that fits nowhere; a task with crashes that fits nowhere is skipped.
+   * Chooses endpoints task by task and takes capacity there. Only fillers and restarts of long-running tasks get processor capacity of the
+   * reserve. Stops at the first task without crashes that fits nowhere; a task with crashes that fits nowhere is skipped.
    */
   private chooseTaskPlacements(
     step: WaitingStep,
@@ -198,16 +246,22 @@
   ): Placement[] {
     const placements: Placement[] = [];
     const advice = step.job.definition.queue.advice === undefined ? undefined : this.getStepAdvice(step);
-    const allowed = this.listAllowedEndpoints(step, eligible, now);
-    if (allowed.length === 0) {
+    if (!this.capacityView.hasUnreservedCpu(step)) {
       return placements;
     }
     let unreservedCpuMillis = this.capacityView.computeUnreservedCpuMillis(step);
-    const runNumber = this.computeNextGangRun(step);
+    const demand = toReservedDemand(step.shape);
+    // Within a round, an endpoint without free capacity for a task stays without.
+    const allowed = this.listAllowedEndpoints(step, eligible, now, demand);
+    if (allowed.length === 0) {
+      return placements;
+    }
+    const runNumber = step.shape.isGang ? this.computeNextGangRun(step) : 0;
     const computePreferenceCost = this.options.preference.createCostFunction(step, allowed);
-    for (const { address, task, isSuspect } of this.listStartableTasks(step)) {
-      if (step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller) {
-        break;
+    for (const { address, task, isSuspect } of this.listStartableTasks(step, now)) {
+      const isInReserve = step.shape.demand.cpuMillis > unreservedCpuMillis && !step.shape.isFiller;
+      if (isInReserve && !isLongRunningRestart(step.shape, task)) {
+        continue;
       }
       const candidate = {
         isSuspect,
@@ -230,6 +284,7 @@
         isCrashSuspect: isSuspect,
       });
       endpoint.addRun(run);
+      this.capacityView.clearFreeCapacityCache();
       unreservedCpuMillis -= step.shape.demand.cpuMillis;
       placements.push({
         endpoint,
@@ -244,7 +299,7 @@
    * Returns the waiting tasks of a step that may start now. Of the crash suspects only the first is included, and none while a suspect
    * of the step is in its startup; a gang is returned whole.
    */
-  private listStartableTasks(step: WaitingStep): readonly StartableTask[] {
+  private listStartableTasks(step: WaitingStep, now: number): readonly StartableTask[] {
     const startable = step.indexes.flatMap((index): readonly StartableTask[] => {
       const address = { repetition: step.repetition, step: step.step, index };
       const task = step.job.progress.getTask(address);
@@ -254,7 +309,8 @@
     if (firstSuspect === undefined || step.shape.isGang) {
       return startable;
     }
-    const nextSuspect = this.options.suspectCosts.hasStartingSuspectSibling(step) ? undefined : firstSuspect;
+    const { suspectCosts } = this.options;
+    const nextSuspect = suspectCosts.hasStartingSuspectSibling(step, now) ? undefined : firstSuspect;
     return startable.filter((startableTask) => !startableTask.isSuspect || startableTask === nextSuspect);
   }
 
@@ -300,6 +356,7 @@
 
   private releasePlacement({ endpoint, run }: Placement): void {
     endpoint.removeRun(run);
+    this.capacityView.clearFreeCapacityCache();
   }
 
   /**
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -211,6 +211,7 @@
     this.leaseHistory.recordBoxProcess(boxProcess, announcedEpoch - 1);
   }
 
+  /** Sets the leader record and records it for the leases. A box has one process at a time, so that an earlier one of this box has ended. */
   private recordLeader(record: LeaderRecord, now: number): void {
     this.leaseHistory.recordLeader(record, now);
     const { box, process } = this.options;
@@ -219,6 +220,11 @@
     this.setLeaderRecord(record);
   }
 
+  /** Returns whether the leader ran in an earlier process of this box. */
+  private isEarlierProcess({ box, process }: LeaderRecord): boolean {
+    return box === this.options.box && process !== this.options.process;
+  }
+
   private setLeaderRecord(record: LeaderRecord): void {
     const isNew = record.epoch !== this.leaderRecord?.epoch;
     this.leaderRecord = record;
@@ -229,7 +235,7 @@
 
   /** Returns why this process should claim leadership now; undefined when this process should not, or when it has not read the log up to its end. */
   private findClaimReason(): ClaimReason | undefined {
-    const { follower, clock, process, box } = this.options;
+    const { follower, clock } = this.options;
     if (this.logReadableSince === undefined || !follower.isUpToDate()) {
       return undefined;
     }
@@ -258,7 +264,7 @@
         ? 'leader resigned'
         : undefined;
     }
-    if (this.leaderRecord.box === box && this.leaderRecord.process !== process) {
+    if (this.isEarlierProcess(this.leaderRecord)) {
       return 'an earlier process of this box led';
     }
     const confirmedInactiveMs =
@@ -309,10 +315,13 @@
       return;
     }
     this.isLeading = true;
-    this.options.handleElected({
+    const earlierLeasesEndAt = this.getEarlierLeasesEndAt();
+    const now = clock.getNow();
+    logger.info('Claim won.', {
       epoch,
-      claimedAt,
-      earlierLeasesEndAt: this.leaseHistory.getEarlierLeasesEndAt(),
+      claimMs: Math.round(now - claimedAt),
+      earlierLeasesMs: Math.max(0, Math.round(earlierLeasesEndAt - now)),
     });
+    this.options.handleElected({ epoch, claimedAt, earlierLeasesEndAt });
   }
 }
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -48,9 +48,7 @@
     this.hasLeaderStopped = record.isResigned;
   }
 
-  /**
-   * Records activity of the newest leader at a monotonic time.
-   */
+  /** Records activity of the newest leader at a monotonic time. */
   recordActivity(now: number): void {
     this.leaderActiveAt = now;
   }
--- a/tests/helpers/MemoryLog.ts
+++ b/tests/helpers/MemoryLog.ts
@@ -47,7 +47,10 @@
       await topicState.waitForAppend(waitMs);
     }
     await waitForDelay(LATENCY_MS);
-    return { ok: true, value: logFrames.parseRecords(fromOffset, topicState.getReadBody(fromOffset, Infinity)!) };
+    return {
+      ok: true,
+      value: logFrames.parseRecords(fromOffset, topicState.getReadBody(fromOffset, Infinity)!),
+    };
   }
 
   async readPageOfNewestByKey({
