--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -212,8 +212,8 @@
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
-    // After a slow claim a heartbeat is due already, and the responses to the reads may delay the tick.
-    this.recordLeasesEnd(this.options.clock.getNow());
+    // After a slow claim the first heartbeat is due already, and the responses to the reads may delay the tick.
+    this.journal.handleTick(this.options.clock.getNow());
     this.endpointSessions.start();
     void this.readJobs();
     this.tickTimer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
@@ -391,7 +391,7 @@
   }
 
   /**
-   * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the start, at intervals until they
+   * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the first tick, at intervals until they
    * have expired, and then. A later leader may know none of them, and counts what the record says from when it reads it.
    */
   private recordLeasesEnd(now: number): void {
