--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -6,6 +6,7 @@
 interface EarlierLeader {
   readonly epoch: number;
   readonly box: string | undefined;
+  readonly address?: string | undefined;
   readonly process: string | undefined;
   /** Monotonic time at which its leases have expired. */
   readonly leasesEndAt: number;
@@ -19,7 +20,7 @@
  * Computes until when runs may continue on leases of earlier leaders, on endpoints that have not responded since. A leader renews
  * leases for a bounded time after its last write to the log, and not at all once it has stopped or its process has ended. The bound counts
  * from the last activity of a leader that was read, which is later than the write, and not from the next election, which may be much later
- * still.
+ * still; where records may have been missed, from the time at which the next leader became known.
  */
 export class LeaseHistory {
   private newestLeader: LeaderRecord | undefined;
@@ -53,6 +54,13 @@
     this.leaderActiveAt = now;
   }
 
+  /** Records that the newest leader may have written until now, unless it has stopped, as this process may have missed records. */
+  recordMissedWrites(now: number): void {
+    if (!this.hasLeaderStopped) {
+      this.leaderActiveAt = now;
+    }
+  }
+
   /**
    * Records the message of the leader of an epoch that it has stopped renewing leases. Counts as activity. Ignored for epochs other than
    * the newest.
@@ -65,12 +73,15 @@
   }
 
   /**
-   * Records that a process of a box runs. Leaders up to an epoch that ran in another process of the box had ended when it started. The
-   * records of these leaders must have been read before the process was found to run.
+   * Records that a process of a box runs. Leaders up to an epoch that ran in another process of the box, at the same address, had ended when
+   * it started. The records of these leaders must have been read before the process was found to run.
    */
-  recordBoxProcess({ box, process, startedBy }: BoxProcess, upToEpoch: number): void {
-    const hasEnded = (leader: Pick<EarlierLeader, 'epoch' | 'box' | 'process'>): boolean =>
-      leader.epoch <= upToEpoch && leader.box === box && leader.process !== process;
+  recordBoxProcess({ box, address, process, startedBy }: BoxProcess, upToEpoch: number): void {
+    const hasEnded = (leader: Pick<EarlierLeader, 'epoch' | 'box' | 'address' | 'process'>): boolean =>
+      leader.epoch <= upToEpoch &&
+      leader.box === box &&
+      leader.address === address &&
+      leader.process !== process;
     if (this.newestLeader !== undefined && hasEnded(this.newestLeader)) {
       this.leaderEndedAt = Math.min(this.leaderEndedAt, startedBy);
     }
@@ -92,7 +103,13 @@
     const knownEpoch = newestLeader?.epoch ?? 0;
     const leasesEndAt = now + MAX_LEASE_MS + unconfirmedGraceMs;
     const unread: readonly EarlierLeader[] = [
-      { epoch: epoch - 1, box: previous?.box, process: previous?.process, leasesEndAt },
+      {
+        epoch: epoch - 1,
+        box: previous?.box,
+        address: previous?.address,
+        process: previous?.process,
+        leasesEndAt,
+      },
       { epoch: epoch - 2, box: undefined, process: undefined, leasesEndAt },
     ];
     return [
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -9,6 +9,7 @@
 import { LeaseHistory } from '../packages/leadership/LeaseHistory';
 import type { LogClient } from '../packages/store/LogClient';
 import { LogFollower } from '../packages/store/LogFollower';
+import type { LogRecord } from '../packages/store/LogRecord';
 
 const LEADER = { epoch: 1, box: 'box-0', process: 'box-0#1', isResigned: false };
 
@@ -48,6 +49,7 @@
       topic: 'keyed.states',
       follower,
       box: 'box-1',
+      address: 'box-1:1',
       process: 'box-1#1',
       clock,
       random: () => 0.2,
@@ -94,6 +96,7 @@
       topic: 'keyed.states',
       follower: follower as unknown as LogFollower,
       box: 'box-1',
+      address: 'box-1:1',
       process: 'box-1#1',
       clock,
       random: () => random,
@@ -203,12 +206,13 @@
   const toRecord = (epoch: number, isResigned = false): LeaderRecord => ({
     epoch,
     box: `box-${epoch}`,
+    address: `box-${epoch}:1`,
     process: `box-${epoch}#1`,
     isResigned,
   });
   const LEASE_BOUND_MS = 4370;
   const UNCONFIRMED_GRACE_MS = 8000;
-  const NEXT_PROCESS = { box: 'box-1', process: 'box-1#2' };
+  const NEXT_PROCESS = { box: 'box-1', address: 'box-1:1', process: 'box-1#2' };
 
   it('expire a bounded time after the last activity of a leader, however late the next one is elected', () => {
     const leases = new LeaseHistory();
@@ -272,7 +276,13 @@
       isUpToDate: () => true,
       getOffset: () => 1,
       waitForOffset: () => {
-        const own: LeaderRecord = { epoch: 2, box: 'box-1', process: 'box-1#2', isResigned: false };
+        const own: LeaderRecord = {
+          epoch: 2,
+          box: 'box-1',
+          address: 'box-1:1',
+          process: 'box-1#2',
+          isResigned: false,
+        };
         leadership!.foldRecords([{ offset: 1, key: leaderKeys.recordKey, value: JSON.stringify(own) }]);
         return Promise.resolve(true);
       },
@@ -283,6 +293,7 @@
         topic: 'keyed.states',
         follower: follower as unknown as LogFollower,
         box: 'box-1',
+        address: 'box-1:1',
         process: 'box-1#2',
         clock,
         random: () => 0,
@@ -301,8 +312,29 @@
     expect(await leases).toBeLessThan(1020 + LEASE_BOUND_MS);
   });
 
+  it('do not make a box of the same name and another address claim at once', () => {
+    const claims: number[] = [];
+    const leadership = new Leadership({
+      client: createLog(claims, () => 1000),
+      topic: 'keyed.states',
+      follower: { isUpToDate: () => true, getLastSuccessAt: () => 1000 } as unknown as LogFollower,
+      box: 'box-1',
+      address: 'box-1:2',
+      process: 'box-1#2',
+      clock: { getNow: () => 1000, getWallTime: () => 1000 },
+      random: () => 0,
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      isOutranked: () => false,
+      handleElected: () => undefined,
+    });
+    leadership.handleLogConnection(true);
+    leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(toRecord(1)) }]);
+    leadership.handleTick();
+    expect(claims).toEqual([]);
+  });
+
   it('expire with the grace period when the address of the leader refused a connection, which is only a hint', async () => {
-    const leader = { ...toRecord(1), box: 'box-0', process: 'box-0#1' };
+    const leader = { ...toRecord(1), box: 'box-0', address: 'box-0:1', process: 'box-0#1' };
     const leases = computeEarlierLeasesEndAt(leader, (leadership) => {
       leadership.handleLeaderEnded(leader.process);
       leadership.handleTick();
@@ -310,6 +342,66 @@
     expect(await leases).toBeGreaterThan(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
   });
 
+  /**
+   * Returns the end of the earlier leases in a process that last read the log at 1000 and was elected after a short leader, whose predecessor
+   * still wrote at 9000, shortly before `takeoverAt`.
+   */
+  const computeLeasesEndAfterGap = (
+    takeoverAt: number,
+    handleTakeover: (
+      leadership: Leadership,
+      toLogRecords: (...records: LeaderRecord[]) => LogRecord[],
+    ) => void,
+  ): number => {
+    let now = 1000;
+    const toLogRecords = (...records: LeaderRecord[]): LogRecord[] =>
+      records.map((record, offset) => ({ offset, key: leaderKeys.recordKey, value: JSON.stringify(record) }));
+    const leadership = new Leadership({
+      client: createLog([], () => now),
+      topic: 'keyed.states',
+      follower: { isUpToDate: () => false } as unknown as LogFollower,
+      box: 'box-3',
+      address: 'box-3:1',
+      process: 'box-3#1',
+      clock: { getNow: () => now, getWallTime: () => now },
+      random: () => 0,
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      isOutranked: () => false,
+      handleElected: () => undefined,
+    });
+    leadership.foldRecords(toLogRecords(toRecord(1)));
+    leadership.handleLogConnection(true);
+    now = 2000;
+    leadership.handleLogConnection(false);
+    now = takeoverAt;
+    handleTakeover(leadership, toLogRecords);
+    leadership.handleLogConnection(true);
+    leadership.foldRecords(toLogRecords(toRecord(2, true), toRecord(3)));
+    return leadership.getEarlierLeasesEndAt();
+  };
+
+  it('count writes of a leader that were not read before the next one announced itself', () => {
+    const leasesEndAt = computeLeasesEndAfterGap(9100, (leadership, toLogRecords) => {
+      leadership.handleAnnouncement(toRecord(2));
+      leadership.foldRecords(toLogRecords(toRecord(1), toRecord(2)));
+    });
+    expect(leasesEndAt).toBeGreaterThanOrEqual(9000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
+  it('count writes of a leader that the log has forgotten', () => {
+    const leasesEndAt = computeLeasesEndAfterGap(9100, (leadership, toLogRecords) =>
+      leadership.foldRecords(toLogRecords(toRecord(2))),
+    );
+    expect(leasesEndAt).toBeGreaterThanOrEqual(9000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+  });
+
+  it('end as the next leader says, although the process has missed writes', () => {
+    const leasesEndAt = computeLeasesEndAfterGap(9100, (leadership, toLogRecords) =>
+      leadership.foldRecords(toLogRecords({ ...toRecord(2), earlierLeasesMs: 6000 })),
+    );
+    expect(leasesEndAt).toBe(9100 + 6000);
+  });
+
   it('are still bounded by an earlier leader when the one in between was short', () => {
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(1), 1000);
@@ -333,7 +425,7 @@
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 2000);
-    leases.recordBoxProcess({ box: 'box-1', process: 'box-1#2', startedBy: 1800 }, 1);
+    leases.recordBoxProcess({ box: 'box-1', address: 'box-1:1', process: 'box-1#2', startedBy: 1800 }, 1);
     expect(leases.getEarlierLeasesEndAt()).toBe(1800 + LEASE_BOUND_MS);
   });
 
@@ -342,16 +434,28 @@
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 2000);
     leases.recordLeader(toRecord(3), 2000);
-    leases.recordBoxProcess({ box: 'box-2', process: 'box-2#1', startedBy: 0 }, 2);
-    leases.recordBoxProcess({ box: 'box-9', process: 'box-9#2', startedBy: 0 }, 2);
-    leases.recordBoxProcess({ box: 'box-2', process: 'box-2#0', startedBy: 0 }, 1);
+    leases.recordBoxProcess({ box: 'box-2', address: 'box-2:1', process: 'box-2#1', startedBy: 0 }, 2);
+    leases.recordBoxProcess({ box: 'box-9', address: 'box-9:1', process: 'box-9#2', startedBy: 0 }, 2);
+    leases.recordBoxProcess({ box: 'box-2', address: 'box-2:1', process: 'box-2#0', startedBy: 0 }, 1);
     expect(leases.getEarlierLeasesEndAt()).toBe(2000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
   });
 
+  it('are not shortened by a process of that box at another address, as the earlier machine may still run', () => {
+    const addresses = ['box-1:1', undefined];
+    for (const address of addresses) {
+      const leases = new LeaseHistory();
+      leases.recordLeader({ ...toRecord(1), address }, 1000);
+      leases.recordBoxProcess({ ...NEXT_PROCESS, address: 'box-1:2', startedBy: 1100 }, 1);
+      leases.recordLeader(toRecord(2), 2000);
+      leases.recordBoxProcess({ ...NEXT_PROCESS, address: 'box-1:2', startedBy: 1100 }, 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
+    }
+  });
+
   it('include those of leaders that a new process has not read, which may still renew them', () => {
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(6, true), 1000);
-    leases.recordBoxProcess({ box: 'box-6', process: 'box-6#2', startedBy: 1000 }, 6);
+    leases.recordBoxProcess({ box: 'box-6', address: 'box-6:1', process: 'box-6#2', startedBy: 1000 }, 6);
     leases.recordLeader(toRecord(7), 1500);
     expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
   });
@@ -360,17 +464,17 @@
     const leases = new LeaseHistory();
     leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700 }, 1000);
     expect(leases.getEarlierLeasesEndAt()).toBe(1700);
-    leases.recordBoxProcess({ box: 'box-6', process: 'box-6#2', startedBy: 900 }, 6);
+    leases.recordBoxProcess({ box: 'box-6', address: 'box-6:1', process: 'box-6#2', startedBy: 900 }, 6);
     leases.recordLeader(toRecord(7), 1500);
     expect(leases.getEarlierLeasesEndAt()).toBe(900 + LEASE_BOUND_MS);
   });
 
   it('end with the process that the claim of a leader names as the previous one, when it ran in a box that has restarted', () => {
     const leases = new LeaseHistory();
-    const previous = { box: 'box-0', process: 'box-0#1' };
+    const previous = { box: 'box-0', address: 'box-0:1', process: 'box-0#1' };
     leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700, previous }, 1000);
     expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
-    leases.recordBoxProcess({ box: 'box-0', process: 'box-0#3', startedBy: 900 }, 6);
+    leases.recordBoxProcess({ box: 'box-0', address: 'box-0:1', process: 'box-0#3', startedBy: 900 }, 6);
     expect(leases.getEarlierLeasesEndAt()).toBe(900 + LEASE_BOUND_MS);
   });
 
