--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -89,6 +89,8 @@
 }
 
 const TICK_INTERVAL_MS = 100;
+/** Interval of writes of the leader's record while leases of earlier leaders may run. Heartbeats also write it, but not beside other writes. */
+const LEASES_RECORD_INTERVAL_MS = 1000;
 /** Time since the newest acknowledged write was sent, above which heartbeats count as late. */
 const MAX_ACK_AGE_MS = leaderTimings.heartbeatMs + TICK_INTERVAL_MS + appendRules.initialTimeoutMs;
 /** Outage of writes to the progress topic above which starts are held; longer than an append with one retry. */
@@ -110,15 +112,17 @@
   /** Services of all known jobs, whose endpoints are needed even when the configuration no longer names them. */
   private readonly jobServices = new Set<ServiceName>();
   private hasReadJobs = false;
-  /** True once the jobs of earlier leaders were added to the dispatcher; false again once this leader stops gracefully. */
+  /** True once the jobs of earlier leaders were added to the dispatcher, which happens once: their progress is not kept for another time. */
   private hasTakenOver = false;
+  /** True from the begin of a graceful stop on. */
+  private isResigning = false;
   /** True while rounds only request advice, since starts cannot be recorded. */
   private isHoldingStarts = false;
   private isStopped = false;
   /** Monotonic time at which leases of earlier leaders have expired. */
   private earlierLeasesEndAt: number;
-  /** True once the leader's record says that leases of earlier leaders have expired. */
-  private hasWrittenLeasesEnd = false;
+  /** Monotonic time at which the leader's record is written again for the leases of earlier leaders; Infinity once it says that they have expired. */
+  private leasesRecordDueAt = -Infinity;
   private readonly roundThrottle: RoundThrottle;
   private readonly slowRoundLogger: SlowRoundLogger;
   private tickTimer: NodeJS.Timeout | undefined;
@@ -208,8 +212,8 @@
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
-    // After a slow claim a heartbeat is due already, and the responses to the reads may delay the tick.
-    this.journal.queueLeaderRecord();
+    // After a slow claim the first heartbeat is due already, and the responses to the reads may delay the tick.
+    this.journal.handleTick(this.options.clock.getNow());
     this.endpointSessions.start();
     void this.readJobs();
     this.tickTimer = setInterval(() => this.handleTick(), TICK_INTERVAL_MS);
@@ -233,7 +237,7 @@
    * log fail, then stops.
    */
   async stopGracefully(): Promise<void> {
-    this.hasTakenOver = false;
+    this.isResigning = true;
     clearInterval(this.tickTimer);
     this.endpointSessions.stop();
     this.adviceBalancer.stop();
@@ -244,9 +248,9 @@
     this.stop();
   }
 
-  /** Adds a newly accepted job and queues a round. Does nothing before the takeover, which adds all known jobs. */
+  /** Adds a newly accepted job and queues a round. Does nothing before the takeover, which adds all known jobs, and once this leader resigns. */
   handleJob(definition: JobDefinition): void {
-    if (this.hasTakenOver) {
+    if (this.isActive()) {
       const { id, queue, steps } = definition;
       this.options.logger.info('Job taken in.', { job: id, queue: queue.name, steps: steps.length });
       this.addJob(definition);
@@ -282,6 +286,7 @@
   /** Sets an earlier monotonic time at which leases of earlier leaders have expired. */
   setEarlierLeasesEnd(endAt: number): void {
     this.earlierLeasesEndAt = endAt;
+    this.leasesRecordDueAt = -Infinity;
     this.dispatcher.setEarlierLeasesEnd(endAt);
   }
 
@@ -289,9 +294,9 @@
     return this.dispatcher;
   }
 
-  /** Returns true from the takeover of earlier leaders' jobs and endpoints until this leader stops. */
+  /** Returns true from the takeover of earlier leaders' jobs and endpoints until this leader stops or resigns. */
   isActive(): boolean {
-    return this.hasTakenOver && !this.isStopped;
+    return this.hasTakenOver && !this.isResigning && !this.isStopped;
   }
 
   /** Logs the open waits, which the next leader does not know, and stops the line batcher. */
@@ -320,10 +325,11 @@
 
   /**
    * Adds the jobs of earlier leaders, with their cancellations, and starts to poll the endpoints. Does nothing before all jobs and
-   * endpoints' records have been read, after the takeover, or after a stop.
+   * endpoints' records have been read, after the takeover, or once this leader has stopped or resigns.
    */
   private takeOver(): void {
-    if (this.hasTakenOver || this.isStopped || !this.endpointSessions.hasReadRecords() || !this.hasReadJobs) {
+    const canTakeOver = !this.hasTakenOver && !this.isResigning && !this.isStopped;
+    if (!canTakeOver || !this.endpointSessions.hasReadRecords() || !this.hasReadJobs) {
       return;
     }
     const { replica, clock, logger, epoch } = this.options;
@@ -384,10 +390,16 @@
     }
   }
 
-  /** Queues a write of the leader's record once leases of earlier leaders have expired, as a later leader may know none of them. */
+  /**
+   * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the first tick, at intervals until they
+   * have expired, and then. A later leader may know none of them, and counts what the record says from when it reads it.
+   */
   private recordLeasesEnd(now: number): void {
-    if (!this.hasWrittenLeasesEnd && now >= this.earlierLeasesEndAt) {
-      this.hasWrittenLeasesEnd = true;
+    if (now >= this.leasesRecordDueAt) {
+      const isOver = now >= this.earlierLeasesEndAt;
+      this.leasesRecordDueAt = isOver
+        ? Infinity
+        : Math.min(now + LEASES_RECORD_INTERVAL_MS, this.earlierLeasesEndAt);
       this.journal.queueLeaderRecord();
     }
   }
@@ -424,17 +436,18 @@
   }
 
   /**
-   * Runs a scheduling round, or only requests advice while starts are held, and carries out the effects. Does nothing while
-   * this leader is inactive.
+   * Runs a scheduling round if one is due, or only requests advice while starts are held, and carries out the effects. Does nothing
+   * while this leader is inactive. Returns whether a round was due.
    */
-  private runSchedulingRound(): void {
+  private runSchedulingRound(): boolean {
     if (!this.isActive()) {
-      return;
+      return false;
     }
     const { clock } = this.options;
     const now = clock.getNow();
     this.updateStartHold(now);
-    if (this.dispatcher.hasDueRound()) {
+    const isRoundDue = this.dispatcher.hasDueRound();
+    if (isRoundDue) {
       const slots = this.adviceBalancer.getFreeSlots();
       if (this.isHoldingStarts) {
         this.dispatcher.requestAdviceAhead(now, clock.getWallTime(), slots);
@@ -444,6 +457,7 @@
     }
     this.sendEffects();
     this.slowRoundLogger.recordRoundDuration(clock.getNow() - now, now);
+    return isRoundDue;
   }
 
   /** Holds starts and cancels unrecorded ones when progress could not be written for `START_HOLD_OUTAGE_MS`, until it can be again. */
