fix: the demand of more urgent steps bounds how long a step may not ask for tickets (turn policy "planned")

Callers could see: a lasting task that doesn't return although it has capacity and advice slots are free, for as long as more urgent work that gets no tickets waits (with the policy "planned" only; the default "asked" doesn't look at the demand ahead). Cause: the same class as the slots: strict order without a bound. The demand ahead, and claims of pending requests of more urgent steps, kept a less urgent step from any request; a wait for room is no wait for a slot, so that it was never overdue. Evidence: `tests/slotStarvation` "restarts while the demand ahead of it exceeds the capacity (planned)" failed before (both tasks wait after 4 s); with the demand ahead alone bounded it failed still. "asked" passed before. Fix: after 2 s of deferral a step asks as if nothing were ahead; the deferral begins anew with its request.

--- a/packages/dispatch/advice/PlannedCandidateSelector.ts
+++ b/packages/dispatch/advice/PlannedCandidateSelector.ts
@@ -73,6 +73,8 @@
 const MIN_EXPECTED_GANG_SHARE = 0.4;
 /** Decision time of the service that one expected start justifies. */
 const DECISION_MS_PER_START = 50;
+/** Time of deferral after which the demand of more urgent steps no longer keeps a step from requesting tickets: they may not get those endpoints. */
+const MAX_DEMAND_DEFERRAL_MS = 2000;
 /** Minimum time from a step's latest response to its next request when the expected starts don't justify the decision time. */
 const MIN_UNJUSTIFIED_DELAY_MS = 500;
 /** Tickets with a smaller share of their validity left count as expiring: the next request of a gang renews them. */
@@ -112,7 +114,11 @@
     const { capacityView } = this.options;
     const canPreempt = capacityView.isCapacityScarce(step, eligible);
     const isLessUrgent = !capacityView.isMostUrgentQueue(step.job.definition.queue);
-    if (isLessUrgent && this.demandAhead.isExceedingCapacity(step, eligible, canPreempt)) {
+    if (
+      isLessUrgent &&
+      !this.isStarved(step, now) &&
+      this.demandAhead.isExceedingCapacity(step, eligible, canPreempt)
+    ) {
       return [];
     }
     const groups = this.computeCandidateGroups(step, eligible, { canPreempt, neededUntil, now });
@@ -208,7 +214,7 @@
     const renewUntil = now + validityMs * MIN_REMAINING_VALIDITY_SHARE;
     const demand = toReservedDemand(step.shape);
     const allowedShare = stats.getAllowedShare(queue.name);
-    const isMostUrgent = capacityView.isMostUrgentQueue(queue);
+    const isFirst = capacityView.isMostUrgentQueue(queue) || this.isStarved(step, now);
     const computeCost = preference.createCostFunction(step, eligible);
     const groups: CandidateGroups = { ticketedTaskCount: 0, available: [], full: [], expiring: [] };
     for (const endpoint of eligible) {
@@ -226,7 +232,7 @@
       }
       const allowedChance = advice.hasBeenAllowed(incarnation) ? 1 : allowedShare;
       const unclaimed =
-        taskCount === 0 || isMostUrgent ? taskCount : this.countUnclaimedTasks(step, endpoint, taskCount);
+        taskCount === 0 || isFirst ? taskCount : this.countUnclaimedTasks(step, endpoint, taskCount);
       const cost = computeCost(endpoint);
       if (unclaimed > 0) {
         groups.available.push({
@@ -300,6 +306,11 @@
     return count;
   }
 
+  /** Returns whether requests for the step have been deferred for so long that neither the demand ahead nor claims keep it from one. */
+  private isStarved({ job, repetition, step }: WaitingStep, now: number): boolean {
+    return job.getStepAdvice(repetition, step).getDeferredMs(now) >= MAX_DEMAND_DEFERRAL_MS;
+  }
+
   /** Returns how many of the fitting tasks still fit without the capacity claimed by requests at least as urgent. */
   private countUnclaimedTasks(step: WaitingStep, endpoint: EndpointState, taskCount: number): number {
     const { capacityView } = this.options;
--- a/tests/slotStarvation.test.ts
+++ b/tests/slotStarvation.test.ts
@@ -1,4 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { toId } from '../packages/common/toId';
+import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
 import type { AdvicePolicyName } from '../packages/dispatch/advice/AdvicePolicyName';
 import { SlotUsage } from '../packages/dispatch/advice/SlotUsage';
 import { AdviceSimulation } from './helpers/AdviceSimulation';
@@ -87,6 +89,25 @@
     });
   }
 
+  it.each(POLICIES)('restarts while the demand ahead of it exceeds the capacity (%s)', async (policy) => {
+    const demand = { cpuMillis: 8000, memoryMb: 100, accelerators: 0 };
+    const step = { count: 30, estimatedMs: 2000, demand };
+    const queue = { ...LASTING.queue, advice: ADVICE_SHORT };
+    const streams = [
+      { ...URGENT, step, perSecond: 30, allowedShare: 0.02 },
+      { ...LASTING, queue },
+    ];
+    const simulation = createSimulation(policy, streams, 60);
+    await simulation.runUntil(BACKLOG_MS);
+    const { progress } = simulation.sendJob(1);
+    for (const index of progress.listTasks(0, 0).keys()) {
+      progress.recordRunPlaced({ repetition: 0, step: 0, index }, 1, toId<EndpointIncarnation>('gone'));
+      progress.recordRunEnd({ repetition: 0, step: 0, index }, 1, 'interrupted', '');
+    }
+    await simulation.runUntil(BACKLOG_MS + MAX_START_MS);
+    expect(progress.listTasks(0, 0).filter(({ phase }) => phase === 'waiting')).toEqual([]);
+  });
+
   it('leaves half of the slots to the more urgent queue, also when many such tasks wait', async () => {
     const countUrgentStarts = async (lastingCount: number): Promise<number> => {
       vi.setSystemTime(0);
