--- a/packages/dispatch/advice/EagerCandidateSelector.ts
+++ b/packages/dispatch/advice/EagerCandidateSelector.ts
@@ -114,7 +114,7 @@
 
   /**
    * Returns the first endpoints whose free capacity likely suffices for the missing tasks, given refusals and starts of other steps, and
-   * so many that hardly all are refused.
+   * enough of them that all being refused is unlikely.
    */
   private chooseEnough(
     step: WaitingStep,
