--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -4,7 +4,6 @@
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { waitForDelay } from '../common/waitForDelay';
-import type { AdviceChannel } from '../dispatch/advice/AdviceChannel';
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import { LeaderController } from '../dispatch/LeaderController';
 import { QueueRouter } from '../gateway/QueueRouter';
@@ -27,6 +26,7 @@
 import type { LogWrite } from '../store/LogWrite';
 import { LogWriter } from '../store/LogWriter';
 import type { WriteOutcome } from '../store/WriteOutcome';
+import { AdviceChannels } from './AdviceChannels';
 import { ConfigurationUpdater } from './ConfigurationUpdater';
 import { BoxJobService } from './BoxJobService';
 import { jobWritePolicies } from './jobWritePolicies';
@@ -90,9 +90,7 @@
   private readonly callerServer: ReturnType<ServeAdapter['createCallerServer']>;
   private readonly jobService: BoxJobService;
   private controller: LeaderController | undefined;
-  /** The other boxes for which `adviceChannels` was created. */
-  private listedOthers: readonly unknown[] | undefined;
-  private adviceChannels: readonly AdviceChannel[] = [];
+  private readonly adviceChannels: AdviceChannels;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
   private stopped: Promise<void> | undefined;
@@ -115,6 +113,11 @@
       hasLedRecently: (box) => this.leadership.hasLedRecently(box),
       handleBoxProcess: (boxProcess, announcedEpoch) => this.handleBoxProcess(boxProcess, announcedEpoch),
     });
+    this.adviceChannels = new AdviceChannels({
+      box: settings.box,
+      adviceClient: this.adviceClient,
+      boxes: this.otherBoxes.clients,
+    });
     this.writer = new LogWriter({
       client: this.logClient,
       topic: topics.jobs,
@@ -485,7 +488,7 @@
       createEndpointClient: (profile, getToken) => adapter.createEndpointClient(profile, getToken),
       isServiceRouted: (service) => this.router.hasService(service),
       longestLeaseMs: settings.longestLeaseMs,
-      listChannels: () => this.listAdviceClients(),
+      listChannels: () => this.adviceChannels.listChannels(),
       formatLeaderRecord: (isResigned) => this.leadership.formatLeaderRecord(epoch, isResigned),
       handleLeadershipLost: (detail) => this.handleLeadershipLost(epoch, detail),
       handleLogRecovered: (sentAt) => this.handleLogRecovered(sentAt),
@@ -502,17 +505,6 @@
     this.followers.stopLeading();
   }
 
-  /** Returns the clients for advice requests: that of this box first, then those of the other announced boxes. */
-  private listAdviceClients(): readonly AdviceChannel[] {
-    const others = this.otherBoxes.clients.listOthers();
-    if (others !== this.listedOthers) {
-      const own = { box: this.options.settings.box, isOwnBox: true, client: this.adviceClient };
-      this.listedOthers = others;
-      this.adviceChannels = [own, ...others.map(({ box, client }) => ({ box, client, isOwnBox: false }))];
-    }
-    return this.adviceChannels;
-  }
-
   /**
    * Returns whether this box can use the log, for another box. A leader decides by its recent writes, since reads from a slow log may
    * take longer than the timeout of the request. Other boxes read now, since an earlier read would not show an outage that has just begun.
