--- a/dev/soak/LastingWatch.ts
+++ b/dev/soak/LastingWatch.ts
@@ -51,7 +51,7 @@
       this.lostTasks.add(task);
       const { problems } = this.world;
       problems.push(
-        `${task} is to last and does not run after ${Math.round(awayMs)} ms of calm, with room for it`,
+        `${task} has not run for ${Math.round(awayMs)} ms of calm, although there is room for it`,
       );
     }
   }
