--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -94,12 +94,12 @@
   }
 
   /**
-   * Reserves endpoints for a step and reports the runs to preempt there by `handlePreempted`. Does nothing while the step has a
+   * Reserves endpoints for a step and reports the runs to preempt there by `handleRunPreempted`. Does nothing while the step has a
    * reservation, while its last attempt is backing off, or when no runs can be preempted. If the preemption isn't worthwhile, only
    * schedules the next attempt.
    */
   startPreemption(step: WaitingStep, allowed: readonly EndpointState[], now: number): void {
-    const { reservations, handleRunPreempted: handlePreempted } = this.options;
+    const { reservations, handleRunPreempted } = this.options;
     if (!this.canStartPreemption(step, now)) {
       return;
     }
@@ -128,7 +128,7 @@
       this.preemptibleRuns.delete(endpoint);
       for (const run of victims) {
         this.options.jobs.get(run.job)?.recordTaskPreemption(run.task);
-        handlePreempted(endpoint, run, step, estimate);
+        handleRunPreempted(endpoint, run, step, estimate);
       }
     }
   }
