--- a/dev/bench/LeaderCoreLoad.ts
+++ b/dev/bench/LeaderCoreLoad.ts
@@ -23,7 +23,7 @@
   readonly stepCount: number;
   readonly isLongRunning: boolean;
   readonly advice: { readonly decisionMs: number; readonly perEndpointMs: number };
-  /** Share of the backlog: so many jobs of which no task has started are kept waiting. 0 for a stream with a rate. */
+  /** Share of the backlog that consists of jobs of this stream; 0 for a stream with a rate. */
   readonly backlogShare: number;
   /** Jobs a second for each endpoint. */
   readonly ratePerEndpoint: number;
--- a/packages/dispatch/advice/OverdueRequests.ts
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -10,9 +10,9 @@
 const MAX_STEPS_PER_ROUND = 4;
 
 /**
- * Bounds how long a step waits for a slot while steps ahead of it in the placement order keep sending requests. Overdue steps send theirs
- * first if they are long-running, which serve nobody until they start, or if they or their queue are starved. These requests take a limited
- * share of the time of all slots, so that long ones don't crowd out the steps of the most urgent queue.
+ * Bounds how long a step waits for a slot while steps ahead of it in the placement order keep sending requests. An overdue step
+ * goes ahead of that order if it is long-running, since its service is down until it starts, or if it or its queue is starved. Such requests
+ * take a limited share of the time of all slots, so that long ones don't crowd out the steps of the most urgent queue.
  */
 export class OverdueRequests {
   /** Slot time that such requests may take, in milliseconds: at most 0, and negative until the time of earlier ones is made up for. */
--- a/packages/dispatch/advice/PlannedCandidateSelector.ts
+++ b/packages/dispatch/advice/PlannedCandidateSelector.ts
@@ -73,7 +73,7 @@
 const MIN_EXPECTED_GANG_SHARE = 0.4;
 /** Decision time of the service that one expected start justifies. */
 const DECISION_MS_PER_START = 50;
-/** Time of deferral after which the demand of more urgent steps no longer keeps a step from requesting tickets: they may not get those endpoints. */
+/** Deferral after which a step requests tickets whatever more urgent steps demand or claim, since they may not be allowed on those endpoints. */
 const MAX_DEMAND_DEFERRAL_MS = 2000;
 /** Minimum time from a step's latest response to its next request when the expected starts don't justify the decision time. */
 const MIN_UNJUSTIFIED_DELAY_MS = 500;
@@ -306,7 +306,7 @@
     return count;
   }
 
-  /** Returns whether requests for the step have been deferred for so long that neither the demand ahead nor claims keep it from one. */
+  /** Returns whether requests for the step have been deferred for `MAX_DEMAND_DEFERRAL_MS` or longer. */
   private isStarved({ job, repetition, step }: WaitingStep, now: number): boolean {
     return job.getStepAdvice(repetition, step).getDeferredMs(now) >= MAX_DEMAND_DEFERRAL_MS;
   }
--- a/packages/dispatch/advice/StepAdvice.ts
+++ b/packages/dispatch/advice/StepAdvice.ts
@@ -49,7 +49,7 @@
     return this.latestUsableUntil > until;
   }
 
-  /** Returns the endpoints whose tickets a start chosen at `now` may use. */
+  /** Returns the endpoints with a ticket that is usable for a start chosen at `now`. */
   listTicketedEndpoints(now: number): readonly EndpointIncarnation[] {
     const ticketed: EndpointIncarnation[] = [];
     for (const [endpoint, { usableUntil }] of this.tickets) {
