Logs: seconds in which the event loop was busy, late heartbeats, and the phases of a takeover

Event loop is busy. tells its utilization and the longest delay of a timer each second in which it was short of processor time; Heartbeat was late. the time between two acknowledged writes; Leading. what the takeover took.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -112,6 +112,10 @@
   /** Services of all known jobs, whose endpoints are needed even when the configuration no longer names them. */
   private readonly jobServices = new Set<ServiceName>();
   private hasReadJobs = false;
+  /** Monotonic time at which `start` was called. */
+  private startedAt = 0;
+  /** Time that reading the progress and the jobs took, in milliseconds. */
+  private readJobsMs = 0;
   /** True once the jobs of earlier leaders were added to the dispatcher, which happens once: their progress is not kept for another time. */
   private hasTakenOver = false;
   /** True from the begin of a graceful stop on. */
@@ -212,6 +216,7 @@
    * begin once all jobs and records have been read, since the end of a run can be applied only if its job is known.
    */
   start(): void {
+    this.startedAt = this.options.clock.getNow();
     // After a slow claim the first heartbeat is due already, and the responses to the reads may delay the tick.
     this.journal.handleTick(this.options.clock.getNow());
     this.endpointSessions.start();
@@ -320,6 +325,7 @@
         await waitForDelay(TICK_INTERVAL_MS);
       }
     }
+    this.readJobsMs = this.options.clock.getNow() - this.startedAt;
     this.takeOver();
   }
 
@@ -334,6 +340,7 @@
     }
     const { replica, clock, logger, epoch } = this.options;
     this.hasTakenOver = true;
+    const takenOverAt = clock.getNow();
     for (const definition of replica.listDefinitionsInOrder()) {
       this.addJob(definition);
       if (replica.isCancelled(definition.id)) {
@@ -345,6 +352,9 @@
       epoch,
       jobs: this.dispatcher.countJobs(),
       endpoints: this.endpointSessions.countEndpoints(),
+      afterMs: Math.round(clock.getNow() - this.startedAt),
+      readJobsMs: Math.round(this.readJobsMs),
+      applyMs: Math.round(clock.getNow() - takenOverAt),
     });
   }
 
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -37,6 +37,8 @@
 /** Delay of an append after the first change, for which further changes are gathered into it. */
 const APPEND_LINGER_MS = 8;
 const RESIGNATION_FLUSH_TIMEOUT_MS = 600;
+/** Time from the sending of one acknowledged write to the acknowledgement of the next above which that one is logged as late. */
+const MAX_TIMELY_INTERVAL_MS = 1000;
 
 /**
  * Writes a leader's records: job progress to the progress topic, and job states, heartbeats and load digests to the states topic.
@@ -52,9 +54,7 @@
   constructor(private readonly options: LeaderJournalOptions) {
     this.acknowledgedSentAt = options.claimedAt;
     this.progressWriter = this.createWriter(options.progressTopic, () => undefined);
-    this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => {
-      this.acknowledgedSentAt = Math.max(this.acknowledgedSentAt, sentAt);
-    });
+    this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => this.recordAcknowledged(sentAt));
   }
 
   /**
@@ -146,6 +146,17 @@
     this.stateWriter.stop();
   }
 
+  /** Records the acknowledgement of a write to the states topic that was sent at a monotonic time, and logs a late one. */
+  private recordAcknowledged(sentAt: number): void {
+    const { clock, logger } = this.options;
+    const sinceLastMs = sentAt - this.acknowledgedSentAt;
+    const tookMs = clock.getNow() - sentAt;
+    if (sinceLastMs + tookMs > MAX_TIMELY_INTERVAL_MS) {
+      logger.info('Heartbeat was late.', { sinceLastMs: Math.round(sinceLastMs), tookMs: Math.round(tookMs) });
+    }
+    this.acknowledgedSentAt = Math.max(this.acknowledgedSentAt, sentAt);
+  }
+
   /**
    * Creates a writer of a topic that logs outages and recoveries; `handleConfirmed` gets the time at which an acknowledged write
    * was sent.
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -18,6 +18,7 @@
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
+import { EventLoopMonitor } from '../logging/EventLoopMonitor';
 import { admissionModes } from '../load/admissionModes';
 import { loadKeys } from '../load/loadKeys';
 import { LoadView } from '../load/LoadView';
@@ -91,6 +92,7 @@
   private readonly jobService: BoxJobService;
   private controller: LeaderController | undefined;
   private readonly adviceChannels: AdviceChannels;
+  private readonly eventLoopMonitor: EventLoopMonitor;
   private tickTimer: NodeJS.Timeout | undefined;
   private isStopping = false;
   private stopped: Promise<void> | undefined;
@@ -100,6 +102,11 @@
   constructor(private readonly options: ServeProcessOptions) {
     const { adapter, clock, settings, random } = options;
     this.logger = options.createPartLogger('serve');
+    this.eventLoopMonitor = new EventLoopMonitor({
+      logger: this.logger,
+      tickIntervalMs: TICK_INTERVAL_MS,
+      isLeading: () => this.controller !== undefined,
+    });
     this.logClient = adapter.createLogClient();
     this.adviceClient = adapter.createAdviceClient();
     this.otherBoxes = new OtherBoxes({
@@ -533,6 +540,7 @@
   }
 
   private handleTick(): void {
+    this.eventLoopMonitor.handleTick(this.options.clock.getNow());
     this.leadership.handleTick();
     const record = this.leadership.getLeaderRecord();
     const leaderBox = this.otherBoxes.directory.listBoxes().find(({ box }) => box === record?.box);
