Soak: a seed gives the same troubles and choices in each run, and a failed run can be played again

All troubles, callers and readers drew from one random generator in the order in which their timers fired, so that a seed was no fixed sequence: two runs of seed 1 on the same code played pauseBox 3, killBox 4, stopBox 1 and pauseBox 3, killBox 2, stopBox 2.

--- a/dev/soak/SoakPlan.ts
+++ b/dev/soak/SoakPlan.ts
@@ -1,3 +1,5 @@
+import type { ScheduledTrouble } from './ScheduledTrouble';
+
 /** What one run of the soak does. */
 export interface SoakPlan {
   readonly seed: number;
@@ -5,6 +7,8 @@
   readonly executors: number;
   /** Time in which things go wrong, in milliseconds. */
   readonly troubledMs: number;
+  /** Troubles to play in place of those that the seed gives. */
+  readonly schedule?: readonly ScheduledTrouble[];
   /** Directory for the logs of a failed run; undefined to drop them. */
   readonly keptLogs?: string;
 }
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -1,6 +1,6 @@
-import type { Random } from '../../packages/common/Random';
 import { waitForDelay } from '../../packages/common/waitForDelay';
 import type { Cell } from '../cell/Cell';
+import type { SoakChoices } from './SoakChoices';
 import type { SoakJob } from './SoakJob';
 
 type Box = Cell['boxes'][number];
@@ -22,14 +22,7 @@
   /** Broken promises that were seen while the soak ran. */
   readonly problems: string[] = [];
 
-  constructor(
-    readonly cell: Cell,
-    readonly random: Random,
-  ) {}
-
-  chooseUpTo(most: number): number {
-    return Math.floor(this.random() * (most + 1));
-  }
+  constructor(readonly cell: Cell) {}
 
   /** Lets a trouble go on beside others. */
   startBeside(work: Promise<void>): void {
@@ -45,9 +38,8 @@
   }
 
   /** Uses a box that no other trouble ends or pauses, if there is one. */
-  async startWithBox(work: (box: Box) => Promise<void>): Promise<void> {
-    const free = this.listFreeBoxes();
-    const box = free[this.chooseUpTo(free.length - 1)];
+  async startWithBox(choices: SoakChoices, work: (box: Box) => Promise<void>): Promise<void> {
+    const box = choices.chooseFrom(this.listFreeBoxes());
     if (box !== undefined) {
       await this.startWithBoxes([box], () => work(box));
     }
@@ -76,20 +68,18 @@
   }
 
   /** One of the executors that are there. */
-  chooseExecutor(): Cell['executors'][number] | undefined {
-    const { executors } = this.cell;
-    return executors[this.chooseUpTo(executors.length - 1)];
+  chooseExecutor(choices: SoakChoices): Cell['executors'][number] | undefined {
+    return choices.chooseFrom(this.cell.executors);
   }
 
   /** One of the boxes. */
-  chooseBox(): Box {
-    return this.cell.boxes[this.chooseUpTo(this.cell.boxes.length - 1)]!;
+  chooseBox(choices: SoakChoices): Box {
+    return choices.chooseFrom(this.cell.boxes)!;
   }
 
   /** One of the accepted jobs. */
-  chooseAcceptedJob(): SoakJob | undefined {
-    const accepted = this.jobs.filter(({ fate }) => fate === 'accepted');
-    return accepted[this.chooseUpTo(accepted.length - 1)];
+  chooseAcceptedJob(choices: SoakChoices): SoakJob | undefined {
+    return choices.chooseFrom(this.jobs.filter(({ fate }) => fate === 'accepted'));
   }
 
   recordAccepted(job: SoakJob): void {
@@ -104,15 +94,11 @@
     return Promise.race([accepted, waitForDelay(timeoutMs)]);
   }
 
-  writeNextConfiguration(): void {
-    this.version += 1 + this.chooseUpTo(3);
+  writeNextConfiguration(choices: SoakChoices): void {
+    this.version += 1 + choices.chooseUpTo(3);
     this.cell.writeConfiguration(this.version, [`queue-${this.version}`]);
   }
 
-  startPause(mostMs: number): Promise<void> {
-    return waitForDelay(this.chooseUpTo(mostMs));
-  }
-
   private listFreeBoxes(): readonly Box[] {
     return this.isClaimingAll ? [] : this.cell.boxes.filter(({ name }) => !this.busyBoxes.has(name));
   }
--- a/dev/soak/soakCommand.ts
+++ b/dev/soak/soakCommand.ts
@@ -1,15 +1,28 @@
 import type { Command } from '../../packages/cli/Command';
 import { exitCodes } from '../../packages/cli/exitCodes';
+import { writeError } from '../../packages/cli/writeError';
 import { writeLine } from '../../packages/cli/writeLine';
+import { readKeptSoak } from './readKeptSoak';
+import type { SoakPlan } from './SoakPlan';
 import { startSoak } from './startSoak';
 
 const MS_PER_S = 1000;
 
+const listPlans = (values: Parameters<Command['run']>[0]['values']): readonly SoakPlan[] => {
+  const first = Number(values['seed'] ?? 1);
+  return Array.from({ length: Number(values['runs'] ?? 1) }, (_, index) => ({
+    seed: first + index,
+    boxes: Number(values['boxes'] ?? 3),
+    executors: Number(values['endpoints'] ?? 6),
+    troubledMs: Number(values['seconds'] ?? 20) * MS_PER_S,
+  }));
+};
+
 /** `dev soak`: real processes under overlapping troubles, seed by seed. */
 export const soakCommand: Command = {
   name: 'soak',
   summary: 'Run real processes under overlapping troubles; stop at the first broken promise.',
-  usage: '[--seed N] [--runs N] [--seconds S] [--boxes N] [--endpoints N] [--keep DIR]',
+  usage: '[--seed N] [--runs N] [--seconds S] [--boxes N] [--endpoints N] [--keep DIR] [--replay FILE]',
   options: {
     seed: { type: 'string', help: 'first seed (1)' },
     runs: { type: 'string', help: 'number of runs, one seed each (1)' },
@@ -17,20 +30,19 @@
     boxes: { type: 'string', help: 'entry processes (3)' },
     endpoints: { type: 'string', help: 'endpoints (6)' },
     keep: { type: 'string', help: 'directory for the logs of a failed run' },
+    replay: { type: 'string', help: 'plays the troubles of a failed run again: its problems.json' },
   },
   run: async ({ values }) => {
-    const first = Number(values['seed'] ?? 1);
-    const runs = Number(values['runs'] ?? 1);
-    const keep = values['keep'];
-    for (let seed = first; seed < first + runs; seed += 1) {
-      const result = await startSoak({
-        seed,
-        boxes: Number(values['boxes'] ?? 3),
-        executors: Number(values['endpoints'] ?? 6),
-        troubledMs: Number(values['seconds'] ?? 20) * MS_PER_S,
-        ...(typeof keep === 'string' ? { keptLogs: `${keep}/seed-${seed}` } : {}),
-      });
-      writeLine(JSON.stringify({ seed, ...result }));
+    const { keep, replay } = values;
+    const kept = typeof replay === 'string' ? readKeptSoak(replay) : undefined;
+    if (kept?.ok === false) {
+      writeError(`${String(replay)}: ${kept.error}`);
+      return exitCodes.usage;
+    }
+    for (const plan of kept === undefined ? listPlans(values) : [kept.value]) {
+      const keptLogs = typeof keep === 'string' ? { keptLogs: `${keep}/seed-${plan.seed}` } : {};
+      const result = await startSoak({ ...plan, ...keptLogs });
+      writeLine(JSON.stringify({ seed: plan.seed, ...result }));
       if (result.problems.length > 0) {
         return exitCodes.failed;
       }
--- a/dev/soak/soakTroubles.ts
+++ b/dev/soak/soakTroubles.ts
@@ -2,10 +2,11 @@
 import type { ExecutorFault } from '../../packages/standins/platform/ExecutorFault';
 import type { LogFault } from '../../packages/standins/platform/LogFault';
 import type { Cell } from '../cell/Cell';
+import type { SoakChoices } from './SoakChoices';
 import type { SoakWorld } from './SoakWorld';
 
 type Box = Cell['boxes'][number];
-type Trouble = (world: SoakWorld) => Promise<void>;
+type Trouble = (world: SoakWorld, choices: SoakChoices) => Promise<void>;
 
 const PAUSE_MS = 5000;
 const DOWN_MS = 2500;
@@ -21,10 +22,15 @@
 const REQUEST_LEAD_MS = 20;
 const REPLACEMENT_MS = 1500;
 
-const stopTogether = async (world: SoakWorld, boxes: readonly Box[], mostDownMs: number): Promise<void> => {
+const stopTogether = async (
+  world: SoakWorld,
+  choices: SoakChoices,
+  boxes: readonly Box[],
+  mostDownMs: number,
+): Promise<void> => {
   boxes.forEach(({ process }) => process.sendSignal('SIGKILL'));
   await Promise.all(boxes.map(({ process }) => process.exit));
-  await world.startPause(mostDownMs);
+  await choices.waitForPause(mostDownMs);
   boxes.forEach((box) => world.cell.startBox(box));
 };
 
@@ -45,8 +51,8 @@
 };
 
 /** Stops a box that takes callers while it answers a request, which must get its response. */
-const stopWhileAnswering = async (world: SoakWorld, box: Box): Promise<void> => {
-  const job = world.chooseAcceptedJob();
+const stopWhileAnswering = async (world: SoakWorld, choices: SoakChoices, box: Box): Promise<void> => {
+  const job = world.chooseAcceptedJob(choices);
   const isTaking = await world.cell.isTakingCallers(box);
   const answer =
     job === undefined || !isTaking
@@ -63,21 +69,35 @@
   }
 };
 
-const startExecutorFault = async (world: SoakWorld, fault: ExecutorFault): Promise<void> => {
-  const executor = world.chooseExecutor();
+const startExecutorFault = async (
+  world: SoakWorld,
+  choices: SoakChoices,
+  fault: ExecutorFault,
+): Promise<void> => {
+  const executor = world.chooseExecutor(choices);
   executor?.standin.setFault(fault);
-  await world.startPause(FAULT_MS);
+  await choices.waitForPause(FAULT_MS);
   executor?.standin.setFault('none');
 };
 
-const startLogFault = async (world: SoakWorld, fault: LogFault, door?: string): Promise<void> => {
+const startLogFault = async (
+  world: SoakWorld,
+  choices: SoakChoices,
+  fault: LogFault,
+  door?: string,
+): Promise<void> => {
   world.cell.log.setFault(fault, door);
-  await world.startPause(FAULT_MS);
+  await choices.waitForPause(FAULT_MS);
   world.cell.log.setFault('none', door);
 };
 
-const startReturn = async (world: SoakWorld, downMs: number, recordAfterMs: number): Promise<void> => {
-  const executor = world.chooseExecutor();
+const startReturn = async (
+  world: SoakWorld,
+  choices: SoakChoices,
+  downMs: number,
+  recordAfterMs: number,
+): Promise<void> => {
+  const executor = world.chooseExecutor(choices);
   if (executor !== undefined) {
     await world.cell.startExecutorAgain(executor.id, { downMs, recordAfterMs });
   }
@@ -85,58 +105,60 @@
 
 /** What goes wrong in a soak. Each ends by itself, and several go on beside each other. */
 export const soakTroubles: Readonly<Record<string, Trouble>> = {
-  killBox: (world) =>
-    world.startWithBox(async (box) => {
+  killBox: (world, choices) =>
+    world.startWithBox(choices, async (box) => {
       box.process.sendSignal('SIGKILL');
       await box.process.exit;
-      await world.startPause(DOWN_MS);
+      await choices.waitForPause(DOWN_MS);
       world.cell.startBox(box);
     }),
-  killLeader: (world) =>
-    world.startWithBox(async (box) => {
+  killLeader: (world, choices) =>
+    world.startWithBox(choices, async (box) => {
       if (box.process.readOutput().includes('"Leading."')) {
         box.process.sendSignal('SIGKILL');
         await box.process.exit;
         world.cell.startBox(box);
       }
     }),
-  killSeveral: (world) => world.startWithSeveralBoxes((boxes) => stopTogether(world, boxes, DOWN_MS)),
-  powerLossOfAll: (world) => world.startWithAllBoxes((boxes) => stopTogether(world, boxes, DOWN_MS)),
-  powerLossAfterAccept: (world) =>
+  killSeveral: (world, choices) =>
+    world.startWithSeveralBoxes((boxes) => stopTogether(world, choices, boxes, DOWN_MS)),
+  powerLossOfAll: (world, choices) =>
+    world.startWithAllBoxes((boxes) => stopTogether(world, choices, boxes, DOWN_MS)),
+  powerLossAfterAccept: (world, choices) =>
     world.startWithAllBoxes(async (boxes) => {
       await world.waitForNextAccept(NEXT_ACCEPT_MS);
-      await stopTogether(world, boxes, 0);
+      await stopTogether(world, choices, boxes, 0);
     }),
-  powerLossInChange: (world) =>
+  powerLossInChange: (world, choices) =>
     world.startWithAllBoxes(async (boxes) => {
-      world.writeNextConfiguration();
-      await world.startPause(SETTLE_MS);
-      await stopTogether(world, boxes, DOWN_MS);
+      world.writeNextConfiguration(choices);
+      await choices.waitForPause(SETTLE_MS);
+      await stopTogether(world, choices, boxes, DOWN_MS);
     }),
-  powerLossWithExecutor: (world) =>
+  powerLossWithExecutor: (world, choices) =>
     world.startWithAllBoxes(async (boxes) => {
-      const executor = world.chooseExecutor();
+      const executor = world.chooseExecutor(choices);
       const replaced =
         executor === undefined
           ? Promise.resolve()
-          : world.cell.startExecutorReplacement(executor.id, world.chooseUpTo(REPLACEMENT_MS));
-      await Promise.all([stopTogether(world, boxes, DOWN_MS), replaced]);
+          : world.cell.startExecutorReplacement(executor.id, choices.chooseUpTo(REPLACEMENT_MS));
+      await Promise.all([stopTogether(world, choices, boxes, DOWN_MS), replaced]);
     }),
-  stopBox: (world) => world.startWithBox((box) => stopGracefully(world, box)),
-  stopAllInTurn: (world) =>
+  stopBox: (world, choices) => world.startWithBox(choices, (box) => stopGracefully(world, box)),
+  stopAllInTurn: (world, choices) =>
     world.startWithAllBoxes(async (boxes) => {
       for (const box of boxes) {
-        await stopWhileAnswering(world, box);
+        await stopWhileAnswering(world, choices, box);
       }
     }),
-  pauseBox: (world) =>
-    world.startWithBox(async (box) => {
+  pauseBox: (world, choices) =>
+    world.startWithBox(choices, async (box) => {
       box.process.sendSignal('SIGSTOP');
-      await world.startPause(PAUSE_MS);
+      await choices.waitForPause(PAUSE_MS);
       box.process.sendSignal('SIGCONT');
     }),
-  hangUpBox: (world) =>
-    world.startWithBox(async (box) => {
+  hangUpBox: (world, choices) =>
+    world.startWithBox(choices, async (box) => {
       box.process.sendSignal('SIGHUP');
       await waitForDelay(SETTLE_MS);
       // A program that is only being loaded has no handler yet, and ends: the platform starts it again.
@@ -144,19 +166,20 @@
         world.cell.startBox(box);
       }
     }),
-  returnAtOnce: (world) => startReturn(world, 0, 0),
-  returnLater: (world) => startReturn(world, world.chooseUpTo(DOWN_MS), 0),
-  returnWithLateRecord: (world) => startReturn(world, world.chooseUpTo(200), world.chooseUpTo(2000)),
-  silentExecutor: (world) => startExecutorFault(world, 'silent'),
-  lateStarts: (world) => startExecutorFault(world, 'lateStarts'),
-  lateAnswers: (world) => startExecutorFault(world, 'lateAnswers'),
-  slowExecutor: (world) => startExecutorFault(world, 'slow'),
-  leaveAtShortNotice: async (world) => {
-    const executor = world.chooseExecutor();
+  returnAtOnce: (world, choices) => startReturn(world, choices, 0, 0),
+  returnLater: (world, choices) => startReturn(world, choices, choices.chooseUpTo(DOWN_MS), 0),
+  returnWithLateRecord: (world, choices) =>
+    startReturn(world, choices, choices.chooseUpTo(200), choices.chooseUpTo(2000)),
+  silentExecutor: (world, choices) => startExecutorFault(world, choices, 'silent'),
+  lateStarts: (world, choices) => startExecutorFault(world, choices, 'lateStarts'),
+  lateAnswers: (world, choices) => startExecutorFault(world, choices, 'lateAnswers'),
+  slowExecutor: (world, choices) => startExecutorFault(world, choices, 'slow'),
+  leaveAtShortNotice: async (world, choices) => {
+    const executor = world.chooseExecutor(choices);
     if (executor !== undefined) {
       world.cell.writeExecutor(executor.id, executor.address, 'draining', SHORT_NOTICE_MS);
       await waitForDelay(SHORT_NOTICE_MS);
-      await world.cell.startExecutorAgain(executor.id, { downMs: world.chooseUpTo(DOWN_MS) });
+      await world.cell.startExecutorAgain(executor.id, { downMs: choices.chooseUpTo(DOWN_MS) });
     }
   },
   burst: async (world) => {
@@ -164,35 +187,36 @@
     await waitForDelay(BURST_MS);
     world.isBursting = false;
   },
-  silentConnections: async (world) => {
-    world.chooseExecutor()?.standin.applyBlackhole();
+  silentConnections: async (world, choices) => {
+    world.chooseExecutor(choices)?.standin.applyBlackhole();
     await waitForDelay(0);
   },
-  silentLog: (world) => startLogFault(world, 'silent'),
-  busyLogForOne: (world) => startLogFault(world, 'busy', world.chooseBox().name),
-  lostLogAnswers: (world) => startLogFault(world, 'loseAnswers'),
-  lostLogAnswersForOne: (world) => startLogFault(world, 'loseAnswers', world.chooseBox().name),
+  silentLog: (world, choices) => startLogFault(world, choices, 'silent'),
+  busyLogForOne: (world, choices) => startLogFault(world, choices, 'busy', world.chooseBox(choices).name),
+  lostLogAnswers: (world, choices) => startLogFault(world, choices, 'loseAnswers'),
+  lostLogAnswersForOne: (world, choices) =>
+    startLogFault(world, choices, 'loseAnswers', world.chooseBox(choices).name),
   compactLog: async (world) => {
     world.cell.runCompaction();
     await waitForDelay(0);
   },
-  compactLogWhileSilent: async (world) => {
-    const { name } = world.chooseBox();
+  compactLogWhileSilent: async (world, choices) => {
+    const { name } = world.chooseBox(choices);
     world.cell.log.setFault('silent', name);
-    await world.startPause(FAULT_MS);
+    await choices.waitForPause(FAULT_MS);
     world.cell.runCompaction();
     world.cell.log.setFault('none', name);
   },
-  slowLog: async (world) => {
+  slowLog: async (world, choices) => {
     world.cell.log.setLatency(SLOW_LOG_MS);
-    await world.startPause(FAULT_MS);
+    await choices.waitForPause(FAULT_MS);
     world.cell.log.setLatency(0);
   },
-  changeConfiguration: async (world) => {
-    world.writeNextConfiguration();
+  changeConfiguration: async (world, choices) => {
+    world.writeNextConfiguration(choices);
     await waitForDelay(0);
   },
-  foreignRecord: async (world) => {
+  foreignRecord: async (world, choices) => {
     const values: readonly unknown[] = [
       { state: 'resting' },
       { service: 'service-a', address: 'nowhere' },
@@ -200,8 +224,8 @@
       'text',
       { service: 'service-b', address: '127.0.0.1:9', zone: 'z', state: 'ready' },
     ];
-    const value = values[world.chooseUpTo(values.length - 1)];
-    world.cell.log.writeRecord('keyed.servers', `i-other-${world.chooseUpTo(3)}`, value);
+    const value = values[choices.chooseUpTo(values.length - 1)];
+    world.cell.log.writeRecord('keyed.servers', `i-other-${choices.chooseUpTo(3)}`, value);
     await waitForDelay(0);
   },
 };
--- a/dev/soak/startSoak.ts
+++ b/dev/soak/startSoak.ts
@@ -1,11 +1,16 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { createRandom } from '../../packages/common/createRandom';
+import type { Random } from '../../packages/common/Random';
 import { waitForDelay } from '../../packages/common/waitForDelay';
 import { Cell } from '../cell/Cell';
 import { toJobIdText } from '../cell/toJobIdText';
+import { createTroubleSchedule } from './createTroubleSchedule';
 import { HeldConnections } from './HeldConnections';
 import { LastingWatch } from './LastingWatch';
+import type { PlayedTrouble } from './PlayedTrouble';
+import type { ScheduledTrouble } from './ScheduledTrouble';
+import { SoakChoices } from './SoakChoices';
 import type { SoakJob } from './SoakJob';
 import type { SoakPlan } from './SoakPlan';
 import { soakTroubles } from './soakTroubles';
@@ -22,10 +27,17 @@
   readonly troubles: Readonly<Record<string, number>>;
 }
 
+/** Random generators that a seed gives, so that none depends on the order in which the timers of the others fire. */
+interface SoakRandoms {
+  readonly schedule: Random;
+  readonly jobs: Random;
+  readonly lastingJobs: Random;
+  readonly reads: Random;
+}
+
 const ROOM = 4;
 const JOB_EVERY_MS = 150;
 const BURST_JOB_EVERY_MS = 25;
-const TROUBLE_EVERY_MS = 400;
 const HARMFUL_SHARE = 0.03;
 const URGENT_SHARE = 0.6;
 const LASTING_JOBS = 3;
@@ -43,10 +55,21 @@
 const OK = 200;
 const GONE = 410;
 const TOLD_LETTERS = 600;
+const SEED_RANGE = 2 ** 32;
 const REFUSALS: ReadonlySet<number> = new Set([429, 503]);
 const UNEXPECTED_STATES: ReadonlySet<string | undefined> = new Set(['failed', 'cancelled']);
 
-const createBody = (world: SoakWorld, { kind, count }: SoakJob): object => {
+const createRandoms = (seed: number): SoakRandoms => {
+  const seeds = createRandom(seed);
+  const createNext = (): Random => createRandom(Math.floor(seeds() * SEED_RANGE));
+  return { schedule: createNext(), jobs: createNext(), lastingJobs: createNext(), reads: createNext() };
+};
+
+/** Creates the choices of one of several that share a random generator; it uses one number of that. */
+const createChoices = (random: Random): SoakChoices =>
+  new SoakChoices(createRandom(Math.floor(random() * SEED_RANGE)));
+
+const createBody = (choices: SoakChoices, { kind, count }: SoakJob): object => {
   const step = { count, cpu: 1000, 'mem-mb': 100 };
   switch (kind) {
     case 'harmful':
@@ -55,39 +78,52 @@
       return { spec: 'lasts', steps: [{ ...step, 'long-running': true }] };
     case 'short':
       return {
-        spec: String(100 + world.chooseUpTo(500)),
+        spec: String(100 + choices.chooseUpTo(500)),
         steps: [step, { ...step, 'depends-on': [0] }],
       };
   }
 };
 
 /** Sends one job; without a true answer it is sent again elsewhere, as callers do. */
-const sendJob = async (world: SoakWorld, job: SoakJob): Promise<void> => {
+const sendJob = async (world: SoakWorld, choices: SoakChoices, job: SoakJob): Promise<void> => {
   const { cell } = world;
-  const body = createBody(world, job);
+  const body = createBody(choices, job);
   for (let attempt = 0; attempt < 4 && job.fate !== 'accepted'; attempt += 1) {
-    const answer = await cell.sendJob(world.chooseBox(), job.id, body, job.queue).catch(() => undefined);
+    const answer = await cell
+      .sendJob(world.chooseBox(choices), job.id, body, job.queue)
+      .catch(() => undefined);
     if (answer?.status === OK) {
       world.recordAccepted(job);
     } else if (answer === undefined || !REFUSALS.has(answer.status)) {
       job.fate = 'unknown';
     }
-    await world.startPause(500);
+    await choices.waitForPause(500);
   }
 };
 
+/** Plays the scheduled troubles, each at its time, and waits until all are over. */
 const startTroubles = async (
   world: SoakWorld,
-  troubledMs: number,
-  counts: Record<string, number>,
+  schedule: readonly ScheduledTrouble[],
+  played: PlayedTrouble[],
 ): Promise<void> => {
-  const names = Object.keys(soakTroubles);
-  const until = performance.now() + troubledMs;
-  while (performance.now() < until) {
-    const name = names[world.chooseUpTo(names.length - 1)]!;
-    counts[name] = (counts[name] ?? 0) + 1;
-    world.startBeside(soakTroubles[name]!(world));
-    await world.startPause(2 * TROUBLE_EVERY_MS);
+  const startedAt = performance.now();
+  const getElapsedMs = (): number => Math.round(performance.now() - startedAt);
+  for (const scheduled of schedule) {
+    await waitForDelay(Math.max(0, scheduled.atMs - getElapsedMs()));
+    const choices = new SoakChoices(createRandom(scheduled.seed));
+    const trouble: PlayedTrouble = {
+      ...scheduled,
+      begunMs: getElapsedMs(),
+      endedMs: undefined,
+      choices: choices.chosen,
+    };
+    played.push(trouble);
+    world.startBeside(
+      soakTroubles[scheduled.name]!(world, choices).finally(() => {
+        trouble.endedMs = getElapsedMs();
+      }),
+    );
   }
   await world.startCalm();
 };
@@ -102,34 +138,36 @@
   return job;
 };
 
-const createShortJob = (world: SoakWorld): SoakJob => {
-  const isHarmful = world.random() < HARMFUL_SHARE;
-  const queue = world.random() < URGENT_SHARE ? 'urgent' : 'jobs';
+const createShortJob = (world: SoakWorld, choices: SoakChoices): SoakJob => {
+  const isHarmful = choices.random() < HARMFUL_SHARE;
+  const queue = choices.random() < URGENT_SHARE ? 'urgent' : 'jobs';
   return addJob(
     world,
     isHarmful
       ? { kind: 'harmful', queue, count: 1 }
-      : { kind: 'short', queue, count: 1 + world.chooseUpTo(2) },
+      : { kind: 'short', queue, count: 1 + choices.chooseUpTo(2) },
   );
 };
 
 /** Sends jobs until a promise settles, and waits for their answers. */
-const startJobs = async (world: SoakWorld, end: Promise<unknown>): Promise<void> => {
+const startJobs = async (world: SoakWorld, random: Random, end: Promise<unknown>): Promise<void> => {
   let isOver = false;
   void end.finally(() => (isOver = true));
   const sending: Promise<void>[] = [];
   const hasEnded = (): boolean => isOver;
   while (!hasEnded()) {
-    sending.push(sendJob(world, createShortJob(world)));
+    const choices = createChoices(random);
+    sending.push(sendJob(world, choices, createShortJob(world, choices)));
     await waitForDelay(world.isBursting ? BURST_JOB_EVERY_MS : JOB_EVERY_MS);
   }
   await Promise.all(sending);
 };
 
 /** Sends lasting jobs to a queue that needs advice and is less urgent than others. */
-const startLastingJobs = async (world: SoakWorld): Promise<void> => {
+const startLastingJobs = async (world: SoakWorld, random: Random): Promise<void> => {
   for (let index = 0; index < LASTING_JOBS; index += 1) {
-    await sendJob(world, addJob(world, { kind: 'lasting', queue: 'advised', count: 1 + index }));
+    const job = addJob(world, { kind: 'lasting', queue: 'advised', count: 1 + index });
+    await sendJob(world, createChoices(random), job);
     await waitForDelay(LASTING_EVERY_MS);
   }
 };
@@ -151,15 +189,16 @@
   }
 };
 
-const startReads = async (world: SoakWorld, end: Promise<unknown>): Promise<void> => {
+const startReads = async (world: SoakWorld, random: Random, end: Promise<unknown>): Promise<void> => {
   let isOver = false;
   void end.finally(() => (isOver = true));
   const hasEnded = (): boolean => isOver;
   const reads: Promise<void>[] = [];
   while (!hasEnded()) {
-    const job = world.chooseAcceptedJob();
+    const choices = createChoices(random);
+    const job = world.chooseAcceptedJob(choices);
     if (job !== undefined) {
-      reads.push(checkVisible(world, world.chooseBox(), job));
+      reads.push(checkVisible(world, world.chooseBox(choices), job));
     }
     await waitForDelay(READ_EVERY_MS);
   }
@@ -236,10 +275,10 @@
 /** Plays the troubles, then a calm in which jobs go on. */
 const startPlay = async (
   world: SoakWorld,
-  troubledMs: number,
-  troubles: Record<string, number>,
+  schedule: readonly ScheduledTrouble[],
+  played: PlayedTrouble[],
 ): Promise<readonly string[]> => {
-  await startTroubles(world, troubledMs, troubles);
+  await startTroubles(world, schedule, played);
   const ready = Promise.all(world.cell.boxes.map((box) => checkReady(world, box)));
   const [unready] = await Promise.all([ready, new LastingWatch(world).start(CALM_MS)]);
   return unready.flat();
@@ -258,21 +297,30 @@
   return [...unknown, ...uncancelled, ...checked, ...dead.map(({ name }) => `${name} has ended`)];
 };
 
+const countTroubles = (played: readonly PlayedTrouble[]): Readonly<Record<string, number>> => {
+  const counts: Record<string, number> = {};
+  played.forEach(({ name }) => (counts[name] = (counts[name] ?? 0) + 1));
+  return counts;
+};
+
 /** Real entry processes among stand-ins, with troubles that overlap, and callers that keep their connections. */
 export const startSoak = async (plan: SoakPlan): Promise<SoakResult> => {
   const { boxes, executors, troubledMs, seed, keptLogs } = plan;
   const cell = await Cell.create({ boxes, executors, roomPerExecutor: ROOM, keepsIds: true });
-  const world = new SoakWorld(cell, createRandom(seed));
+  const world = new SoakWorld(cell);
+  const randoms = createRandoms(seed);
+  const schedule =
+    plan.schedule ?? createTroubleSchedule(Object.keys(soakTroubles), troubledMs, randoms.schedule);
   const held = new HeldConnections(cell);
-  const troubles: Record<string, number> = {};
+  const played: PlayedTrouble[] = [];
   let problems: readonly string[] = ['The soak did not come to its end.'];
   try {
-    const play = startPlay(world, troubledMs, troubles);
+    const play = startPlay(world, schedule, played);
     const [unready] = await Promise.all([
       play,
-      startLastingJobs(world),
-      startJobs(world, play),
-      startReads(world, play),
+      startLastingJobs(world, randoms.lastingJobs),
+      startJobs(world, randoms.jobs, play),
+      startReads(world, randoms.reads, play),
     ]);
     const endProblems = await listEndProblems(world);
     problems = [...cell.runChecker.getViolations(), ...world.problems, ...unready, ...endProblems];
@@ -281,7 +329,7 @@
       accepted: world.jobs.filter(({ fate }) => fate === 'accepted').length,
       refused: world.jobs.filter(({ fate }) => fate === 'refused').length,
       starts: cell.runChecker.countAllStarts(),
-      troubles,
+      troubles: countTroubles(played),
     };
   } finally {
     held.stop();
@@ -290,7 +338,7 @@
     if (directory !== undefined) {
       writeFileSync(
         join(directory, 'problems.json'),
-        JSON.stringify({ plan, problems, troubles }, undefined, 2),
+        JSON.stringify({ plan, problems, troubles: played }, undefined, 2),
       );
     }
   }
