An entry process compiles optimized code later

Cause: V8's optimizing compiler took up to a third of the processor time of a process that had just begun to lead, for code that hardly ran long enough to gain by it.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -4,6 +4,7 @@
 import { wireNames } from '../../platform/wireNames';
 import { createMachineClock } from '../common/createMachineClock';
 import { createRandom } from '../common/createRandom';
+import { setOptimizationBudget } from '../common/setOptimizationBudget';
 import type { Logger } from '../common/Logger';
 import { systemClock } from '../common/systemClock';
 import { formatError } from '../common/formatError';
@@ -74,6 +75,7 @@
       policies.error.forEach(writeError);
       return exitCodes.usage;
     }
+    setOptimizationBudget();
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
     const decisionLog = new DecisionLog({
       box: settings.value.box,
