fix: runs are not lost while the first response of their endpoint waits to be read

Cause: a new leader counted the leases of earlier ones by its clock, and a leader that is short of processor time had its first polls answered, but not read, when they ran out. It ended the runs by their lease, recorded crashes of the endpoints, and read a tenth of a second later how they had really ended. Why the fix works: the first poll of an endpoint is either answered, and then lists how each run ended, or fails by its time limit, which counts time in which the process was blocked; only then the lease decides. The test failed before (the task was started again).

--- a/packages/dispatch/endpoints/EndpointLossHandler.ts
+++ b/packages/dispatch/endpoints/EndpointLossHandler.ts
@@ -59,11 +59,12 @@
 
   /**
    * Ends the runs of an endpoint that is unreachable, or not yet synced, once its lease has expired, and records that the endpoint may have crashed.
-   * Runs whose start command was not sent go on. Does nothing while the endpoint responds or its lease is valid.
+   * Runs whose start command was not sent go on. Does nothing while the endpoint responds, its lease is valid, or the response to the first poll is
+   * pending: it lists how the runs have ended, and a leader that is short of processor time may read it late.
    */
   handleLeaseExpiry(endpoint: EndpointState, now: number): void {
     const isUnreachable = endpoint.getUnreachableSince() !== undefined || !endpoint.isSynced();
-    if (!isUnreachable || now <= endpoint.getLeasedUntil()) {
+    if (!isUnreachable || endpoint.isAwaitingFirstResponse() || now <= endpoint.getLeasedUntil()) {
       return;
     }
     const { tracker, crashes } = this.options;
--- a/packages/dispatch/endpoints/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -135,6 +135,7 @@
     // Another incarnation may respond on a new connection. It must not forget ends that it hasn't listed, or tasks that are done
     // would run again.
     const acknowledgedUpTo = isUnreachable || !this.isConnected ? 0 : this.lastDurableEnd;
+    endpoint.recordPollSent();
     const result = await client.sendPoll({
       acknowledgedUpTo,
       isSameConnectionOnly: acknowledgedUpTo > 0,
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -47,6 +47,8 @@
   private unreachableSince: number | undefined;
   /** Monotonic time of the newest response to a poll; undefined before the first. */
   private respondedAt: number | undefined;
+  /** True once this leader has sent a poll. */
+  private hasBeenPolled = false;
   /** Monotonic time by which all leases granted by this leader have expired; -Infinity before the first. */
   private leasedUntil = -Infinity;
 
@@ -186,6 +188,16 @@
     this.unreachableSince = undefined;
   }
 
+  /** Records that this leader has sent a poll. */
+  recordPollSent(): void {
+    this.hasBeenPolled = true;
+  }
+
+  /** Returns true from the first poll of this leader until its response or its failure. */
+  isAwaitingFirstResponse(): boolean {
+    return this.hasBeenPolled && !this.synced && this.unreachableSince === undefined;
+  }
+
   /** Records a poll or command without a response. The first one in sequence sets the time since which the endpoint is unreachable. */
   recordUnreachable(now: number): void {
     this.unreachableSince ??= now;
--- a/tests/earlierLeases.test.ts
+++ b/tests/earlierLeases.test.ts
@@ -3,6 +3,7 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
 import { JobProgress } from '../packages/jobs/JobProgress';
+import { toTaskName } from '../packages/jobs/toTaskName';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
@@ -61,3 +62,36 @@
     expect(computeRestartMs(undefined)).toBeGreaterThan(EARLIER_LEASES_MS);
   });
 });
+
+describe('runs on an endpoint whose leases of earlier leaders have expired before its first response is read', () => {
+  const startLeader = (): { dispatcher: Dispatcher; progress: JobProgress } => {
+    const definition = createJobDefinition(1, [createStep({ count: 1 })]);
+    const progress = new JobProgress(definition);
+    progress.recordRunPlaced(TASK, 1, LOST);
+    const dispatcher = new Dispatcher({ getDefinition: () => definition, earlierLeasesEndAt: 0 });
+    dispatcher.handleEndpointProfile(createProfile(LOST));
+    dispatcher.handleJob(definition, progress, 0);
+    dispatcher.getEndpointState(LOST)!.recordPollSent();
+    dispatcher.handleTick(LEASE_MS);
+    return { dispatcher, progress };
+  };
+  const getRuns = (dispatcher: Dispatcher): readonly unknown[] => [
+    ...dispatcher.getEndpointState(LOST)!.getRuns(),
+  ];
+
+  it('are not lost while the response is pending, so that a run that is done does not run again', () => {
+    const { dispatcher, progress } = startLeader();
+    expect(getRuns(dispatcher)).toHaveLength(1);
+    const task = toTaskName(toId('0000000000000001'), TASK);
+    const ended = [{ number: 1, task, run: 1, how: 'done' as const, checkpoint: '' }];
+    dispatcher.handleStatus({ endpoint: LOST, running: [], ended, pollSentAt: 1 }, LEASE_MS, LEASE_MS);
+    expect(progress.getTask(TASK)!.phase).toBe('done');
+  });
+
+  it('are lost once the poll has failed', () => {
+    const { dispatcher } = startLeader();
+    dispatcher.handleEndpointUnreachable(LOST, LEASE_MS);
+    dispatcher.handleTick(LEASE_MS + TICK_MS);
+    expect(getRuns(dispatcher)).toHaveLength(0);
+  });
+});
