fix: a leader that is stopped by plan hands over to a box that has restarted since

What callers saw: during one rolling restart leadership moved up to four times, and starts stood still for 1 to 4 s each time. Cause: the successor was the first box to answer, mostly one that the same restart stopped some seconds later. Evidence: on the untouched code: epochs 3 (23.9 s, handed over) and 4 (27.8 s, resigned). A box that announced itself over 5 s after the leader's own start has been restarted since, and is not stopped again. The test failed before (there was no such choice).

--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -10,6 +10,12 @@
   readonly announcedAt: number;
 }
 
+/**
+ * Time after the start of this process from which the announcement of another box shows that the box has started later. Boxes that start together
+ * read each other's announcements within it.
+ */
+const MIN_LATER_START_MS = 5000;
+
 /** HTTP clients of the other announced entry boxes, and the search for a box that should lead next. */
 export class BoxClients {
   private readonly clients = new Map<string, BoxClient>();
@@ -63,6 +69,24 @@
     );
   }
 
+  /**
+   * Returns a box that can use the log for a leader that is stopped by plan; undefined when there is none. As `findLeaderCandidate`, but prefers boxes
+   * that have started after this process, at the monotonic time `ownStartedAt`: a rolling restart has passed them, and stops the others yet.
+   */
+  async findSuccessor(ownStartedAt: number): Promise<BoxClient | undefined> {
+    const restarted = this.listOthers().filter(
+      ({ announcedAt }) => announcedAt > ownStartedAt + MIN_LATER_START_MS,
+    );
+    const restartedNames = new Set(restarted.map(({ box }) => box));
+    const isRestarted = ({ box }: { readonly box: string }): boolean => restartedNames.has(box);
+    return (
+      (await this.findFirstOfNamed(this.directory.listStronger(this.ownBox).filter(isRestarted))) ??
+      (await this.findStrongerCandidate()) ??
+      (await this.findFirstOfNamed(this.directory.listPeers(this.ownBox).filter(isRestarted))) ??
+      this.findLeaderCandidate()
+    );
+  }
+
   /** Returns the first box to respond that is stronger than this one and can use the log; undefined when there is none. */
   findStrongerCandidate(): Promise<BoxClient | undefined> {
     return this.findFirstOfNamed(this.directory.listStronger(this.ownBox));
--- a/packages/serve/LeaderHandover.ts
+++ b/packages/serve/LeaderHandover.ts
@@ -16,6 +16,8 @@
   readonly getController: () => LeaderController | undefined;
   /** Returns the epoch of the current leader; 0 while none is known. */
   readonly getEpoch: () => number;
+  /** Returns the monotonic time at which this process started. */
+  readonly getStartedAt: () => number;
   /** Retries the pending log requests of this box. */
   readonly retryPending: () => void;
   /** Reads the log now; false when the read fails or takes too long. */
@@ -106,7 +108,8 @@
   /** Returns a box that can lead next; undefined when none is found by a monotonic time. */
   private findCandidateUntil(until: number): Promise<BoxClient | undefined> {
     const timeoutMs = Math.max(0, until - this.options.clock.getNow());
-    return waitWithTimeout(this.options.boxes.findLeaderCandidate(), timeoutMs, undefined);
+    const { boxes, getStartedAt } = this.options;
+    return waitWithTimeout(boxes.findSuccessor(getStartedAt()), timeoutMs, undefined);
   }
 
   /** Runs a handover attempt; no other starts before it ends. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -363,6 +363,7 @@
       directory: this.otherBoxes.directory,
       getController: () => this.controller,
       getEpoch: () => this.leadership.getLeaderRecord()?.epoch ?? 0,
+      getStartedAt: () => this.startedAt,
       retryPending: () => this.handleLogRecovered(clock.getNow()),
       waitForLogRead: () => this.followers.jobs.waitForRefresh(LOG_CHECK_TIMEOUT_MS),
       handleGracefulStop: () => {
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -202,6 +202,27 @@
   });
 });
 
+describe('the successor of a leader that is stopped by plan', () => {
+  const OWN = { box: 'own', cores: 1, linkMbps: 100 };
+
+  it('is a box that a rolling restart has passed, since the others stop soon after', async () => {
+    const servers = await Promise.all([startUsableBox(0), startUsableBox(0), startUsableBox(100)]);
+    const directory = new BoxDirectory();
+    const announcedAt = { before: -Infinity, alongside: 1500, restarted: 20_000 };
+    Object.entries(announcedAt).forEach(([box, readAt], index) => {
+      const value = BoxDirectory.formatAnnouncement(servers[index]!.address, OWN);
+      directory.foldRecords([{ offset: index, key: BoxDirectory.toAnnouncementKey(box), value }], readAt);
+    });
+    const clients = new BoxClients(directory, OWN);
+    const successor = await clients.findSuccessor(0);
+    const later = await clients.findSuccessor(25_000);
+    await Promise.all(clients.listOthers().map(({ client }) => client.stop()));
+    servers.forEach(({ server }) => server.close());
+    expect(successor?.address).toBe(servers[2]!.address);
+    expect(later?.address).not.toBe(servers[2]!.address);
+  });
+});
+
 describe('leases of earlier leaders', () => {
   const toRecord = (epoch: number, isResigned = false): LeaderRecord => ({
     epoch,
