fix: a box claims leadership only once it knows the jobs

Cause: the box of the earlier leader claimed as soon as it had read the states topic. The response to its claim then queued behind the jobs topic on the same link, so that it learned of its election 1.2 to 1.4 s later (30 ms otherwise), and could take over only when the jobs were read anyway: by then it had been silent for too long. Why the fix works: what delays the claim would have delayed the takeover. The test failed before (the claim came at 1.7 s for 3 s).

--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -25,6 +25,8 @@
   readonly logger: Logger;
   /** Returns true when stronger boxes are known, which should lead instead of this one. */
   readonly isOutranked: () => boolean;
+  /** Returns true when this process knows the jobs, without which it could not take over. */
+  readonly isReadyToLead: () => boolean;
   /** Called when this process becomes the leader. */
   readonly handleElected: (election: Election) => void;
 }
@@ -257,8 +259,8 @@
 
   /** Returns why this process should claim leadership now; undefined when this process should not, or when it has not read the log up to its end. */
   private findClaimReason(): ClaimReason | undefined {
-    const { follower, clock } = this.options;
-    if (this.logReadableSince === undefined || !follower.isUpToDate()) {
+    const { follower, clock, isReadyToLead } = this.options;
+    if (this.logReadableSince === undefined || !follower.isUpToDate() || !isReadyToLead()) {
       return undefined;
     }
     const now = clock.getNow();
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -146,6 +146,7 @@
       random,
       logger: options.createPartLogger('leadership'),
       isOutranked: () => this.otherBoxes.directory.listStronger(settings).length > 0,
+      isReadyToLead: () => this.followers.jobs.getOffset() !== undefined,
       handleElected: (election) => this.startLeading(election),
     });
     this.configurationUpdater = this.createConfigurationUpdater();
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -55,6 +55,7 @@
       random: () => 0.2,
       logger,
       isOutranked: () => isOutranked,
+      isReadyToLead: () => true,
       handleElected: () => undefined,
     });
     leadership.handleLogConnection(true);
@@ -85,7 +86,12 @@
   const CYCLE_MS = 850;
 
   /** Returns the time from the last activity of the leader to the claim, in milliseconds. */
-  const computeClaimMs = (isOutranked: boolean, random: number, readsEarlierMs = 0): number => {
+  const computeClaimMs = (
+    isOutranked: boolean,
+    random: number,
+    readsEarlierMs = 0,
+    knowsJobsAfterMs = 0,
+  ): number => {
     let now = 1000;
     let lastOkAt = now;
     const clock = { getNow: () => now, getWallTime: () => now };
@@ -102,6 +108,7 @@
       random: () => random,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       isOutranked: () => isOutranked,
+      isReadyToLead: () => now - 1000 >= knowsJobsAfterMs,
       handleElected: () => undefined,
     });
     leadership.handleLogConnection(true);
@@ -122,6 +129,11 @@
     // A weak box that notices the timeout earlier than the strong ones still claims after them.
     expect(computeClaimMs(true, 0, 390)).toBeGreaterThan(strong[2]!);
   });
+
+  it('does not claim before it knows the jobs, since it could not act, and would be silent while it reads them', () => {
+    expect(computeClaimMs(false, 0, 0, 3000)).toBeGreaterThanOrEqual(3000);
+    expect(computeClaimMs(false, 0, 0, 1000)).toBe(1700);
+  });
 });
 
 /** Starts a server that responds with success to every request, after a delay. */
@@ -320,6 +332,7 @@
         random: () => 0,
         logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
         isOutranked: () => false,
+        isReadyToLead: () => true,
         handleElected: ({ earlierLeasesEndAt }) => resolve(earlierLeasesEndAt),
       });
       leadership.handleLogConnection(true);
@@ -346,6 +359,7 @@
       random: () => 0,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       isOutranked: () => false,
+      isReadyToLead: () => true,
       handleElected: () => undefined,
     });
     leadership.handleLogConnection(true);
@@ -388,6 +402,7 @@
       random: () => 0,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       isOutranked: () => false,
+      isReadyToLead: () => true,
       handleElected: () => undefined,
     });
     leadership.foldRecords(toLogRecords(toRecord(1)));
