fix: a new leader goes on with its heartbeats while it takes over

Cause: a takeover added all jobs and opened connections to all endpoints in two pieces of work, 0.13 to 0.48 s and some 0.5 s long, after 0.7 to 1.0 s of reading. Its heartbeat was acknowledged 0.8 to 1.1 s after it was sent; with the pause between heartbeats the others saw none for 1.3 s and replaced it by one that had the takeover still before it. Why the fix works: jobs and sessions are begun in slices of 20 ms, between which acknowledgements are read and heartbeats leave; endpoints with runs come first, as their leases run.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -3,6 +3,7 @@
 import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
+import { TimeSlices } from '../common/TimeSlices';
 import { waitForDelay } from '../common/waitForDelay';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
@@ -116,7 +117,9 @@
   private startedAt = 0;
   /** Time that reading the progress and the jobs took, in milliseconds. */
   private readJobsMs = 0;
-  /** True once the jobs of earlier leaders were added to the dispatcher, which happens once: their progress is not kept for another time. */
+  /** True from the begin of the takeover on, which happens once: the progress of the jobs is not kept for another time. */
+  private hasBegunTakeover = false;
+  /** True once the jobs of earlier leaders were added to the dispatcher. */
   private hasTakenOver = false;
   /** True from the begin of a graceful stop on. */
   private isResigning = false;
@@ -176,7 +179,7 @@
       waitForFlush: () => this.journal.waitForProgressFlush(),
       recordCount: (name) => options.recordCount(name),
       handleSchedulingChange: () => {
-        this.takeOver();
+        void this.takeOver();
         this.queueSchedulingRound();
       },
       handleNewerLeader: (detail) => this.handleLeadershipLost(detail),
@@ -326,28 +329,26 @@
       }
     }
     this.readJobsMs = this.options.clock.getNow() - this.startedAt;
-    this.takeOver();
+    await this.takeOver();
   }
 
   /**
    * Adds the jobs of earlier leaders, with their cancellations, and starts to poll the endpoints. Does nothing before all jobs and
    * endpoints' records have been read, after the takeover, or once this leader has stopped or resigns.
    */
-  private takeOver(): void {
-    const canTakeOver = !this.hasTakenOver && !this.isResigning && !this.isStopped;
+  private async takeOver(): Promise<void> {
+    const canTakeOver = !this.hasBegunTakeover && !this.isResigning && !this.isStopped;
     if (!canTakeOver || !this.endpointSessions.hasReadRecords() || !this.hasReadJobs) {
       return;
     }
-    const { replica, clock, logger, epoch } = this.options;
-    this.hasTakenOver = true;
+    const { clock, logger, epoch } = this.options;
+    this.hasBegunTakeover = true;
     const takenOverAt = clock.getNow();
-    for (const definition of replica.listDefinitionsInOrder()) {
-      this.addJob(definition);
-      if (replica.isCancelled(definition.id)) {
-        this.dispatcher.handleCancel(definition.id, clock.getWallTime());
-      }
+    await this.addKnownJobs();
+    if (!this.isActive()) {
+      return;
     }
-    this.endpointSessions.startSessions();
+    void this.endpointSessions.startSessions();
     logger.info('Leading.', {
       epoch,
       jobs: this.dispatcher.countJobs(),
@@ -358,6 +359,33 @@
     });
   }
 
+  /**
+   * Adds all jobs that the replica knows, also those that it learns of meanwhile, unless this leader stops or resigns. Leaves the event loop to
+   * heartbeats now and then.
+   */
+  private async addKnownJobs(): Promise<void> {
+    const { replica, clock } = this.options;
+    const slices = new TimeSlices(clock);
+    const added = new Set<JobId>();
+    const listNew = (): readonly JobDefinition[] =>
+      replica.listDefinitionsInOrder().filter(({ id }) => !added.has(id));
+    for (let definitions = listNew(); definitions.length > 0; definitions = listNew()) {
+      for (const definition of definitions) {
+        added.add(definition.id);
+        this.addJob(definition);
+        if (replica.isCancelled(definition.id)) {
+          this.dispatcher.handleCancel(definition.id, clock.getWallTime());
+        }
+        await slices.waitWhenUsedUp();
+        if (this.isResigning || this.isStopped) {
+          return;
+        }
+      }
+    }
+    // Set in the turn of the last look, since `handleJob` adds jobs only from now on.
+    this.hasTakenOver = true;
+  }
+
   /** Adds a job with its recovered progress to the dispatcher, and queues a write of its state, unless the job is queued. */
   private addJob(definition: JobDefinition): void {
     const progress = this.progressRecovery.takeProgress(definition);
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -152,7 +152,10 @@
     const sinceLastMs = sentAt - this.acknowledgedSentAt;
     const tookMs = clock.getNow() - sentAt;
     if (sinceLastMs + tookMs > MAX_TIMELY_INTERVAL_MS) {
-      logger.info('Heartbeat was late.', { sinceLastMs: Math.round(sinceLastMs), tookMs: Math.round(tookMs) });
+      logger.info('Heartbeat was late.', {
+        sinceLastMs: Math.round(sinceLastMs),
+        tookMs: Math.round(tookMs),
+      });
     }
     this.acknowledgedSentAt = Math.max(this.acknowledgedSentAt, sentAt);
   }
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../../common/Logger';
 import type { Random } from '../../common/Random';
 import type { Result } from '../../common/Result';
+import { TimeSlices } from '../../common/TimeSlices';
 import { resourceMath } from '../../jobs/resourceMath';
 import type { EndpointId } from '../../jobs/EndpointId';
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
@@ -80,14 +81,32 @@
     this.endpointRecords.start();
   }
 
-  /** Starts sessions with the known endpoints whose service is used, and with each such endpoint that registers from then on. */
-  startSessions(): void {
+  /**
+   * Starts sessions with the known endpoints whose service is used, and with each such endpoint that registers from then on. Endpoints with runs come
+   * first, as their leases must be renewed; the event loop is left to heartbeats now and then. Resolves once all are started.
+   */
+  async startSessions(): Promise<void> {
     this.canStartSessions = true;
-    for (const id of this.knownEndpoints.keys()) {
-      this.startSessionsFor(id);
+    const slices = new TimeSlices(this.options.clock);
+    for (const id of this.listByRunCount()) {
+      if (this.canStartSessions && this.knownEndpoints.has(id)) {
+        this.startSessionsFor(id);
+        await slices.waitWhenUsedUp();
+      }
     }
   }
 
+  /** Returns the known endpoints, those with most runs first. */
+  private listByRunCount(): readonly EndpointId[] {
+    const countRuns = ({ newestProfile }: KnownEndpoint): number =>
+      newestProfile === undefined
+        ? 0
+        : (this.options.dispatcher.getEndpointState(newestProfile.incarnation)?.countRuns() ?? 0);
+    return [...this.knownEndpoints]
+      .sort(([, left], [, right]) => countRuns(right) - countRuns(left))
+      .map(([id]) => id);
+  }
+
   /** Stops reading records, and all sessions. */
   stop(): void {
     this.canStartSessions = false;
