fix: a leader reads the log for up to 500 ms before it gives up leadership for want of it

Cause: before it hands over, a leader whose writes fail reads the log; that read had 150 ms, less than a turn of its event loop.

--- a/packages/serve/LeaderHandover.ts
+++ b/packages/serve/LeaderHandover.ts
@@ -20,8 +20,8 @@
   readonly getStartedAt: () => number;
   /** Retries the pending log requests of this box. */
   readonly retryPending: () => void;
-  /** Reads the log now; false when the read fails or takes too long. */
-  readonly waitForLogRead: () => Promise<boolean>;
+  /** Reads the log now; false when the read fails or takes longer than a number of milliseconds. */
+  readonly waitForLogRead: (timeoutMs: number) => Promise<boolean>;
   /** Handles that this process stops leading at a planned stop. */
   readonly handleGracefulStop: () => void;
   /** Handles that this process stops leading but keeps running. */
@@ -35,6 +35,11 @@
  * all boxes.
  */
 const RECOVERY_WAIT_MS = 300;
+/**
+ * Time limit of the read that tells a log that this box cannot reach from one that only its writes fail on. Responses to a leader that is short of
+ * processor time wait this long to be read.
+ */
+const LOG_READ_TIMEOUT_MS = 500;
 /** Duration of failing writes from which the leader hands over although its reads succeed. */
 const HANDOVER_WRITE_OUTAGE_MS = 2000;
 /** Time between two searches for a stronger box, and between the election and the first one. */
@@ -142,7 +147,7 @@
     }
     retryPending();
     await waitForDelay(RECOVERY_WAIT_MS);
-    const canRead = await waitForLogRead();
+    const canRead = await waitForLogRead(LOG_READ_TIMEOUT_MS);
     const controller = getController();
     if (controller === undefined || controller.getLogOutageMs() === 0) {
       return;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -366,7 +366,7 @@
       getEpoch: () => this.leadership.getLeaderRecord()?.epoch ?? 0,
       getStartedAt: () => this.startedAt,
       retryPending: () => this.handleLogRecovered(clock.getNow()),
-      waitForLogRead: () => this.followers.jobs.waitForRefresh(LOG_CHECK_TIMEOUT_MS),
+      waitForLogRead: (timeoutMs) => this.followers.jobs.waitForRefresh(timeoutMs),
       handleGracefulStop: () => {
         this.controller = undefined;
       },
