fix: an endpoint that falls silent before it could have left by plan has crashed, also when its record says that it drains

Cause: the end of a draining endpoint counted as planned, whenever it came, and was put down to no task. Why the fix works: an endpoint promises to stay for a time when it begins to drain. One that fell silent before its record said so, or in the first half of that time, has not left by plan. The other half allows for the time until the record is read; where this leader did not see the drain begin, the end counts as planned as before. The line of the end tells isPlanned.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -498,6 +498,7 @@
     this.isRoundDue = true;
     this.isEarlyAdviceDue = true;
     for (const endpoint of [...this.endpoints.values()]) {
+      endpoint.updateDrainStart(now);
       this.endpointLossHandler.handleLeaseExpiry(endpoint, now);
       this.runTracker.sendDueStops(endpoint, now);
     }
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -23,6 +23,12 @@
 /** Upper bound of a single recorded ratio. */
 const MAX_RECORDED_SLOWDOWN = 8;
 
+/**
+ * Share of the time for which a draining endpoint promises to stay, counted from when its record was read, within which it cannot have left by plan.
+ * The rest allows for the time until the record was read.
+ */
+const EARLY_SILENCE_SHARE = 0.5;
+
 /** The leader's view of one incarnation of an endpoint: capacity, runs, leases, reachability and health. */
 export class EndpointState {
   private readonly runs = new Map<string, PlacedRun>();
@@ -35,6 +41,10 @@
   private slowdownAt = 0;
   /** Monotonic time at which the drain was noticed; undefined before. */
   private drainingSince: number | undefined;
+  /** True when a record has said that the endpoint drains after one that did not, so that the begin of the drain is known. */
+  private hasBegunDrain = false;
+  /** True when the endpoint became unreachable before it drained, or too early in its drain to have left by plan, and has not responded since. */
+  private hasFallenSilentEarly = false;
   /** True once the endpoint has responded to this leader, so that it rejects commands of earlier leaders. */
   private synced = false;
   private registered = true;
@@ -66,6 +76,9 @@
 
   /** Replaces the profile by the one of a new record; the endpoint counts as registered again. */
   applyProfile(profile: EndpointProfile): void {
+    const beginsToDrain = profile.isDraining && !this.profile.isDraining;
+    this.hasBegunDrain ||= beginsToDrain;
+    this.hasFallenSilentEarly ||= beginsToDrain && this.unreachableSince !== undefined;
     this.profile = profile;
     this.registered = true;
     this.hasRespondedDeregistered = false;
@@ -152,11 +165,12 @@
   }
 
   /**
-   * Returns true when the removal of the endpoint is planned: it drains, or still responds without a record. A crashed endpoint becomes unreachable
-   * before its record is removed.
+   * Returns true when the removal of the endpoint is planned: it drains and has not fallen silent before it could have left, or still responds without
+   * a record. A crashed endpoint becomes unreachable before its record is removed.
    */
   isRemovalPlanned(): boolean {
-    return this.profile.isDraining || this.hasRespondedDeregistered;
+    const isLeaving = this.profile.isDraining && !this.hasFallenSilentEarly;
+    return isLeaving || this.hasRespondedDeregistered;
   }
 
   /** Returns true once the endpoint has responded to this leader. */
@@ -186,6 +200,7 @@
     this.hasRespondedDeregistered ||= !this.registered;
     this.synced = true;
     this.unreachableSince = undefined;
+    this.hasFallenSilentEarly = false;
   }
 
   /** Records that this leader has sent a poll. */
@@ -200,7 +215,14 @@
 
   /** Records a poll or command without a response. The first one in sequence sets the time since which the endpoint is unreachable. */
   recordUnreachable(now: number): void {
-    this.unreachableSince ??= now;
+    if (this.unreachableSince !== undefined) {
+      return;
+    }
+    this.unreachableSince = now;
+    if (this.hasBegunDrain) {
+      const drainedMs = now - (this.drainingSince ?? now);
+      this.hasFallenSilentEarly = drainedMs < this.profile.minDrainMs * EARLY_SILENCE_SHARE;
+    }
   }
 
   /** Records a lease that expires by the monotonic time `until`. Never shortens the time by which all leases have expired. */
@@ -252,10 +274,16 @@
     return this.hasHighRunFailureRate(now) || this.computeSlowdown(now) > MAX_HEALTHY_SLOWDOWN;
   }
 
-  /** Returns the monotonic time until which a draining endpoint certainly runs. The first call counts as the begin of the drain. */
+  /** Records the begin of the drain, when first called while the endpoint drains. */
+  updateDrainStart(now: number): void {
+    if (this.profile.isDraining) {
+      this.drainingSince ??= now;
+    }
+  }
+
+  /** Returns the monotonic time until which a draining endpoint certainly runs. */
   getDrainDeadline(now: number): number {
-    this.drainingSince ??= now;
-    return this.drainingSince + this.profile.minDrainMs;
+    return (this.drainingSince ?? now) + this.profile.minDrainMs;
   }
 
   /** Returns true when the run failure rate has reached its limit. */
--- a/packages/dispatch/endpoints/createIncarnationEndFields.ts
+++ b/packages/dispatch/endpoints/createIncarnationEndFields.ts
@@ -18,6 +18,7 @@
   return {
     endpoint: incarnation,
     isDraining,
+    isPlanned: state.isRemovalPlanned(),
     hasRecord: state.isRegistered(),
     unheardMs: respondedAt === undefined ? 'never heard' : Math.round(now - respondedAt),
     silentMs: unreachableSince === undefined ? 0 : Math.round(now - unreachableSince),
--- a/tests/crashCharges.test.ts
+++ b/tests/crashCharges.test.ts
@@ -112,6 +112,44 @@
     expect(listCrashes(createJob())).toEqual([]);
   });
 
+  it('is put down to its run when it fell silent before its record said that it drains, so that it had not left by plan', () => {
+    const id = startEndpoint();
+    sendJob(createJob());
+    startRuns();
+    dispatcher.handleEndpointUnreachable(id, now);
+    dispatcher.handleEndpointProfile(createProfile(id, { isDraining: true, minDrainMs: 1000 }));
+    now += 1000;
+    dispatcher.handleIncarnationEnd(id, now);
+    expect(listCrashes(createJob())).toEqual([{ endpoint: id, blame: 'sole' }]);
+  });
+
+  it.each([
+    ['well before the time for which it had promised to stay', 300, ['sole']],
+    ['about when it could leave', 1700, []],
+  ])('is put down accordingly when a draining endpoint falls silent %s', (_name, drainedMs, blames) => {
+    const id = startEndpoint();
+    sendJob(createJob());
+    startRuns();
+    dispatcher.handleEndpointProfile(createProfile(id, { isDraining: true, minDrainMs: 2000 }));
+    dispatcher.handleTick(now);
+    now += drainedMs;
+    stopEndpoint(id);
+    expect(listCrashes(createJob()).map(({ blame }) => blame)).toEqual(blames);
+  });
+
+  it('is put down to no task when the record said that it drains before this leader knew it', () => {
+    const id = startEndpoint();
+    sendJob(createJob());
+    startRuns();
+    const next = toId<EndpointIncarnation>('i-drains');
+    dispatcher.handleEndpointProfile(createProfile(next, { isDraining: true, minDrainMs: 2000 }));
+    sendStatus(next);
+    const [run] = dispatcher.getEndpointState(id)!.getRuns();
+    dispatcher.getEndpointState(next)!.addRun(run!);
+    stopEndpoint(next);
+    expect(listCrashes(createJob())).toEqual([]);
+  });
+
   it('is put down to no task when the endpoint responded after its record was removed', () => {
     const id = startEndpoint();
     sendJob(createJob());
--- a/tests/serve/crashes.test.ts
+++ b/tests/serve/crashes.test.ts
@@ -66,3 +66,35 @@
     await checkOutcome(healthy);
   });
 });
+
+describe('a task that crashes its endpoints, whose records then say that they drain, with real processes', () => {
+  let cell: Cell;
+  let watch: NodeJS.Timeout | undefined;
+
+  beforeEach(async () => {
+    cell = await Cell.create({ boxes: 3, executors: 6, roomPerExecutor: 4 });
+  });
+
+  afterEach(async () => {
+    clearInterval(watch);
+    await cell.stop();
+  });
+
+  it('fails at the crash limit, since none of them has left by plan', async () => {
+    const known = new Map<string, string>();
+    watch = setInterval(() => {
+      const present = new Set(cell.executors.map(({ id }) => id));
+      for (const [id, address] of known) {
+        if (!present.has(id)) {
+          known.delete(id);
+          cell.writeExecutor(id, address, 'draining', 1000);
+        }
+      }
+      cell.executors.forEach(({ id, address }) => known.set(id, address));
+    }, 5);
+    const box = cell.boxes[0]!;
+    expect((await cell.sendJob(box, CRASHING_JOB, createBody('crashes', 1))).status).toBe(200);
+    await cell.startState(box, CRASHING_JOB, 'failed', 30_000);
+    expect(cell.runChecker.countStarts(`${CRASHING_JOB}.0.0.0`)).toBeLessThanOrEqual(MAX_STARTS);
+  });
+});
