fix: a leader that resigns names its successor, which claims first

Cause: the record of the resignation, which all boxes follow, was written before the successor was chosen and asked. Why the fix works: the successor is chosen while the leader still leads, and its address stands in the record; it claims at once, the others after 400 ms more. Records of earlier versions name none and count as before. The test failed before (all claimed within 80 ms).

--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -9,6 +9,8 @@
   readonly process: string;
   /** True once the leader has stopped gracefully and sends no more commands. */
   readonly isResigned: boolean;
+  /** In the record of a leader that has stopped gracefully, the address of the box that is asked to lead next, if one was found. */
+  readonly successor?: string | undefined;
   /**
    * Milliseconds from the writing of this record until the leases of all leaders before this one have expired, except for `previous`. Not
    * given by earlier versions.
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -44,6 +44,8 @@
 const FIRST_CLAIM_JITTER_MS = 150;
 const RESIGNED_CLAIM_JITTER_MS = 80;
 const ENDED_CLAIM_JITTER_MS = 250;
+/** Additional delay of claims after a leader has resigned in favour of another box, so that this claims first. */
+const SUCCESSOR_HEAD_START_MS = 400;
 /** Additional delay of claims by a box that knows stronger boxes, so that these claim first. */
 const OUTRANKED_CLAIM_DELAY_MS = 350;
 /** Additional delay of claims by such a box after a heartbeat timeout, which the stronger boxes may notice later by a read cycle. */
@@ -78,6 +80,8 @@
   private readonly leaseHistory = new LeaseHistory();
   /** Monotonic time at which a read first showed the heartbeat timeout of the leader; undefined without a timeout. */
   private timeoutSeenAt: number | undefined;
+  /** Address of the box that is asked to lead after this process. */
+  private successor: string | undefined;
   /** Random number from 0 to 1, fixed for this process, that scales the delays of its claims. */
   private readonly claimJitter: number;
 
@@ -180,6 +184,11 @@
     this.leaseHistory.recordActivity(this.leaderActiveAt);
   }
 
+  /** Sets the address of the box that is asked to lead after this process, for the record of its resignation. */
+  setSuccessor(address: string | undefined): void {
+    this.successor = address;
+  }
+
   /** Stops the start of further claims, and ignores the result of a pending one. */
   stop(): void {
     this.isStopped = true;
@@ -189,7 +198,8 @@
   formatLeaderRecord(epoch: number, isResigned: boolean): string {
     const { box, address, process, clock } = this.options;
     const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
-    const record: LeaderRecord = { epoch, box, address, process, isResigned };
+    const successor = isResigned && this.successor !== undefined ? { successor: this.successor } : {};
+    const record: LeaderRecord = { epoch, box, address, process, isResigned, ...successor };
     return JSON.stringify(this.leaderRecord?.epoch === epoch ? { ...record, earlierLeasesMs } : record);
   }
 
@@ -284,7 +294,7 @@
         : undefined;
     }
     if (this.leaderRecord.isResigned) {
-      return inactiveMs > this.claimJitter * RESIGNED_CLAIM_JITTER_MS + rankDelayMs
+      return inactiveMs > this.computeResignedDelayMs(this.leaderRecord, rankDelayMs)
         ? 'leader resigned'
         : undefined;
     }
@@ -306,6 +316,15 @@
     return elapsedMs >= dueMs ? 'leader is silent' : undefined;
   }
 
+  /** Returns the delay of a claim after the leader has resigned, in milliseconds; 0 for the box in whose favour it has. */
+  private computeResignedDelayMs({ successor }: LeaderRecord, rankDelayMs: number): number {
+    if (successor === this.options.address) {
+      return 0;
+    }
+    const headStartMs = successor === undefined ? 0 : SUCCESSOR_HEAD_START_MS;
+    return this.claimJitter * RESIGNED_CLAIM_JITTER_MS + rankDelayMs + headStartMs;
+  }
+
   /** Returns true if the last activity of the leader is later than the monotonic time `after` and at most `withinMs` milliseconds ago. */
   hasLeaderActivitySince(after: number, withinMs: number): boolean {
     return this.leaderActiveAt > after && this.options.clock.getNow() - this.leaderActiveAt <= withinMs;
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -7,6 +7,7 @@
   address: z.string().optional(),
   process: z.string(),
   isResigned: z.boolean(),
+  successor: z.string().optional(),
   earlierLeasesMs: z.number().min(0).optional(),
   previous: z.object({ box: z.string(), address: z.string().optional(), process: z.string() }).optional(),
 });
--- a/packages/serve/LeaderHandover.ts
+++ b/packages/serve/LeaderHandover.ts
@@ -22,6 +22,8 @@
   readonly retryPending: () => void;
   /** Reads the log now; false when the read fails or takes longer than a number of milliseconds. */
   readonly waitForLogRead: (timeoutMs: number) => Promise<boolean>;
+  /** Sets the address of the box that is asked to lead next, before this process resigns; undefined when none was found. */
+  readonly setSuccessor: (address: string | undefined) => void;
   /** Handles that this process stops leading at a planned stop. */
   readonly handleGracefulStop: () => void;
   /** Handles that this process stops leading but keeps running. */
@@ -88,15 +90,16 @@
     this.isHandingOver = true;
     const deadline = clock.getNow() + timeoutMs;
     await this.waitForLogOrCandidate(deadline - HANDOVER_RESERVE_MS);
+    const next = await this.findCandidateUntil(deadline - HANDOVER_RESERVE_MS);
     const controller = getController();
     if (controller === undefined) {
       return;
     }
     const epoch = getEpoch();
+    this.options.setSuccessor(next?.address);
     handleGracefulStop();
     await controller.stopGracefully();
-    const next = await this.findCandidateUntil(deadline);
-    await next?.sendHandover(epoch);
+    await (next ?? (await this.findCandidateUntil(deadline)))?.sendHandover(epoch);
   }
 
   /** Resolves once this leader's writes to the log succeed, it stops leading, or another box can use the log; at the latest at `until`. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -365,6 +365,7 @@
       getController: () => this.controller,
       getEpoch: () => this.leadership.getLeaderRecord()?.epoch ?? 0,
       getStartedAt: () => this.startedAt,
+      setSuccessor: (address) => this.leadership.setSuccessor(address),
       retryPending: () => this.handleLogRecovered(clock.getNow()),
       waitForLogRead: (timeoutMs) => this.followers.jobs.waitForRefresh(timeoutMs),
       handleGracefulStop: () => {
--- a/tests/leaderHandover.test.ts
+++ b/tests/leaderHandover.test.ts
@@ -27,6 +27,7 @@
       getController: () => controller as unknown as LeaderController,
       getEpoch: () => 1,
       getStartedAt: () => 0,
+      setSuccessor: () => undefined,
       retryPending: () => undefined,
       waitForLogRead: async (timeoutMs) => {
         await waitForDelay(Math.min(readMs, timeoutMs));
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -91,6 +91,7 @@
     random: number,
     readsEarlierMs = 0,
     knowsJobsAfterMs = 0,
+    leader: LeaderRecord = LEADER,
   ): number => {
     let now = 1000;
     let lastOkAt = now;
@@ -112,7 +113,7 @@
       handleElected: () => undefined,
     });
     leadership.handleLogConnection(true);
-    leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(LEADER) }]);
+    leadership.foldRecords([{ offset: 0, key: leaderKeys.recordKey, value: JSON.stringify(leader) }]);
     for (; claims.length === 0 && now < 5000; now += 10) {
       const readCount = Math.floor((now - 1000 + readsEarlierMs) / CYCLE_MS);
       lastOkAt = Math.max(1000, 1000 + readCount * CYCLE_MS - readsEarlierMs);
@@ -130,6 +131,15 @@
     expect(computeClaimMs(true, 0, 390)).toBeGreaterThan(strong[2]!);
   });
 
+  it('claims at once after a leader has resigned in its favour, and later than the successor otherwise', () => {
+    const claimAfter = (successor: string | undefined): number =>
+      computeClaimMs(false, 0.5, 0, 0, { ...LEADER, isResigned: true, successor });
+    expect(claimAfter('box-1:1')).toBeLessThan(20);
+    expect(claimAfter(undefined)).toBeLessThan(100);
+    expect(claimAfter('box-7:1')).toBeGreaterThan(400);
+    expect(claimAfter('box-7:1')).toBeLessThan(500);
+  });
+
   it('does not claim before it knows the jobs, since it could not act, and would be silent while it reads them', () => {
     expect(computeClaimMs(false, 0, 0, 3000)).toBeGreaterThanOrEqual(3000);
     expect(computeClaimMs(false, 0, 0, 1000)).toBe(1700);
