fix: the crash of an endpoint counts also when the leader that saw it could not record it, and the next one learns of it after the lease

Cause: a run that an earlier leader placed stands on an incarnation that the new leader knows from the job's progress alone. When its lease ran out, its runs ended and the state of that incarnation was removed; the crash was kept as unconfirmed, until the next incarnation of the endpoint responds. That response confirmed only the crashes of incarnations with a state. Why the fix works: a response of an incarnation proves that the others of its endpoint have ended, whether or not their state is kept. The test failed before (no record).

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -99,10 +99,17 @@
       address: run.address,
       crash: { endpoint: incarnation, blame, ageMs: this.getListedAgeMs(run) },
     }));
-    const allRecords = [...unconfirmedRecords, ...records];
-    const blamedJobs = allRecords.filter(({ crash }) => crash.blame !== 'present').map(({ job }) => job);
-    this.crashHistory.recordCrashCause(incarnation, blamedJobs, now);
-    this.recordCrashes(incarnation, allRecords, now);
+    this.recordConfirmedCrashes(incarnation, [...unconfirmedRecords, ...records], now);
+  }
+
+  private recordConfirmedCrashes(
+    crashed: EndpointIncarnation,
+    records: readonly CrashRecord[],
+    now: number,
+  ): void {
+    const blamedJobs = records.filter(({ crash }) => crash.blame !== 'present').map(({ job }) => job);
+    this.crashHistory.recordCrashCause(crashed, blamedJobs, now);
+    this.recordCrashes(crashed, records, now);
   }
 
   /**
@@ -143,10 +150,16 @@
     this.outageDetector.handleUnreachable(endpoint, now);
   }
 
-  /** Handles a response of an endpoint to a poll: it has not crashed, so its unconfirmed crashes and their records are removed. */
+  /**
+   * Handles a response of an incarnation to a poll: it has not crashed, so its unconfirmed crashes and their records are removed. Those of other
+   * incarnations of its endpoint are confirmed, also when their runs were placed by an earlier leader and this one knows no more of them.
+   */
   handleReachable(id: EndpointIncarnation, now: number): void {
     this.outageDetector.handleReachable(id);
     this.removeCrashRecords(id, this.unconfirmedCrashes.takeCrashesOf(id), 'heard again', now);
+    for (const ended of this.unconfirmedCrashes.listOtherIncarnations(id)) {
+      this.recordConfirmedCrashes(ended, this.unconfirmedCrashes.takeCrashesOf(ended), now);
+    }
   }
 
   /** Clears the task of a run that was sent to an earlier incarnation, but began on the next one, of the crash of the earlier incarnation. */
--- a/packages/dispatch/crashes/UnconfirmedCrashes.ts
+++ b/packages/dispatch/crashes/UnconfirmedCrashes.ts
@@ -1,4 +1,5 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
+import { endpointIncarnations } from '../../jobs/endpointIncarnations';
 import type { UnconfirmedCrash } from './UnconfirmedCrash';
 import { crashLimits } from './crashLimits';
 
@@ -18,6 +19,14 @@
     return crashes;
   }
 
+  /** Lists the other incarnations of an incarnation's endpoint that have unconfirmed crashes. */
+  listOtherIncarnations(incarnation: EndpointIncarnation): readonly EndpointIncarnation[] {
+    const id = endpointIncarnations.toEndpointId(incarnation);
+    return [...this.crashes.keys()].filter(
+      (other) => other !== incarnation && endpointIncarnations.toEndpointId(other) === id,
+    );
+  }
+
   /** Returns true while the incarnation has an unconfirmed crash that is recent enough for a poll of its address to confirm it. */
   isCrashUnconfirmed(endpoint: EndpointIncarnation, now: number): boolean {
     return this.crashes.get(endpoint)?.some(({ since }) => now - since < crashLimits.confirmationMs) ?? false;
--- a/tests/crashCharges.test.ts
+++ b/tests/crashCharges.test.ts
@@ -190,6 +190,30 @@
     expect(listCrashes(createJob())).toEqual([{ endpoint: id, blame: 'sole' }]);
   });
 
+  it('counts for all tasks of an earlier leader there once the next incarnation responds, after their leases have expired', () => {
+    const [ended, next] = ['i-9@100', 'i-9@200'].map((name) => toId<EndpointIncarnation>(name));
+    const [sound, suspect] = [createJob(), { ...createJob(), id: createJobDefinition(2, []).id }];
+    for (const definition of [sound, suspect]) {
+      const progress = new JobProgress(definition);
+      progress.recordRunPlaced(FIRST_TASK, 1, ended!);
+      if (definition === suspect) {
+        progress.recordCrash(FIRST_TASK, {
+          endpoint: toId<EndpointIncarnation>('i-8'),
+          blame: 'sole',
+          ageMs: 0,
+        });
+      }
+      dispatcher.handleJob(definition, progress, now);
+    }
+    now += 5000;
+    dispatcher.handleTick(now);
+    expect(listCrashes(sound)).toEqual([]);
+    dispatcher.handleEndpointProfile(createProfile(next!));
+    sendStatus(next!);
+    expect(listCrashes(sound)).toEqual([{ endpoint: ended, blame: 'present' }]);
+    expect(listCrashes(suspect).map(({ endpoint }) => endpoint)).toEqual(['i-8', ended]);
+  });
+
   it('delays the next start of its task, and of no other task of the step', () => {
     const job = createJob({ count: 2, demand: { cpuMillis: 3000, memoryMb: 100, accelerators: 0 } });
     const first = startEndpoint();
