--- a/packages/dispatch/crashes/computeRunBlames.ts
+++ b/packages/dispatch/crashes/computeRunBlames.ts
@@ -22,7 +22,7 @@
  * Computes the degree of blame of each run for the crash of its endpoint. A task that crashes its endpoint usually does so during startup: the
  * crash suspects among the starting runs are to blame, or all starting runs when there is no suspect among them. All other runs, and in an
  * outage all runs, only count as present. The blame is sole for a single task or gang, otherwise shared; for a run of an earlier leader that no
- * status has confirmed, it is inherited. To blame all runs that were there would fail sound jobs (docs/decisions/0015).
+ * status has confirmed, it is inherited. Blaming all runs that were there would fail healthy jobs (docs/decisions/0015).
  */
 export const computeRunBlames = ({
   runs,
