fix: development commands that a signal ends stop their processes

They had no handler, so the default action ended the command before its cleanup.

ManagedProcess and Cell register a cleanup that runs at exit, and these commands turn SIGHUP, SIGINT and SIGTERM into an exit. A command that is killed by SIGKILL still leaves its processes.

No product code is changed.

--- a/dev/bench/benchCommand.ts
+++ b/dev/bench/benchCommand.ts
@@ -1,6 +1,7 @@
 import type { Command } from '../../packages/cli/Command';
 import { exitCodes } from '../../packages/cli/exitCodes';
 import { writeLine } from '../../packages/cli/writeLine';
+import { startExitOnSignal } from '../startExitOnSignal';
 import { benchSections } from './benchSections';
 
 /** `dev bench`: the measurements of docs/MEASUREMENTS.md. */
@@ -10,6 +11,7 @@
   usage: '[SECTION ...]',
   options: {},
   run: async ({ positionals }) => {
+    startExitOnSignal();
     for (const section of benchSections) {
       if (positionals.length === 0 || positionals.includes(section.name)) {
         writeLine(`\n## ${section.name}: ${section.about}\n`);
--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -8,6 +8,7 @@
 import { LogStandin } from '../../packages/standins/platform/LogStandin';
 import { RunChecker } from '../../packages/standins/platform/RunChecker';
 import { topics } from '../../packages/serve/topics';
+import { addExitCleanup } from '../fleet/addExitCleanup';
 import { chooseFreePorts } from '../fleet/chooseFreePorts';
 import { ManagedProcess } from '../fleet/ManagedProcess';
 
@@ -96,6 +97,7 @@
   private laterAddresses: (readonly string[])[] = [];
   private isStopped = false;
   private readonly folder = mkdtempSync(join(tmpdir(), 'stairline-cell-'));
+  private readonly removeFolderCleanup = addExitCleanup(() => this.removeFolder());
 
   private constructor(
     private readonly options: CellOptions,
@@ -136,7 +138,8 @@
     await Promise.all(this.executors.map(({ standin }) => standin.stop()));
     await this.advice.stop();
     await this.log.stop();
-    rmSync(this.folder, { recursive: true, force: true });
+    this.removeFolder();
+    this.removeFolderCleanup();
   }
 
   /**
@@ -418,6 +421,10 @@
     this.boxes.push({ name, front, ready, internal, settingsFile, logFile, process });
   }
 
+  private removeFolder(): void {
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
   private writeKeptLogs(directory: string): void {
     mkdirSync(directory, { recursive: true });
     for (const { name, logFile } of this.boxes) {
--- a/dev/demo/demoCommand.ts
+++ b/dev/demo/demoCommand.ts
@@ -8,6 +8,7 @@
 import { formatEvent } from '../../packages/timeline/formatEvent';
 import type { TimelineEvent } from '../../packages/timeline/TimelineEvent';
 import { Fleet } from '../fleet/Fleet';
+import { startExitOnSignal } from '../startExitOnSignal';
 import { checkOverfill } from './checkOverfill';
 import { readDoubled } from './readDoubled';
 import { demoRows } from './demoRows';
@@ -53,6 +54,7 @@
   usage: '',
   options: {},
   run: async () => {
+    startExitOnSignal();
     const fleet = await Fleet.create({
       halls: [
         { name: 'hall-medeu', entries: 2, workers: 6 },
--- a/dev/fleet/ManagedProcess.ts
+++ b/dev/fleet/ManagedProcess.ts
@@ -1,5 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, readFileSync, type WriteStream } from 'node:fs';
+import { addExitCleanup } from './addExitCleanup';
 
 interface ManagedProcessOptions {
   readonly name: string;
@@ -10,7 +11,7 @@
 const START_LIMIT_MS = 30_000;
 const CLOCK_TICKS_PER_SECOND = 100;
 
-/** One child process of a test or demo. It is signalled by its own id only. */
+/** One child process of a test or demo. It is signalled by its own id only, and does not outlive this process. */
 export class ManagedProcess {
   private readonly child: ChildProcess;
   private readonly log: WriteStream;
@@ -29,6 +30,8 @@
       });
     }
     this.exit = new Promise((resolve) => this.child.once('exit', (code) => resolve(code)));
+    const removeCleanup = addExitCleanup(() => this.child.kill('SIGKILL'));
+    void this.exit.then(removeCleanup);
     this.logged = new Promise((resolve) => this.child.once('close', () => this.log.end(resolve)));
   }
 
--- a/dev/soak/soakCommand.ts
+++ b/dev/soak/soakCommand.ts
@@ -2,6 +2,7 @@
 import { exitCodes } from '../../packages/cli/exitCodes';
 import { writeError } from '../../packages/cli/writeError';
 import { writeLine } from '../../packages/cli/writeLine';
+import { startExitOnSignal } from '../startExitOnSignal';
 import { readKeptSoak } from './readKeptSoak';
 import type { SoakPlan } from './SoakPlan';
 import { startSoak } from './startSoak';
@@ -39,6 +40,7 @@
       writeError(`${String(replay)}: ${kept.error}`);
       return exitCodes.usage;
     }
+    startExitOnSignal();
     for (const plan of kept === undefined ? listPlans(values) : [kept.value]) {
       const keptLogs = typeof keep === 'string' ? { keptLogs: `${keep}/seed-${plan.seed}` } : {};
       const result = await startSoak({ ...plan, ...keptLogs });
