--- /dev/null
+++ b/tests/malformedResponses.test.ts
@@ -0,0 +1,70 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { toId } from '../packages/common/toId';
+import type { EndpointId } from '../packages/jobs/EndpointId';
+import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
+import { HttpAdviceClient } from '../platform/HttpAdviceClient';
+import { HttpEndpointClient } from '../platform/HttpEndpointClient';
+import { HttpLogClient } from '../platform/HttpLogClient';
+
+const TIMEOUT_MS = 1000;
+const ENDPOINT = toId<EndpointId>('i-0');
+
+/** A rejection would end the process, and a status without runs would let them start again elsewhere. */
+describe('a malformed response', () => {
+  let server: Server;
+  let address = '';
+  let responseBody = '';
+
+  beforeEach(async () => {
+    server = createServer((_request, response) => response.end(responseBody));
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  afterEach(async () => {
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  });
+
+  it('of the advice service counts as none', async () => {
+    responseBody = JSON.stringify({ good: 7 });
+    const client = new HttpAdviceClient(address);
+    const advice = client.requestAdvice('0.0.0', [ENDPOINT], TIMEOUT_MS);
+    await expect(advice.finally(() => client.stop())).resolves.toBeUndefined();
+  });
+
+  it.each([
+    ['without rows', JSON.stringify({ 'clock-ms': 1, running: 7 })],
+    ['that is no JSON', 'internal error'],
+  ])('of an endpoint, %s, counts as none', async (_name, body) => {
+    responseBody = body;
+    const client = new HttpEndpointClient({
+      address,
+      id: ENDPOINT,
+      incarnation: toId<EndpointIncarnation>(ENDPOINT),
+      getToken: () => 1,
+      getNow: () => performance.now(),
+      initialClockMs: undefined,
+    });
+    const poll = client.sendPoll({
+      acknowledgedUpTo: 0,
+      leaseMs: undefined,
+      waitMs: 0,
+      timeoutMs: TIMEOUT_MS,
+    });
+    await expect(poll.finally(() => client.stop())).resolves.toMatchObject({ kind: 'unanswered' });
+  });
+
+  it('of the log counts as a failed call', async () => {
+    responseBody = JSON.stringify({ end: 1 });
+    const client = new HttpLogClient({ address });
+    const page = client.readPageOfNewestByKey({
+      topic: 'keyed.op',
+      afterKey: undefined,
+      timeoutMs: TIMEOUT_MS,
+    });
+    await expect(page.finally(() => client.stop())).resolves.toMatchObject({ ok: false });
+  });
+});
