fix: a job counts as pending until a task of it is known to have begun

What callers saw: the count of a queue's pending jobs left out jobs that nothing had started.

Cause: JobProgress took the placement of a run for its begin. The job's state `running` went to the log with the record of the placement, before the start command was sent, and stayed when the start was rejected, withheld, not delivered or unanswered.

Why this works: the state is written at the first sign of a begin (start accepted, run listed, end reported as done or failed, checkpoint). A leader that takes over writes no `queued`, since its predecessor may have seen a begin, so that the state never goes back.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -386,14 +386,12 @@
     this.hasTakenOver = true;
   }
 
-  /** Adds a job with its recovered progress to the dispatcher, and queues a write of its state, unless the job is queued. */
+  /** Adds a job with its recovered progress to the dispatcher, and queues a write of its state. */
   private addJob(definition: JobDefinition): void {
     const progress = this.progressRecovery.takeProgress(definition);
     this.jobServices.add(definition.queue.service);
     this.dispatcher.handleJob(definition, progress, this.options.clock.getNow());
-    if (progress.getState() !== 'queued') {
-      this.journal.queueJobState(definition.id, progress.getState());
-    }
+    this.journal.queueJobState(definition.id, progress.getState());
   }
 
   /** Counts the ends that a poll's status newly reported, carries out the effects of applying the status, and queues a round. */
@@ -525,6 +523,9 @@
       case 'record':
         this.queueProgressRecord(effect.job);
         return;
+      case 'begin':
+        this.queueJobState(effect.job);
+        return;
       case 'start':
         this.queueProgressRecord(effect.job, () => void this.commandSender.sendStart(effect));
         return;
@@ -555,6 +556,13 @@
     }
   }
 
+  private queueJobState(id: JobId): void {
+    const job = this.dispatcher.getJob(id);
+    if (job !== undefined) {
+      this.journal.queueJobState(id, job.progress.getState());
+    }
+  }
+
   /** Counts a start for the load digest, if load is published. */
   private recordStartForLoad(job: JobId): void {
     const queue = this.dispatcher.getJob(job)?.definition.queue.name;
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -93,10 +93,13 @@
     });
   }
 
-  /** Queues a write of a job's state, unless the replica has it as written, and sets it in the replica once it is durable. */
+  /**
+   * Queues a write of a job's state, unless the replica has it as written, and sets it in the replica once it is durable. A queued job is not
+   * written: an earlier leader may know that it has begun.
+   */
   queueJobState(id: JobId, state: JobState): void {
     const { replica } = this.options;
-    if (replica.getWrittenState(id) !== state) {
+    if (state !== 'queued' && replica.getWrittenState(id) !== state) {
       this.stateWriter.queueWrite(
         jobKeys.toStateKey(id),
         () => state,
--- a/packages/dispatch/endpoints/StatusReconciler.ts
+++ b/packages/dispatch/endpoints/StatusReconciler.ts
@@ -105,6 +105,9 @@
       }
     }
     this.applyTransferConfirmed(run, now);
+    if (!run.hasBeenListed) {
+      this.options.tracker.recordRunBegin(run);
+    }
     run.hasBeenListed = true;
     run.lastListedAt = now;
     if (isPastStartup(run)) {
--- a/packages/dispatch/runs/RunCommands.ts
+++ b/packages/dispatch/runs/RunCommands.ts
@@ -136,6 +136,7 @@
     switch (result.kind) {
       case 'done':
         jobs.get(run.job)?.recordStartAccepted(run.address);
+        runTracker.recordRunBegin(run);
         run.stage = 'running';
         run.startConfirmedAt = now;
         return;
--- a/packages/dispatch/runs/RunTracker.ts
+++ b/packages/dispatch/runs/RunTracker.ts
@@ -223,6 +223,13 @@
     }
   }
 
+  /** Records that a run has begun on its endpoint, and emits an effect that writes the job's state if it is the job's first. */
+  recordRunBegin(run: PlacedRun): void {
+    if (this.jobs.get(run.job)?.progress.recordBegin() === true) {
+      this.callbacks.sendEffect({ kind: 'begin', job: run.job });
+    }
+  }
+
   /** Requests an extra poll of the endpoint at once. */
   sendPoll(endpoint: EndpointState): void {
     this.callbacks.sendEffect({ kind: 'look', endpoint: endpoint.getProfile().incarnation });
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -28,8 +28,8 @@
   /** Number of tasks that are not done, by [repetition][step]. */
   private readonly openTaskCounts: number[][] = [];
   private openTaskTotal = 0;
-  /** True once any task has had a run. */
-  private hasStarted = false;
+  /** True once a run of any task is known to have begun on its endpoint; its placement does not suffice, since the start may fail. */
+  private hasBegun = false;
   /** Wall clock of the job's end in Unix milliseconds; 0 until then. */
   private endedAtMs = 0;
   /** Outcome of the job; undefined while it has not ended. */
@@ -61,7 +61,7 @@
   }
 
   getState(): JobState {
-    return this.finalState ?? (this.hasStarted ? 'running' : 'queued');
+    return this.finalState ?? (this.hasBegun ? 'running' : 'queued');
   }
 
   getEndedAtMs(): number {
@@ -99,10 +99,16 @@
     if (task === undefined || task.phase === 'done' || runNumber <= task.runNumber) {
       return;
     }
-    this.hasStarted = true;
     this.setTask(address, { ...task, phase: 'placed', runNumber, endpoint });
   }
 
+  /** Records that a run of any task has begun on its endpoint. Returns false when that was known already. */
+  recordBegin(): boolean {
+    const isNew = !this.hasBegun;
+    this.hasBegun = true;
+    return isNew;
+  }
+
   /**
    * Sets the endpoint of the newest run, which may have started on another incarnation than the one it was placed on. Ignored for an older
    * run and after its end.
@@ -125,6 +131,7 @@
       return false;
     }
     const kept = checkpoint === '' ? task.checkpoint : checkpoint;
+    this.hasBegun ||= outcome !== 'interrupted' || kept !== '';
     if (outcome === 'done') {
       this.setTaskDone(address, task);
       return true;
@@ -164,6 +171,7 @@
   recordCheckpoint(address: TaskAddress, checkpoint: string): void {
     const task = this.getTask(address);
     if (task !== undefined && task.phase !== 'done' && checkpoint !== '') {
+      this.hasBegun = true;
       this.setTask(address, { ...task, checkpoint });
     }
   }
@@ -172,6 +180,7 @@
   setFailureCount(address: TaskAddress, failureCount: number): void {
     const task = this.getTask(address);
     if (task !== undefined) {
+      this.hasBegun ||= failureCount > 0;
       this.setTask(address, { ...task, failureCount });
     }
   }
--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -190,6 +190,9 @@
     if (this.runs.has(task)) {
       return undefined;
     }
+    if (this.fault === 'rejecting') {
+      return 'room';
+    }
     if (body.ticket !== undefined && ticketTexts.hasExpired(body.ticket)) {
       this.expiredTicketCount += 1;
       return 'ticket';
