--- a/dev/fleet/ManagedProcess.ts
+++ b/dev/fleet/ManagedProcess.ts
@@ -11,7 +11,7 @@
 const START_LIMIT_MS = 30_000;
 const CLOCK_TICKS_PER_SECOND = 100;
 
-/** One child process of a test or demo. It is signalled by its own id only, and does not outlive this process. */
+/** One child process of a test or demo. It is signalled by its own id only, and is ended when this process exits, unless a signal kills that. */
 export class ManagedProcess {
   private readonly child: ChildProcess;
   private readonly log: WriteStream;
--- a/tests/malformedResponses.test.ts
+++ b/tests/malformedResponses.test.ts
@@ -11,7 +11,7 @@
 const TIMEOUT_MS = 1000;
 const ENDPOINT = toId<EndpointId>('i-0');
 
-/** A rejection would end the process, and a status without runs would let them start again elsewhere. */
+/** An unhandled rejection ends the process; a status without runs lets tasks that still run start again elsewhere. */
 describe('a malformed response', () => {
   let server: Server;
   let address = '';
