fix: ends of endpoints that may have been crashes count towards the limit of five until they are refuted

Cause: a task that is not likely to blame got no crash record when a lease ran out, only a note that did not count, was lost with its leader if the run was past its startup, and was forgotten after 15 s unless another life answered.

Now each such end is kept with the task's progress until the endpoint responds again, however late, a later run outlasts it, or the task is done. A task is over the limit at five ends, two of which have crash records at least: with fewer, healthy tasks would fail whose endpoints are only partitioned. A new leader leaves the unconfirmed ones as they are, and no longer makes crash records of them.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -657,7 +657,7 @@
       this.endpoints.set(task.endpoint, endpoint);
     }
     const run = createPlacedRun(definition, address, task.runNumber, now, {
-      isCrashSuspect: isCrashSuspect(task.crashes),
+      isCrashSuspect: isCrashSuspect(task),
     });
     run.stage = 'unconfirmed';
     run.checkpoint = task.checkpoint;
--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -9,7 +9,6 @@
 import type { LiveJob } from '../waiting/LiveJob';
 import { computeRunBlames } from './computeRunBlames';
 import { crashLimits } from './crashLimits';
-import { isPastStartup } from './isPastStartup';
 import { isOverCrashLimit } from './isOverCrashLimit';
 import { isCrashSuspect } from './isCrashSuspect';
 import type { TaskRef } from './TaskRef';
@@ -30,6 +29,9 @@
 type CrashRemovalReason =
   'left by plan' | 'heard again' | 'explained by a task that was given up' | 'its run began on the next life';
 
+/** Reason why a crash is not confirmed, as logged. */
+type UnconfirmedReason = 'lease expired';
+
 /** Highest number of tasks listed in one log line; the field `count` of the line has the number of all tasks. */
 const MAX_LOGGED_TASKS = 20;
 
@@ -48,13 +50,13 @@
 
   /**
    * Applies the crash records of a task that earlier leaders left in its job's progress: the task's backoff starts again, and crashes with unproved blame
-   * stay unconfirmed until the endpoint is reachable or has ended.
+   * stay unconfirmed until the endpoint is reachable or has ended. Unconfirmed crashes stay until the endpoint is reachable, as this leader may not know
+   * the address at which another incarnation would confirm them.
    */
   applyRecoveredCrashes(job: LiveJob, address: TaskAddress, now: number): void {
-    this.applyRecoveredUnconfirmed(job, address);
-    const crashes = job.progress.getTask(address)?.crashes ?? [];
-    if (crashes.length === 0) {
-      return;
+    const { crashes, unconfirmedCrashes } = job.progress.getTask(address)!;
+    for (const crash of unconfirmedCrashes) {
+      this.unconfirmedCrashes.addCrash({ job: job.definition.id, address, since: -Infinity, crash });
     }
     for (const { endpoint, blame, ageMs } of crashes) {
       this.crashHistory.recordImplicatedTask(endpoint, {
@@ -68,17 +70,8 @@
         this.unconfirmedCrashes.addCrash({ job: job.definition.id, address, since: now, crash });
       }
     }
-    this.applyCrashRecords(job, address, now);
-  }
-
-  /**
-   * Turns the unconfirmed crashes of a task that an earlier leader left into crash records with unproved blame. This leader may be unable to
-   * confirm them, as it may not know the endpoint's address.
-   */
-  private applyRecoveredUnconfirmed(job: LiveJob, address: TaskAddress): void {
-    for (const crash of job.progress.getTask(address)?.unconfirmedCrashes ?? []) {
-      job.progress.recordCrash(address, { ...crash, blame: 'unproved' });
-      this.options.handleProgressChange(job.definition.id);
+    if (crashes.length > 0) {
+      this.applyCrashRecords(job, address, now);
     }
   }
 
@@ -114,8 +107,7 @@
 
   /**
    * Handles the expiry of an unreachable endpoint's lease, which has ended `runs`. Notes unconfirmed crashes of their tasks, as the endpoint has
-   * crashed or is partitioned. Tasks to blame, and tasks one record below the crash limit, get a record with unproved blame at once. Does nothing
-   * when the removal was planned.
+   * crashed or is partitioned. Tasks to blame get a record with unproved blame at once. Does nothing when the removal was planned.
    */
   handleLeaseExpiry(endpoint: EndpointState, runs: readonly PlacedRun[], now: number): void {
     if (endpoint.isRemovalPlanned()) {
@@ -123,26 +115,19 @@
     }
     const { incarnation } = endpoint.getProfile();
     const unprovedRecords: CrashRecord[] = [];
+    const unconfirmedRecords: CrashRecord[] = [];
     for (const { run, blame } of this.listRunBlames(endpoint, runs)) {
       const { job, address } = run;
       const crash = { endpoint: incarnation, blame, ageMs: this.getListedAgeMs(run) };
       this.unconfirmedCrashes.addCrash({ job, address, since: now, crash });
-      if (blame !== 'present' || this.isOneCrashBelowLimit(run)) {
+      if (blame === 'present') {
+        unconfirmedRecords.push({ job, address, crash });
+      } else {
         unprovedRecords.push({ job, address, crash: { ...crash, blame: 'unproved' } });
-      } else if (!isPastStartup(run)) {
-        this.options.jobs.get(job)?.progress.recordUnconfirmedCrash(address, crash);
-        this.options.handleProgressChange(job);
       }
     }
     this.recordCrashes(incarnation, unprovedRecords, now);
-  }
-
-  /**
-   * Returns true for a run in its startup whose task reaches the crash limit with one more record: its next start must not be sent before the crash
-   * is confirmed or refuted.
-   */
-  private isOneCrashBelowLimit(run: PlacedRun): boolean {
-    return !isPastStartup(run) && this.listCrashRecords(run).length >= crashLimits.maxCrashes - 1;
+    this.recordUnconfirmedCrashes(incarnation, unconfirmedRecords, 'lease expired', now);
   }
 
   /** Records, for the detection of outages, that an endpoint became unreachable. */
@@ -157,7 +142,7 @@
   handleReachable(id: EndpointIncarnation, now: number): void {
     this.outageDetector.handleReachable(id);
     this.removeCrashRecords(id, this.unconfirmedCrashes.takeCrashesOf(id), 'heard again', now);
-    for (const ended of this.unconfirmedCrashes.listOtherIncarnations(id)) {
+    for (const ended of this.unconfirmedCrashes.listOtherIncarnations(id, now)) {
       this.recordConfirmedCrashes(ended, this.unconfirmedCrashes.takeCrashesOf(ended), now);
     }
   }
@@ -230,18 +215,21 @@
   applyCrashLimits(now: number, wallMs: number): void {
     for (const [id, address] of this.tasksOverLimit) {
       const job = this.options.jobs.get(id);
-      const crashes = job?.progress.getTask(address)?.crashes ?? [];
+      const taskProgress = job?.progress.getTask(address);
       // The check is repeated, since another task over the limit may have explained some of the crashes.
       if (
         job !== undefined &&
+        taskProgress !== undefined &&
         !job.progress.isEnded() &&
-        isOverCrashLimit(crashes, this.hasUnexplainedCrashes(now))
+        isOverCrashLimit(taskProgress, this.hasUnexplainedCrashes(now))
       ) {
+        const { crashes, unconfirmedCrashes } = taskProgress;
         const task = toTaskName(id, address);
         this.options.tracker.sendLogLine('Task failed: endpoints crashed under it.', {
           job: id,
           task,
           crashes,
+          unconfirmedCrashes,
         });
         this.options.tracker.sendCount('tasksGivenUp');
         this.crashHistory.recordJobOverLimit(id, now);
@@ -251,10 +239,14 @@
     }
     this.tasksOverLimit.clear();
     this.crashHistory.removeOutdatedCrashes(now);
-    // This becomes durable with the job's next change. Until then a new leader would count these crashes, which is safe.
-    for (const { job, address, crash } of this.unconfirmedCrashes.takeOutdatedCrashes(now)) {
-      this.options.jobs.get(job)?.progress.removeUnconfirmedCrash(address, crash.endpoint);
-    }
+    this.unconfirmedCrashes.removeOutdatedCrashes(now, (record) => this.hasUnconfirmedCrash(record));
+  }
+
+  /** Returns true while a task keeps the record of a crash that a response of the endpoint would refute. */
+  private hasUnconfirmedCrash({ job, address, crash }: CrashRecord): boolean {
+    const task = this.options.jobs.get(job)?.progress.getTask(address);
+    const isSame = ({ endpoint }: TaskCrash): boolean => endpoint === crash.endpoint;
+    return task !== undefined && (task.unconfirmedCrashes.some(isSame) || task.crashes.some(isSame));
   }
 
   /**
@@ -312,7 +304,10 @@
     return computeRunBlames({
       runs: runs.filter(({ stage }) => stage !== 'recording'),
       isOutage: this.outageDetector.isPartOfOutage(endpoint),
-      isSuspect: (run) => isCrashSuspect(jobs.get(run.job)?.progress.getTask(run.address)?.crashes ?? []),
+      isSuspect: (run) => {
+        const task = jobs.get(run.job)?.progress.getTask(run.address);
+        return task !== undefined && isCrashSuspect(task);
+      },
       getGangKey: ({ job, address, task }) => {
         const isGang = jobs.get(job)?.definition.steps[address.step]?.isGang === true;
         return isGang ? `${job}.${address.repetition}.${address.step}` : task;
@@ -377,6 +372,52 @@
     });
   }
 
+  /**
+   * Notes crashes that may not have happened in their tasks' progress, in place of crash records of the same endpoint, and logs them. Leaves out runs so old
+   * that their task can't be the cause.
+   */
+  private recordUnconfirmedCrashes(
+    endpoint: EndpointIncarnation,
+    records: readonly CrashRecord[],
+    reason: UnconfirmedReason,
+    now: number,
+  ): void {
+    const recorded = records.filter((record) => this.recordUnconfirmedCrash(record, now));
+    if (recorded.length === 0) {
+      return;
+    }
+    this.options.tracker.sendLogLine('Unconfirmed crash recorded.', {
+      endpoint,
+      reason,
+      count: recorded.length,
+      tasks: recorded.slice(0, MAX_LOGGED_TASKS).map(({ job, address, crash }) => {
+        const task = this.options.jobs.get(job)?.progress.getTask(address);
+        return {
+          task: toTaskName(job, address),
+          ageMs: crash.ageMs,
+          charged: task?.crashes.length,
+          unconfirmed: task?.unconfirmedCrashes.length,
+        };
+      }),
+    });
+  }
+
+  /** Notes an unconfirmed crash of a task. Returns false, and notes none, when its run was too old, the task is done or unknown, or its job has ended. */
+  private recordUnconfirmedCrash({ job: id, address, crash }: CrashRecord, now: number): boolean {
+    const job = this.options.jobs.get(id);
+    const task = job?.progress.getTask(address);
+    const isOpen =
+      job !== undefined && task !== undefined && task.phase !== 'done' && !job.progress.isEnded();
+    if (!isOpen || crash.ageMs >= crashLimits.maxClearedAgeMs) {
+      return false;
+    }
+    job.progress.removeCrashes(address, ({ endpoint }) => endpoint === crash.endpoint);
+    job.progress.recordUnconfirmedCrash(address, crash);
+    this.options.handleProgressChange(id);
+    this.applyCrashRecords(job, address, now);
+    return true;
+  }
+
   /** Adds a crash record to its task and to the history. Returns false, and adds none, when the task is done or unknown, or its job has ended. */
   private recordCrash({ job: id, address, crash }: CrashRecord, now: number): boolean {
     const job = this.options.jobs.get(id);
@@ -398,12 +439,12 @@
 
   /** Applies a task's crash records: sets the backoff before its next start, and notes the task for `applyCrashLimits` if it is over the limit. */
   private applyCrashRecords(job: LiveJob, address: TaskAddress, now: number): void {
-    const { crashes } = job.progress.getTask(address)!;
-    const backoffMs = computeBackoffMs(crashes);
+    const task = job.progress.getTask(address)!;
+    const backoffMs = computeBackoffMs(task.crashes);
     if (backoffMs > 0) {
       job.recordTaskBackoff(address, now + backoffMs);
     }
-    if (isOverCrashLimit(crashes, this.hasUnexplainedCrashes(now))) {
+    if (isOverCrashLimit(task, this.hasUnexplainedCrashes(now))) {
       this.tasksOverLimit.set(job.definition.id, address);
     }
   }
--- a/packages/dispatch/crashes/UnconfirmedCrashes.ts
+++ b/packages/dispatch/crashes/UnconfirmedCrashes.ts
@@ -19,11 +19,14 @@
     return crashes;
   }
 
-  /** Lists the other incarnations of an incarnation's endpoint that have unconfirmed crashes. */
-  listOtherIncarnations(incarnation: EndpointIncarnation): readonly EndpointIncarnation[] {
+  /** Lists the other incarnations of an incarnation's endpoint whose unconfirmed crashes are recent enough to be confirmed. */
+  listOtherIncarnations(incarnation: EndpointIncarnation, now: number): readonly EndpointIncarnation[] {
     const id = endpointIncarnations.toEndpointId(incarnation);
     return [...this.crashes.keys()].filter(
-      (other) => other !== incarnation && endpointIncarnations.toEndpointId(other) === id,
+      (other) =>
+        other !== incarnation &&
+        endpointIncarnations.toEndpointId(other) === id &&
+        this.isCrashUnconfirmed(other, now),
     );
   }
 
@@ -32,9 +35,12 @@
     return this.crashes.get(endpoint)?.some(({ since }) => now - since < crashLimits.confirmationMs) ?? false;
   }
 
-  /** Removes and returns the crashes of all incarnations whose time for confirmation is over. */
-  takeOutdatedCrashes(now: number): readonly UnconfirmedCrash[] {
-    const outdated = [...this.crashes.keys()].filter((endpoint) => !this.isCrashUnconfirmed(endpoint, now));
-    return outdated.flatMap((endpoint) => this.takeCrashesOf(endpoint));
+  /** Removes the crashes of incarnations whose time for confirmation is over, except those that `isNeeded` keeps for a late response to refute. */
+  removeOutdatedCrashes(now: number, isNeeded: (crash: UnconfirmedCrash) => boolean): void {
+    for (const [endpoint, crashes] of this.crashes) {
+      if (!this.isCrashUnconfirmed(endpoint, now) && !crashes.some(isNeeded)) {
+        this.crashes.delete(endpoint);
+      }
+    }
   }
 }
--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -11,8 +11,10 @@
   unexplainedCrashMs: 30_000,
   /** Number of crashes with sole or shared blame at which a task is over the crash limit. */
   maxLikelyCrashes: 4,
-  /** Number of crashes with any degree of blame at which a task is over the crash limit. */
+  /** Number of crashes with any degree of blame, confirmed or not, at which a task is over the crash limit. */
   maxCrashes: 5,
+  /** Number of crash records from which a task's unconfirmed crashes count towards `maxCrashes` and `suspectAfterCrashes`. */
+  minCrashesWithUnconfirmed: 2,
   /** Number of crashes with any degree of blame from which a task is a crash suspect. */
   suspectAfterCrashes: 3,
   /** Number of crashes with any degree of blame from which a task is not started beside a crash suspect in its startup. */
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -263,14 +263,15 @@
       if (isInReserve && !isLongRunningRestart(step.shape, task)) {
         continue;
       }
+      const crashCount = task.crashes.length + task.unconfirmedCrashes.length;
       const candidate = {
         isSuspect,
-        crashCount: task.crashes.length,
+        crashCount,
         isInGang: step.shape.isGang,
         failureCount: task.failureCount,
       };
       const endpoint = this.chooseEndpoint(step, allowed, candidate, computePreferenceCost, now);
-      if (endpoint === undefined && task.crashes.length > 0) {
+      if (endpoint === undefined && crashCount > 0) {
         // A task with crashes must not be placed beside a crash suspect in its startup; tasks without crashes may still fit.
         continue;
       }
@@ -300,7 +301,7 @@
     const startable = step.indexes.flatMap((index): readonly StartableTask[] => {
       const address = { repetition: step.repetition, step: step.step, index };
       const task = step.job.progress.getTask(address);
-      return task === undefined ? [] : [{ address, task, isSuspect: isCrashSuspect(task.crashes) }];
+      return task === undefined ? [] : [{ address, task, isSuspect: isCrashSuspect(task) }];
     });
     const suspects = startable.filter(({ isSuspect }) => isSuspect);
     if (suspects.length === 0) {
--- a/packages/dispatch/placing/SuspectCosts.ts
+++ b/packages/dispatch/placing/SuspectCosts.ts
@@ -21,7 +21,7 @@
 /** Properties of the task to be placed on which the costs depend. */
 interface TaskToPlace {
   readonly isSuspect: boolean;
-  /** Number of crashes of endpoints that ran the task. */
+  /** Number of crashes, confirmed or not, of endpoints that ran the task. */
   readonly crashCount: number;
 }
 
@@ -65,7 +65,7 @@
       const name = toTaskName(job.definition.id, { repetition, step, index });
       const run =
         task.phase === 'placed' ? this.endpoints.get(task.endpoint)?.getRun(name, task.runNumber) : undefined;
-      return run !== undefined && (run.isCrashSuspect || isCrashSuspect(task.crashes)) ? [run] : [];
+      return run !== undefined && (run.isCrashSuspect || isCrashSuspect(task)) ? [run] : [];
     });
   }
 
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -214,17 +214,6 @@
     }
   }
 
-  /** Removes the unconfirmed crash of an endpoint from a task, if there is one. */
-  removeUnconfirmedCrash(address: TaskAddress, endpoint: EndpointIncarnation): void {
-    const task = this.getTask(address);
-    if (task?.unconfirmedCrashes.some((crash) => crash.endpoint === endpoint) === true) {
-      this.setTask(address, {
-        ...task,
-        unconfirmedCrashes: task.unconfirmedCrashes.filter((crash) => crash.endpoint !== endpoint),
-      });
-    }
-  }
-
   /** Removes the crashes of a task, confirmed or not, that match a predicate. Returns false when none did. */
   removeCrashes(address: TaskAddress, isRemoved: (crash: TaskCrash) => boolean): boolean {
     const task = this.getTask(address);
--- a/packages/jobs/TaskProgress.ts
+++ b/packages/jobs/TaskProgress.ts
@@ -15,6 +15,6 @@
   readonly checkpoint: string;
   /** Confirmed crashes of endpoints that ran the task, which are put down to the task. */
   readonly crashes: readonly TaskCrash[];
-  /** Crashes, not confirmed yet, of endpoints that became unreachable while they ran the task. */
+  /** Ends of endpoints that ran the task, and may have been crashes that it caused. Kept until they are confirmed or refuted. */
   readonly unconfirmedCrashes: readonly TaskCrash[];
 }
--- a/tests/crashes.test.ts
+++ b/tests/crashes.test.ts
@@ -201,6 +201,8 @@
 const REGRESSION_SEEDS = [9, 11, 38, 80, 227];
 /** A change of leader just before crashes are confirmed must not lose the unconfirmed crash records of a task. */
 const LEADER_CHANGE_SEED = 1272;
+/** Mixes of tasks that crash their endpoints after their startup, so that no crash is put down to them alone. */
+const LATE_CRASH_REGRESSION = { seeds: [9, 17], crashAfterMs: 700 };
 /** Two external crashes coincide with two starts of one healthy task. */
 const COINCIDENCE_SEED = 151;
 const EXTERNAL_CAUSES: readonly ExternalCause[] = ['none', 'none', 'share', 'byTurns'];
@@ -281,6 +283,19 @@
     }
   });
 
+  it.each([false, true])(
+    'fail in mixes when they crash their endpoints after their startup, with endpoints that keep their ids: %s',
+    (isKeepingIds) => {
+      const { seeds, crashAfterMs } = LATE_CRASH_REGRESSION;
+      for (const seed of seeds) {
+        const result = runScenario({ ...createMix(seed), crashAfterMs, isKeepingIds });
+        expect(result, `seed ${seed}`).toMatchObject({ crashingUnfailed: 0, healthyUnfinished: 0 });
+        expect(result.healthyFailed, `seed ${seed}`).toBeLessThanOrEqual(1);
+        expect(result.maxStartsAfterThirdCrash, `seed ${seed}`).toBeLessThan(TOO_MANY_STARTS);
+      }
+    },
+  );
+
   it('fail no healthy job whose endpoints crash for external causes during its startup', () => {
     expect(runScenario(createMix(COINCIDENCE_SEED)).healthyFailedEarly).toBe(0);
   });
--- /dev/null
+++ b/tests/possibleCrashes.test.ts
@@ -0,0 +1,214 @@
+/*
+ * Guards against a sixth start of a task that has crashed five endpoints, when the end of one of them did not count as a crash: it was never
+ * confirmed.
+ */
+import { beforeEach, describe, expect, it } from 'vitest';
+import { toId } from '../packages/common/toId';
+import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
+import { Dispatcher } from '../packages/dispatch/Dispatcher';
+import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
+import { formatProgress } from '../packages/jobs/formatProgress';
+import type { JobDefinition } from '../packages/jobs/JobDefinition';
+import type { JobId } from '../packages/jobs/JobId';
+import { JobProgress } from '../packages/jobs/JobProgress';
+import type { JobState } from '../packages/jobs/JobState';
+import { parseProgress } from '../packages/jobs/parseProgress';
+import type { TaskProgress } from '../packages/jobs/TaskProgress';
+import { createJobDefinition } from './helpers/createJobDefinition';
+import { createProfile } from './helpers/createProfile';
+import { createStep } from './helpers/createStep';
+
+const FIRST_TASK = { repetition: 0, step: 0, index: 0 };
+const LEASE_MS = 4000;
+/** Time after the expiry of a lease in which another incarnation may confirm the crash, and more. */
+const CONFIRMATION_OVER_MS = 16_000;
+/** Number of crashes at which a task is not started again, whatever else was on the endpoints. */
+const MAX_CRASHES = 5;
+
+describe('the end of an endpoint that may have been a crash', () => {
+  let dispatcher: Dispatcher;
+  let now: number;
+  let endpointCount: number;
+  let effects: DispatchEffect[];
+  const jobs = new Map<JobId, JobDefinition>();
+  const job = createJobDefinition(1, [createStep({ count: 1 })]);
+
+  const createLeader = (): Dispatcher =>
+    new Dispatcher({ getDefinition: (id) => jobs.get(id), earlierLeasesEndAt: now + LEASE_MS });
+
+  beforeEach(() => {
+    now = 0;
+    endpointCount = 0;
+    effects = [];
+    jobs.clear();
+    dispatcher = createLeader();
+    sendJob(job);
+  });
+
+  const sendJob = (definition: JobDefinition): void => {
+    jobs.set(definition.id, definition);
+    dispatcher.handleJob(definition, new JobProgress(definition), now);
+  };
+
+  const startEndpoint = (cpuMillis = 4000): EndpointIncarnation => {
+    endpointCount += 1;
+    const id = toId<EndpointIncarnation>(`i-${endpointCount}`);
+    const capacity = { cpuMillis, memoryMb: 10_000, accelerators: 0 };
+    dispatcher.handleEndpointProfile(createProfile(id, { capacity }));
+    sendStatus(id);
+    return id;
+  };
+
+  const sendStatus = (id: EndpointIncarnation): void => {
+    const running = [...(dispatcher.getEndpointState(id)?.getRuns() ?? [])].map(({ task, run }) => ({
+      task,
+      run,
+      checkpoint: '',
+      percent: 1,
+      load: 0,
+    }));
+    dispatcher.handleStatus({ endpoint: id, running, ended: [], pollSentAt: now }, now, now);
+    dispatcher.getEndpointState(id)?.recordLease(now + LEASE_MS);
+  };
+
+  /** Places the waiting tasks, and confirms each start. */
+  const startRuns = (): void => {
+    dispatcher.handleTick(now);
+    dispatcher.placeWaiting(now, now);
+    for (const effect of dispatcher.takeEffects()) {
+      effects.push(effect);
+      if (effect.kind === 'start' && dispatcher.handleStartRecorded(effect, now)) {
+        const { task, run } = effect.command;
+        dispatcher.handleStartResult(effect.endpoint, task, run, { kind: 'done' }, now);
+      }
+    }
+  };
+
+  /** Replaces the leader by one that knows the jobs from the log, and no endpoint. */
+  const startNextLeader = (): void => {
+    const texts = [...jobs.values()].map(
+      (definition) =>
+        [definition, formatProgress(definition, dispatcher.getJob(definition.id)!.progress)] as const,
+    );
+    dispatcher = createLeader();
+    for (const [definition, text] of texts) {
+      dispatcher.handleJob(definition, parseProgress(definition, text)!, now);
+    }
+  };
+
+  const endEndpoint = (id: EndpointIncarnation): void => {
+    dispatcher.handleEndpointUnreachable(id, now);
+    now += 300;
+    dispatcher.handleIncarnationEnd(id, now);
+  };
+
+  const expireLease = (id: EndpointIncarnation): void => {
+    dispatcher.handleEndpointUnreachable(id, now);
+    now += LEASE_MS + 100;
+    dispatcher.handleTick(now);
+  };
+
+  /** Makes the next unreachable endpoint part of an outage, so that no task there is to blame. */
+  const startOutage = (): void => {
+    dispatcher.handleEndpointUnreachable(startEndpoint(0), now);
+  };
+
+  /** Starts a run of the task on a new endpoint, and returns that. */
+  const startOnNewEndpoint = (): EndpointIncarnation => {
+    const id = startEndpoint();
+    startRuns();
+    return id;
+  };
+
+  /** Crashes an endpoint under the task in an outage. */
+  const crashInOutage = (): void => {
+    const id = startOnNewEndpoint();
+    startOutage();
+    endEndpoint(id);
+    now += 3000;
+  };
+
+  const getTask = (): TaskProgress => dispatcher.getJob(job.id)!.progress.getTask(FIRST_TASK)!;
+  const getState = (): JobState | undefined => dispatcher.getJob(job.id)?.progress.getState();
+
+  const WAYS: Readonly<Record<string, () => void>> = {
+    'in an outage, unreachable until its lease expired, and not known to have ended': () => {
+      const id = startOnNewEndpoint();
+      startOutage();
+      expireLease(id);
+      now += CONFIRMATION_OVER_MS;
+      startRuns();
+    },
+    'beside a likelier task, at an address that this leader does not know': () => {
+      const suspect = createJobDefinition(2, [createStep({ count: 1 })]);
+      sendJob(suspect);
+      const id = startOnNewEndpoint();
+      dispatcher.getJob(suspect.id)!.progress.recordCrash(FIRST_TASK, {
+        endpoint: toId<EndpointIncarnation>('i-0'),
+        blame: 'shared',
+        ageMs: 0,
+      });
+      startNextLeader();
+      now += LEASE_MS + 100;
+      dispatcher.handleTick(now);
+      expect(dispatcher.getEndpointState(id)).toBeUndefined();
+      dispatcher.handleCancel(suspect.id, now);
+    },
+    'in an outage, after a poll had listed the run, right before another leader': () => {
+      const id = startOnNewEndpoint();
+      now += 400;
+      sendStatus(id);
+      startOutage();
+      expireLease(id);
+      startNextLeader();
+    },
+  };
+
+  it.each(Object.entries(WAYS))('counts towards the limit of five when it ended %s', (_name, endByWay) => {
+    endByWay();
+    now += 3000;
+    expect(getTask().phase).toBe('waiting');
+    for (let crashes = 1; crashes < MAX_CRASHES; crashes += 1) {
+      expect(getState()).not.toBe('failed');
+      crashInOutage();
+    }
+    startRuns();
+    expect(getState() ?? 'failed').toBe('failed');
+    expect(effects).toContainEqual(
+      expect.objectContaining({ message: 'Task failed: endpoints crashed under it.' }),
+    );
+  });
+
+  it('counts towards the limit of five also when two such ends are not confirmed yet', () => {
+    for (let crashes = 1; crashes <= 3; crashes += 1) {
+      crashInOutage();
+    }
+    for (let expiries = 1; expiries <= 2; expiries += 1) {
+      const id = startOnNewEndpoint();
+      now += 400;
+      sendStatus(id);
+      startOutage();
+      expireLease(id);
+    }
+    startRuns();
+    expect(getState() ?? 'failed').toBe('failed');
+  });
+
+  it.each([
+    ['this leader', false],
+    ['the next one', true],
+  ])('counts no more when the endpoint responds, however late, to %s', (_name, isNextLeader) => {
+    const id = startOnNewEndpoint();
+    startOutage();
+    expireLease(id);
+    expect(getTask().unconfirmedCrashes).toHaveLength(1);
+    now += CONFIRMATION_OVER_MS;
+    dispatcher.placeWaiting(now, now);
+    if (isNextLeader) {
+      startNextLeader();
+      dispatcher.handleEndpointProfile(createProfile(id));
+    }
+    sendStatus(id);
+    expect(getTask()).toMatchObject({ crashes: [], unconfirmedCrashes: [] });
+  });
+});
