fix: an end that seems planned is kept as an unconfirmed crash of what ran there

Callers saw a harmful task started 3 or 4 times more after three endpoints had ended under it, where the end of one of them counted as planned: it fell silent late in the time that its record had promised, its record said that it drains before this leader knew it, it had responded without a record, or it drained and was silent until its lease ran out. None of these left a trace in the task's progress. From what a leader sees none can be told from a crash.

Such an end is now an unconfirmed crash: it counts towards the limit of five once two crashes of the task are recorded, and makes no task suspect before. The crash simulation has drains and a log that takes no writes.

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -27,10 +27,10 @@
 
 /** Reason for removing crash records, as logged. */
 type CrashRemovalReason =
-  'left by plan' | 'heard again' | 'explained by a task that was given up' | 'its run began on the next life';
+  'heard again' | 'explained by a task that was given up' | 'its run began on the next life';
 
 /** Reason why a crash is not confirmed, as logged. */
-type UnconfirmedReason = 'lease expired';
+type UnconfirmedReason = 'left by plan' | 'lease expired';
 
 /** Highest number of tasks listed in one log line; the field `count` of the line has the number of all tasks. */
 const MAX_LOGGED_TASKS = 20;
@@ -77,21 +77,21 @@
 
   /**
    * Handles the end of an incarnation on which `runs` were, or may have been. Records a crash of their tasks, and confirms the unconfirmed ones.
-   * If its removal was planned, removes its unconfirmed crashes and their records instead.
+   * When its removal was planned, all of these are unconfirmed instead: a task may have crashed it before it left.
    */
   handleIncarnationEnd(endpoint: EndpointState, runs: readonly PlacedRun[], now: number): void {
     const { incarnation, address } = endpoint.getProfile();
     const unconfirmedRecords = this.unconfirmedCrashes.takeCrashesOf(incarnation);
-    if (endpoint.isRemovalPlanned()) {
-      this.removeCrashRecords(incarnation, unconfirmedRecords, 'left by plan', now);
-      return;
-    }
-    this.crashHistory.recordMachineCrash(address, now);
     const records = this.listRunBlames(endpoint, runs).map(({ run, blame }) => ({
       job: run.job,
       address: run.address,
       crash: { endpoint: incarnation, blame, ageMs: this.getListedAgeMs(run) },
     }));
+    if (endpoint.isRemovalPlanned()) {
+      this.recordUnconfirmedCrashes(incarnation, [...unconfirmedRecords, ...records], 'left by plan', now);
+      return;
+    }
+    this.crashHistory.recordMachineCrash(address, now);
     this.recordConfirmedCrashes(incarnation, [...unconfirmedRecords, ...records], now);
   }
 
@@ -107,27 +107,26 @@
 
   /**
    * Handles the expiry of an unreachable endpoint's lease, which has ended `runs`. Notes unconfirmed crashes of their tasks, as the endpoint has
-   * crashed or is partitioned. Tasks to blame get a record with unproved blame at once. Does nothing when the removal was planned.
+   * crashed, is partitioned, or has left by plan. Unless its removal was planned, tasks to blame get a record with unproved blame at once.
    */
   handleLeaseExpiry(endpoint: EndpointState, runs: readonly PlacedRun[], now: number): void {
-    if (endpoint.isRemovalPlanned()) {
-      return;
-    }
     const { incarnation } = endpoint.getProfile();
+    const isPlanned = endpoint.isRemovalPlanned();
     const unprovedRecords: CrashRecord[] = [];
     const unconfirmedRecords: CrashRecord[] = [];
     for (const { run, blame } of this.listRunBlames(endpoint, runs)) {
       const { job, address } = run;
       const crash = { endpoint: incarnation, blame, ageMs: this.getListedAgeMs(run) };
-      this.unconfirmedCrashes.addCrash({ job, address, since: now, crash });
-      if (blame === 'present') {
+      this.unconfirmedCrashes.addCrash({ job, address, since: isPlanned ? -Infinity : now, crash });
+      if (isPlanned || blame === 'present') {
         unconfirmedRecords.push({ job, address, crash });
       } else {
         unprovedRecords.push({ job, address, crash: { ...crash, blame: 'unproved' } });
       }
     }
     this.recordCrashes(incarnation, unprovedRecords, now);
-    this.recordUnconfirmedCrashes(incarnation, unconfirmedRecords, 'lease expired', now);
+    const reason = isPlanned ? 'left by plan' : 'lease expired';
+    this.recordUnconfirmedCrashes(incarnation, unconfirmedRecords, reason, now);
   }
 
   /** Records, for the detection of outages, that an endpoint became unreachable. */
--- a/tests/crashes.test.ts
+++ b/tests/crashes.test.ts
@@ -75,6 +75,10 @@
   readonly isResponseLost?: boolean;
   readonly restartMs?: number;
   readonly isKeepingIds?: boolean;
+  /** Chance that an endpoint's record says that it drains, checked at intervals. */
+  readonly drainChance?: number;
+  /** Chance that the log takes no writes for a while, checked at intervals. */
+  readonly logOutageChance?: number;
   readonly seed?: number;
 }
 
@@ -132,6 +136,7 @@
     seed = 1,
   } = scenario;
   const { restartMs = SITE.restartMs, isKeepingIds = false } = scenario;
+  const { drainChance = 0, logOutageChance = 0 } = scenario;
   const leaders = leaderChangeMs === undefined ? {} : { leaderChangeMs, leaderChangesUntilMs: LOAD_MS };
   const simulation = new CrashSimulation({
     ...SITE,
@@ -140,6 +145,9 @@
     isUnresponsive,
     isResponseLost,
     isKeepingIds,
+    drainChance,
+    logOutageChance,
+    troublesUntilMs: LOAD_MS,
     ...leaders,
   });
   const crashingJobs: JobDefinition[] = [];
@@ -201,6 +209,11 @@
 const REGRESSION_SEEDS = [9, 11, 38, 80, 227];
 /** A change of leader just before crashes are confirmed must not lose the unconfirmed crash records of a task. */
 const LEADER_CHANGE_SEED = 1272;
+/** Mixes in which crashes on draining endpoints, and unconfirmed ones, must count towards the limit, with the chances of drains and outages of the log. */
+const DRAIN_REGRESSIONS = [
+  { seeds: [25, 61, 83], drainChance: 0.01, logOutageChance: 0.002 },
+  { seeds: [182, 238], drainChance: 0.004, logOutageChance: 0.004 },
+];
 /** Mixes of tasks that crash their endpoints after their startup, so that no crash is put down to them alone. */
 const LATE_CRASH_REGRESSION = { seeds: [9, 17], crashAfterMs: 700 };
 /** Two external crashes coincide with two starts of one healthy task. */
@@ -283,6 +296,23 @@
     }
   });
 
+  it.each([false, true])(
+    'fail in mixes with endpoints that drain and a log that takes no writes, with endpoints that keep their ids: %s',
+    (isKeepingIds) => {
+      for (const { seeds, ...chances } of DRAIN_REGRESSIONS) {
+        for (const seed of seeds) {
+          const result = runScenario({ ...createMix(seed), ...chances, isKeepingIds });
+          expect(result, `seed ${seed}`).toMatchObject({
+            crashingUnfailed: 0,
+            healthyFailed: 0,
+            healthyUnfinished: 0,
+          });
+          expect(result.maxStartsAfterThirdCrash, `seed ${seed}`).toBeLessThan(TOO_MANY_STARTS);
+        }
+      }
+    },
+  );
+
   it.each([false, true])(
     'fail in mixes when they crash their endpoints after their startup, with endpoints that keep their ids: %s',
     (isKeepingIds) => {
--- a/tests/helpers/CrashSimulation.ts
+++ b/tests/helpers/CrashSimulation.ts
@@ -4,6 +4,7 @@
 import type { DispatchEffect } from '../../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../../packages/dispatch/Dispatcher';
 import type { EndedTaskStatus } from '../../packages/dispatch/endpoints/EndedTaskStatus';
+import type { LiveJob } from '../../packages/dispatch/waiting/LiveJob';
 import type { EndpointProfile } from '../../packages/dispatch/endpoints/EndpointProfile';
 import { endpointIncarnations } from '../../packages/jobs/endpointIncarnations';
 import type { EndpointIncarnation } from '../../packages/jobs/EndpointIncarnation';
@@ -40,6 +41,12 @@
   readonly leaderChangeMs?: number;
   /** Time after which the leader doesn't change any more: each new one waits for the leases of earlier leaders. */
   readonly leaderChangesUntilMs?: number;
+  /** Chance, checked at intervals, that the record of a running endpoint says that it drains; it leaves at the end of the time it promises to stay. */
+  readonly drainChance?: number;
+  /** Chance, checked at intervals, that the log takes no writes for a while. */
+  readonly logOutageChance?: number;
+  /** Time after which no drain and no outage of the log begins. */
+  readonly troublesUntilMs?: number;
 }
 
 interface SimulatedRun {
@@ -60,7 +67,9 @@
 }
 
 interface Incarnation {
-  readonly profile: EndpointProfile;
+  profile: EndpointProfile;
+  /** Time at which the incarnation leaves by plan; Infinity unless it drains. */
+  leavesAt: number;
   readonly runs: Map<TaskName, SimulatedRun>;
   ends: EndedTaskStatus[];
   endCount: number;
@@ -82,6 +91,15 @@
 const RECORD_EXPIRY_MS = 4500;
 const COMMAND_TIMEOUT_MS = 120;
 const TOLERATED_CRASHES = 3;
+/** Interval at which drains and outages of the log may begin. */
+const TROUBLE_INTERVAL_MS = 100;
+/** Time for which a draining endpoint promises to stay. */
+const DRAIN_MS = 1000;
+const MIN_LOG_OUTAGE_MS = 200;
+const MAX_LOG_OUTAGE_MS = 1700;
+/** Outage of writes to the log above which starts are held. */
+const START_HOLD_OUTAGE_MS = 1000;
+const TROUBLE_SEED_OFFSET = 104_729;
 
 /**
  * A cluster on virtual time whose endpoints crash because of their tasks or external causes, and restart at the same address. Drives the dispatcher
@@ -104,7 +122,15 @@
     readonly fields: Readonly<Record<string, unknown>>;
   }[] = [];
   private readonly random: Random;
+  /** Source of the drains and outages of the log, apart from `random` so that a seed plays the same with and without them. */
+  private readonly troubleRandom: Random;
   private now = 0;
+  /** Time at which the log takes writes again. */
+  private logSilentUntil = -Infinity;
+  private logSilentSince = -Infinity;
+  /** Jobs whose progress the leader has to write, and starts that wait for that, while the log takes no writes. */
+  private readonly unwrittenJobs = new Map<JobId, LiveJob>();
+  private unsentStarts: StartEffect[] = [];
   private dispatcher!: Dispatcher;
   private readonly machines: Machine[] = [];
   private readonly jobs = new Map<JobId, SubmittedJob>();
@@ -117,9 +143,12 @@
   private readonly pendingTimeouts: { readonly at: number; readonly effect: StartEffect }[] = [];
   /** Time at which an incarnation crashed. */
   private readonly crashedAt = new Map<EndpointIncarnation, number>();
+  /** Incarnations whose records say that they drain. */
+  private readonly drainingIncarnations = new Set<EndpointIncarnation>();
 
   constructor(private readonly options: CrashSimulationOptions) {
     this.random = createRandom(options.seed);
+    this.troubleRandom = createRandom(options.seed + TROUBLE_SEED_OFFSET);
     for (let index = 0; index < options.endpoints; index += 1) {
       const machine: Machine = { index, incarnationCount: 0, incarnation: undefined, restartsAt: 0 };
       this.machines.push(machine);
@@ -176,6 +205,7 @@
     while (this.now < until) {
       this.now += STEP_MS;
       handleTick(this.now);
+      this.startTroubles();
       this.updateMachines();
       this.handleTimeouts();
       if (this.now % POLL_INTERVAL_MS === 0) {
@@ -187,17 +217,60 @@
         this.startLeader();
       }
       this.dispatcher.handleTick(this.now);
-      this.dispatcher.placeWaiting(this.now, this.now);
+      this.placeUnlessHeld();
       this.applyEffects();
     }
   }
 
+  /** Starts drains and outages of the log, each by chance. */
+  private startTroubles(): void {
+    const { drainChance = 0, logOutageChance = 0, troublesUntilMs = Infinity } = this.options;
+    if (this.now % TROUBLE_INTERVAL_MS !== 0 || this.now >= troublesUntilMs) {
+      return;
+    }
+    for (const machine of drainChance > 0 ? this.machines : []) {
+      if (this.troubleRandom() < drainChance && machine.incarnation !== undefined) {
+        this.startDrain(machine, machine.incarnation);
+      }
+    }
+    if (logOutageChance > 0 && this.troubleRandom() < logOutageChance && !this.isLogSilent()) {
+      this.logSilentSince = this.now;
+      this.logSilentUntil =
+        this.now + MIN_LOG_OUTAGE_MS + this.troubleRandom() * (MAX_LOG_OUTAGE_MS - MIN_LOG_OUTAGE_MS);
+    }
+  }
+
+  private startDrain(machine: Machine, incarnation: Incarnation): void {
+    if (incarnation.leavesAt !== Infinity) {
+      return;
+    }
+    incarnation.leavesAt = this.now + DRAIN_MS;
+    this.drainingIncarnations.add(incarnation.profile.incarnation);
+    incarnation.profile = this.createIncarnationProfile(machine, incarnation.profile.incarnation);
+    this.dispatcher.handleEndpointProfile(incarnation.profile);
+  }
+
+  private isLogSilent(): boolean {
+    return this.now < this.logSilentUntil;
+  }
+
+  /** Runs a scheduling round; while the log has taken no writes for long, cancels the starts that wait for it instead. */
+  private placeUnlessHeld(): void {
+    if (this.isLogSilent() && this.now - this.logSilentSince > START_HOLD_OUTAGE_MS) {
+      this.dispatcher.cancelUnrecordedStarts(this.now);
+    } else {
+      this.dispatcher.placeWaiting(this.now, this.now);
+    }
+  }
+
   private startLeader(): void {
     this.dispatcher = new Dispatcher({
       earlierLeasesEndAt: this.now + MAX_LEASE_MS,
       getDefinition: (id) => this.jobs.get(id)?.definition,
     });
     this.pendingTimeouts.length = 0;
+    this.unwrittenJobs.clear();
+    this.unsentStarts = [];
     this.polledIncarnations.clear();
     for (const machine of this.machines) {
       if (machine.incarnation !== undefined) {
@@ -224,7 +297,12 @@
   private createIncarnationProfile(machine: Machine, incarnation: EndpointIncarnation): EndpointProfile {
     const capacity = { cpuMillis: this.options.cpuMillis, memoryMb: 100_000, accelerators: 0 };
     const id = endpointIncarnations.toEndpointId(incarnation);
-    return createProfile(id, { incarnation, capacity, address: `machine-${machine.index}:80` });
+    return createProfile(id, {
+      incarnation,
+      capacity,
+      address: `machine-${machine.index}:80`,
+      ...(this.drainingIncarnations.has(incarnation) ? { isDraining: true, minDrainMs: DRAIN_MS } : {}),
+    });
   }
 
   private startIncarnation(machine: Machine): void {
@@ -233,7 +311,7 @@
     const id = toId<EndpointIncarnation>(`i-${machine.index}${separator}${machine.incarnationCount}`);
     this.handleRecordReplaced(id);
     const profile = this.createIncarnationProfile(machine, id);
-    machine.incarnation = { profile, runs: new Map(), ends: [], endCount: 0 };
+    machine.incarnation = { profile, leavesAt: Infinity, runs: new Map(), ends: [], endCount: 0 };
     if (machine.incarnationCount > 1) {
       this.dispatcher.handleEndpointProfile(profile);
       this.polledIncarnations.set(id, machine);
@@ -277,6 +355,10 @@
   }
 
   private updateIncarnation(machine: Machine, incarnation: Incarnation): void {
+    if (this.now >= incarnation.leavesAt) {
+      this.stopIncarnation(machine);
+      return;
+    }
     for (const run of [...incarnation.runs.values()]) {
       if (this.now >= run.crashesAt) {
         this.crashCount += 1;
@@ -344,29 +426,43 @@
   }
 
   private applyEffects(): void {
-    const starts: StartEffect[] = [];
     for (const effect of this.dispatcher.takeEffects()) {
-      if (effect.kind === 'record') {
-        this.writeProgress(effect.job);
-      } else if (effect.kind === 'start') {
-        starts.push(effect);
+      if (effect.kind === 'record' || effect.kind === 'start') {
+        this.queueProgress(effect.job);
+      }
+      if (effect.kind === 'start') {
+        this.unsentStarts.push(effect);
       } else if (effect.kind === 'stop') {
         this.sendStop(effect);
       } else if (effect.kind === 'tell') {
         this.logLines.push({ at: this.now, ...effect });
       }
     }
-    starts.forEach((effect) => this.sendStart(effect));
+    if (!this.isLogSilent()) {
+      this.writeEffects();
+    }
   }
 
-  private writeProgress(id: JobId): void {
+  private queueProgress(id: JobId): void {
     const job = this.dispatcher.getJob(id);
-    if (job === undefined) {
-      return;
+    if (job !== undefined) {
+      this.unwrittenJobs.set(id, job);
     }
-    this.recordedProgress.set(id, formatProgress(job.definition, job.progress));
-    const submitted = this.jobs.get(id)!;
-    if (job.progress.isEnded()) {
+  }
+
+  /** Writes the progress of changed jobs, then sends the starts that waited for that. */
+  private writeEffects(): void {
+    const starts = this.unsentStarts;
+    this.unsentStarts = [];
+    this.unwrittenJobs.forEach((job) => this.writeProgress(job));
+    this.unwrittenJobs.clear();
+    starts.forEach((effect) => this.sendStart(effect));
+  }
+
+  private writeProgress({ definition, progress }: LiveJob): void {
+    this.recordedProgress.set(definition.id, formatProgress(definition, progress));
+    const submitted = this.jobs.get(definition.id)!;
+    if (progress.isEnded()) {
       submitted.endedAt ??= this.now;
     }
   }
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -1,6 +1,6 @@
 /*
- * Guards against a sixth start of a task that has crashed five endpoints, when the end of one of them did not count as a crash: it was never
- * confirmed.
+ * Guards against a sixth start of a task that has crashed five endpoints, when the end of one of them did not count as a crash: it seemed planned,
+ * was never confirmed, or was cleared.
  */
 import { beforeEach, describe, expect, it } from 'vitest';
 import { toId } from '../packages/common/toId';
@@ -20,6 +20,7 @@
 
 const FIRST_TASK = { repetition: 0, step: 0, index: 0 };
 const LEASE_MS = 4000;
+const DRAIN_MS = 1000;
 /** Time after the expiry of a lease in which another incarnation may confirm the crash, and more. */
 const CONFIRMATION_OVER_MS = 16_000;
 /** Number of crashes at which a task is not started again, whatever else was on the endpoints. */
@@ -84,18 +85,26 @@
     }
   };
 
-  /** Replaces the leader by one that knows the jobs from the log, and no endpoint. */
-  const startNextLeader = (): void => {
+  /** Replaces the leader by one that knows the jobs from the log, and no endpoint but `draining`. */
+  const startNextLeader = (draining?: EndpointIncarnation): void => {
     const texts = [...jobs.values()].map(
       (definition) =>
         [definition, formatProgress(definition, dispatcher.getJob(definition.id)!.progress)] as const,
     );
     dispatcher = createLeader();
+    if (draining !== undefined) {
+      drainEndpoint(draining);
+    }
     for (const [definition, text] of texts) {
       dispatcher.handleJob(definition, parseProgress(definition, text)!, now);
     }
   };
 
+  const drainEndpoint = (id: EndpointIncarnation): void => {
+    dispatcher.handleEndpointProfile(createProfile(id, { isDraining: true, minDrainMs: DRAIN_MS }));
+    dispatcher.handleTick(now);
+  };
+
   const endEndpoint = (id: EndpointIncarnation): void => {
     dispatcher.handleEndpointUnreachable(id, now);
     now += 300;
@@ -132,6 +141,30 @@
   const getState = (): JobState | undefined => dispatcher.getJob(job.id)?.progress.getState();
 
   const WAYS: Readonly<Record<string, () => void>> = {
+    'late in the time for which its record had promised to stay': () => {
+      const id = startOnNewEndpoint();
+      drainEndpoint(id);
+      now += 850;
+      endEndpoint(id);
+    },
+    'after it had said that it drains, before this leader knew it': () => {
+      const id = startOnNewEndpoint();
+      startNextLeader(id);
+      endEndpoint(id);
+    },
+    'after it had responded without a record': () => {
+      const id = startOnNewEndpoint();
+      dispatcher.handleEndpointDeregistered(id);
+      sendStatus(id);
+      endEndpoint(id);
+    },
+    'draining, and unreachable until its lease expired': () => {
+      const id = startOnNewEndpoint();
+      drainEndpoint(id);
+      now += 850;
+      expireLease(id);
+      dispatcher.handleIncarnationEnd(id, now);
+    },
     'in an outage, unreachable until its lease expired, and not known to have ended': () => {
       const id = startOnNewEndpoint();
       startOutage();
@@ -211,4 +244,23 @@
     sendStatus(id);
     expect(getTask()).toMatchObject({ crashes: [], unconfirmedCrashes: [] });
   });
+
+  it('counts no more when a run of the task has lasted much longer', () => {
+    WAYS['after it had responded without a record']!();
+    expect(getTask().unconfirmedCrashes).toHaveLength(1);
+    const id = startOnNewEndpoint();
+    now += 1500;
+    sendStatus(id);
+    expect(getTask().unconfirmedCrashes).toEqual([]);
+  });
+
+  it('fails no task under which fewer than two endpoints are known to have crashed', () => {
+    for (let ends = 1; ends <= 8; ends += 1) {
+      WAYS['late in the time for which its record had promised to stay']!();
+      now += 3000;
+    }
+    crashInOutage();
+    startRuns();
+    expect(getState()).toBe('running');
+  });
 });
