fix: a crash that a given-up task explains stays an unconfirmed one of what else ran there

Callers saw harmful tasks that end their endpoints after their startup started 3 times more after the third: when one of them was given up, the records of the others on the same endpoint were removed, since their runs had been listed at 300 ms or more. They clear each other so.

The record becomes an unconfirmed crash.

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -26,11 +26,10 @@
 }
 
 /** Reason for removing crash records, as logged. */
-type CrashRemovalReason =
-  'heard again' | 'explained by a task that was given up' | 'its run began on the next life';
+type CrashRemovalReason = 'heard again' | 'its run began on the next life';
 
 /** Reason why a crash is not confirmed, as logged. */
-type UnconfirmedReason = 'left by plan' | 'lease expired';
+type UnconfirmedReason = 'left by plan' | 'lease expired' | 'explained by a task that was given up';
 
 /** Highest number of tasks listed in one log line; the field `count` of the line has the number of all tasks. */
 const MAX_LOGGED_TASKS = 20;
@@ -199,7 +198,17 @@
 
   /** Returns true when a task has a record of the crash of this incarnation. */
   private hasCrashRecord(task: TaskRef, crashed: EndpointIncarnation): boolean {
-    return this.listCrashRecords(task).some(({ endpoint }) => endpoint === crashed);
+    return this.listCrashRecordsOf(task, crashed).length > 0;
+  }
+
+  /** Returns a task's record of the crash of this incarnation, if there is one. */
+  private listCrashRecordsOf(
+    { job, address }: TaskRef,
+    crashed: EndpointIncarnation,
+  ): readonly CrashRecord[] {
+    return this.listCrashRecords({ job, address })
+      .filter(({ endpoint }) => endpoint === crashed)
+      .map((crash) => ({ job, address, crash }));
   }
 
   /** Returns the crash records of a task; an empty list when the task has none, or its job is unknown. */
@@ -250,7 +259,8 @@
 
   /**
    * Clears other tasks of the crashes that a task over the limit explains by its sole or shared blame. Tasks whose runs were in their startup keep a
-   * record with the blame `present`, since several tasks may crash the same endpoints. Tasks with the sole blame for some crash keep all records.
+   * record with the blame `present`, and others an unconfirmed one, since several tasks may crash the same endpoints. Tasks with the sole blame for
+   * some crash keep all records.
    */
   private removeExplainedCrashes(taskOverLimit: TaskRef, crashes: readonly TaskCrash[], now: number): void {
     for (const { endpoint, blame } of crashes) {
@@ -262,8 +272,10 @@
           !this.hasSoleBlame({ job, address }),
       );
       const present = others.filter((other) => this.setBlamePresent(other, endpoint, now));
-      const cleared = others.filter((other) => !present.includes(other));
-      this.removeCrashRecords(endpoint, cleared, 'explained by a task that was given up', now);
+      const cleared = others
+        .filter((other) => !present.includes(other))
+        .flatMap((other) => this.listCrashRecordsOf(other, endpoint));
+      this.recordUnconfirmedCrashes(endpoint, cleared, 'explained by a task that was given up', now);
     }
   }
 
--- a/tests/crashes.test.ts
+++ b/tests/crashes.test.ts
@@ -215,7 +215,7 @@
   { seeds: [182, 238], drainChance: 0.004, logOutageChance: 0.004 },
 ];
 /** Mixes of tasks that crash their endpoints after their startup, so that no crash is put down to them alone. */
-const LATE_CRASH_REGRESSION = { seeds: [9, 17], crashAfterMs: 700 };
+const LATE_CRASH_REGRESSION = { seeds: [9, 17, 78, 85], crashAfterMs: 700 };
 /** Two external crashes coincide with two starts of one healthy task. */
 const COINCIDENCE_SEED = 151;
 const EXTERNAL_CAUSES: readonly ExternalCause[] = ['none', 'none', 'share', 'byTurns'];
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -195,6 +195,22 @@
       expireLease(id);
       startNextLeader();
     },
+    'with another task, which was given up for it': () => {
+      const other = createJobDefinition(2, [createStep({ count: 1 })]);
+      const id = startOnNewEndpoint();
+      now += 400;
+      sendStatus(id);
+      sendJob(other);
+      dispatcher.getJob(other.id)!.progress.recordCrash(FIRST_TASK, {
+        endpoint: toId<EndpointIncarnation>('i-0'),
+        blame: 'sole',
+        ageMs: 0,
+      });
+      startRuns();
+      endEndpoint(id);
+      startRuns();
+      expect(dispatcher.getJob(other.id)?.progress.getState() ?? 'failed').toBe('failed');
+    },
   };
 
   it.each(Object.entries(WAYS))('counts towards the limit of five when it ended %s', (_name, endByWay) => {
