fix: two tasks of one job over the crash limit do not hide each other

A job was not given up although one of its tasks had reached the limit, and the task was started again. Only one task of a job was noted until the check before the next round, the one noted last; when another job's failure explained some of its crashes, the check of the job found nothing, and the first task was not looked at until its next crash. Found by reading.

Tasks are noted by name. 'fails a job with two tasks over the limit when the crashes of only one of them are explained' fails on ('running' for 'failed').

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -2,6 +2,7 @@
 import type { JobId } from '../../jobs/JobId';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskCrash } from '../../jobs/TaskCrash';
+import type { TaskName } from '../../jobs/TaskName';
 import { toTaskName } from '../../jobs/toTaskName';
 import type { EndpointState } from '../endpoints/EndpointState';
 import type { PlacedRun } from '../runs/PlacedRun';
@@ -42,8 +43,8 @@
   private readonly unconfirmedCrashes = new UnconfirmedCrashes();
   private readonly crashHistory = new CrashHistory();
   private readonly outageDetector = new OutageDetector();
-  /** One task that may be over the crash limit, by job, until the next call of `applyCrashLimits`. */
-  private readonly tasksOverLimit = new Map<JobId, TaskAddress>();
+  /** Tasks that may be over the crash limit, by name, until the next call of `applyCrashLimits`. */
+  private readonly tasksOverLimit = new Map<TaskName, TaskRef>();
 
   constructor(private readonly options: CrashTrackerOptions) {}
 
@@ -221,7 +222,7 @@
    * ones that can't be confirmed any more.
    */
   applyCrashLimits(now: number, wallMs: number): void {
-    for (const [id, address] of this.tasksOverLimit) {
+    for (const [task, { job: id, address }] of this.tasksOverLimit) {
       const job = this.options.jobs.get(id);
       const taskProgress = job?.progress.getTask(address);
       // The check is repeated, since another task over the limit may have explained some of the crashes.
@@ -232,7 +233,6 @@
         isOverCrashLimit(taskProgress, this.hasUnexplainedCrashes(now))
       ) {
         const { crashes, unconfirmedCrashes } = taskProgress;
-        const task = toTaskName(id, address);
         this.options.tracker.sendLogLine('Task failed: endpoints crashed under it.', {
           job: id,
           task,
@@ -456,7 +456,8 @@
       job.recordTaskBackoff(address, now + backoffMs);
     }
     if (isOverCrashLimit(task, this.hasUnexplainedCrashes(now))) {
-      this.tasksOverLimit.set(job.definition.id, address);
+      const { id } = job.definition;
+      this.tasksOverLimit.set(toTaskName(id, address), { job: id, address });
     }
   }
 }
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -6,6 +6,7 @@
 import { toId } from '../packages/common/toId';
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
+import type { CrashBlame } from '../packages/jobs/CrashBlame';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
 import { formatProgress } from '../packages/jobs/formatProgress';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
@@ -279,4 +280,30 @@
     startRuns();
     expect(getState()).toBe('running');
   });
+
+  it('fails a job with two tasks over the limit when the crashes of only one of them are explained', () => {
+    const [harmful, twofold] = [2, 3].map((number) =>
+      createJobDefinition(number, [createStep({ count: number - 1 })]),
+    ) as [JobDefinition, JobDefinition];
+    const recordAll = (
+      progress: JobProgress,
+      index: number,
+      blame: CrashBlame,
+      endpoints: readonly string[],
+    ): void =>
+      endpoints.forEach((name) =>
+        progress.recordCrash(
+          { ...FIRST_TASK, index },
+          { endpoint: toId<EndpointIncarnation>(name), blame, ageMs: 0 },
+        ),
+      );
+    const [harmfulProgress, progress] = [new JobProgress(harmful), new JobProgress(twofold)];
+    recordAll(harmfulProgress, 0, 'sole', ['i-a', 'i-b', 'i-c']);
+    recordAll(progress, 0, 'present', ['i-d', 'i-e', 'i-f', 'i-g', 'i-h']);
+    recordAll(progress, 1, 'shared', ['i-a', 'i-k', 'i-l', 'i-m']);
+    dispatcher.handleJob(harmful, harmfulProgress, now);
+    dispatcher.handleJob(twofold, progress, now);
+    startOnNewEndpoint();
+    expect(progress.getState()).toBe('failed');
+  });
 });
