fix: the start of a crash suspect on a draining endpoint is not stopped before it has shown whether it crashes that

A suspect's run in its startup is no longer evicted. Most harmful tasks crash their endpoint by then; a run that goes on is evicted as before. Not closed: a harmful task that ends its endpoints later and is stopped before.

--- a/packages/dispatch/runs/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -1,3 +1,4 @@
+import { isPastStartup } from '../crashes/isPastStartup';
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import type { JobId } from '../../jobs/JobId';
 import type { JobStep } from '../../jobs/JobStep';
@@ -88,6 +89,10 @@
       return undefined;
     }
     const { priority } = run;
+    if (run.isCrashSuspect && !isPastStartup(run)) {
+      // The run shows whether it crashes an endpoint again; a stop would cost a start that tells nothing.
+      return undefined;
+    }
     if (endpoint.getProfile().isDraining && endpoint.getProfile().minDrainMs > 0) {
       return this.isEvictionDue(endpoint, run, shape, now)
         ? { endpoint, run, priority, reason: 'endpointLeaves', gainMs: 0 }
--- a/tests/crashes.test.ts
+++ b/tests/crashes.test.ts
@@ -212,7 +212,7 @@
 /** Mixes in which crashes on draining endpoints, and unconfirmed ones, must count towards the limit, with the chances of drains and outages of the log. */
 const DRAIN_REGRESSIONS = [
   { seeds: [25, 61, 83], drainChance: 0.01, logOutageChance: 0.002 },
-  { seeds: [182, 238], drainChance: 0.004, logOutageChance: 0.004 },
+  { seeds: [182, 238, 325], drainChance: 0.004, logOutageChance: 0.004 },
 ];
 /** Mixes of tasks that crash their endpoints after their startup, so that no crash is put down to them alone. */
 const LATE_CRASH_REGRESSION = { seeds: [9, 17, 78, 85], crashAfterMs: 700 };
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -306,4 +306,32 @@
     startOnNewEndpoint();
     expect(progress.getState()).toBe('failed');
   });
+
+  it('is waited for while a suspect starts on a draining endpoint, since a start that is stopped would be one too many', () => {
+    const suspect = createJobDefinition(2, [createStep({ count: 1, estimatedMs: 60_000 })]);
+    const progress = new JobProgress(suspect);
+    progress.recordCrash(FIRST_TASK, {
+      endpoint: toId<EndpointIncarnation>('i-0'),
+      blame: 'sole',
+      ageMs: 0,
+    });
+    jobs.set(suspect.id, suspect);
+    dispatcher.handleJob(suspect, progress, now);
+    now += 1000;
+    const id = startOnNewEndpoint();
+    const other = startEndpoint();
+    drainEndpoint(id);
+    const hasStopped = (): boolean => {
+      effects.push(...dispatcher.takeEffects());
+      return effects.some((effect) => effect.kind === 'stop' && effect.task.startsWith(suspect.id));
+    };
+    expect(progress.getTask(FIRST_TASK)!.endpoint).toBe(id);
+    dispatcher.handleTick(now);
+    expect(hasStopped()).toBe(false);
+    now += 400;
+    sendStatus(id);
+    sendStatus(other);
+    dispatcher.handleTick(now);
+    expect(hasStopped()).toBe(true);
+  });
 });
