fix: a lasting task keeps no crash record that a given-up task explains

A sound lasting task would have been given up after five crashes that given-up tasks explain. Since such a record becomes an unconfirmed one; for a run of a minute and more, too old to be the cause, nothing was noted, and the confirmed record stayed, which had been removed before. Found by reading the change again; no run met it.

The records of such runs are removed again. 'is not kept for a run too old to be the cause, when another task was given up for it' of tests/possibleCrashes fails on (one crash record for none).

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -27,7 +27,8 @@
 }
 
 /** Reason for removing crash records, as logged. */
-type CrashRemovalReason = 'heard again' | 'its run began on the next life';
+type CrashRemovalReason =
+  'heard again' | 'explained by a task that was given up' | 'its run began on the next life';
 
 /** Reason why a crash is not confirmed, as logged. */
 type UnconfirmedReason = 'left by plan' | 'lease expired' | 'explained by a task that was given up';
@@ -35,6 +36,10 @@
 /** Highest number of tasks listed in one log line; the field `count` of the line has the number of all tasks. */
 const MAX_LOGGED_TASKS = 20;
 
+/** Returns true when the run in a crash record was so old that its task can't be the cause. */
+const isOutlasted = ({ crash }: Pick<CrashRecord, 'crash'>): boolean =>
+  crash.ageMs >= crashLimits.maxClearedAgeMs;
+
 /**
  * Puts crashes of endpoints down to the tasks that may have caused them, so that a task that crashes its endpoints is not retried without limit.
  * An incarnation whose end was not planned counts as crashed. Crash records are part of a job's progress, and survive a change of leader.
@@ -259,8 +264,8 @@
 
   /**
    * Clears other tasks of the crashes that a task over the limit explains by its sole or shared blame. Tasks whose runs were in their startup keep a
-   * record with the blame `present`, and others an unconfirmed one, since several tasks may crash the same endpoints. Tasks with the sole blame for
-   * some crash keep all records.
+   * record with the blame `present`, and others an unconfirmed one, since several tasks may crash the same endpoints; those whose runs were too old to be
+   * the cause keep none. Tasks with the sole blame for some crash keep all records.
    */
   private removeExplainedCrashes(taskOverLimit: TaskRef, crashes: readonly TaskCrash[], now: number): void {
     for (const { endpoint, blame } of crashes) {
@@ -272,10 +277,12 @@
           !this.hasSoleBlame({ job, address }),
       );
       const present = others.filter((other) => this.setBlamePresent(other, endpoint, now));
-      const cleared = others
+      const explained = others
         .filter((other) => !present.includes(other))
         .flatMap((other) => this.listCrashRecordsOf(other, endpoint));
-      this.recordUnconfirmedCrashes(endpoint, cleared, 'explained by a task that was given up', now);
+      const reason = 'explained by a task that was given up';
+      this.recordUnconfirmedCrashes(endpoint, explained, reason, now);
+      this.removeCrashRecords(endpoint, explained.filter(isOutlasted), reason, now);
     }
   }
 
@@ -419,7 +426,7 @@
     const task = job?.progress.getTask(address);
     const isOpen =
       job !== undefined && task !== undefined && task.phase !== 'done' && !job.progress.isEnded();
-    if (!isOpen || crash.ageMs >= crashLimits.maxClearedAgeMs) {
+    if (!isOpen || isOutlasted({ crash })) {
       return false;
     }
     job.progress.removeCrashes(address, ({ endpoint }) => endpoint === crash.endpoint);
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -141,6 +141,24 @@
   const getTask = (): TaskProgress => dispatcher.getJob(job.id)!.progress.getTask(FIRST_TASK)!;
   const getState = (): JobState | undefined => dispatcher.getJob(job.id)?.progress.getState();
 
+  /** Ends an endpoint on which the task has run for `ageMs` as another task, given up for that, begins there. */
+  const endWithHarmfulTask = (ageMs: number): void => {
+    const other = createJobDefinition(2, [createStep({ count: 1 })]);
+    const id = startOnNewEndpoint();
+    now += ageMs;
+    sendStatus(id);
+    sendJob(other);
+    dispatcher.getJob(other.id)!.progress.recordCrash(FIRST_TASK, {
+      endpoint: toId<EndpointIncarnation>('i-0'),
+      blame: 'sole',
+      ageMs: 0,
+    });
+    startRuns();
+    endEndpoint(id);
+    startRuns();
+    expect(dispatcher.getJob(other.id)?.progress.getState() ?? 'failed').toBe('failed');
+  };
+
   const WAYS: Readonly<Record<string, () => void>> = {
     'late in the time for which its record had promised to stay': () => {
       const id = startOnNewEndpoint();
@@ -196,22 +214,7 @@
       expireLease(id);
       startNextLeader();
     },
-    'with another task, which was given up for it': () => {
-      const other = createJobDefinition(2, [createStep({ count: 1 })]);
-      const id = startOnNewEndpoint();
-      now += 400;
-      sendStatus(id);
-      sendJob(other);
-      dispatcher.getJob(other.id)!.progress.recordCrash(FIRST_TASK, {
-        endpoint: toId<EndpointIncarnation>('i-0'),
-        blame: 'sole',
-        ageMs: 0,
-      });
-      startRuns();
-      endEndpoint(id);
-      startRuns();
-      expect(dispatcher.getJob(other.id)?.progress.getState() ?? 'failed').toBe('failed');
-    },
+    'with another task, which was given up for it': () => endWithHarmfulTask(400),
   };
 
   it.each(Object.entries(WAYS))('counts towards the limit of five when it ended %s', (_name, endByWay) => {
@@ -271,6 +274,11 @@
     expect(getTask().unconfirmedCrashes).toEqual([]);
   });
 
+  it('is not kept for a run too old to be the cause, when another task was given up for it', () => {
+    endWithHarmfulTask(60_000);
+    expect(getTask()).toMatchObject({ crashes: [], unconfirmedCrashes: [] });
+  });
+
   it('fails no task under which fewer than two endpoints are known to have crashed', () => {
     for (let ends = 1; ends <= 8; ends += 1) {
       WAYS['late in the time for which its record had promised to stay']!();
