fix: the unconfirmed crashes of a task are bounded

The progress record of a lasting task would have grown without end where its endpoints go on leaving by plan, each sooner than twice the age of the run before: each such end was kept, and none outlasted. Found by reading the change again; no run met it.

The newest five are kept, as many as the limit that they count towards. 'is forgotten for five newer ones' of tests/possibleCrashes fails on (eight kept).

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -430,7 +430,7 @@
       return false;
     }
     job.progress.removeCrashes(address, ({ endpoint }) => endpoint === crash.endpoint);
-    job.progress.recordUnconfirmedCrash(address, crash);
+    job.progress.recordUnconfirmedCrash(address, crash, crashLimits.maxUnconfirmedCrashes);
     this.options.handleProgressChange(id);
     this.applyCrashRecords(job, address, now);
     return true;
--- a/packages/dispatch/crashes/crashLimits.ts
+++ b/packages/dispatch/crashes/crashLimits.ts
@@ -15,6 +15,8 @@
   maxCrashes: 5,
   /** Number of crash records from which a task's unconfirmed crashes count towards `maxCrashes` and `suspectAfterCrashes`. */
   minCrashesWithUnconfirmed: 2,
+  /** Highest number of unconfirmed crashes kept with a task: the newest. */
+  maxUnconfirmedCrashes: 5,
   /** Number of crashes with any degree of blame from which a task is a crash suspect. */
   suspectAfterCrashes: 3,
   /** Number of crashes with any degree of blame from which a task is not started beside a crash suspect in its startup. */
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -203,14 +203,14 @@
   }
 
   /**
-   * Records the unconfirmed crash of an endpoint under a task, in place of an earlier unconfirmed one of that endpoint. Ignored when the
-   * task is done.
+   * Records the unconfirmed crash of an endpoint under a task, in place of an earlier unconfirmed one of that endpoint. Keeps the newest `maxCount`.
+   * Ignored when the task is done.
    */
-  recordUnconfirmedCrash(address: TaskAddress, crash: TaskCrash): void {
+  recordUnconfirmedCrash(address: TaskAddress, crash: TaskCrash, maxCount = Infinity): void {
     const task = this.getTask(address);
     if (task !== undefined && task.phase !== 'done') {
       const others = task.unconfirmedCrashes.filter(({ endpoint }) => endpoint !== crash.endpoint);
-      this.setTask(address, { ...task, unconfirmedCrashes: [...others, crash] });
+      this.setTask(address, { ...task, unconfirmedCrashes: [...others, crash].slice(-maxCount) });
     }
   }
 
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -279,6 +279,15 @@
     expect(getTask()).toMatchObject({ crashes: [], unconfirmedCrashes: [] });
   });
 
+  it('is forgotten for five newer ones, so that the record of a lasting task does not grow without end', () => {
+    for (let ends = 1; ends <= 8; ends += 1) {
+      WAYS['after it had responded without a record']!();
+      now += 3000;
+    }
+    const endpoints = getTask().unconfirmedCrashes.map(({ endpoint }) => endpoint);
+    expect(endpoints).toEqual(['i-4', 'i-5', 'i-6', 'i-7', 'i-8']);
+  });
+
   it('fails no task under which fewer than two endpoints are known to have crashed', () => {
     for (let ends = 1; ends <= 8; ends += 1) {
       WAYS['late in the time for which its record had promised to stay']!();
