Crashes: names, types and comments that stand without the body

The time until which a crash may be confirmed replaces a start time with a special value; the two log lines of crashes are created in one place, and have the same fields; a task's crashes have a type; the check for a task that may still be started stands once. The class of the new line is listed with those of its kind.

--- a/packages/dispatch/crashes/CrashTracker.ts
+++ b/packages/dispatch/crashes/CrashTracker.ts
@@ -15,6 +15,7 @@
 import type { TaskRef } from './TaskRef';
 import type { CrashRecord } from './CrashRecord';
 import { UnconfirmedCrashes } from './UnconfirmedCrashes';
+import { createCrashFields } from './createCrashFields';
 import { CrashHistory } from './CrashHistory';
 import { OutageDetector } from './OutageDetector';
 import { computeBackoffMs } from './computeBackoffMs';
@@ -36,13 +37,13 @@
 /** Highest number of tasks listed in one log line; the field `count` of the line has the number of all tasks. */
 const MAX_LOGGED_TASKS = 20;
 
-/** Returns true when the run in a crash record was so old that its task can't be the cause. */
-const isOutlasted = ({ crash }: Pick<CrashRecord, 'crash'>): boolean =>
-  crash.ageMs >= crashLimits.maxClearedAgeMs;
+/** Returns true when a run was so old when its endpoint crashed that its task can't be the cause. */
+const isTooOldToBlame = ({ ageMs }: TaskCrash): boolean => ageMs >= crashLimits.maxClearedAgeMs;
 
 /**
  * Puts crashes of endpoints down to the tasks that may have caused them, so that a task that crashes its endpoints is not retried without limit.
- * An incarnation whose end was not planned counts as crashed. Crash records are part of a job's progress, and survive a change of leader.
+ * An incarnation whose end was not planned counts as crashed; one whose end may have been a crash leaves unconfirmed crashes. Both are part of a
+ * job's progress, and survive a change of leader.
  */
 export class CrashTracker {
   private readonly unconfirmedCrashes = new UnconfirmedCrashes();
@@ -61,7 +62,12 @@
   applyRecoveredCrashes(job: LiveJob, address: TaskAddress, now: number): void {
     const { crashes, unconfirmedCrashes } = job.progress.getTask(address)!;
     for (const crash of unconfirmedCrashes) {
-      this.unconfirmedCrashes.addCrash({ job: job.definition.id, address, since: -Infinity, crash });
+      this.unconfirmedCrashes.addCrash({
+        job: job.definition.id,
+        address,
+        confirmableUntil: -Infinity,
+        crash,
+      });
     }
     for (const { endpoint, blame, ageMs } of crashes) {
       this.crashHistory.recordImplicatedTask(endpoint, {
@@ -72,7 +78,8 @@
       });
       if (blame === 'unproved') {
         const crash = { endpoint, blame: 'inherited', ageMs } as const;
-        this.unconfirmedCrashes.addCrash({ job: job.definition.id, address, since: now, crash });
+        const confirmableUntil = now + crashLimits.confirmationMs;
+        this.unconfirmedCrashes.addCrash({ job: job.definition.id, address, confirmableUntil, crash });
       }
     }
     if (crashes.length > 0) {
@@ -117,12 +124,13 @@
   handleLeaseExpiry(endpoint: EndpointState, runs: readonly PlacedRun[], now: number): void {
     const { incarnation } = endpoint.getProfile();
     const isPlanned = endpoint.isRemovalPlanned();
+    const confirmableUntil = isPlanned ? -Infinity : now + crashLimits.confirmationMs;
     const unprovedRecords: CrashRecord[] = [];
     const unconfirmedRecords: CrashRecord[] = [];
     for (const { run, blame } of this.listRunBlames(endpoint, runs)) {
       const { job, address } = run;
       const crash = { endpoint: incarnation, blame, ageMs: this.getListedAgeMs(run) };
-      this.unconfirmedCrashes.addCrash({ job, address, since: isPlanned ? -Infinity : now, crash });
+      this.unconfirmedCrashes.addCrash({ job, address, confirmableUntil, crash });
       if (isPlanned || blame === 'present') {
         unconfirmedRecords.push({ job, address, crash });
       } else {
@@ -204,17 +212,12 @@
 
   /** Returns true when a task has a record of the crash of this incarnation. */
   private hasCrashRecord(task: TaskRef, crashed: EndpointIncarnation): boolean {
-    return this.listCrashRecordsOf(task, crashed).length > 0;
+    return this.findCrash(task, crashed) !== undefined;
   }
 
-  /** Returns a task's record of the crash of this incarnation, if there is one. */
-  private listCrashRecordsOf(
-    { job, address }: TaskRef,
-    crashed: EndpointIncarnation,
-  ): readonly CrashRecord[] {
-    return this.listCrashRecords({ job, address })
-      .filter(({ endpoint }) => endpoint === crashed)
-      .map((crash) => ({ job, address, crash }));
+  /** Returns a task's record of the crash of this incarnation; undefined when it has none. */
+  private findCrash(task: TaskRef, crashed: EndpointIncarnation): TaskCrash | undefined {
+    return this.listCrashRecords(task).find(({ endpoint }) => endpoint === crashed);
   }
 
   /** Returns the crash records of a task; an empty list when the task has none, or its job is unknown. */
@@ -223,8 +226,8 @@
   }
 
   /**
-   * Fails the jobs with a task over the crash limit, and clears other tasks of the crashes that such a task explains. Removes outdated crashes, and unconfirmed
-   * ones that can't be confirmed any more.
+   * Fails the jobs with a task over the crash limit, and clears other tasks of the crashes that such a task explains. Removes outdated crashes from memory,
+   * and unconfirmed ones that can neither be confirmed nor refuted any more.
    */
   applyCrashLimits(now: number, wallMs: number): void {
     for (const [task, { job: id, address }] of this.tasksOverLimit) {
@@ -252,11 +255,11 @@
     }
     this.tasksOverLimit.clear();
     this.crashHistory.removeOutdatedCrashes(now);
-    this.unconfirmedCrashes.removeOutdatedCrashes(now, (record) => this.hasUnconfirmedCrash(record));
+    this.unconfirmedCrashes.removeOutdatedCrashes(now, (record) => this.hasRefutableCrash(record));
   }
 
   /** Returns true while a task keeps the record of a crash that a response of the endpoint would refute. */
-  private hasUnconfirmedCrash({ job, address, crash }: CrashRecord): boolean {
+  private hasRefutableCrash({ job, address, crash }: CrashRecord): boolean {
     const task = this.options.jobs.get(job)?.progress.getTask(address);
     const isSame = ({ endpoint }: TaskCrash): boolean => endpoint === crash.endpoint;
     return task !== undefined && (task.unconfirmedCrashes.some(isSame) || task.crashes.some(isSame));
@@ -279,10 +282,14 @@
       const present = others.filter((other) => this.setBlamePresent(other, endpoint, now));
       const explained = others
         .filter((other) => !present.includes(other))
-        .flatMap((other) => this.listCrashRecordsOf(other, endpoint));
+        .flatMap(({ job, address }): readonly CrashRecord[] => {
+          const crash = this.findCrash({ job, address }, endpoint);
+          return crash === undefined ? [] : [{ job, address, crash }];
+        });
       const reason = 'explained by a task that was given up';
       this.recordUnconfirmedCrashes(endpoint, explained, reason, now);
-      this.removeCrashRecords(endpoint, explained.filter(isOutlasted), reason, now);
+      const outlasted = explained.filter(({ crash }) => isTooOldToBlame(crash));
+      this.removeCrashRecords(endpoint, outlasted, reason, now);
     }
   }
 
@@ -296,7 +303,7 @@
     now: number,
   ): boolean {
     const job = this.options.jobs.get(id);
-    const crashRecord = job?.progress.getTask(address)?.crashes.find((crash) => crash.endpoint === endpoint);
+    const crashRecord = this.findCrash({ job: id, address }, endpoint);
     if (job === undefined || crashRecord === undefined || crashRecord.ageMs >= crashLimits.startupMs) {
       return false;
     }
@@ -378,16 +385,8 @@
       return;
     }
     this.options.tracker.sendCount('crashesCharged', recorded.length);
-    this.options.tracker.sendLogLine('Crash recorded.', {
-      endpoint,
-      count: recorded.length,
-      tasks: recorded.slice(0, MAX_LOGGED_TASKS).map(({ job, address, crash }) => ({
-        task: toTaskName(job, address),
-        blame: crash.blame,
-        ageMs: crash.ageMs,
-        charged: this.options.jobs.get(job)?.progress.getTask(address)?.crashes.length,
-      })),
-    });
+    const fields = createCrashFields(endpoint, recorded, this.options.jobs);
+    this.options.tracker.sendLogLine('Crash recorded.', fields);
   }
 
   /**
@@ -404,29 +403,14 @@
     if (recorded.length === 0) {
       return;
     }
-    this.options.tracker.sendLogLine('Unconfirmed crash recorded.', {
-      endpoint,
-      reason,
-      count: recorded.length,
-      tasks: recorded.slice(0, MAX_LOGGED_TASKS).map(({ job, address, crash }) => {
-        const task = this.options.jobs.get(job)?.progress.getTask(address);
-        return {
-          task: toTaskName(job, address),
-          ageMs: crash.ageMs,
-          charged: task?.crashes.length,
-          unconfirmed: task?.unconfirmedCrashes.length,
-        };
-      }),
-    });
+    const fields = createCrashFields(endpoint, recorded, this.options.jobs);
+    this.options.tracker.sendLogLine('Unconfirmed crash recorded.', { ...fields, reason });
   }
 
   /** Notes an unconfirmed crash of a task. Returns false, and notes none, when its run was too old, the task is done or unknown, or its job has ended. */
   private recordUnconfirmedCrash({ job: id, address, crash }: CrashRecord, now: number): boolean {
-    const job = this.options.jobs.get(id);
-    const task = job?.progress.getTask(address);
-    const isOpen =
-      job !== undefined && task !== undefined && task.phase !== 'done' && !job.progress.isEnded();
-    if (!isOpen || isOutlasted({ crash })) {
+    const job = this.findOpenJob({ job: id, address });
+    if (job === undefined || isTooOldToBlame(crash)) {
       return false;
     }
     job.progress.removeCrashes(address, ({ endpoint }) => endpoint === crash.endpoint);
@@ -438,9 +422,8 @@
 
   /** Adds a crash record to its task and to the history. Returns false, and adds none, when the task is done or unknown, or its job has ended. */
   private recordCrash({ job: id, address, crash }: CrashRecord, now: number): boolean {
-    const job = this.options.jobs.get(id);
-    const task = job?.progress.getTask(address);
-    if (job === undefined || task === undefined || task.phase === 'done' || job.progress.isEnded()) {
+    const job = this.findOpenJob({ job: id, address });
+    if (job === undefined) {
       return false;
     }
     job.progress.recordCrash(address, crash);
@@ -455,6 +438,14 @@
     return true;
   }
 
+  /** Returns the job of a task that may be started again; undefined when the task is done or unknown, or the job has ended. */
+  private findOpenJob({ job: id, address }: TaskRef): LiveJob | undefined {
+    const job = this.options.jobs.get(id);
+    const task = job?.progress.getTask(address);
+    const isOpen = task !== undefined && task.phase !== 'done' && job?.progress.isEnded() === false;
+    return isOpen ? job : undefined;
+  }
+
   /** Applies a task's crash records: sets the backoff before its next start, and notes the task for `applyCrashLimits` if it is over the limit. */
   private applyCrashRecords(job: LiveJob, address: TaskAddress, now: number): void {
     const task = job.progress.getTask(address)!;
--- a/packages/dispatch/crashes/UnconfirmedCrashes.ts
+++ b/packages/dispatch/crashes/UnconfirmedCrashes.ts
@@ -1,9 +1,8 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import { endpointIncarnations } from '../../jobs/endpointIncarnations';
 import type { UnconfirmedCrash } from './UnconfirmedCrash';
-import { crashLimits } from './crashLimits';
 
-/** Unconfirmed crashes of endpoints that were unreachable when their leases expired, by incarnation. */
+/** Unconfirmed crashes of endpoints that may respond again, by incarnation. */
 export class UnconfirmedCrashes {
   private readonly crashes = new Map<EndpointIncarnation, readonly UnconfirmedCrash[]>();
 
@@ -32,7 +31,7 @@
 
   /** Returns true while the incarnation has an unconfirmed crash that is recent enough for a poll of its address to confirm it. */
   isCrashUnconfirmed(endpoint: EndpointIncarnation, now: number): boolean {
-    return this.crashes.get(endpoint)?.some(({ since }) => now - since < crashLimits.confirmationMs) ?? false;
+    return this.crashes.get(endpoint)?.some(({ confirmableUntil }) => now < confirmableUntil) ?? false;
   }
 
   /** Removes the crashes of incarnations whose time for confirmation is over, except those that `isNeeded` keeps for a late response to refute. */
--- a/packages/dispatch/crashes/isCrashSuspect.ts
+++ b/packages/dispatch/crashes/isCrashSuspect.ts
@@ -1,7 +1,7 @@
 import type { CrashBlame } from '../../jobs/CrashBlame';
-import type { TaskProgress } from '../../jobs/TaskProgress';
-import { countCrashRecords } from './countCrashRecords';
+import { countEffectiveCrashes } from './countEffectiveCrashes';
 import { crashLimits } from './crashLimits';
+import type { TaskCrashes } from './TaskCrashes';
 
 const SUSPECT_BLAMES: ReadonlySet<CrashBlame> = new Set<CrashBlame>(['sole', 'shared', 'inherited']);
 
@@ -9,6 +9,6 @@
  * Returns true when a task has a crash record with sole, shared or inherited blame, or several records of any kind. Crash suspects are started on
  * different endpoints, so that they don't share crashes.
  */
-export const isCrashSuspect = (task: Pick<TaskProgress, 'crashes' | 'unconfirmedCrashes'>): boolean =>
-  countCrashRecords(task) >= crashLimits.suspectAfterCrashes ||
+export const isCrashSuspect = (task: TaskCrashes): boolean =>
+  countEffectiveCrashes(task) >= crashLimits.suspectAfterCrashes ||
   task.crashes.some(({ blame }) => SUSPECT_BLAMES.has(blame));
--- a/packages/logging/lineClasses.ts
+++ b/packages/logging/lineClasses.ts
@@ -5,6 +5,7 @@
   'Request rejected for its key.': 'vital',
   'Crash records removed.': 'vital',
   'Crash recorded.': 'vital',
+  'Unconfirmed crash recorded.': 'vital',
   'Job ended late.': 'vital',
   'Job refused: it could never run.': 'vital',
   'Job refused: its id belongs to another job.': 'vital',
