--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -17,7 +17,9 @@
 import type { TaskProgress } from '../packages/jobs/TaskProgress';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createProfile } from './helpers/createProfile';
+import { createRunningStatus } from './helpers/createRunningStatus';
 import { createStep } from './helpers/createStep';
+import { startWaitingRuns } from './helpers/startWaitingRuns';
 
 const FIRST_TASK = { repetition: 0, step: 0, index: 0 };
 const LEASE_MS = 4000;
@@ -62,29 +64,11 @@
   };
 
   const sendStatus = (id: EndpointIncarnation): void => {
-    const running = [...(dispatcher.getEndpointState(id)?.getRuns() ?? [])].map(({ task, run }) => ({
-      task,
-      run,
-      checkpoint: '',
-      percent: 1,
-      load: 0,
-    }));
-    dispatcher.handleStatus({ endpoint: id, running, ended: [], pollSentAt: now }, now, now);
+    dispatcher.handleStatus(createRunningStatus(dispatcher, id, now), now, now);
     dispatcher.getEndpointState(id)?.recordLease(now + LEASE_MS);
   };
 
-  /** Places the waiting tasks, and confirms each start. */
-  const startRuns = (): void => {
-    dispatcher.handleTick(now);
-    dispatcher.placeWaiting(now, now);
-    for (const effect of dispatcher.takeEffects()) {
-      effects.push(effect);
-      if (effect.kind === 'start' && dispatcher.handleStartRecorded(effect, now)) {
-        const { task, run } = effect.command;
-        dispatcher.handleStartResult(effect.endpoint, task, run, { kind: 'done' }, now);
-      }
-    }
-  };
+  const startRuns = (): void => void effects.push(...startWaitingRuns(dispatcher, now));
 
   /** Replaces the leader by one that knows the jobs from the log, and no endpoint but `draining`. */
   const startNextLeader = (draining?: EndpointIncarnation): void => {
