--- a/review/large/case.mjs
+++ b/review/large/case.mjs
@@ -29,20 +29,21 @@
 });
 /** Jobs of other clients, all day long. */
 const SMALL_JOB = {
-  spec: 'work 300',
+  spec: 'work 1500',
   steps: [
-    { count: 2, cpu: 500, 'mem-mb': 100, 'estimated-ms': 300 },
-    { count: 2, cpu: 500, 'mem-mb': 100, 'estimated-ms': 300, 'depends-on': [0] },
+    { count: 3, cpu: 500, 'mem-mb': 100, 'estimated-ms': 1500 },
+    { count: 3, cpu: 500, 'mem-mb': 100, 'estimated-ms': 1500, 'depends-on': [0] },
   ],
 };
 const SMALL_INTERVAL_MS = 500;
-/** Executors that crash, of 33 (the sheet's share is 0.14), and for how long. */
-const CRASHED_EXECUTORS = 5;
+/** Executors that crash, of 33 (the sheet names a share of 0.14, twice that would be 9), and for how long. */
+const CRASHED_EXECUTORS = 7;
 const CRASH_MS = 4500;
 const ALL_STARTED_TIMEOUT_MS = 40_000;
 const CALM_MS = 10_000;
-/** A job is lost that has nothing running for so long although it could. */
+/** A job is lost that has nothing running for so long although it could, once it has been calm for a while. */
 const IDLE_MS = 3000;
+const CALM_BEFORE_MS = 4000;
 
 const play = async (deployment, isTrouble) => {
   const jobs = new Map();
@@ -84,7 +85,6 @@
     jobs.set(id, job);
     const { status } = await deployment.submit(deployment.boxes[smallCount % deployment.boxes.length], id, SMALL_JOB);
     job.acceptedAt = status === 200 ? deployment.now() : undefined;
-    job.isRejected = status === 503 || status === 429;
   };
   const traffic = setInterval(() => void submitSmall(), SMALL_INTERVAL_MS);
   await waitFor(2000);
@@ -98,6 +98,11 @@
   deployment.record(`all ${taskCount} tasks of the large job have been started`);
   await waitFor(2000);
   if (isTrouble) {
+    const countSmallRuns = ({ runs }) =>
+      [...runs.keys()].filter((task) => !task.startsWith(LARGE_JOB_ID)).length;
+    deployment.executors.sort(
+      (left, right) => countSmallRuns(right) - countSmallRuns(left) || right.runs.size - left.runs.size,
+    );
     const crashed = deployment.executors.splice(0, CRASHED_EXECUTORS);
     for (const executor of crashed) {
       for (const run of executor.runs.values()) {
@@ -108,7 +113,9 @@
           job.idleSince = deployment.now();
         }
       }
-      deployment.record(`${executor.id} crashes with ${executor.runs.size} tasks`);
+      deployment.record(
+        `${executor.id} crashes with ${executor.runs.size} tasks, ${countSmallRuns(executor)} of them of small jobs`,
+      );
       await executor.stop();
     }
     await waitFor(CRASH_MS);
@@ -121,6 +128,7 @@
     await waitFor(CRASH_MS);
   }
   deployment.record('the disruption is over');
+  const calmFrom = deployment.now() + CALM_BEFORE_MS;
   await waitFor(CALM_MS);
   clearInterval(traffic);
   deployment.record('the traffic ends');
@@ -133,7 +141,7 @@
   const lost = [];
   for (const [id, { acceptedAt, running, idleSince, doneCount }] of jobs) {
     const tasks = SMALL_JOB.steps.reduce((sum, { count }) => sum + count, 0);
-    const isIdle = running === 0 && now - Math.max(idleSince, acceptedAt ?? now) > IDLE_MS;
+    const isIdle = running === 0 && now - Math.max(idleSince, acceptedAt ?? now, calmFrom) > IDLE_MS;
     if (acceptedAt !== undefined && doneCount < tasks && isIdle && usedCpu < totalCpu / 2) {
       lost.push(id);
     }
--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -114,11 +114,12 @@
   executorCount = 0;
   lines = [];
 
-  constructor({ recordFile, logFolder }) {
+  constructor(recordFile) {
     this.startedAt = performance.now();
     this.recordFile = recordFile;
-    this.logFolder = logFolder;
     this.folder = mkdtempSync(join(tmpdir(), 'stairline-review-'));
+    /** Where the boxes' own logs go; with KEPT_LOGS they outlast the run. */
+    this.logFolder = process.env.KEPT_LOGS ?? this.folder;
     this.record = (line) => {
       this.lines.push(`${this.now().toFixed(0).padStart(7)} ms  ${line}`);
     };
--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -11,7 +11,7 @@
  */
 export const runCase = async (folder, play) => {
   const isTrouble = process.env.TROUBLE !== '0';
-  const deployment = new Deployment({ recordFile: `${folder}/record.txt`, logFolder: folder });
+  const deployment = new Deployment(`${folder}/record.txt`);
   const timer = setTimeout(() => {
     deployment.record('time limit');
     void deployment.stop().then(() => process.exit(NOT_RUN));
