--- a/review/lib/LogStore.mjs
+++ b/review/lib/LogStore.mjs
@@ -138,11 +138,12 @@
   servers = [];
   /** Box whose append with a producer came last: the one that last wrote under a condition. */
   lastConditionalWriter;
-  /** Called with each append before it is done; returns 'lostLate' for one that gets no answer and is done later. */
-  chooseAppendFault = () => undefined;
+  /** Called with each append; returns after how many milliseconds it is done without an answer, or undefined for a usual one. */
+  chooseLostDelay = () => undefined;
+  /** Connections on which an answer was lost: they say nothing further. */
+  silentSockets = new WeakSet();
   /** Called with each request. */
   handleCall = () => undefined;
-  lateAppendMs = 0;
   /** While true, reads that wait for a record hear nothing. */
   areWatchesDeaf = false;
   watches = new Set();
@@ -203,6 +204,10 @@
   }
 
   async handleRequest(box, request, response) {
+    if (this.silentSockets.has(request.socket)) {
+      request.resume();
+      return;
+    }
     const url = new URL(request.url, 'http://store');
     const query = url.searchParams;
     const name = query.get('topic') ?? '';
@@ -237,12 +242,14 @@
       this.lastConditionalWriter = box;
     }
     const topic = this.topic(name);
-    if (this.chooseAppendFault({ box, topic: name, records }) === 'lostLate') {
+    const lostDelayMs = this.chooseLostDelay({ box, topic: name, records });
+    if (lostDelayMs !== undefined) {
+      this.silentSockets.add(request.socket);
       setTimeout(() => {
-        topic.append(records, writer);
+        const { status } = topic.append(records, writer);
         const keys = records.map(({ key }) => key).join(' ');
-        this.record(`store: append to ${name} by ${box} done late: ${keys}`);
-      }, this.lateAppendMs);
+        this.record(`store: lost append to ${name} by ${box} done after ${lostDelayMs} ms (${status}): ${keys}`);
+      }, lostDelayMs);
       return;
     }
     const now = performance.now();
