--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -181,7 +181,9 @@
           ...route,
         },
       ],
-      services: [{ name: SERVICE, 'health-path': '/health', 'max-connections': 64, 'enforces-capacity': false }],
+      services: [
+        { name: SERVICE, 'health-path': '/health', 'max-connections': 64, 'enforces-capacity': false },
+      ],
       limits: { 'max-body-bytes': 262_144 },
     });
   }
--- a/review/lib/LogStore.mjs
+++ b/review/lib/LogStore.mjs
@@ -163,10 +163,7 @@
 
   /** Writes a record on behalf of the operator or an executor; an empty text deletes the key. */
   write(topic, key, value) {
-    this.topic(topic).append(
-      parseFrames(toFrame(key, value === '' ? '' : JSON.stringify(value))),
-      undefined,
-    );
+    this.topic(topic).append(parseFrames(toFrame(key, value === '' ? '' : JSON.stringify(value))), undefined);
   }
 
   async startListener(box, host, port) {
@@ -248,7 +245,9 @@
       setTimeout(() => {
         const { status } = topic.append(records, writer);
         const keys = records.map(({ key }) => key).join(' ');
-        this.record(`store: lost append to ${name} by ${box} done after ${lostDelayMs} ms (${status}): ${keys}`);
+        this.record(
+          `store: lost append to ${name} by ${box} done after ${lostDelayMs} ms (${status}): ${keys}`,
+        );
       }, lostDelayMs);
       return;
     }
--- a/review/lib/runCase.mjs
+++ b/review/lib/runCase.mjs
@@ -16,12 +16,17 @@
     deployment.record('time limit');
     void deployment.stop().then(() => process.exit(NOT_RUN));
   }, TIME_LIMIT_MS);
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => void deployment.stop().then(() => process.exit(NOT_RUN)));
+  }
   let code = NOT_RUN;
   try {
     deployment.record(isTrouble ? 'with the disruption' : 'TROUBLE=0: without the disruption');
     const breaches = await play(deployment, isTrouble);
     breaches.forEach((breach) => deployment.record(`BROKEN: ${breach}`));
-    deployment.record(breaches.length === 0 ? 'the rule held' : `the rule was broken: ${breaches.length} times`);
+    deployment.record(
+      breaches.length === 0 ? 'the rule held' : `the rule was broken: ${breaches.length} times`,
+    );
     code = breaches.length === 0 ? HELD : BROKEN;
   } catch (error) {
     deployment.record(`the case could not run: ${error instanceof SetupError ? error.message : error.stack}`);
