--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -20,8 +20,10 @@
 const EARLIER_JOBS = 40;
 const SHORT_JOB = { spec: 'work 100', steps: [{ count: 2, cpu: 500, 'mem-mb': 100, 'estimated-ms': 100 }] };
 const DEAF_MS = 1000;
+/** The store is slow meanwhile: its answers take so many times as long (the sheet: 60). */
+const SLOW_FACTOR = 15;
 /** Clients that call the box while it starts again: a call every few milliseconds, each with a job of its own. */
-const CALL_INTERVAL_MS = 2;
+const CALL_INTERVAL_MS = 5;
 const CALLS_FOR_MS = 600;
 const MAX_JOBS = 24;
 const OBSERVED_MS = 16_000;
@@ -80,7 +82,10 @@
     }
   };
 
+  const usualAnswerMs = deployment.store.answerMs;
   if (isTrouble) {
+    deployment.store.answerMs = usualAnswerMs * SLOW_FACTOR;
+    deployment.record(`store: answers take ${deployment.store.answerMs} ms`);
     restarted.child.kill('SIGKILL');
     await restarted.child.exited;
     await waitFor(RESTART_DELAY_MS);
@@ -91,6 +96,8 @@
     };
     await deployment.waitUntil(() => hasReadConfiguration, 10_000, 'the box that starts reads the store');
     compaction = deployment.store.runCompaction(DEAF_MS).then(() => {
+      deployment.store.answerMs = usualAnswerMs;
+      deployment.record(`store: answers take ${usualAnswerMs} ms`);
       disruptionEndedAt = deployment.now();
     });
   }
