--- a/review/lib/LogStore.mjs
+++ b/review/lib/LogStore.mjs
@@ -7,6 +7,7 @@
 const KEPT_PRODUCER_RESULTS = 5;
 const MAX_WAIT_MS = 30_000;
 const BYTES_PER_KB = 1024;
+const DEAF_CHECK_MS = 20;
 
 /** Waits for a number of milliseconds. */
 export const waitFor = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
@@ -246,8 +247,8 @@
     if (waitMs > 0) {
       this.watches.add(response);
       response.once('close', () => this.watches.delete(response));
-      while ((this.areWatchesDeaf || topic.end <= from) && performance.now() < until) {
-        await topic.waitForRecord(Math.min(until - performance.now(), this.areWatchesDeaf ? 20 : waitMs));
+      while (this.areWatchesDeaf || (topic.end <= from && performance.now() < until)) {
+        await topic.waitForRecord(this.areWatchesDeaf ? DEAF_CHECK_MS : until - performance.now());
       }
       this.watches.delete(response);
     }
@@ -259,8 +260,7 @@
       sendJson(response, 410, { first: topic.firstOffset });
       return;
     }
-    const isDeaf = waitMs > 0 && this.areWatchesDeaf;
-    const end = isDeaf ? Math.min(from, topic.end) : topic.end;
+    const { end } = topic;
     const header = Buffer.alloc(READ_HEADER_BYTES);
     header.writeBigUInt64BE(BigInt(end), 0);
     header.writeBigUInt64BE(BigInt(topic.firstOffset), 8);
