--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,8 +1,8 @@
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { BOUNDS, sendCall, QUEUE_PREFIX } from '../lib/Deployment.mjs';
-import { waitFor } from '../lib/LogStore.mjs';
-import { runCase } from '../lib/runCase.mjs';
+import { BOUNDS, sendCall, QUEUE_PREFIX } from '../Deployment.mjs';
+import { waitFor } from '../LogStore.mjs';
+import { runCase } from '../runCase.mjs';
 
 const ZONES = ['hall-medeu', 'hall-alatau', 'hall-koktobe'];
 /** A job of tasks that run one after the other for some thirteen seconds. */
