fix: a job whose cancellation reaches the leader first is not run

Cause: the definition and the cancellation of a job are two records that may come to the leader in either order: a box that knows no leader yet appends the job itself, and another one, which has read it, forwards the cancellation. The leader ignored the cancellation of a job that it did not know; of the two places that add a job only the takeover asked the replica for a cancellation.

The one method that adds a job now asks for its cancellation, so that no path can leave it out. The leader says in its log in which order they came.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -260,14 +260,23 @@
   handleJob(definition: JobDefinition): void {
     if (this.isActive()) {
       const { id, queue, steps } = definition;
-      this.options.logger.info('Job taken in.', { job: id, queue: queue.name, steps: steps.length });
+      const isCancelled = this.options.replica.isCancelled(id);
+      this.options.logger.info('Job taken in.', {
+        job: id,
+        queue: queue.name,
+        steps: steps.length,
+        isCancelled,
+      });
       this.addJob(definition);
       this.queueSchedulingRound();
     }
   }
 
-  /** Cancels a job and queues a round. */
+  /** Cancels a job and queues a round. A job whose record comes later is cancelled when it is added. */
   handleCancel(id: JobId): void {
+    if (this.options.replica.getDefinition(id) === undefined) {
+      this.options.logger.info('Cancellation read before its job.', { job: id });
+    }
     this.dispatcher.handleCancel(id, this.options.clock.getWallTime());
     this.queueSchedulingRound();
   }
@@ -373,9 +382,6 @@
       for (const definition of definitions) {
         added.add(definition.id);
         this.addJob(definition);
-        if (replica.isCancelled(definition.id)) {
-          this.dispatcher.handleCancel(definition.id, clock.getWallTime());
-        }
         await slices.waitWhenUsedUp();
         if (this.isResigning || this.isStopped) {
           return;
@@ -386,12 +392,16 @@
     this.hasTakenOver = true;
   }
 
-  /** Adds a job with its recovered progress to the dispatcher, and queues a write of its state. */
+  /** Adds a job with its recovered progress to the dispatcher, and queues a write of its state. Cancels it if its cancellation is known already. */
   private addJob(definition: JobDefinition): void {
+    const { clock, replica } = this.options;
     const progress = this.progressRecovery.takeProgress(definition);
     this.jobServices.add(definition.queue.service);
-    this.dispatcher.handleJob(definition, progress, this.options.clock.getNow());
+    this.dispatcher.handleJob(definition, progress, clock.getNow());
     this.journal.queueJobState(definition.id, progress.getState());
+    if (replica.isCancelled(definition.id)) {
+      this.dispatcher.handleCancel(definition.id, clock.getWallTime());
+    }
   }
 
   /** Counts the ends that a poll's status newly reported, carries out the effects of applying the status, and queues a round. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -10,7 +10,6 @@
 import { formatCustomerMetrics } from '../customers/formatCustomerMetrics';
 import type { JobCaller } from '../customers/JobCaller';
 import { CallerAuthorizer } from '../gateway/CallerAuthorizer';
-import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
@@ -31,6 +30,7 @@
 import { ConfigurationUpdater } from './ConfigurationUpdater';
 import { BoxJobService } from './BoxJobService';
 import { jobWritePolicies } from './jobWritePolicies';
+import { JobRecords } from './JobRecords';
 import { LeaderHandover } from './LeaderHandover';
 import { LoadAdmission } from './LoadAdmission';
 import { OtherBoxes } from './OtherBoxes';
@@ -90,6 +90,7 @@
   private readonly boxServer: BoxServer;
   private readonly callerServer: ReturnType<ServeAdapter['createCallerServer']>;
   private readonly jobService: BoxJobService;
+  private readonly jobRecords: JobRecords;
   private controller: LeaderController | undefined;
   private readonly adviceChannels: AdviceChannels;
   private readonly eventLoopMonitor: EventLoopMonitor;
@@ -107,6 +108,11 @@
       tickIntervalMs: TICK_INTERVAL_MS,
       isLeading: () => this.controller !== undefined,
     });
+    this.jobRecords = new JobRecords({
+      replica: this.replica,
+      logger: this.logger,
+      getLeader: () => this.controller,
+    });
     this.logClient = adapter.createLogClient();
     this.adviceClient = adapter.createAdviceClient();
     this.otherBoxes = new OtherBoxes({
@@ -274,7 +280,7 @@
     const deadline = this.options.clock.getNow() + timeoutMs * FORWARDED_APPEND_TIME_SHARE;
     const outcome = await this.writer.writeRecord(write, deadline);
     if (outcome === 'written') {
-      this.handleJobWrites([write]);
+      this.jobRecords.applyRecords([write]);
     }
     return outcome;
   }
@@ -299,8 +305,8 @@
       isLogReadable: () => this.isLogReadable(),
       isLeading: () => this.controller?.isActive() ?? false,
       requestLeaderState: (id, caller, timeoutMs) => this.otherBoxes.requestJobState(id, caller, timeoutMs),
-      handleJobAccepted: (definition) => this.applyAcceptedJob(definition),
-      handleJobCancelled: (id) => this.applyCancelledJob(id),
+      handleJobAccepted: (definition) => this.jobRecords.applyAcceptedJob(definition),
+      handleJobCancelled: (id) => this.jobRecords.applyCancelledJob(id),
     });
   }
 
@@ -413,14 +419,7 @@
 
   private handleJobRecords(records: readonly LogRecord[]): void {
     this.otherBoxes.directory.foldRecords(records, this.options.clock.getNow());
-    this.handleJobWrites(records);
-  }
-
-  private handleJobWrites(records: readonly LogWrite[]): void {
-    const { accepted, cancelled, invalid } = this.replica.foldJobRecords(records);
-    invalid.forEach((job) => this.logger.warn('Malformed job record ignored.', { job }));
-    accepted.forEach((definition) => this.controller?.handleJob(definition));
-    cancelled.forEach((id) => this.controller?.handleCancel(id));
+    this.jobRecords.applyRecords(records);
   }
 
   private createConfigurationUpdater(): ConfigurationUpdater {
@@ -455,18 +454,6 @@
     });
   }
 
-  private applyAcceptedJob(definition: JobDefinition): void {
-    if (this.replica.recordDefinition(definition)) {
-      this.controller?.handleJob(definition);
-    }
-  }
-
-  private applyCancelledJob(id: JobId): void {
-    if (this.replica.recordCancel(id)) {
-      this.controller?.handleCancel(id);
-    }
-  }
-
   private startLeading(election: Election): void {
     const { epoch } = election;
     const { adapter, clock, random, settings } = this.options;
