fix: a cancellation outlasts the removal of its job's definition

No caller saw it: nothing of ours writes an empty definition. Found on the paths related to a cancellation that comes before its job.

Cause: JobReplica forgot the cancellation with an empty definition. A definition read after it ran, on boxes that had read all three records in turn; a box that reads the newest record of each key held the job for cancelled. Only the definition is removed now.

'is not run when its definition is removed after the cancellation and read again' and the property of tests/cancelOrder failed before (40 tasks started; counterexample readBothReversed, readRemoval, startLeader, readJob) and pass.

--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -22,8 +22,8 @@
   private readonly writtenStates = new Map<JobId, JobState>();
 
   /**
-   * Folds records of the jobs' topic, and returns the jobs and cancellations that were not known. An empty definition removes the job and
-   * its cancellation.
+   * Folds records of the jobs' topic, and returns the jobs and cancellations that were not known. An empty definition removes the job, but not its
+   * cancellation, which is a record of its own.
    */
   foldJobRecords(records: readonly LogWrite[]): ReplicaChange {
     const accepted: JobDefinition[] = [];
@@ -136,7 +136,6 @@
   private foldDefinition(id: JobId, value: string): JobDefinition | 'unreadable' | undefined {
     if (value === '') {
       this.definitions.delete(id);
-      this.cancelledIds.delete(id);
       return undefined;
     }
     if (this.definitions.has(id)) {
--- a/tests/cancelOrder.test.ts
+++ b/tests/cancelOrder.test.ts
@@ -25,6 +25,7 @@
 const RECORDS = {
   job: { key: jobKeys.toDefinitionKey(DEFINITION.id), value: formatDefinition(DEFINITION) },
   cancel: { key: jobKeys.toCancelKey(DEFINITION.id), value: '1' },
+  removal: { key: jobKeys.toDefinitionKey(DEFINITION.id), value: '' },
 } as const;
 
 /** An endpoint whose runs take `RUN_MS`. */
@@ -77,6 +78,7 @@
   acceptJob: (records: JobRecords) => records.applyAcceptedJob(DEFINITION),
   acceptCancel: (records: JobRecords) => records.applyCancelledJob(DEFINITION.id),
   readBoth: (records: JobRecords) => records.applyRecords([RECORDS.job, RECORDS.cancel]),
+  readRemoval: (records: JobRecords) => records.applyRecords([RECORDS.removal]),
   readBothReversed: (records: JobRecords) => records.applyRecords([RECORDS.cancel, RECORDS.job]),
 } as const;
 
@@ -137,6 +139,12 @@
     expect(result).toEqual({ ...CANCELLED, starts: 0 });
   });
 
+  it('is not run when its definition is removed after the cancellation and read again', async () => {
+    const steps: readonly Step[] = ['startLeader', ...Array<Step>(10).fill('pause')];
+    const result = await runSteps([...steps, 'readCancel', 'readRemoval', 'readJob']);
+    expect(result).toEqual({ ...CANCELLED, starts: 0 });
+  });
+
   it('is not run on after its two records came to the leader, in any order and by any ways', async () => {
     const arbitraryDelivery = fc.constantFrom(...(Object.keys(deliveries) as Step[]));
     const arbitraryStep = fc.oneof(arbitraryDelivery, fc.constant<Step>('pause'));
