fix: a cancellation answered with 410 holds when the job's write completes later

Cause: BoxJobService wrote no cancellation for an id that it does not know. Now it writes one before it answers, in a record of its own with the caller, which counts once the job is known and if the caller has access to it.

--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -4,8 +4,8 @@
 import { parseHostPort } from '../common/parseHostPort';
 import { toId } from '../common/toId';
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
-import type { CustomerName } from '../customers/CustomerName';
 import type { JobCaller } from '../customers/JobCaller';
+import { jobCallerSchema } from '../customers/jobCallerSchema';
 import { createRawBodyApp } from '../gateway/createRawBodyApp';
 import { stopAppWithin } from '../gateway/stopAppWithin';
 import type { EndpointId } from '../jobs/EndpointId';
@@ -50,18 +50,9 @@
   timeoutMs: z.number().positive(),
 });
 
-const callerSchema = z.object({
-  queue: z.string(),
-  isOpen: z.boolean(),
-  customer: z
-    .string()
-    .transform((text) => toId<CustomerName>(text))
-    .optional(),
-});
-
 const stateRequestSchema = z.object({
   id: z.string(),
-  caller: callerSchema,
+  caller: jobCallerSchema,
   timeoutMs: z.number().positive(),
 });
 const writeRequestSchema = z.object({ key: z.string(), value: z.string(), timeoutMs: z.number().positive() });
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -1,3 +1,7 @@
+import { parseJson } from '../common/parseJson';
+import { hasAccess } from '../customers/hasAccess';
+import type { JobCaller } from '../customers/JobCaller';
+import { jobCallerSchema } from '../customers/jobCallerSchema';
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
 import type { JobDefinition } from './JobDefinition';
@@ -18,6 +22,8 @@
 export class JobReplica {
   private readonly definitions = new Map<JobId, JobDefinition>();
   private readonly cancelledIds = new Set<JobId>();
+  /** Callers that have cancelled jobs whose definitions are not known yet. */
+  private readonly earlyCancels = new Map<JobId, JobCaller[]>();
   /** States written by leaders; a job without one is queued. */
   private readonly writtenStates = new Map<JobId, JobState>();
 
@@ -32,6 +38,7 @@
     for (const record of records) {
       const definitionId = jobKeys.parseDefinitionKey(record.key);
       const cancelId = jobKeys.parseCancelKey(record.key);
+      const earlyCancelId = jobKeys.parseEarlyCancelKey(record.key);
       if (definitionId !== undefined) {
         const definition = this.foldDefinition(definitionId, record.value);
         if (definition === 'unreadable') {
@@ -41,6 +48,13 @@
         }
       } else if (cancelId !== undefined && this.foldCancel(cancelId, record.value)) {
         cancelled.push(cancelId);
+      } else if (earlyCancelId !== undefined && record.value !== '') {
+        const caller = jobCallerSchema.safeParse(parseJson(record.value)).data;
+        if (caller === undefined) {
+          invalid.push(earlyCancelId);
+        } else if (this.recordEarlyCancel(earlyCancelId, caller)) {
+          cancelled.push(earlyCancelId);
+        }
       }
     }
     return { accepted, cancelled, invalid };
@@ -52,6 +66,10 @@
       return false;
     }
     this.definitions.set(definition.id, definition);
+    if (this.earlyCancels.get(definition.id)?.some((caller) => hasAccess(caller, definition)) === true) {
+      this.cancelledIds.add(definition.id);
+    }
+    this.earlyCancels.delete(definition.id);
     return true;
   }
 
@@ -64,6 +82,24 @@
     return true;
   }
 
+  /**
+   * Adds the cancellation of a job that was unknown to the box that wrote it. It counts if the caller turns out to have access to the job. Returns true
+   * if this cancels a known job.
+   */
+  recordEarlyCancel(id: JobId, caller: JobCaller): boolean {
+    const definition = this.definitions.get(id);
+    if (definition !== undefined) {
+      return hasAccess(caller, definition) && this.recordCancel(id);
+    }
+    const others = this.earlyCancels.get(id) ?? [];
+    if (
+      !others.some((other) => jobKeys.toEarlyCancelKey(id, other) === jobKeys.toEarlyCancelKey(id, caller))
+    ) {
+      this.earlyCancels.set(id, [...others, caller]);
+    }
+    return false;
+  }
+
   /** Folds the job states among records of the states' topic. An invalid or empty state is removed, so that the job is queued again. */
   foldStateRecords(records: readonly LogRecord[]): void {
     for (const { key, value } of records) {
--- a/packages/serve/BoxJobService.ts
+++ b/packages/serve/BoxJobService.ts
@@ -17,7 +17,9 @@
 import type { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
 import type { LogFollower } from '../store/LogFollower';
+import type { LogWrite } from '../store/LogWrite';
 import type { RecordWriter } from '../store/RecordWriter';
+import type { WriteOutcome } from '../store/WriteOutcome';
 import type { LoadAdmission } from './LoadAdmission';
 import type { ServeMetrics } from './ServeMetrics';
 
@@ -44,6 +46,8 @@
   readonly handleJobAccepted: (definition: JobDefinition) => void;
   /** Handles a cancellation accepted by this box, once it is durable. */
   readonly handleJobCancelled: (id: JobId) => void;
+  /** Handles a caller's cancellation of a job that this box does not know, once it is durable. */
+  readonly handleUnknownJobCancelled: (id: JobId, caller: JobCaller) => void;
 }
 
 /** Time after which callers are asked to retry when the log is unavailable. */
@@ -65,6 +69,7 @@
 const ACCEPTED_RESULT = { kind: 'answered', answer: { kind: 'accepted' } } as const;
 const ID_TAKEN_RESULT = { kind: 'answered', answer: { kind: 'taken' } } as const;
 const ABSENT_RESULT = { kind: 'answered', answer: 'absent' } as const;
+const CANCELLED_RESULT = { kind: 'answered', answer: 'cancelled' } as const;
 
 const ENDED_STATES: ReadonlySet<JobState | undefined> = new Set(['completed', 'failed', 'cancelled']);
 
@@ -219,14 +224,17 @@
     caller: JobCaller,
     deadline: number,
   ): Promise<JobServiceResult<'cancelled' | 'absent'>> {
-    const { replica, writer, clock, metrics } = this.options;
-    const startedAt = clock.getNow();
+    const { replica } = this.options;
+    const startedAt = this.options.clock.getNow();
     if (replica.getDefinition(id) === undefined) {
       const isFresh = await this.waitForRefresh(this.options.jobsFollower, deadline);
       if (replica.getDefinition(id) === undefined) {
         const found = isFresh ? ABSENT_RESULT : await this.requestStateFromLeader(id, caller, deadline);
-        if (found.kind !== 'answered' || found.answer === 'absent') {
-          return found.kind === 'answered' ? ABSENT_RESULT : found;
+        if (found.kind !== 'answered') {
+          return found;
+        }
+        if (found.answer === 'absent') {
+          return this.cancelUnknownJob(id, caller, startedAt, deadline);
         }
       }
     }
@@ -234,14 +242,49 @@
       return ABSENT_RESULT;
     }
     const write = { key: jobKeys.toCancelKey(id), value: '1' };
+    const outcome = await this.writeCancel(id, write, startedAt, deadline);
+    if (outcome !== 'written') {
+      return this.createUnwrittenResult(outcome);
+    }
+    this.options.handleJobCancelled(id);
+    return CANCELLED_RESULT;
+  }
+
+  /** Cancels a job that is not in the log: the write of its definition may be under way, and must not run the job when it completes. */
+  private async cancelUnknownJob(
+    id: JobId,
+    caller: JobCaller,
+    startedAt: number,
+    deadline: number,
+  ): Promise<JobServiceResult<'cancelled' | 'absent'>> {
+    const write = { key: jobKeys.toEarlyCancelKey(id, caller), value: JSON.stringify(caller) };
+    const outcome = await this.writeCancel(id, write, startedAt, deadline);
+    if (outcome !== 'written') {
+      return this.createUnwrittenResult(outcome);
+    }
+    this.options.handleUnknownJobCancelled(id, caller);
+    return this.options.replica.isCancelled(id) ? CANCELLED_RESULT : ABSENT_RESULT;
+  }
+
+  /** Writes the record of a cancellation, counts it, and logs the outcome. */
+  private async writeCancel(
+    id: JobId,
+    write: LogWrite,
+    startedAt: number,
+    deadline: number,
+  ): Promise<WriteOutcome> {
+    const { replica, writer, clock, metrics } = this.options;
+    const isKnown = replica.getDefinition(id) !== undefined;
     const outcome = await writer.writeRecord(write, this.computeWriteDeadline(startedAt, deadline));
     const tookMs = Math.round(clock.getNow() - startedAt);
-    this.logDecision('Cancel.', id, '', { outcome, tookMs });
+    this.logDecision('Cancel.', id, '', { outcome, tookMs, isKnown });
     if (outcome === 'written') {
       metrics.recordCount('cancels');
-      this.options.handleJobCancelled(id);
-      return { kind: 'answered', answer: 'cancelled' };
     }
+    return outcome;
+  }
+
+  private createUnwrittenResult(outcome: Exclude<WriteOutcome, 'written'>): JobServiceResult<never> {
     return outcome === 'unknown'
       ? { kind: 'unknown' }
       : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
--- a/packages/serve/JobRecords.ts
+++ b/packages/serve/JobRecords.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '../common/Logger';
+import type { JobCaller } from '../customers/JobCaller';
 import type { LeaderController } from '../dispatch/LeaderController';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
@@ -41,4 +42,11 @@
       this.options.getLeader()?.handleCancel(id);
     }
   }
+
+  /** Applies the cancellation of a job that this box does not know, or did not when it accepted the cancellation. */
+  applyEarlyCancel(id: JobId, caller: JobCaller): void {
+    if (this.options.replica.recordEarlyCancel(id, caller)) {
+      this.options.getLeader()?.handleCancel(id);
+    }
+  }
 }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -307,6 +307,7 @@
       requestLeaderState: (id, caller, timeoutMs) => this.otherBoxes.requestJobState(id, caller, timeoutMs),
       handleJobAccepted: (definition) => this.jobRecords.applyAcceptedJob(definition),
       handleJobCancelled: (id) => this.jobRecords.applyCancelledJob(id),
+      handleUnknownJobCancelled: (id, caller) => this.jobRecords.applyEarlyCancel(id, caller),
     });
   }
 
--- a/tests/cancelOrder.test.ts
+++ b/tests/cancelOrder.test.ts
@@ -1,5 +1,9 @@
 import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { systemClock } from '../packages/common/systemClock';
+import { toId } from '../packages/common/toId';
+import type { CustomerName } from '../packages/customers/CustomerName';
+import type { JobCaller } from '../packages/customers/JobCaller';
 import type { EndpointClient } from '../packages/dispatch/endpoints/EndpointClient';
 import type { EndedTaskStatus } from '../packages/dispatch/endpoints/EndedTaskStatus';
 import type { EndpointProfile } from '../packages/dispatch/endpoints/EndpointProfile';
@@ -8,7 +12,12 @@
 import { jobKeys } from '../packages/jobs/jobKeys';
 import { JobReplica } from '../packages/jobs/JobReplica';
 import type { TaskName } from '../packages/jobs/TaskName';
+import { BoxJobService } from '../packages/serve/BoxJobService';
 import { JobRecords } from '../packages/serve/JobRecords';
+import type { LoadAdmission } from '../packages/serve/LoadAdmission';
+import { ServeMetrics } from '../packages/serve/ServeMetrics';
+import type { LogFollower } from '../packages/store/LogFollower';
+import type { LogWrite } from '../packages/store/LogWrite';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createLeaderOptions } from './helpers/createLeaderOptions';
 import { createProfile } from './helpers/createProfile';
@@ -22,9 +31,11 @@
 /** Longer than any run, and than the takeover. */
 const SETTLED_MS = 1000;
 const DEFINITION = createJobDefinition(1, [createStep({ count: TASKS, estimatedMs: RUN_MS })]);
+const CALLER = { queue: DEFINITION.queue.name, isOpen: true };
 const RECORDS = {
   job: { key: jobKeys.toDefinitionKey(DEFINITION.id), value: formatDefinition(DEFINITION) },
   cancel: { key: jobKeys.toCancelKey(DEFINITION.id), value: '1' },
+  earlyCancel: { key: jobKeys.toEarlyCancelKey(DEFINITION.id, CALLER), value: JSON.stringify(CALLER) },
   removal: { key: jobKeys.toDefinitionKey(DEFINITION.id), value: '' },
 } as const;
 
@@ -78,6 +89,8 @@
   acceptJob: (records: JobRecords) => records.applyAcceptedJob(DEFINITION),
   acceptCancel: (records: JobRecords) => records.applyCancelledJob(DEFINITION.id),
   readBoth: (records: JobRecords) => records.applyRecords([RECORDS.job, RECORDS.cancel]),
+  readEarlyCancel: (records: JobRecords) => records.applyRecords([RECORDS.earlyCancel]),
+  acceptEarlyCancel: (records: JobRecords) => records.applyEarlyCancel(DEFINITION.id, CALLER),
   readRemoval: (records: JobRecords) => records.applyRecords([RECORDS.removal]),
   readBothReversed: (records: JobRecords) => records.applyRecords([RECORDS.cancel, RECORDS.job]),
 } as const;
@@ -167,3 +180,80 @@
     expect(startCount).toBeGreaterThan(0);
   });
 });
+
+describe('a job whose cancellation was answered before its own write was completed', () => {
+  const LIMIT = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+  const OWNED = {
+    ...DEFINITION,
+    customer: { name: toId<CustomerName>('customer-a'), weight: 1, limit: LIMIT },
+  };
+  const OWNER = { queue: 'jobs', isOpen: false, customer: OWNED.customer.name };
+  const OTHER = { queue: 'jobs', isOpen: false, customer: toId<CustomerName>('customer-b') };
+
+  /** Cancels a job at a box that does not know it, and returns the answers and the written records. */
+  const runCancels = async (callers: readonly JobCaller[]) => {
+    const writes: LogWrite[] = [];
+    const replica = new JobReplica();
+    const logger = { info: () => undefined, warn: () => undefined, error: () => undefined };
+    const records = new JobRecords({ replica, logger, getLeader: () => undefined });
+    const follower = {
+      waitForRefresh: () => Promise.resolve(true),
+      getOffset: () => 0,
+    } as unknown as LogFollower;
+    const service = new BoxJobService({
+      replica,
+      writer: {
+        writeRecord: (write) => {
+          writes.push(write);
+          return Promise.resolve('written');
+        },
+        getOutageMs: () => 0,
+      },
+      jobsFollower: follower,
+      statesFollower: follower,
+      clock: systemClock,
+      logger,
+      metrics: new ServeMetrics(),
+      admission: {} as LoadAdmission,
+      isLogReadable: () => true,
+      isLeading: () => false,
+      requestLeaderState: () => Promise.resolve(undefined),
+      handleJobAccepted: (definition) => records.applyAcceptedJob(definition),
+      handleJobCancelled: (id) => records.applyCancelledJob(id),
+      handleUnknownJobCancelled: (id, caller) => records.applyEarlyCancel(id, caller),
+    });
+    const answers = [];
+    for (const caller of callers) {
+      answers.push(await service.cancelJob(OWNED.id, caller, systemClock.getNow() + 1000));
+    }
+    return { answers, writes, records, replica };
+  };
+
+  const LATE_WRITE = { key: jobKeys.toDefinitionKey(OWNED.id), value: formatDefinition(OWNED) };
+  const ABSENT = { kind: 'answered', answer: 'absent' };
+
+  it('is cancelled when the write completes, at this box and at one that reads the records', async () => {
+    const { answers, writes, records, replica } = await runCancels([OWNER]);
+    expect(answers).toEqual([ABSENT]);
+    records.applyRecords([LATE_WRITE]);
+    expect(replica.getState(OWNED.id)).toBe('cancelled');
+    const other = new JobReplica();
+    other.foldJobRecords([...writes, LATE_WRITE]);
+    expect(other.isCancelled(OWNED.id)).toBe(true);
+  });
+
+  it('is not cancelled by a caller without access to it, whose answer does not tell whether it exists', async () => {
+    const { answers, replica, records } = await runCancels([OTHER]);
+    expect(answers).toEqual([ABSENT]);
+    records.applyRecords([LATE_WRITE]);
+    expect(replica.getState(OWNED.id)).toBe('queued');
+  });
+
+  it('stays cancelled for its owner when another caller cancels the same id later', async () => {
+    const { writes } = await runCancels([OWNER, OTHER]);
+    const newestByKey = new Map([...writes, LATE_WRITE].map((write) => [write.key, write]));
+    const replica = new JobReplica();
+    replica.foldJobRecords([...newestByKey.values()].reverse());
+    expect(replica.isCancelled(OWNED.id)).toBe(true);
+  });
+});
--- a/tests/jobStates.test.ts
+++ b/tests/jobStates.test.ts
@@ -66,6 +66,7 @@
       requestLeaderState: () => Promise.resolve(undefined),
       handleJobAccepted: () => undefined,
       handleJobCancelled: () => undefined,
+      handleUnknownJobCancelled: () => undefined,
     });
     await new Promise((resolve) => setTimeout(resolve, 20));
     return service;
