--- a/packages/boxes/AnnouncementResponse.ts
+++ b/packages/boxes/AnnouncementResponse.ts
@@ -5,4 +5,6 @@
   readonly process?: string | undefined;
   /** Milliseconds since the process started, by its own clock. */
   readonly upMs?: number | undefined;
+  /** Milliseconds since the process last vouched for a leader, by its own clock; not given if it never has. */
+  readonly vouchedMs?: number | undefined;
 }
--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -8,6 +8,7 @@
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
+import type { VouchResponse } from '../leadership/VouchResponse';
 import type { LogWrite } from '../store/LogWrite';
 import type { WriteOutcome } from '../store/WriteOutcome';
 import type { AnnouncementResponse } from './AnnouncementResponse';
@@ -17,7 +18,7 @@
 /** Connections for all requests but log writes. */
 const MAX_CONNECTIONS = 3;
 const MAX_WRITE_CONNECTIONS = 4;
-/** Timeout of requests for the log status, of leader announcements and of handovers. */
+/** Timeout of requests for the log status, of leader announcements, of vouch requests and of handovers. */
 const CONTROL_TIMEOUT_MS = 200;
 
 const stateResponseSchema = z.object({
@@ -28,6 +29,13 @@
   box: z.string().optional(),
   process: z.string().optional(),
   upMs: z.number().min(0).optional(),
+  vouchedMs: z.number().min(0).optional(),
+});
+
+const vouchResponseSchema: z.ZodType<VouchResponse> = z.object({
+  box: z.string(),
+  process: z.string(),
+  isVouched: z.boolean(),
 });
 
 const writeResponseSchema = z.object({ outcome: z.enum(['written', 'refused', 'unknown']) });
@@ -105,6 +113,12 @@
     return announcementResponseSchema.safeParse(response).data;
   }
 
+  /** Asks the box to vouch for the leader of an epoch; undefined when it does not respond, or is of an earlier version. */
+  async requestVouch(epoch: number): Promise<VouchResponse | undefined> {
+    const response = await this.httpClient.sendJson('/vouch', { epoch }, CONTROL_TIMEOUT_MS);
+    return vouchResponseSchema.safeParse(response).data;
+  }
+
   /** Asks the box to lead next, after the leader of an epoch has stopped; false when it did not confirm it. */
   async sendHandover(epoch: number): Promise<boolean> {
     return (await this.httpClient.sendJson('/hand-over', { epoch }, CONTROL_TIMEOUT_MS)) !== undefined;
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -13,6 +13,7 @@
 import type { JobState } from '../jobs/JobState';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import { leaderRecordSchema } from '../leadership/leaderRecordSchema';
+import type { VouchResponse } from '../leadership/VouchResponse';
 import type { LogWrite } from '../store/LogWrite';
 import type { WriteOutcome } from '../store/WriteOutcome';
 import { boxResourcesSchema } from './boxResourcesSchema';
@@ -38,6 +39,8 @@
   readonly getConfiguration: (knownVersion: number) => ConfigurationResponse;
   /** Handles the announcement of the leader and its address, and returns what this process says of itself. */
   readonly handleLeaderAnnouncement: (announcement: LeaderAnnouncement) => AnnouncementResponse;
+  /** Handles the request of the leader of an epoch that this box vouch for it. */
+  readonly handleVouchRequest: (epoch: number) => VouchResponse;
   /** Handles the request of the stopped leader of an epoch that this box lead next. */
   readonly handleHandover: (epoch: number) => void;
 }
@@ -59,11 +62,12 @@
 const configurationRequestSchema = z.object({ knownVersion: z.number() });
 const announcementSchema = leaderRecordSchema.extend({ address: z.string(), ...boxResourcesSchema.shape });
 const handoverSchema = z.object({ epoch: z.number() });
+const vouchRequestSchema = z.object({ epoch: z.number() });
 
 const parseBody = ({ body }: FastifyRequest): unknown =>
   parseJson(Buffer.isBuffer(body) ? body.toString('utf8') : '');
 
-/** HTTP server for other entry boxes: advice, job states, log writes, leadership and configuration; and for metrics collectors. */
+/** HTTP server for other entry boxes: advice, job states, log writes, leadership, its witnesses and configuration; and for metrics collectors. */
 export class BoxServer {
   private readonly app: FastifyInstance;
 
@@ -105,6 +109,12 @@
       const { address } = record;
       return reply.send(options.handleLeaderAnnouncement({ record, address, cores, linkMbps }));
     });
+    this.app.post('/vouch', (request, reply) => {
+      const parsed = vouchRequestSchema.safeParse(parseBody(request));
+      return parsed.success
+        ? reply.send(options.handleVouchRequest(parsed.data.epoch))
+        : reply.code(400).send({ error: 'malformed vouch request' });
+    });
     this.app.post('/hand-over', (request, reply) => {
       const parsed = handoverSchema.safeParse(parseBody(request));
       if (!parsed.success) {
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -11,6 +11,8 @@
 import type { Result } from '../common/Result';
 import type { JobReplica } from '../jobs/JobReplica';
 import { leaderTimings } from '../leadership/leaderTimings';
+import type { LeaseWitness } from '../leadership/LeaseWitness';
+import { LeaseWitnesses } from '../leadership/LeaseWitnesses';
 import { LoadPublisher } from '../load/LoadPublisher';
 import { appendRules } from '../store/appendRules';
 import type { LogClient } from '../store/LogClient';
@@ -67,8 +69,10 @@
   readonly longestLeaseMs: number;
   /** Lists the boxes that can send advice requests. */
   readonly listChannels: AdviceBalancerOptions['listChannels'];
-  /** Formats this leader's record in the states topic; with `isResigned` it says that another box may lead. */
-  readonly formatLeaderRecord: (isResigned: boolean) => string;
+  /** Lists the other boxes, which may be witnesses of this leader. */
+  readonly listOtherBoxes: ConstructorParameters<typeof LeaseWitnesses>[0]['listOthers'];
+  /** Formats this leader's record in the states topic, with its witnesses, if any; with `isResigned` it says that another box may lead. */
+  readonly formatLeaderRecord: (isResigned: boolean, witnesses?: readonly LeaseWitness[]) => string;
   /** Called once, after this leader has stopped since a newer one was seen. */
   readonly handleLeadershipLost: (detail: string) => void;
   /** Called when the log has recovered from an outage, with the monotonic time at which the first successful call was sent. */
@@ -104,6 +108,7 @@
 export class LeaderController {
   private readonly dispatcher: Dispatcher;
   private readonly journal: LeaderJournal;
+  private readonly witnesses: LeaseWitnesses;
   private readonly progressRecovery: ProgressRecovery;
   private readonly endpointSessions: EndpointSessions;
   private readonly lineBatcher: LineBatcher;
@@ -154,8 +159,19 @@
     });
     this.journal = new LeaderJournal({
       ...options,
+      formatLeaderRecord: (isResigned) =>
+        options.formatLeaderRecord(isResigned, this.witnesses.takeWitnessesToName()),
+      handleLeaderRecordWritten: () => this.witnesses.recordRecordWritten(),
       handleFenced: (detail) => this.handleLeadershipLost(`the log rejected a write: ${detail}`),
     });
+    this.witnesses = new LeaseWitnesses({
+      epoch,
+      clock,
+      logger: options.logger,
+      listOthers: options.listOtherBoxes,
+      hasAckedWriteWithin: (limitMs) => this.journal.hasAckedWriteWithin(limitMs),
+      handleChange: () => this.journal.queueLeaderRecord(),
+    });
     this.progressRecovery = new ProgressRecovery({
       client,
       progressTopic: options.progressTopic,
@@ -174,7 +190,7 @@
       parseEndpoint: options.parseEndpoint,
       createEndpointClient: options.createEndpointClient,
       isServiceUsed: (service) => options.isServiceRouted(service) || this.jobServices.has(service),
-      canGrantLeases: () => this.canGrantLeases(),
+      canGrantLeases: () => this.witnesses.canRenew(),
       handleStatusApplied: (newEndCount) => this.handleStatusApplied(newEndCount),
       waitForFlush: () => this.journal.waitForProgressFlush(),
       recordCount: (name) => options.recordCount(name),
@@ -191,7 +207,7 @@
       endpoints: this.endpointSessions,
       lineBatcher: this.lineBatcher,
       isStopped: () => this.isStopped,
-      canGrantLeases: () => this.canGrantLeases(),
+      canGrantLeases: () => this.witnesses.canRenew(),
       handleJobStart: (job) => this.recordStartForLoad(job),
       handleSchedulingChange: () => this.queueSchedulingRound(),
       handleLeadershipLost: (detail) => this.handleLeadershipLost(detail),
@@ -427,6 +443,7 @@
     const now = this.options.clock.getNow();
     this.journal.handleTick(now);
     this.recordLeasesEnd(now);
+    this.witnesses.handleTick();
     this.lineBatcher.writeDueBatches(now);
     if (this.hasTakenOver) {
       this.endpointSessions.startPendingSessions();
@@ -467,14 +484,6 @@
     }
   }
 
-  /**
-   * Returns true while a write that the log has acknowledged was sent less than `unconfirmedGraceMs` ago. The next leader waits until
-   * leases granted before that limit have expired, so no lease may be granted after it.
-   */
-  private canGrantLeases(): boolean {
-    return this.journal.hasAckedWriteWithin(leaderTimings.unconfirmedGraceMs);
-  }
-
   private queueSchedulingRound(): void {
     if (!this.isStopped) {
       this.roundThrottle.queueRound();
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -28,6 +28,8 @@
   readonly logger: Logger;
   /** Formats the leader's record; with `isResigned` it says that another box may lead. */
   readonly formatLeaderRecord: (isResigned: boolean) => string;
+  /** Called when the leader's record that was formatted last is durable. */
+  readonly handleLeaderRecordWritten: () => void;
   /** Called when the log rejects a write since a newer leader has fenced this one. */
   readonly handleFenced: (detail: string) => void;
   /** Called when the log has recovered from an outage, with the monotonic time at which the first successful append was sent. */
@@ -122,7 +124,11 @@
 
   /** Queues a write of the leader's record, which says until when leases of earlier leaders may run. */
   queueLeaderRecord(): void {
-    this.stateWriter.queueWrite(leaderKeys.recordKey, () => this.options.formatLeaderRecord(false));
+    this.stateWriter.queueWrite(
+      leaderKeys.recordKey,
+      () => this.options.formatLeaderRecord(false),
+      () => this.options.handleLeaderRecordWritten(),
+    );
   }
 
   /** Queues a write of a load digest to the states topic. */
--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -1,3 +1,5 @@
+import type { LeaseWitness } from './LeaseWitness';
+
 /** Record of the leader in the log. The one with the highest epoch is valid. */
 export interface LeaderRecord {
   /** Epoch of the leader; also the fencing token of each of its commands to endpoints. */
@@ -16,6 +18,11 @@
    * given by earlier versions.
    */
   readonly earlierLeasesMs?: number | undefined;
+  /**
+   * Processes without whose word this leader renews leases only within `briefGraceMs` of its last acknowledged write, and not within
+   * `unconfirmedGraceMs`. Not given by earlier versions, and while no other box vouches for the leader.
+   */
+  readonly witnesses?: readonly LeaseWitness[] | undefined;
   /** In a claim, the leader of the epoch before it, which may act until the claim is written. */
   readonly previous?: Pick<LeaderRecord, 'box' | 'address' | 'process'> | undefined;
 }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -7,10 +7,13 @@
 import type { LogRecord } from '../store/LogRecord';
 import type { BoxProcess } from './BoxProcess';
 import type { LeaderRecord } from './LeaderRecord';
+import { LeaderVoucher } from './LeaderVoucher';
 import { LeaseHistory } from './LeaseHistory';
+import type { LeaseWitness } from './LeaseWitness';
 import { leaderKeys } from './leaderKeys';
 import { leaderRecordSchema } from './leaderRecordSchema';
 import { leaderTimings } from './leaderTimings';
+import type { WitnessReport } from './WitnessReport';
 
 interface LeadershipOptions {
   readonly client: LogClient;
@@ -81,6 +84,7 @@
   /** Monotonic time at which this process noticed that the process of the leader had ended. */
   private leaderEndNoticedAt = -Infinity;
   private readonly leaseHistory = new LeaseHistory();
+  private readonly voucher: LeaderVoucher;
   /** Monotonic time at which a read first showed the heartbeat timeout of the leader; undefined without a timeout. */
   private timeoutSeenAt: number | undefined;
   /** Address of the box that is asked to lead after this process. */
@@ -93,6 +97,10 @@
 
   constructor(private readonly options: LeadershipOptions) {
     this.claimJitter = options.random();
+    this.voucher = new LeaderVoucher({
+      clock: options.clock,
+      getNewestEpoch: () => this.leaderRecord?.epoch,
+    });
   }
 
   getLeaderRecord(): LeaderRecord | undefined {
@@ -197,12 +205,21 @@
     this.isStopped = true;
   }
 
-  /** Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. */
-  formatLeaderRecord(epoch: number, isResigned: boolean): string {
+  /** Returns what this process vouches by, as a witness of leaders of other boxes. */
+  getVoucher(): LeaderVoucher {
+    return this.voucher;
+  }
+
+  /**
+   * Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. Names the
+   * witnesses, if any.
+   */
+  formatLeaderRecord(epoch: number, isResigned: boolean, witnesses?: readonly LeaseWitness[]): string {
     const { box, address, process, clock } = this.options;
     const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
     const successor = isResigned && this.successor !== undefined ? { successor: this.successor } : {};
-    const record: LeaderRecord = { epoch, box, address, process, isResigned, ...successor };
+    const named = witnesses && { witnesses };
+    const record: LeaderRecord = { epoch, box, address, process, isResigned, ...successor, ...named };
     return JSON.stringify(this.leaderRecord?.epoch === epoch ? { ...record, earlierLeasesMs } : record);
   }
 
@@ -233,25 +250,31 @@
     return this.leaseHistory.getEarlierLeasesEndAt();
   }
 
-  /** Returns whether leases may be valid that a leader in the box granted before the newest leader. */
-  hasLedRecently(box: string): boolean {
-    return this.leaseHistory.hasEarlierLeases(box, this.options.clock.getNow());
+  /** Returns whether the box may say when leases of an earlier leader have expired, since that ran in it or named it as a witness. */
+  isResponseAwaited(box: string): boolean {
+    return this.leaseHistory.isResponseAwaited(box, this.options.clock.getNow());
   }
 
   /**
    * Handles the response of a process of another box to an announcement of this leader's epoch: leaders of earlier epochs in other processes
-   * of that box, at the same address, have ended.
+   * of that box, at the same address, have ended, and the process vouches for none of them any more.
    */
-  handleBoxProcess(boxProcess: BoxProcess, announcedEpoch: number): void {
-    this.leaseHistory.recordBoxProcess(boxProcess, announcedEpoch - 1);
+  handleBoxProcess(report: WitnessReport, announcedEpoch: number): void {
+    this.leaseHistory.recordBoxProcess(report, announcedEpoch - 1);
+    this.leaseHistory.recordWitness(report, announcedEpoch - 1);
   }
 
-  /** Sets the leader record and records it for the leases. An earlier process of this box at its address has ended. */
+  /**
+   * Sets the leader record and records it for the leases. An earlier process of this box at its address has ended, and this one vouches for no earlier
+   * leader any more.
+   */
   private recordLeader(record: LeaderRecord, now: number): void {
     this.leaseHistory.recordLeader(record, now);
     const { box, address, process } = this.options;
     this.ownProcess ??= { box, address, process, startedBy: now };
     this.leaseHistory.recordBoxProcess(this.ownProcess, record.epoch);
+    const report = { ...this.ownProcess, vouchedBy: this.voucher.getVouchedAt() };
+    this.leaseHistory.recordWitness(report, record.epoch - 1);
     this.setLeaderRecord(record);
   }
 
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -2,6 +2,8 @@
 import { computeMaxLeaseMs } from './computeMaxLeaseMs';
 import type { LeaderRecord } from './LeaderRecord';
 import { leaderTimings } from './leaderTimings';
+import type { LeaseWitness } from './LeaseWitness';
+import type { WitnessReport } from './WitnessReport';
 
 /** A leader before the newest one; without box and process, all leaders whose records were not read. */
 interface EarlierLeader {
@@ -11,15 +13,26 @@
   readonly process: string | undefined;
   /** Monotonic time at which its leases have expired. */
   readonly leasesEndAt: number;
+  /** If it has named witnesses, what is known of them. */
+  readonly testimony?: Testimony | undefined;
 }
 
-const { leaseMs, unconfirmedGraceMs } = leaderTimings;
+/** What the witnesses of a leader have said. */
+interface Testimony {
+  /** Witnesses that have not reported yet. */
+  readonly pending: readonly LeaseWitness[];
+  /** Monotonic time at which the leases have expired that it renewed without, or on the word of those that have reported. */
+  readonly leasesEndAt: number;
+}
+
+const { leaseMs, unconfirmedGraceMs, briefGraceMs, vouchMs } = leaderTimings;
 /** Time from the sending of a grant until its lease has expired by any clock within the tolerance. */
 const MAX_LEASE_MS = computeMaxLeaseMs(leaseMs);
 
 /**
  * Computes until when runs may continue on leases of earlier leaders, on endpoints that have not responded since. A leader renews
- * leases for a bounded time after its last write to the log, and not at all once it has stopped or its process has ended. The bound counts
+ * leases for a bounded time after its last write to the log, and not at all once it has stopped or its process has ended. If it has named witnesses
+ * in its record, the bound is the shorter one once all of them have reported how long they vouched for it. The bound counts
  * from the last activity of a leader that was read, which is later than the write, and not from the next election, which may be much later
  * still; where records may have been missed, from the time at which the next leader became known.
  */
@@ -55,10 +68,14 @@
     this.leaderActiveAt = now;
   }
 
-  /** Records that the newest leader may have written until now, unless it has stopped, as this process may have missed records. */
+  /**
+   * Records that the newest leader may have written until now, unless it has stopped, as this process may have missed records. It may have named other
+   * witnesses, or none.
+   */
   recordMissedWrites(now: number): void {
     if (!this.hasLeaderStopped) {
       this.leaderActiveAt = now;
+      this.newestLeader = this.newestLeader && { ...this.newestLeader, witnesses: undefined };
     }
   }
 
@@ -89,14 +106,48 @@
     this.setLatestEnd(startedBy + MAX_LEASE_MS, hasEnded);
   }
 
+  /**
+   * Records what a process says of itself as a witness. It knows of a leader later than those up to an epoch, and vouches for none of them any more. The
+   * records of these leaders must have been read before.
+   */
+  recordWitness(report: WitnessReport, upToEpoch: number): void {
+    this.earlierLeaders = this.earlierLeaders.map((leader) =>
+      leader.epoch <= upToEpoch ? this.applyReport(leader, report) : leader,
+    );
+  }
+
   /** Returns the monotonic time at which all leases of the leaders before the newest one have expired; -Infinity without such leaders. */
   getEarlierLeasesEndAt(): number {
     return Math.max(-Infinity, ...this.earlierLeaders.map(({ leasesEndAt }) => leasesEndAt));
   }
 
-  /** Returns whether leases that a leader in the box granted before the newest leader may be valid. */
-  hasEarlierLeases(box: string, now: number): boolean {
-    return this.earlierLeaders.some((leader) => leader.box === box && leader.leasesEndAt > now);
+  /** Returns whether leases may be valid of an earlier leader that ran in the box, or that named it as a witness which has not reported. */
+  isResponseAwaited(box: string, now: number): boolean {
+    return this.earlierLeaders.some(
+      (leader) =>
+        leader.leasesEndAt > now &&
+        (leader.box === box || leader.testimony?.pending.some((witness) => witness.box === box) === true),
+    );
+  }
+
+  /** Applies the report of a witness to a leader that has named it. An earlier process at its address has ended, and vouched until then at most. */
+  private applyReport(
+    leader: EarlierLeader,
+    { box, address, process, startedBy, vouchedBy }: WitnessReport,
+  ): EarlierLeader {
+    const { testimony } = leader;
+    const named = testimony?.pending.find((witness) => witness.box === box && witness.address === address);
+    if (testimony === undefined || named === undefined) {
+      return leader;
+    }
+    const lastVouchedBy = named.process === process ? vouchedBy : startedBy;
+    const pending = testimony.pending.filter((witness) => witness !== named);
+    const leasesEndAt = Math.max(testimony.leasesEndAt, lastVouchedBy + vouchMs + MAX_LEASE_MS);
+    return {
+      ...leader,
+      testimony: { pending, leasesEndAt },
+      leasesEndAt: pending.length === 0 ? Math.min(leader.leasesEndAt, leasesEndAt) : leader.leasesEndAt,
+    };
   }
 
   private listLeadersBefore({ epoch, previous }: LeaderRecord, now: number): readonly EarlierLeader[] {
@@ -115,7 +166,7 @@
     ];
     return [
       ...this.earlierLeaders.filter((leader) => leader.leasesEndAt > now),
-      ...(newestLeader === undefined ? [] : [{ ...newestLeader, leasesEndAt: this.computeLeasesEndAt() }]),
+      ...(newestLeader === undefined ? [] : [this.createEarlierLeader(newestLeader)]),
       ...unread.filter((leader) => leader.epoch > knownEpoch),
     ];
   }
@@ -127,8 +178,23 @@
     );
   }
 
-  private computeLeasesEndAt(): number {
-    const lastRenewalAt = this.leaderActiveAt + (this.hasLeaderStopped ? 0 : unconfirmedGraceMs);
+  private createEarlierLeader({ epoch, box, address, process, witnesses }: LeaderRecord): EarlierLeader {
+    return {
+      epoch,
+      box,
+      address,
+      process,
+      leasesEndAt: this.computeLeasesEndAt(unconfirmedGraceMs),
+      testimony: witnesses && {
+        pending: witnesses,
+        leasesEndAt: this.computeLeasesEndAt(briefGraceMs),
+      },
+    };
+  }
+
+  /** Computes when leases of the newest leader have expired that it renewed within `graceMs` of its last activity. */
+  private computeLeasesEndAt(graceMs: number): number {
+    const lastRenewalAt = this.leaderActiveAt + (this.hasLeaderStopped ? 0 : graceMs);
     return Math.min(lastRenewalAt, this.leaderEndedAt) + MAX_LEASE_MS;
   }
 }
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -9,5 +9,6 @@
   isResigned: z.boolean(),
   successor: z.string().optional(),
   earlierLeasesMs: z.number().min(0).optional(),
+  witnesses: z.array(z.object({ box: z.string(), address: z.string(), process: z.string() })).optional(),
   previous: z.object({ box: z.string(), address: z.string().optional(), process: z.string() }).optional(),
 });
--- a/packages/leadership/leaderTimings.ts
+++ b/packages/leadership/leaderTimings.ts
@@ -12,6 +12,10 @@
   clockDriftShare: 0.03,
   /** Safety margin that is added to each bound computed from a lease. */
   marginMs: 250,
-  /** Grace period after its last acknowledged write in which a leader that cannot write to the log still renews leases. */
+  /** Longest time after its last acknowledged write in which a leader that cannot write to the log still renews leases. */
   unconfirmedGraceMs: 8000,
+  /** Time after its last acknowledged write in which a leader that has named witnesses renews leases without their word. */
+  briefGraceMs: 2500,
+  /** Time, from the sending of the request, in which a leader renews leases on the word of a witness. */
+  vouchMs: 1500,
 } as const;
--- a/packages/serve/LeaderAnnouncer.ts
+++ b/packages/serve/LeaderAnnouncer.ts
@@ -2,9 +2,9 @@
 import type { BoxClient } from '../boxes/BoxClient';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
-import type { BoxProcess } from '../leadership/BoxProcess';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import { leaderTimings } from '../leadership/leaderTimings';
+import type { WitnessReport } from '../leadership/WitnessReport';
 
 interface AnnouncedBox {
   readonly box: string;
@@ -19,10 +19,10 @@
   readonly listOthers: () => readonly AnnouncedBox[];
   /** Creates the announcement of this box as leader; undefined while it does not lead. */
   readonly createLeaderAnnouncement: () => LeaderAnnouncement | undefined;
-  /** Returns whether leases may be valid that a leader in the box granted before this one. */
-  readonly hasLedRecently: (box: string) => boolean;
+  /** Returns whether the response of the box may say when leases of an earlier leader have expired. */
+  readonly isResponseAwaited: (box: string) => boolean;
   /** Handles the process of another box that has confirmed the announcement of an epoch. */
-  readonly handleBoxProcess: (boxProcess: BoxProcess, announcedEpoch: number) => void;
+  readonly handleBoxProcess: (report: WitnessReport, announcedEpoch: number) => void;
 }
 
 /** Delivery of the announcement of one epoch to one box. */
@@ -32,8 +32,8 @@
    * `announcedAt` of the box when the delivery was created. A different value means that the box has restarted and needs a new delivery.
    */
   readonly announcedAt: number;
-  /** Whether an earlier leader ran in the box, which is told first: it may act until then. */
-  readonly isToEarlierLeader: boolean;
+  /** Whether an earlier leader ran in the box, which may act until it is told, or named it as a witness. Such a box is told first. */
+  readonly isResponseAwaited: boolean;
   attemptCount: number;
   /** Monotonic time of the next attempt; Infinity while one is in flight, and once it has succeeded or none is left. */
   nextAttemptAt: number;
@@ -84,7 +84,7 @@
       .map((other) => ({ other, delivery: this.getDelivery(other) }))
       .filter(({ delivery }) => now >= delivery.nextAttemptAt)
       .sort(
-        (left, right) => Number(right.delivery.isToEarlierLeader) - Number(left.delivery.isToEarlierLeader),
+        (left, right) => Number(right.delivery.isResponseAwaited) - Number(left.delivery.isResponseAwaited),
       );
     for (const { other, delivery } of due.slice(0, MAX_CONCURRENT_REQUESTS - this.inFlightCount)) {
       void this.sendAnnouncement(other, delivery, announcement);
@@ -96,14 +96,14 @@
     if (known?.epoch === this.ledEpoch && known.announcedAt === announcedAt) {
       return known;
     }
-    // An earlier leader that cannot read the log acts until it learns of this one.
-    const isToEarlierLeader = this.options.hasLedRecently(box);
-    const isUrgent = announcedAt + NEW_BOX_AGE_MS > this.ledSince || isToEarlierLeader;
+    // An earlier leader that cannot read the log acts until it learns of this one, and its witnesses vouch for it.
+    const isResponseAwaited = this.options.isResponseAwaited(box);
+    const isUrgent = announcedAt + NEW_BOX_AGE_MS > this.ledSince || isResponseAwaited;
     const nextAttemptAt = isUrgent ? -Infinity : this.ledSince + STABLE_LEADER_AGE_MS;
     const delivery: AnnouncementDelivery = {
       epoch: this.ledEpoch,
       announcedAt,
-      isToEarlierLeader,
+      isResponseAwaited,
       attemptCount: 0,
       nextAttemptAt,
     };
@@ -114,13 +114,16 @@
   /** Ignores the response of another box at the address, or of an earlier version. */
   private handleResponse(
     { box, client }: AnnouncedBox,
-    { box: respondingBox, process, upMs }: AnnouncementResponse,
+    { box: respondingBox, process, upMs, vouchedMs }: AnnouncementResponse,
     announcedEpoch: number,
   ): void {
     if (respondingBox === box && process !== undefined && upMs !== undefined) {
+      const now = this.options.clock.getNow();
       // The clock of that box may be too fast.
-      const startedBy = this.options.clock.getNow() - upMs * (1 - leaderTimings.clockDriftShare);
-      this.options.handleBoxProcess({ box, address: client.address, process, startedBy }, announcedEpoch);
+      const toLatestTime = (ageMs: number): number => now - ageMs * (1 - leaderTimings.clockDriftShare);
+      const vouchedBy = vouchedMs === undefined ? -Infinity : toLatestTime(vouchedMs);
+      const report = { box, address: client.address, process, startedBy: toLatestTime(upMs), vouchedBy };
+      this.options.handleBoxProcess(report, announcedEpoch);
     }
   }
 
--- a/packages/serve/OtherBoxes.ts
+++ b/packages/serve/OtherBoxes.ts
@@ -6,9 +6,9 @@
 import type { JobCaller } from '../customers/JobCaller';
 import type { JobId } from '../jobs/JobId';
 import type { JobState } from '../jobs/JobState';
-import type { BoxProcess } from '../leadership/BoxProcess';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import type { LeaderRecord } from '../leadership/LeaderRecord';
+import type { WitnessReport } from '../leadership/WitnessReport';
 import type { LogWrite } from '../store/LogWrite';
 import type { RecordWriter } from '../store/RecordWriter';
 import type { LeaderContact } from './LeaderContact';
@@ -26,10 +26,10 @@
   /** Returns whether this process leads and is not stopping. */
   readonly isLeading: () => boolean;
   readonly isStopping: () => boolean;
-  /** Returns whether leases may be valid that a leader in the box granted before the current one. */
-  readonly hasLedRecently: (box: string) => boolean;
+  /** Returns whether the response of the box may say when leases of an earlier leader have expired. */
+  readonly isResponseAwaited: (box: string) => boolean;
   /** Handles the process of another box that has confirmed the announcement of an epoch. */
-  readonly handleBoxProcess: (boxProcess: BoxProcess, announcedEpoch: number) => void;
+  readonly handleBoxProcess: (report: WitnessReport, announcedEpoch: number) => void;
 }
 
 /** Timeout of one write of this box's announcement. */
@@ -50,7 +50,7 @@
       logger,
       listOthers: () => this.clients.listOthers(),
       createLeaderAnnouncement: () => this.createLeaderAnnouncement(),
-      hasLedRecently: options.hasLedRecently,
+      isResponseAwaited: options.isResponseAwaited,
       handleBoxProcess: options.handleBoxProcess,
     });
   }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -13,10 +13,11 @@
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
-import type { BoxProcess } from '../leadership/BoxProcess';
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import { LeaderWatch } from '../leadership/LeaderWatch';
 import { Leadership } from '../leadership/Leadership';
+import type { VouchResponse } from '../leadership/VouchResponse';
+import type { WitnessReport } from '../leadership/WitnessReport';
 import { EventLoopMonitor } from '../logging/EventLoopMonitor';
 import { admissionModes } from '../load/admissionModes';
 import { loadKeys } from '../load/loadKeys';
@@ -123,8 +124,8 @@
       getLeader: () => this.leadership.getLeaderRecord(),
       isLeading: () => this.controller !== undefined && !this.isStopping,
       isStopping: () => this.isStopping,
-      hasLedRecently: (box) => this.leadership.hasLedRecently(box),
-      handleBoxProcess: (boxProcess, announcedEpoch) => this.handleBoxProcess(boxProcess, announcedEpoch),
+      isResponseAwaited: (box) => this.leadership.isResponseAwaited(box),
+      handleBoxProcess: (report, announcedEpoch) => this.handleBoxProcess(report, announcedEpoch),
     });
     this.adviceChannels = new AdviceChannels({
       box: settings.box,
@@ -178,6 +179,7 @@
       writeForBox: (write, timeoutMs) => this.writeForBox(write, timeoutMs),
       getConfiguration: (knownVersion) => this.configurationUpdater.createResponse(knownVersion),
       handleLeaderAnnouncement: (announcement) => this.handleLeaderAnnouncement(announcement),
+      handleVouchRequest: (epoch) => this.handleVouchRequest(epoch),
       handleHandover: (epoch) => this.leadership.handleHandover(epoch),
     });
   }
@@ -329,7 +331,16 @@
   private handleLeaderAnnouncement(announcement: LeaderAnnouncement): AnnouncementResponse {
     this.applyLeaderAnnouncement(announcement);
     const { settings, process, clock } = this.options;
-    return { box: settings.box, process, upMs: Math.max(0, clock.getNow() - this.startedAt) };
+    const upMs = Math.max(0, clock.getNow() - this.startedAt);
+    const vouchedMs = this.leadership.getVoucher().getVouchAgeMs();
+    return { box: settings.box, process, upMs, ...(vouchedMs === undefined ? {} : { vouchedMs }) };
+  }
+
+  /** Vouches for the leader of an epoch if this process knows no newer one. Not while it stops, so that the leader names another witness. */
+  private handleVouchRequest(epoch: number): VouchResponse {
+    const { settings, process } = this.options;
+    const isVouched = !this.isStopping && this.leadership.getVoucher().handleVouchRequest(epoch);
+    return { box: settings.box, process, isVouched };
   }
 
   private applyLeaderAnnouncement(announcement: LeaderAnnouncement): void {
@@ -343,22 +354,25 @@
     this.handleLeadershipLost(ledEpoch, `${record.process} leads epoch ${record.epoch}`);
   }
 
-  /** Lowers the bound of the leases of earlier leaders, as one of them that ran in an earlier process of that box has ended. */
-  private handleBoxProcess(boxProcess: BoxProcess, announcedEpoch: number): void {
+  /** Lowers the bound of the leases of earlier leaders, as one of them ran in an earlier process of that box, or named the process as a witness. */
+  private handleBoxProcess(report: WitnessReport, announcedEpoch: number): void {
     const { leadership, controller } = this;
     const previousEndAt = leadership.getEarlierLeasesEndAt();
-    leadership.handleBoxProcess(boxProcess, announcedEpoch);
+    leadership.handleBoxProcess(report, announcedEpoch);
     const endAt = leadership.getEarlierLeasesEndAt();
     if (endAt >= previousEndAt) {
       return;
     }
     controller?.setEarlierLeasesEnd(endAt);
+    const now = this.options.clock.getNow();
     this.logger.info('Leases of earlier leaders end sooner.', {
-      other: boxProcess.box,
-      process: boxProcess.process,
+      other: report.box,
+      process: report.process,
       epoch: announcedEpoch,
       soonerMs: Math.round(previousEndAt - endAt),
-      earlierLeasesMs: Math.max(0, Math.round(endAt - this.options.clock.getNow())),
+      earlierLeasesMs: Math.max(0, Math.round(endAt - now)),
+      upMs: Math.round(now - report.startedBy),
+      vouchedMs: report.vouchedBy === -Infinity ? undefined : Math.round(now - report.vouchedBy),
     });
   }
 
@@ -487,7 +501,9 @@
       isServiceRouted: (service) => this.router.hasService(service),
       longestLeaseMs: settings.longestLeaseMs,
       listChannels: () => this.adviceChannels.listChannels(),
-      formatLeaderRecord: (isResigned) => this.leadership.formatLeaderRecord(epoch, isResigned),
+      listOtherBoxes: () => this.otherBoxes.clients.listOthers(),
+      formatLeaderRecord: (isResigned, witnesses) =>
+        this.leadership.formatLeaderRecord(epoch, isResigned, witnesses),
       handleLeadershipLost: (detail) => this.handleLeadershipLost(epoch, detail),
       handleLogRecovered: (sentAt) => this.handleLogRecovered(sentAt),
       recordCount: (name, amount) => this.metrics.recordCount(name, amount),
--- a/tests/firstHeartbeat.test.ts
+++ b/tests/firstHeartbeat.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import { LeaderController } from '../packages/dispatch/LeaderController';
-import { JobReplica } from '../packages/jobs/JobReplica';
 import type { LogClient } from '../packages/store/LogClient';
+import { createLeaderOptions } from './helpers/createLeaderOptions';
 
 const STATES_TOPIC = 'keyed.states';
 /** Longer than the interval of heartbeats, as on a box with little processor time. */
@@ -26,45 +26,12 @@
       readRecords: () => new Promise(() => undefined),
       stop: () => Promise.resolve(),
     };
-    leader = new LeaderController({
-      epoch: 4,
-      claimedAt: performance.now() - claimAgeMs,
-      earlierLeasesEndAt: 0,
-      client,
-      statesTopic: STATES_TOPIC,
-      progressTopic: 'keyed.progress',
-      endpointsTopic: 'keyed.servers',
-      maxAppendBytes: 100_000,
-      replica: new JobReplica(),
-      updateReplica: () => new Promise(() => undefined),
-      clock: {
-        getNow: () => performance.now(),
-        getWallTime: () => Date.now(),
-        getMaxElapsedSince: (since) => performance.now() - since,
-      },
-      random: () => 0.5,
-      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
-      policies: {
-        placementOrder: 'objective',
-        speedChoice: 'kinds',
-        hallChoice: 'spread',
-        stopChoice: 'ranked',
-        turnChoice: 'asked',
-      },
-      getCustomerLimit: () => undefined,
-      parseEndpoint: () => ({ ok: false, error: 'not used' }),
-      createEndpointClient: () => {
-        throw new Error('not used');
-      },
-      isServiceRouted: () => true,
-      longestLeaseMs: 10_000,
-      listChannels: () => [],
-      formatLeaderRecord: () => 'heartbeat',
-      handleLeadershipLost: () => undefined,
-      handleLogRecovered: () => undefined,
-      recordCount: () => undefined,
-      recordTime: () => undefined,
-    });
+    leader = new LeaderController(
+      createLeaderOptions(client, {
+        claimedAt: performance.now() - claimAgeMs,
+        updateReplica: () => new Promise(() => undefined),
+      }),
+    );
     leader.start();
     await new Promise((resolve) => setTimeout(resolve, PROMPT_MS));
     return written;
--- a/tests/helpers/IncarnationSimulation.ts
+++ b/tests/helpers/IncarnationSimulation.ts
@@ -151,6 +151,7 @@
       isServiceRouted: () => true,
       longestLeaseMs: 10_000,
       listChannels: () => [],
+      listOtherBoxes: () => [],
       formatLeaderRecord: () => String(epoch),
       handleLeadershipLost: () => undefined,
       handleLogRecovered: () => undefined,
--- a/tests/helpers/SimulatedIncarnation.ts
+++ b/tests/helpers/SimulatedIncarnation.ts
@@ -16,6 +16,8 @@
   readonly runChecker: RunChecker;
   /** Called when a task crashes the incarnation. */
   readonly handleCrash: () => void;
+  /** Time of its clock that passes in a unit of time; 1 if not given, less for a slow clock. */
+  readonly clockRate?: number;
 }
 
 /** Result of a start command. */
@@ -47,7 +49,7 @@
 
   /** Returns the incarnation's own clock, in milliseconds. */
   getClock(): number {
-    return performance.now() - this.startedAt;
+    return (performance.now() - this.startedAt) * this.getClockRate();
   }
 
   /** Records the token of a call. Returns false when a higher one has been seen. */
@@ -171,7 +173,12 @@
     }
     this.leaseExpiresAt = until;
     clearTimeout(this.leaseTimer);
-    this.leaseTimer = setTimeout(() => this.handleLeaseExpiry(), Math.max(0, until - this.getClock()));
+    const leftMs = Math.max(0, until - this.getClock()) / this.getClockRate();
+    this.leaseTimer = setTimeout(() => this.handleLeaseExpiry(), leftMs);
+  }
+
+  private getClockRate(): number {
+    return this.options.clockRate ?? 1;
   }
 
   private handleLeaseExpiry(): void {
--- a/tests/helpers/createLeaderOptions.ts
+++ b/tests/helpers/createLeaderOptions.ts
@@ -41,6 +41,7 @@
   isServiceRouted: () => true,
   longestLeaseMs: 10_000,
   listChannels: () => [],
+  listOtherBoxes: () => [],
   formatLeaderRecord: () => 'heartbeat',
   handleLeadershipLost: () => undefined,
   handleLogRecovered: () => undefined,
--- a/tests/leaderAnnouncer.test.ts
+++ b/tests/leaderAnnouncer.test.ts
@@ -25,7 +25,7 @@
     });
     const others = [
       createBox('follower', {}),
-      createBox('earlier', { box: 'earlier', process: 'earlier#2', upMs: 1000 }),
+      createBox('earlier', { box: 'earlier', process: 'earlier#2', upMs: 1000, vouchedMs: 200 }),
       createBox('moved', { box: 'other', process: 'other#1', upMs: 1000 }),
     ];
     const announcer = new LeaderAnnouncer({
@@ -39,7 +39,7 @@
         linkMbps: 0,
       }),
       handleBoxProcess: (boxProcess, epoch) => processes.push({ boxProcess, epoch }),
-      hasLedRecently: (box) => box === 'earlier',
+      isResponseAwaited: (box) => box === 'earlier',
     });
     const runUntil = async (ms: number): Promise<void> => {
       for (; now < LED_SINCE + ms; now += 50) {
@@ -58,7 +58,7 @@
     expect(announcedTo.map(({ box }) => box)).toEqual(['earlier', 'follower', 'moved']);
   });
 
-  it('tell which process runs in a box, unless another box has its address', async () => {
+  it('tell which process runs in a box and when it last vouched for a leader, unless another box has its address', async () => {
     const { processes, runUntil } = createWorld();
     await runUntil(STABLE_AGE_MS + 200);
     expect(processes).toEqual([
@@ -68,6 +68,7 @@
           address: 'earlier:1',
           process: 'earlier#2',
           startedBy: expect.closeTo(LED_SINCE - 970),
+          vouchedBy: expect.closeTo(LED_SINCE - 194),
         },
         epoch: EPOCH,
       },
@@ -97,7 +98,7 @@
         linkMbps: 0,
       }),
       handleBoxProcess: () => undefined,
-      hasLedRecently: (box) => box === 'box-89',
+      isResponseAwaited: (box) => box === 'box-89',
     });
     announcer.handleTick();
     expect(announcedTo[0]).toBe('box-89');
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -498,6 +498,73 @@
     }
   });
 
+  describe('of a leader that has named witnesses', () => {
+    const BRIEF_GRACE_MS = 2500;
+    const VOUCH_MS = 1500;
+    const witnesses = ['box-8', 'box-9'].map((box) => ({ box, address: `${box}:1`, process: `${box}#1` }));
+    const LONG_END = 2000 + UNCONFIRMED_GRACE_MS + LEASE_BOUND_MS;
+    const createHistory = (): LeaseHistory => {
+      const leases = new LeaseHistory();
+      leases.recordLeader({ ...toRecord(1), witnesses }, 2000);
+      leases.recordLeader(toRecord(2), 4000);
+      return leases;
+    };
+    const toReport = (index: number, fields = {}) => ({
+      ...witnesses[index]!,
+      startedBy: 0,
+      vouchedBy: -Infinity,
+      ...fields,
+    });
+
+    it('expire after the brief grace period once all witnesses have reported that they did not vouch', () => {
+      const leases = createHistory();
+      leases.recordWitness(toReport(0), 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(LONG_END);
+      expect([leases.isResponseAwaited('box-8', 4000), leases.isResponseAwaited('box-9', 4000)]).toEqual([
+        false,
+        true,
+      ]);
+      leases.recordWitness(toReport(1), 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(2000 + BRIEF_GRACE_MS + LEASE_BOUND_MS);
+    });
+
+    it('include those that it renewed on the word of a witness, but none after the longest grace period', () => {
+      const leases = createHistory();
+      leases.recordWitness(toReport(0, { vouchedBy: 4100 }), 1);
+      leases.recordWitness(toReport(1, { vouchedBy: 3000 }), 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(4100 + VOUCH_MS + LEASE_BOUND_MS);
+      const late = createHistory();
+      late.recordWitness(toReport(0, { vouchedBy: 30_000 }), 1);
+      late.recordWitness(toReport(1), 1);
+      expect(late.getEarlierLeasesEndAt()).toBe(LONG_END);
+    });
+
+    it('count the word of an earlier process of a witness until it had ended', () => {
+      const leases = createHistory();
+      leases.recordWitness(toReport(0, { process: 'box-8#2', startedBy: 4500 }), 1);
+      leases.recordWitness(toReport(1), 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(4500 + VOUCH_MS + LEASE_BOUND_MS);
+    });
+
+    it('are not shortened by a box at another address, by a report that knows no later leader, or by other boxes', () => {
+      const leases = createHistory();
+      leases.recordWitness(toReport(0), 1);
+      leases.recordWitness(toReport(1, { address: 'box-9:2' }), 1);
+      leases.recordWitness(toReport(1), 0);
+      leases.recordWitness(toReport(1, { box: 'box-7' }), 1);
+      expect(leases.getEarlierLeasesEndAt()).toBe(LONG_END);
+    });
+
+    it('are not shortened when records of it may have been missed, which may name others', () => {
+      const leases = new LeaseHistory();
+      leases.recordLeader({ ...toRecord(1), witnesses }, 2000);
+      leases.recordMissedWrites(3000);
+      leases.recordLeader(toRecord(2), 4000);
+      witnesses.forEach((_witness, index) => leases.recordWitness(toReport(index), 1));
+      expect(leases.getEarlierLeasesEndAt()).toBe(3000 + UNCONFIRMED_GRACE_MS + LEASE_BOUND_MS);
+    });
+  });
+
   it('include those of leaders that a new process has not read, which may still renew them', () => {
     const leases = new LeaseHistory();
     leases.recordLeader(toRecord(6, true), 1000);
--- a/tests/suspension.test.ts
+++ b/tests/suspension.test.ts
@@ -175,6 +175,7 @@
       clock: machine,
       logger: LOGGER,
       formatLeaderRecord: () => 'leader',
+      handleLeaderRecordWritten: () => undefined,
       handleFenced: handleUnexpectedCall,
       handleLogRecovered: () => undefined,
     });
--- a/tests/takeover.test.ts
+++ b/tests/takeover.test.ts
@@ -4,6 +4,7 @@
 import { JobReplica } from '../packages/jobs/JobReplica';
 import type { LogClient } from '../packages/store/LogClient';
 import { createJobDefinition } from './helpers/createJobDefinition';
+import { createLeaderOptions } from './helpers/createLeaderOptions';
 import { createStep } from './helpers/createStep';
 
 const JOBS = 20;
@@ -31,47 +32,19 @@
   ): Promise<number | undefined> => {
     let now = 0;
     let jobCount: number | undefined;
-    leader = new LeaderController({
-      epoch: 4,
-      claimedAt: 0,
-      earlierLeasesEndAt: 0,
-      client,
-      statesTopic: 'keyed.states',
-      progressTopic: 'keyed.progress',
-      endpointsTopic: 'keyed.servers',
-      maxAppendBytes: 100_000,
-      replica,
-      updateReplica: () => Promise.resolve(true),
-      clock: { getNow: () => (now += CLOCK_STEP_MS), getWallTime: () => now, getMaxElapsedSince: () => 0 },
-      random: () => 0.5,
-      logger: {
-        info: (message, fields) => {
-          jobCount = message === 'Leading.' ? Number(fields?.['jobs']) : jobCount;
+    leader = new LeaderController(
+      createLeaderOptions(client, {
+        replica,
+        clock: { getNow: () => (now += CLOCK_STEP_MS), getWallTime: () => now, getMaxElapsedSince: () => 0 },
+        logger: {
+          info: (message, fields) => {
+            jobCount = message === 'Leading.' ? Number(fields?.['jobs']) : jobCount;
+          },
+          warn: () => undefined,
+          error: () => undefined,
         },
-        warn: () => undefined,
-        error: () => undefined,
-      },
-      policies: {
-        placementOrder: 'objective',
-        speedChoice: 'kinds',
-        hallChoice: 'spread',
-        stopChoice: 'ranked',
-        turnChoice: 'asked',
-      },
-      getCustomerLimit: () => undefined,
-      parseEndpoint: () => ({ ok: false, error: 'not used' }),
-      createEndpointClient: () => {
-        throw new Error('not used');
-      },
-      isServiceRouted: () => true,
-      longestLeaseMs: 10_000,
-      listChannels: () => [],
-      formatLeaderRecord: () => 'heartbeat',
-      handleLeadershipLost: () => undefined,
-      handleLogRecovered: () => undefined,
-      recordCount: () => undefined,
-      recordTime: () => undefined,
-    });
+      }),
+    );
     leader.start();
     for (let turn = 0; turn < TURNS && jobCount === undefined; turn += 1) {
       await new Promise((resolve) => setImmediate(resolve));
