--- a/tests/helpers/IncarnationSimulation.ts
+++ b/tests/helpers/IncarnationSimulation.ts
@@ -15,6 +15,7 @@
 import { JobReplica } from '../../packages/jobs/JobReplica';
 import type { JobState } from '../../packages/jobs/JobState';
 import { RunChecker } from '../../packages/standins/platform/RunChecker';
+import { createLeaderOptions } from './createLeaderOptions';
 import { createProfile } from './createProfile';
 import { MemoryLog } from './MemoryLog';
 import { SimulatedIncarnation } from './SimulatedIncarnation';
@@ -117,47 +118,26 @@
     const replica = new JobReplica();
     this.definitions.forEach((definition) => replica.recordDefinition(definition));
     this.replicas.push(replica);
-    const clock = {
-      getNow: () => performance.now(),
-      getWallTime: () => Date.now(),
-      getMaxElapsedSince: (since: number) => performance.now() - since,
-    };
     const record = (message: string, fields?: object): void =>
       void this.lines.push({ at: Math.round(performance.now()), message, fields });
-    this.leader = new LeaderController({
-      epoch,
-      claimedAt: performance.now(),
-      earlierLeasesEndAt: epoch === 1 ? 0 : performance.now() + DETECTION_MS + LEASES_EXPIRE_MS,
-      client: this.log,
-      statesTopic: STATES_TOPIC,
-      progressTopic: PROGRESS_TOPIC,
-      endpointsTopic: ENDPOINTS_TOPIC,
-      maxAppendBytes: MAX_APPEND_BYTES,
-      replica,
-      updateReplica: () => Promise.resolve(true),
-      clock,
-      random: this.random,
-      logger: { info: record, warn: record, error: record },
-      policies: {
-        placementOrder: 'objective',
-        speedChoice: 'kinds',
-        hallChoice: 'spread',
-        stopChoice: 'ranked',
-        turnChoice: 'asked',
-      },
-      getCustomerLimit: () => undefined,
-      parseEndpoint: (_id, text) => ({ ok: true, value: JSON.parse(text) as EndpointProfile }),
-      createEndpointClient: (profile, getToken) => this.createClient(profile, getToken, epoch),
-      isServiceRouted: () => true,
-      longestLeaseMs: 10_000,
-      listChannels: () => [],
-      listOtherBoxes: () => [],
-      formatLeaderRecord: () => String(epoch),
-      handleLeadershipLost: () => undefined,
-      handleLogRecovered: () => undefined,
-      recordCount: (name, amount = 1) => this.counts.set(name, (this.counts.get(name) ?? 0) + amount),
-      recordTime: () => undefined,
-    });
+    this.leader = new LeaderController(
+      createLeaderOptions(this.log, {
+        epoch,
+        claimedAt: performance.now(),
+        earlierLeasesEndAt: epoch === 1 ? 0 : performance.now() + DETECTION_MS + LEASES_EXPIRE_MS,
+        statesTopic: STATES_TOPIC,
+        progressTopic: PROGRESS_TOPIC,
+        endpointsTopic: ENDPOINTS_TOPIC,
+        maxAppendBytes: MAX_APPEND_BYTES,
+        replica,
+        random: this.random,
+        logger: { info: record, warn: record, error: record },
+        parseEndpoint: (_id, text) => ({ ok: true, value: JSON.parse(text) as EndpointProfile }),
+        createEndpointClient: (profile, getToken) => this.createClient(profile, getToken, epoch),
+        formatLeaderRecord: () => String(epoch),
+        recordCount: (name, amount = 1) => this.counts.set(name, (this.counts.get(name) ?? 0) + amount),
+      }),
+    );
     this.leader.start();
   }
 
