Witnesses and early cancellations: names and comments that stand without the body

A leader that has named no witness renews on a basis of its own, 'unwitnessed', which the log line told as 'log'. Cancellations of one caller that are read again are kept once.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -160,8 +160,8 @@
     this.journal = new LeaderJournal({
       ...options,
       formatLeaderRecord: (isResigned) =>
-        options.formatLeaderRecord(isResigned, this.witnesses.takeWitnessesToName()),
-      handleLeaderRecordWritten: () => this.witnesses.recordRecordWritten(),
+        options.formatLeaderRecord(isResigned, this.witnesses.updateNamedWitnesses()),
+      handleLeaderRecordWritten: () => this.witnesses.handleRecordWritten(),
       handleFenced: (detail) => this.handleLeadershipLost(`the log rejected a write: ${detail}`),
     });
     this.witnesses = new LeaseWitnesses({
--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -22,8 +22,8 @@
 export class JobReplica {
   private readonly definitions = new Map<JobId, JobDefinition>();
   private readonly cancelledIds = new Set<JobId>();
-  /** Callers that have cancelled jobs whose definitions are not known yet. */
-  private readonly earlyCancels = new Map<JobId, JobCaller[]>();
+  /** Callers that have cancelled jobs whose definitions are not known yet, by the keys of their records. */
+  private readonly earlyCancels = new Map<JobId, Map<string, JobCaller>>();
   /** States written by leaders; a job without one is queued. */
   private readonly writtenStates = new Map<JobId, JobState>();
 
@@ -60,13 +60,14 @@
     return { accepted, cancelled, invalid };
   }
 
-  /** Adds a job whose record is in the log. Returns false when the job's id is known already. */
+  /** Adds a job whose record is in the log, cancelled if a caller with access to it has cancelled it before. Returns false when its id is known already. */
   recordDefinition(definition: JobDefinition): boolean {
     if (this.definitions.has(definition.id)) {
       return false;
     }
     this.definitions.set(definition.id, definition);
-    if (this.earlyCancels.get(definition.id)?.some((caller) => hasAccess(caller, definition)) === true) {
+    const callers = [...(this.earlyCancels.get(definition.id)?.values() ?? [])];
+    if (callers.some((caller) => hasAccess(caller, definition))) {
       this.cancelledIds.add(definition.id);
     }
     this.earlyCancels.delete(definition.id);
@@ -91,12 +92,8 @@
     if (definition !== undefined) {
       return hasAccess(caller, definition) && this.recordCancel(id);
     }
-    const others = this.earlyCancels.get(id) ?? [];
-    if (
-      !others.some((other) => jobKeys.toEarlyCancelKey(id, other) === jobKeys.toEarlyCancelKey(id, caller))
-    ) {
-      this.earlyCancels.set(id, [...others, caller]);
-    }
+    const callers = this.earlyCancels.get(id) ?? new Map<string, JobCaller>();
+    this.earlyCancels.set(id, callers.set(jobKeys.toEarlyCancelKey(id, caller), caller));
     return false;
   }
 
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -205,7 +205,7 @@
     this.isStopped = true;
   }
 
-  /** Returns what this process vouches by, as a witness of leaders of other boxes. */
+  /** Returns the part of this process that vouches for leaders of other boxes. */
   getVoucher(): LeaderVoucher {
     return this.voucher;
   }
--- a/packages/leadership/LeaseWitnesses.ts
+++ b/packages/leadership/LeaseWitnesses.ts
@@ -36,8 +36,13 @@
   respondedAt: number;
 }
 
-/** What a leader may renew leases on. */
-type RenewalBasis = 'log' | 'witness' | 'none';
+/**
+ * What a leader may renew leases on.
+ * - `log`: a write that was acknowledged recently.
+ * - `witness`: the word of a witness.
+ * - `unwitnessed`: a write that was acknowledged longer ago, as it has named no witness.
+ */
+type RenewalBasis = 'log' | 'witness' | 'unwitnessed' | 'none';
 
 /** Number of witnesses that a leader names. A later leader needs the responses of all, this one the word of any. */
 const WITNESS_COUNT = 2;
@@ -82,14 +87,14 @@
         void this.requestVouch(candidate, now);
       }
     }
-    if (!this.isSameAs(this.named, this.chooseWitnesses())) {
+    if (!this.isNamedUpToDate()) {
       handleChange();
     }
     this.logBasis(this.findBasis());
   }
 
-  /** Chooses the witnesses for a record that is sent now; undefined to name none. */
-  takeWitnessesToName(): readonly LeaseWitness[] | undefined {
+  /** Chooses the witnesses that a record names which is sent now, and returns them; undefined to name none. */
+  updateNamedWitnesses(): readonly LeaseWitness[] | undefined {
     this.named = this.chooseWitnesses();
     this.usable =
       this.usable === undefined || this.named === undefined
@@ -98,8 +103,8 @@
     return this.named;
   }
 
-  /** Records that the record formatted last is durable, so that a later leader cannot take an earlier one for the newest. */
-  recordRecordWritten(): void {
+  /** Handles that the record with the witnesses chosen last is durable: a later leader takes no earlier one for the newest. */
+  handleRecordWritten(): void {
     this.usable = this.named;
   }
 
@@ -114,9 +119,12 @@
     if (!hasAckedWriteWithin(leaderTimings.unconfirmedGraceMs)) {
       return 'none';
     }
-    if (usable === undefined || hasAckedWriteWithin(leaderTimings.briefGraceMs)) {
+    if (hasAckedWriteWithin(leaderTimings.briefGraceMs)) {
       return 'log';
     }
+    if (usable === undefined) {
+      return 'unwitnessed';
+    }
     return usable.some((witness) => this.hasVouched(witness)) ? 'witness' : 'none';
   }
 
@@ -164,12 +172,12 @@
     return chosen.length === 0 ? undefined : chosen;
   }
 
-  private isSameAs(
-    left: readonly LeaseWitness[] | undefined,
-    right: readonly LeaseWitness[] | undefined,
-  ): boolean {
-    const processes = new Set(right?.map(({ process }) => process));
-    return left?.length === right?.length && (left ?? []).every(({ process }) => processes.has(process));
+  /** Returns whether the witnesses to choose now are those named last. */
+  private isNamedUpToDate(): boolean {
+    const chosen = this.chooseWitnesses();
+    const processes = new Set(chosen?.map(({ process }) => process));
+    const { named } = this;
+    return chosen?.length === named?.length && (named ?? []).every(({ process }) => processes.has(process));
   }
 
   private async requestVouch({ box, client }: WitnessCandidate, sentAt: number): Promise<void> {
--- a/tests/leaseRights.test.ts
+++ b/tests/leaseRights.test.ts
@@ -47,10 +47,10 @@
       witnesses.handleTick();
       ackedAt = taken === 'none' ? ackedAt : now;
       if (taken !== 'none' && changeCount > before) {
-        witnesses.takeWitnessesToName();
+        witnesses.updateNamedWitnesses();
       }
       if (taken === 'all') {
-        witnesses.recordRecordWritten();
+        witnesses.handleRecordWritten();
       }
       await Promise.resolve();
       await Promise.resolve();
@@ -96,7 +96,7 @@
     await run(3000);
     silent.add('a');
     await run(4000, 'others');
-    expect(witnesses.takeWitnessesToName()?.map(({ box }) => box)).toEqual(['b', 'c']);
+    expect(witnesses.updateNamedWitnesses()?.map(({ box }) => box)).toEqual(['b', 'c']);
     await run(4000, 'none');
     expect(witnesses.canRenew()).toBe(true);
     silent.add('b');
@@ -106,10 +106,10 @@
 
   it('passes to others when a witness does not respond, which the next record names', async () => {
     await run(3000);
-    expect(witnesses.takeWitnessesToName()?.map(({ box }) => box)).toEqual(['a', 'b']);
+    expect(witnesses.updateNamedWitnesses()?.map(({ box }) => box)).toEqual(['a', 'b']);
     silent.add('b');
     await run(4000);
-    expect(witnesses.takeWitnessesToName()?.map(({ box }) => box)).toEqual(['a', 'c']);
+    expect(witnesses.updateNamedWitnesses()?.map(({ box }) => box)).toEqual(['a', 'c']);
   });
 });
 
