fix: a leader counts its leases from the first attempt of a write, not from a retry

Two runs of a task could overlap (TWICE). No user saw it; found while the proof of decision 13 was read against lost answers of the log.

Cause: a write whose answer is lost is in the log, and the next leader counts from reading it, while this leader counted from the sending of the retry that was acknowledged, up to 1.2 s later. Cut off right then with an endpoint, it renews leases for longer than the next leader allows for. The same held before witnesses were named.

An acknowledged write counts from its first attempt.

--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -18,8 +18,11 @@
   readonly maxBatchBytes: number;
   /** Called when the log rejects an append since a newer writer holds the topic. This writer has stopped then. */
   readonly handleFenced: (detail: string) => void;
-  /** Called when an append has succeeded, with the monotonic time at which it was sent. */
-  readonly handleConfirmed: (sentAt: number) => void;
+  /**
+   * Called when an append has succeeded, with the monotonic time at which it was first sent: an attempt without a response may have written it, for
+   * others to read, long before the one that was acknowledged.
+   */
+  readonly handleConfirmed: (firstSentAt: number) => void;
   /** Called when appends start to fail or succeed again, with the monotonic time at which that append was sent. */
   readonly handleConnection: (isConnected: boolean, detail: string, sentAt: number) => void;
 }
@@ -141,6 +144,7 @@
     const { client, topic, clock, producer, epoch } = this.options;
     this.lastSequence += 1;
     let timeoutMs: number = appendRules.initialTimeoutMs;
+    const firstSentAt = clock.getNow();
     while (!this.isStopped) {
       const sentAt = clock.getNow();
       const writer = { producer, epoch, sequence: this.lastSequence };
@@ -153,7 +157,7 @@
       }
       if (response.ok) {
         this.recordConnection(true, '', sentAt);
-        this.options.handleConfirmed(sentAt);
+        this.options.handleConfirmed(firstSentAt);
         return true;
       }
       if (response.error.kind === 'fenced') {
--- a/tests/helpers/LeaseSimulation.ts
+++ b/tests/helpers/LeaseSimulation.ts
@@ -101,8 +101,16 @@
 
   /** Cuts links for some time, each in one direction: `FROM>TO`, where the ends are names of boxes, ids of endpoints, or `log`. */
   async runCut(links: readonly string[], forMs: number): Promise<void> {
-    links.forEach((link) => this.cuts.set(link, (this.cuts.get(link) ?? 0) + 1));
+    this.startCut(links);
     await waitForDelay(forMs);
+    this.stopCut(links);
+  }
+
+  startCut(links: readonly string[]): void {
+    links.forEach((link) => this.cuts.set(link, (this.cuts.get(link) ?? 0) + 1));
+  }
+
+  stopCut(links: readonly string[]): void {
     links.forEach((link) => this.cuts.set(link, this.cuts.get(link)! - 1));
   }
 
--- a/tests/leaseWitnesses.test.ts
+++ b/tests/leaseWitnesses.test.ts
@@ -24,6 +24,9 @@
 const SEEDS = Number(process.env['LEASE_SEEDS'] ?? 25);
 const MUTATED_SEEDS = 60;
 const MAX_MS_PER_SEED = 10_000;
+const LOST_RESPONSE_SEEDS = 20;
+/** Time from the timeout of the first attempt of an append to the third attempt: two delays, and the latency and timeout of the second. */
+const SECOND_RETRY_AFTER_MS = 60 + 4 + 700 + 60;
 
 const create = (seed: number, fields = {}): LeaseSimulation =>
   new LeaseSimulation({ seed, boxes: BOXES, endpoints: ENDPOINTS, job: JOB, ...fields });
@@ -232,4 +235,38 @@
     expect(simulation.runChecker.countAllStarts()).toBe(TASKS);
     checkAllRunning(simulation);
   });
+
+  it(
+    'never run twice at once when a write of the leader was read long before a retry of it was acknowledged',
+    async () => {
+      for (let seed = 1; seed <= LOST_RESPONSE_SEEDS; seed += 1) {
+        simulation = create(seed);
+        await vi.advanceTimersByTimeAsync(SETTLED_MS);
+        const leader = simulation.findLeader()!;
+        const controller = simulation.boxes[leader]!.controller!;
+        const name = `box-${leader}`;
+        const held = simulation.endpoints.find(({ process }) => isRunningTasks(process))!.id;
+        const free = ENDPOINT_IDS.filter((id) => id !== held);
+        const others = [...BOX_NAMES.filter((other) => other !== name), 'log', ...free];
+        simulation.startCut([`log>${name}`]);
+        while (controller.getLogOutageMs() === 0) {
+          await vi.advanceTimersByTimeAsync(1);
+        }
+        await vi.advanceTimersByTimeAsync(SECOND_RETRY_AFTER_MS - 1);
+        simulation.stopCut([`log>${name}`]);
+        await vi.advanceTimersByTimeAsync(3);
+        // The response to the retry comes, and no later write goes out.
+        simulation.startCut([`${name}>log`]);
+        await vi.advanceTimersByTimeAsync(10);
+        expect(controller.getLogOutageMs()).toBe(0);
+        // Only the leader reaches the endpoint that it holds, and nothing else.
+        const links = [...listPairs([name, held], others), ...listPairs(others, [name, held])];
+        simulation.startCut(links);
+        await vi.advanceTimersByTimeAsync(CALM_MS);
+        expect({ seed, violations: simulation.runChecker.getViolations() }).toEqual({ seed, violations: [] });
+        simulation.stop();
+      }
+    },
+    LOST_RESPONSE_SEEDS * MAX_MS_PER_SEED,
+  );
 });
