--- a/tests/endpointSpeeds.test.ts
+++ b/tests/endpointSpeeds.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
+import { waitForDelay } from '../packages/common/waitForDelay';
 import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import { createRandom } from '../packages/common/createRandom';
 import type { SpeedPolicyName } from '../packages/dispatch/placing/SpeedPolicyName';
@@ -74,6 +75,11 @@
 const getSlowThirdRatio = (number: number): number => (number % 3 === 2 ? 2 : 1);
 const SLOW_THIRD = Array.from({ length: 40 }, (_, number) => number).filter((number) => number % 3 === 2);
 
+const REST_MS = 5;
+
+/** Yields to the test runner, which takes a worker for dead that blocks for too long. */
+afterEach(() => waitForDelay(REST_MS));
+
 describe('the estimated speeds of endpoints', () => {
   it('are significant after about five runs if they differ by a factor of two, regardless of labels', () => {
     const fixture = new SpeedFixture();
