--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -19,8 +19,8 @@
    */
   readonly earlierLeasesMs?: number | undefined;
   /**
-   * Processes without whose word this leader renews leases only within `briefGraceMs` of its last acknowledged write, and not within
-   * `unconfirmedGraceMs`. Not given by earlier versions, and while no other box vouches for the leader.
+   * Processes that can vouch for this leader. If given, the leader renews leases only on the word of one of them once `briefGraceMs` have passed since
+   * its last acknowledged write. Not given by earlier versions, or while no other box vouches for the leader.
    */
   readonly witnesses?: readonly LeaseWitness[] | undefined;
   /** In a claim, the leader of the epoch before it, which may act until the claim is written. */
--- a/packages/leadership/LeaderVoucher.ts
+++ b/packages/leadership/LeaderVoucher.ts
@@ -7,8 +7,8 @@
 }
 
 /**
- * Vouches for the newest leader that this process knows. A leader that cannot write to the log may renew leases on that word, so that a later leader has
- * to learn from this process when it last gave it.
+ * Vouches for the newest leader that this process knows. A leader that cannot write to the log may renew leases on that word, so a later leader needs to
+ * know when this process last gave it.
  */
 export class LeaderVoucher {
   /** Monotonic time at which this process last vouched for a leader; -Infinity before the first time. */
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -21,7 +21,7 @@
 interface Testimony {
   /** Witnesses that have not reported yet. */
   readonly pending: readonly LeaseWitness[];
-  /** Monotonic time at which the leases have expired that it renewed without, or on the word of those that have reported. */
+  /** Monotonic time at which the leases have expired that the leader renewed within the brief grace period, or on the word of a witness that has reported. */
   readonly leasesEndAt: number;
 }
 
--- a/packages/leadership/LeaseWitnesses.ts
+++ b/packages/leadership/LeaseWitnesses.ts
@@ -37,10 +37,10 @@
 }
 
 /**
- * What a leader may renew leases on.
+ * Reason why a leader may renew leases; `none` if it may not.
  * - `log`: a write that was acknowledged recently.
  * - `witness`: the word of a witness.
- * - `unwitnessed`: a write that was acknowledged longer ago, as it has named no witness.
+ * - `unwitnessed`: a write that was acknowledged longer ago, which is enough for a leader that has named no witness.
  */
 type RenewalBasis = 'log' | 'witness' | 'unwitnessed' | 'none';
 
@@ -69,7 +69,7 @@
   private lastRoundAt = -Infinity;
   /** Witnesses of the record that was formatted last; undefined when it named none. */
   private named: readonly LeaseWitness[] | undefined;
-  /** Witnesses that all records name that a later leader may have read as the newest one; undefined when none of them names any. */
+  /** Witnesses named both in the last acknowledged record and in each record sent since; undefined when none of these records names any. */
   private usable: readonly LeaseWitness[] | undefined;
   private basis: RenewalBasis = 'log';
 
@@ -93,7 +93,7 @@
     this.logBasis(this.findBasis());
   }
 
-  /** Chooses the witnesses that a record names which is sent now, and returns them; undefined to name none. */
+  /** Chooses the witnesses for a record that is about to be sent, and returns them; undefined when no process is available. */
   updateNamedWitnesses(): readonly LeaseWitness[] | undefined {
     this.named = this.chooseWitnesses();
     this.usable =
@@ -103,7 +103,7 @@
     return this.named;
   }
 
-  /** Handles that the record with the witnesses chosen last is durable: a later leader takes no earlier one for the newest. */
+  /** Handles the acknowledgement of the record that names the witnesses chosen last. From then on, only they can be asked by a later leader. */
   handleRecordWritten(): void {
     this.usable = this.named;
   }
