perf: log lines of one turn of the event loop take one write

Cause: each log line is a write of its own to a pipe, which is synchronous. In a profile of a leader with 245 endpoints and 370 starts a second, 11.6 % of the busy time was in the calls that write a line. Fix: lines of one turn are combined into one write at its end, and at the end of the process. What a kill can lose is the lines of the turn that it interrupts.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -11,6 +11,7 @@
 import { waitWithTimeout } from '../common/waitWithTimeout';
 import { ServeProcess } from '../serve/ServeProcess';
 import { DecisionLog } from '../logging/DecisionLog';
+import { LineBuffer } from '../logging/LineBuffer';
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
 import { formatPolicyHelp } from './formatPolicyHelp';
@@ -77,10 +78,11 @@
     }
     setOptimizationBudget();
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
+    const lineBuffer = new LineBuffer((text) => void process.stdout.write(text));
     const decisionLog = new DecisionLog({
       box: settings.value.box,
-      writeLine: (line) => void process.stdout.write(line),
-      getBacklogBytes: () => process.stdout.writableLength,
+      writeLine: (line) => lineBuffer.writeLine(line),
+      getBacklogBytes: () => process.stdout.writableLength + lineBuffer.getPendingLength(),
       getNow: () => systemClock.getNow(),
       getWallMs: () => Date.now(),
       maxLinesPerSecond: LOG_LINES_PER_SECOND,
@@ -96,6 +98,7 @@
       process: `${settings.value.box}#${incarnation}`,
       createPartLogger,
     });
+    process.on('exit', () => lineBuffer.writePending());
     // The process goes on without logs when the log collector closes the pipe.
     process.stdout.on('error', () => undefined);
     const stopped = waitForStop(serve);
@@ -107,6 +110,7 @@
     }
     await stopped;
     decisionLog.stop();
+    lineBuffer.writePending();
     await waitWithTimeout(waitForOutput(), MAX_OUTPUT_WAIT_MS, undefined);
     // Long polls would keep the process running for seconds.
     process.exit(exitCodes.done);
