fix: the first read of all jobs leaves most of a narrow link to accepted jobs

What callers saw: for 10 to 17 s after all boxes had ended, boxes on narrow links did not confirm jobs in time (504) or refused them, and got no answer about the operator topic in 1.3 s, although the log was sound. Cause: a started box reads all jobs at the full rate of its link, in pages of up to 1 MB. Everything else waits behind them. Fix: after each page the read pauses for three times as long as the page took. A box needs old jobs only for questions about them, and asks the leader until it has them. A leader reads without pauses.

--- a/packages/serve/TopicFollowers.ts
+++ b/packages/serve/TopicFollowers.ts
@@ -26,11 +26,16 @@
   readonly pauseMs: number;
   /** Milliseconds for which a read waits for a record. */
   readonly pollWaitMs: number;
+  /** Pause after each page of the first read, as a multiple of the time that the page took. */
+  readonly pagePauseRatio?: number;
 }
 
 const STATES_INTERVAL: PollInterval = { pauseMs: 350, pollWaitMs: 500 };
-/** Interval of the jobs topic. Longer than that of the states topic, because a request for an unknown job triggers a read. */
-const JOBS_INTERVAL: PollInterval = { pauseMs: 1000, pollWaitMs: 1000 };
+/**
+ * Interval of the jobs topic. Longer than that of the states topic, because a request for an unknown job triggers a read. The first read of all jobs
+ * leaves most of the link to accepted jobs and other topics; until it is complete, the leader is asked for unknown jobs.
+ */
+const JOBS_INTERVAL: PollInterval = { pauseMs: 1000, pollWaitMs: 1000, pagePauseRatio: 3 };
 /** Interval of the operator topic. Without a pause, so that an outage is detected within the poll time plus the timeout of a request. */
 const OPERATOR_INTERVAL: PollInterval = { pauseMs: 0, pollWaitMs: 800 };
 /** Pause between two reads of the jobs topic by the leader. */
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -18,6 +18,11 @@
   readonly random: Random;
   /** Pause between reads, which bounds the number of calls for a busy topic. */
   readonly pauseMs: number;
+  /**
+   * Pause after each page of the first read of the whole topic, as a multiple of the time that the page took, unless `pauseMs` is 0. Leaves a
+   * narrow link to other calls while a long topic is read; no pause if not given.
+   */
+  readonly pagePauseRatio?: number;
   /** Time that a read waits for a record. Shorter polls detect an unavailable log sooner. */
   readonly pollWaitMs: number;
   /** Handles records in order. Must be idempotent: after a gap the newest record of each key is delivered again. */
@@ -205,6 +210,7 @@
   /** Reads pages of the newest records until the topic is complete or a read fails. The next attempt resumes after the last page. */
   private async readNewestPages(): Promise<LogError | 'complete'> {
     while (this.nextOffset === undefined && !this.isStopped) {
+      const sentAt = this.options.clock.getNow();
       this.responseDueAt = this.options.clock.getNow() + this.callTimeoutMs;
       const page = await this.newestReader.readPage(this.callTimeoutMs);
       if (!page.ok) {
@@ -214,6 +220,10 @@
       // A concurrent read may have set the offset already.
       this.nextOffset ??= page.value.endOffset;
       this.options.handleRecords(page.value.records);
+      if (page.value.endOffset === undefined && this.pauseMs > 0) {
+        const tookMs = this.options.clock.getNow() - sentAt;
+        await this.waitForPause(tookMs * (this.options.pagePauseRatio ?? 0));
+      }
     }
     return 'complete';
   }
