fix: a caller's answer does not precede its line in the log

Cause: since all lines waited for the end of the turn of the event loop, by which an answer may have been sent. Fix: only the leader's lines on its own decisions wait, which no answer to a caller follows and which are nearly all of its lines. Any other line is written at once, with those that are pending before it.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -81,7 +81,7 @@
     const lineBuffer = new LineBuffer((text) => void process.stdout.write(text));
     const decisionLog = new DecisionLog({
       box: settings.value.box,
-      writeLine: (line) => lineBuffer.writeLine(line),
+      writeLine: (line, canWait) => lineBuffer.writeLine(line, canWait),
       getBacklogBytes: () => process.stdout.writableLength + lineBuffer.getPendingLength(),
       getNow: () => systemClock.getNow(),
       getWallMs: () => Date.now(),
--- a/packages/logging/DecisionLog.ts
+++ b/packages/logging/DecisionLog.ts
@@ -12,8 +12,8 @@
 
 interface DecisionLogOptions {
   readonly box: string;
-  /** Writes a line, which includes its newline. Must not block. */
-  readonly writeLine: (line: string) => void;
+  /** Writes a line, which includes its newline; a little later if it `canWait`. Must not block. */
+  readonly writeLine: (line: string, canWait: boolean) => void;
   /** Returns the number of bytes that the reader of the log has not consumed. */
   readonly getBacklogBytes: () => number;
   /** Returns monotonic milliseconds. */
@@ -33,6 +33,8 @@
 
 const MAX_BACKLOG_BYTES = 1_000_000;
 const OWN_LOG_PART = 'sight';
+/** Parts without lines that an answer to a caller follows. A caller who has an answer finds its line in the log. */
+const DEFERRABLE_PARTS: ReadonlySet<string> = new Set(['leader']);
 
 /**
  * Log of one JSON object per line, with a bounded rate of lines and a bounded backlog of its reader. Lines have priority by class. Lines of
@@ -122,6 +124,7 @@
   private writeEntry({ level, part, message, fields }: Line): void {
     const time = new Date(this.options.getWallMs()).toISOString();
     const entry = { time, level, box: this.options.box, part, message, ...fields };
-    this.options.writeLine(`${JSON.stringify(entry)}\n`);
+    const canWait = level !== 'error' && DEFERRABLE_PARTS.has(part);
+    this.options.writeLine(`${JSON.stringify(entry)}\n`, canWait);
   }
 }
--- a/packages/logging/LineBuffer.ts
+++ b/packages/logging/LineBuffer.ts
@@ -1,15 +1,21 @@
-/** Combines the lines that are written in one turn of the event loop into one write of the output. */
+/** Writes the lines of the log, and combines those that may wait into one write at the end of a turn of the event loop. */
 export class LineBuffer {
   private text = '';
 
   constructor(private readonly writeText: (text: string) => void) {}
 
-  /** Adds a line, which includes its newline, and writes it with the others of this turn of the event loop. */
-  writeLine(line: string): void {
-    if (this.text === '') {
+  /**
+   * Adds a line, which includes its newline. Writes it at the end of this turn of the event loop if it `canWait`, else at once, after the lines that
+   * are still pending.
+   */
+  writeLine(line: string, canWait: boolean): void {
+    const isFirst = this.text === '';
+    this.text += line;
+    if (!canWait) {
+      this.writePending();
+    } else if (isFirst) {
       setImmediate(() => this.writePending());
     }
-    this.text += line;
   }
 
   /** Writes the lines that are still pending. */
