perf: other boxes send a leader's calls to endpoints

Cause: one process polls all endpoints and starts all tasks, by one HTTP request a call, which took half of its processor time, while the boxes that follow use a tenth of theirs. The class: work that any box could do takes the time of the only one that can decide.

A leader with many endpoints for its cores now hands its calls to other boxes by WebSocket; the calls of 12 ms share a frame. A relay decides nothing (docs/decisions/0019). A start whose relay is lost is `interrupted`: a poll settles it as it does one without a response, but the endpoint does not count as unreachable.

The soak declares boxes with few cores, so that its leaders use relays.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -21,8 +21,10 @@
   readonly roomPerExecutor: number;
   /** Executors tell when they started, and start again under their ids; else each life has an id of its own. */
   readonly keepsIds?: boolean;
-  /** So many of the first boxes have four cores; the others have one. */
+  /** So many of the first boxes have four cores; the others have `coresPerBox`. */
   readonly strongBoxes?: number;
+  /** Cores that a box declares; 1 if not given. With few, a leader has other boxes relay its calls to endpoints. */
+  readonly coresPerBox?: number;
   /** Further arguments of each entry process. */
   readonly args?: readonly string[];
 }
@@ -406,7 +408,7 @@
     const isStrong = this.boxes.length < (this.options.strongBoxes ?? 0);
     const settings = {
       'node-name': name,
-      limits: { 'cpu-share': isStrong ? STRONG_CORES : 1 },
+      limits: { 'cpu-share': isStrong ? STRONG_CORES : (this.options.coresPerBox ?? 1) },
       zone: 'hall-a',
       ip: HOST,
       listen: { front, ready },
--- a/dev/soak/startSoak.ts
+++ b/dev/soak/startSoak.ts
@@ -36,6 +36,8 @@
 }
 
 const ROOM = 4;
+/** So few that the leader's calls go through other boxes. */
+const CORES_PER_BOX = 0.1;
 const JOB_EVERY_MS = 150;
 const BURST_JOB_EVERY_MS = 25;
 const HARMFUL_SHARE = 0.03;
@@ -306,7 +308,13 @@
 /** Real entry processes among stand-ins, with troubles that overlap, and callers that keep their connections. */
 export const startSoak = async (plan: SoakPlan): Promise<SoakResult> => {
   const { boxes, executors, troubledMs, seed, keptLogs } = plan;
-  const cell = await Cell.create({ boxes, executors, roomPerExecutor: ROOM, keepsIds: true });
+  const cell = await Cell.create({
+    boxes,
+    executors,
+    roomPerExecutor: ROOM,
+    keepsIds: true,
+    coresPerBox: CORES_PER_BOX,
+  });
   const world = new SoakWorld(cell);
   const randoms = createRandoms(seed);
   const schedule =
--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -5,6 +5,8 @@
 
 interface ConnectedBox extends BoxResources {
   readonly box: string;
+  /** Host and port for requests between boxes. */
+  readonly address: string;
   readonly client: BoxClient;
   /** Monotonic time at which its newest announcement was read from the log, in milliseconds. */
   readonly announcedAt: number;
@@ -43,6 +45,7 @@
       .filter(({ box }) => box !== this.ownBox.box)
       .map(({ box, address, announcedAt, cores, linkMbps }) => ({
         box,
+        address,
         announcedAt,
         cores,
         linkMbps,
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -1,5 +1,7 @@
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { z } from 'zod';
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
 import { parseJson } from '../common/parseJson';
 import { parseHostPort } from '../common/parseHostPort';
 import { toId } from '../common/toId';
@@ -14,6 +16,7 @@
 import type { LeaderAnnouncement } from '../leadership/LeaderAnnouncement';
 import { leaderRecordSchema } from '../leadership/leaderRecordSchema';
 import type { VouchResponse } from '../leadership/VouchResponse';
+import { RelayServer } from '../relay/RelayServer';
 import type { LogWrite } from '../store/LogWrite';
 import type { WriteOutcome } from '../store/WriteOutcome';
 import { boxResourcesSchema } from './boxResourcesSchema';
@@ -23,6 +26,8 @@
 interface BoxServerOptions {
   /** Host and port to listen on, for other entry boxes and metrics collectors. */
   readonly address: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
   readonly adviceClient: AdviceClient;
   readonly formatMetrics: () => string;
   /** Checks whether this box can use the log now. */
@@ -70,9 +75,12 @@
 /** HTTP server for other entry boxes: advice, job states, log writes, leadership, its witnesses and configuration; and for metrics collectors. */
 export class BoxServer {
   private readonly app: FastifyInstance;
+  private readonly relayServer: RelayServer;
 
   constructor(private readonly options: BoxServerOptions) {
     this.app = createRawBodyApp(MAX_BODY_BYTES);
+    const { clock, logger } = options;
+    this.relayServer = new RelayServer({ server: this.app.server, clock, logger });
     this.app.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.formatMetrics()));
     this.app.get('/log', async (_request, reply) =>
       reply.code((await options.isLogUsable()) ? 200 : 503).send(''),
@@ -139,8 +147,14 @@
     await this.app.listen(parseHostPort(this.options.address));
   }
 
-  /** Stops accepting connections and finishes the requests in progress; resolves to the number of connections cut after `timeoutMs`. */
+  /** Tells leaders that use this box as call relay that it is about to stop. */
+  sendLeave(): void {
+    this.relayServer.sendLeave();
+  }
+
+  /** Stops relaying calls and accepting connections, and finishes the requests in progress; resolves to the number of connections cut after `timeoutMs`. */
   stop(timeoutMs: number): Promise<number> {
+    this.relayServer.stop();
     return stopAppWithin(this.app, timeoutMs);
   }
 }
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -1,5 +1,8 @@
 import type { CustomerName } from '../customers/CustomerName';
 import type { TaskDemand } from '../jobs/TaskDemand';
+import type { BoxResources } from '../boxes/BoxResources';
+import type { JsonClient } from '../common/JsonClient';
+import type { JsonClientOptions } from '../common/JsonClientOptions';
 import type { MachineClock } from '../common/MachineClock';
 import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
@@ -14,6 +17,8 @@
 import type { LeaseWitness } from '../leadership/LeaseWitness';
 import { LeaseWitnesses } from '../leadership/LeaseWitnesses';
 import { LoadPublisher } from '../load/LoadPublisher';
+import { CallRelays } from '../relay/CallRelays';
+import type { RelayBox } from '../relay/RelayBox';
 import { appendRules } from '../store/appendRules';
 import type { LogClient } from '../store/LogClient';
 import { adviceBalancers } from './advice/adviceBalancers';
@@ -61,8 +66,19 @@
   readonly getCustomerLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** Parses the record of an endpoint; the error of the result says why the record is invalid. */
   readonly parseEndpoint: (id: string, text: string) => Result<EndpointProfile, string>;
-  /** Creates a client that sends polls and commands to an endpoint; `getToken` returns the current fencing token. */
-  readonly createEndpointClient: (profile: EndpointProfile, getToken: () => number) => EndpointClient;
+  /**
+   * Creates a client that sends polls and commands to an endpoint; `getToken` returns the current fencing token, and `createJsonClient` creates the
+   * clients that send them.
+   */
+  readonly createEndpointClient: (
+    profile: EndpointProfile,
+    getToken: () => number,
+    createJsonClient: (options: JsonClientOptions) => JsonClient,
+  ) => EndpointClient;
+  /** Resources of this box. */
+  readonly ownBox: BoxResources;
+  /** Lists the other boxes, which may send calls to endpoints for this leader. */
+  readonly listRelayBoxes: () => readonly RelayBox[];
   /** Returns true if a queue of the current configuration uses the service. */
   readonly isServiceRouted: (service: ServiceName) => boolean;
   /** Longest lease that an endpoint accepts, in milliseconds. */
@@ -87,6 +103,7 @@
       | 'unanswered'
       | 'livesBegun'
       | 'recordsRefused'
+      | 'relaysLost'
       | DispatchCounterName,
     amount?: number,
   ) => void;
@@ -94,6 +111,8 @@
 }
 
 const TICK_INTERVAL_MS = 100;
+/** Longest time for which the takeover waits for connections to call relays. */
+const RELAY_WAIT_MS = 200;
 /** Interval of writes of the leader's record while leases of earlier leaders may run. Heartbeats also write it, but not beside other writes. */
 const LEASES_RECORD_INTERVAL_MS = 1000;
 /** Time since the newest acknowledged write was sent, above which heartbeats count as late. */
@@ -111,6 +130,7 @@
   private readonly witnesses: LeaseWitnesses;
   private readonly progressRecovery: ProgressRecovery;
   private readonly endpointSessions: EndpointSessions;
+  private readonly callRelays: CallRelays;
   private readonly lineBatcher: LineBatcher;
   private readonly adviceBalancer: AdviceBalancer;
   private readonly loadPublisher: LoadPublisher;
@@ -179,6 +199,13 @@
       handleUnreadableProgress: (job) => options.logger.error('Progress of a job cannot be read.', { job }),
       handleFenced: (detail) => this.handleLeadershipLost(`the log rejected a write: ${detail}`),
     });
+    this.callRelays = new CallRelays({
+      clock,
+      logger: options.logger,
+      ownBox: options.ownBox,
+      listBoxes: options.listRelayBoxes,
+      recordCount: (name) => options.recordCount(name),
+    });
     this.endpointSessions = new EndpointSessions({
       epoch,
       client,
@@ -188,7 +215,8 @@
       logger: options.logger,
       dispatcher: this.dispatcher,
       parseEndpoint: options.parseEndpoint,
-      createEndpointClient: options.createEndpointClient,
+      createEndpointClient: (profile, getToken) =>
+        options.createEndpointClient(profile, getToken, (client) => this.callRelays.createClient(client)),
       isServiceUsed: (service) => options.isServiceRouted(service) || this.jobServices.has(service),
       canGrantLeases: () => this.witnesses.canRenew(),
       handleStatusApplied: (newEndCount) => this.handleStatusApplied(newEndCount),
@@ -253,6 +281,7 @@
     this.progressRecovery.stop();
     this.journal.stop();
     this.endpointSessions.stop();
+    this.callRelays.stop();
     this.adviceBalancer.stop();
   }
 
@@ -369,7 +398,9 @@
     const { clock, logger, epoch } = this.options;
     this.hasBegunTakeover = true;
     const takenOverAt = clock.getNow();
+    this.callRelays.startRelays(this.endpointSessions.countEndpoints());
     await this.addKnownJobs();
+    await this.callRelays.waitForConnections(RELAY_WAIT_MS);
     if (!this.isActive()) {
       return;
     }
@@ -447,6 +478,7 @@
     this.lineBatcher.writeDueBatches(now);
     if (this.hasTakenOver) {
       this.endpointSessions.startPendingSessions();
+      this.callRelays.handleTick(this.endpointSessions.countEndpoints());
       this.dispatcher.handleTick(now);
       this.queueLoadDigest(now);
       this.queueSchedulingRound();
--- a/packages/dispatch/endpoints/CommandResult.ts
+++ b/packages/dispatch/endpoints/CommandResult.ts
@@ -9,8 +9,10 @@
  * - `gone`: the address belongs to another endpoint, so that the incarnation has ended.
  * - `undelivered`: no connection could be made, so that the endpoint has not got the command.
  * - `unanswered`: no valid response came within the time limit; the endpoint may have executed the command, or may do so later.
+ * - `interrupted`: the box that sends the command was lost; the endpoint may have executed the command, or may do so later.
  */
 export type CommandResult =
   | { readonly kind: 'done' | 'unhealthy' | 'gone' }
   | { readonly kind: 'rejected'; readonly reason: CommandRejection }
-  | { readonly kind: 'undelivered' | 'unanswered'; readonly detail: string };
+  | { readonly kind: 'undelivered' | 'unanswered'; readonly detail: string }
+  | { readonly kind: 'interrupted'; readonly detail: string };
--- a/packages/dispatch/endpoints/CommandSender.ts
+++ b/packages/dispatch/endpoints/CommandSender.ts
@@ -126,7 +126,7 @@
   private recordResponseTime(result: CommandResult, tookMs: number): void {
     if (result.kind === 'unanswered') {
       this.responseTimeout.recordUnansweredTime(tookMs);
-    } else {
+    } else if (result.kind !== 'interrupted') {
       this.responseTimeout.recordResponseTime(tookMs);
     }
   }
--- a/packages/dispatch/runs/RunCommands.ts
+++ b/packages/dispatch/runs/RunCommands.ts
@@ -154,6 +154,11 @@
         run.startTimedOutAt = now;
         runTracker.sendPoll(endpoint);
         return;
+      case 'interrupted':
+        // Says nothing about the endpoint, where other starts may go on.
+        run.startTimedOutAt = now;
+        runTracker.sendPoll(endpoint);
+        return;
       case 'gone':
         handleIncarnationEnd(incarnation, now);
         return;
--- /dev/null
+++ b/packages/relay/FrameBatcher.ts
@@ -0,0 +1,51 @@
+import type { Clock } from '../common/Clock';
+
+interface FrameBatcherOptions {
+  readonly clock: Clock;
+  /** Sends a frame: a JSON list of messages. */
+  readonly sendFrame: (text: string) => void;
+}
+
+/** Shortest time between two frames. Messages within it share a frame, so that their number does not rise with that of the messages. */
+const MIN_FRAME_INTERVAL_MS = 12;
+
+/** Gathers the messages of one connection into frames. A message after a pause is sent in the same turn of the event loop. */
+export class FrameBatcher<Message> {
+  private messages: Message[] = [];
+  private isFrameQueued = false;
+  private isStopped = false;
+  private lastSentAt = -Infinity;
+
+  constructor(private readonly options: FrameBatcherOptions) {}
+
+  queueMessage(message: Message): void {
+    this.messages.push(message);
+    if (this.isFrameQueued) {
+      return;
+    }
+    this.isFrameQueued = true;
+    const delayMs = this.lastSentAt + MIN_FRAME_INTERVAL_MS - this.options.clock.getNow();
+    if (delayMs <= 0) {
+      setImmediate(() => this.sendQueued());
+    } else {
+      setTimeout(() => this.sendQueued(), delayMs);
+    }
+  }
+
+  /** Drops queued messages and sends no more. */
+  stop(): void {
+    this.isStopped = true;
+    this.messages = [];
+  }
+
+  private sendQueued(): void {
+    this.isFrameQueued = false;
+    if (this.isStopped) {
+      return;
+    }
+    const { messages } = this;
+    this.messages = [];
+    this.lastSentAt = this.options.clock.getNow();
+    this.options.sendFrame(JSON.stringify(messages));
+  }
+}
--- a/packages/serve/ServeAdapter.ts
+++ b/packages/serve/ServeAdapter.ts
@@ -1,3 +1,5 @@
+import type { JsonClient } from '../common/JsonClient';
+import type { JsonClientOptions } from '../common/JsonClientOptions';
 import type { Logger } from '../common/Logger';
 import type { Result } from '../common/Result';
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
@@ -34,8 +36,15 @@
   readonly endpointsTopic: string;
   createLogClient(): LogClient;
   createAdviceClient(): AdviceClient;
-  /** Creates a client of the incarnation that the profile names; `getToken` returns the fencing token for each request. */
-  createEndpointClient(profile: EndpointProfile, getToken: () => number): EndpointClient;
+  /**
+   * Creates a client of the incarnation that the profile names; `getToken` returns the fencing token for each request, and `createJsonClient` creates
+   * the clients that send them.
+   */
+  createEndpointClient(
+    profile: EndpointProfile,
+    getToken: () => number,
+    createJsonClient: (options: JsonClientOptions) => JsonClient,
+  ): EndpointClient;
   createCallerServer(input: CallerServerOptions): CallerServerHandle;
   /** Parses the text of a configuration; on failure returns all problems. */
   parseConfiguration(text: string): Result<QueueConfiguration, readonly string[]>;
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -26,6 +26,7 @@
   'lifeEnds',
   'livesBegun',
   'recordsRefused',
+  'relaysLost',
   'runsLost',
   'runsLapsed',
   'crashesCharged',
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -172,6 +172,8 @@
     });
     this.boxServer = new BoxServer({
       address: settings.internal,
+      clock,
+      logger: options.createPartLogger('relay'),
       adviceClient: this.adviceClient,
       formatMetrics: () => this.formatMetrics(),
       isLogUsable: () => this.isLogUsable(),
@@ -209,6 +211,7 @@
     const budget = new StopBudget({ clock, logger: this.logger, graceMs: settings.graceMs });
     this.isStopping = true;
     this.logger.info('Stopping.', { isLeading: this.controller !== undefined });
+    this.boxServer.sendLeave();
     this.leadership.stop();
     await Promise.all([
       budget.runPhase('handover', (timeoutMs) => this.leaderHandover.runPlannedHandover(timeoutMs)),
@@ -497,7 +500,10 @@
         : {}),
       getCustomerLimit: (customer) => this.router.getCustomers().findByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
-      createEndpointClient: (profile, getToken) => adapter.createEndpointClient(profile, getToken),
+      createEndpointClient: (profile, getToken, createJsonClient) =>
+        adapter.createEndpointClient(profile, getToken, createJsonClient),
+      ownBox: settings,
+      listRelayBoxes: () => this.otherBoxes.clients.listOthers(),
       isServiceRouted: (service) => this.router.hasService(service),
       longestLeaseMs: settings.longestLeaseMs,
       listChannels: () => this.adviceChannels.listChannels(),
--- a/tests/acknowledgedEnds.test.ts
+++ b/tests/acknowledgedEnds.test.ts
@@ -16,6 +16,7 @@
 import type { TaskName } from '../packages/jobs/TaskName';
 import { ExecutorStandin } from '../packages/standins/platform/ExecutorStandin';
 import { RunChecker } from '../packages/standins/platform/RunChecker';
+import { HttpJsonClient } from '../packages/common/HttpJsonClient';
 import { HttpEndpointClient } from '../platform/HttpEndpointClient';
 import { createProfile } from './helpers/createProfile';
 
@@ -49,6 +50,7 @@
       getToken: () => 7,
       getNow: readNow,
       initialClockMs: 0,
+      createJsonClient: (options) => new HttpJsonClient(options),
     });
     clients.push(client);
     return client;
--- a/tests/helpers/createLeaderOptions.ts
+++ b/tests/helpers/createLeaderOptions.ts
@@ -42,6 +42,8 @@
   longestLeaseMs: 10_000,
   listChannels: () => [],
   listOtherBoxes: () => [],
+  ownBox: { cores: 1, linkMbps: 100 },
+  listRelayBoxes: () => [],
   formatLeaderRecord: () => 'heartbeat',
   handleLeadershipLost: () => undefined,
   handleLogRecovered: () => undefined,
--- a/tests/malformedResponses.test.ts
+++ b/tests/malformedResponses.test.ts
@@ -5,6 +5,7 @@
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
 import { HttpAdviceClient } from '../platform/HttpAdviceClient';
+import { HttpJsonClient } from '../packages/common/HttpJsonClient';
 import { HttpEndpointClient } from '../platform/HttpEndpointClient';
 import { HttpLogClient } from '../platform/HttpLogClient';
 
@@ -47,6 +48,7 @@
       getToken: () => 1,
       getNow: () => performance.now(),
       initialClockMs: undefined,
+      createJsonClient: (options) => new HttpJsonClient(options),
     });
     const poll = client.sendPoll({
       acknowledgedUpTo: 0,
--- a/tests/platformEndpoint.test.ts
+++ b/tests/platformEndpoint.test.ts
@@ -5,6 +5,7 @@
 import type { EndpointId } from '../packages/jobs/EndpointId';
 import { endpointIncarnations } from '../packages/jobs/endpointIncarnations';
 import type { TaskName } from '../packages/jobs/TaskName';
+import { HttpJsonClient } from '../packages/common/HttpJsonClient';
 import { HttpEndpointClient } from '../platform/HttpEndpointClient';
 
 const ID = toId<EndpointId>('i-0');
@@ -36,6 +37,7 @@
       getToken: () => token,
       getNow: () => now,
       initialClockMs: undefined,
+      createJsonClient: (options) => new HttpJsonClient(options),
     });
   };
 
