--- a/packages/dispatch/advice/parseTickets.ts
+++ b/packages/dispatch/advice/parseTickets.ts
@@ -1,14 +1,13 @@
+import { z } from 'zod';
 import { toId } from '../../common/toId';
 import type { EndpointId } from '../../jobs/EndpointId';
 
-interface AdviceResponse {
-  readonly good?: readonly (readonly [id: string, ticket: string])[];
-}
+const adviceResponseSchema = z.object({
+  good: z.array(z.tuple([z.string(), z.string()])).default([]),
+});
 
-/** Returns the ticket of each allowed endpoint in a response of the advice service; undefined when `response` is. */
-export const parseTickets = (response: unknown): ReadonlyMap<EndpointId, string> | undefined =>
-  response === undefined
-    ? undefined
-    : new Map(
-        ((response as AdviceResponse).good ?? []).map(([id, ticket]) => [toId<EndpointId>(id), ticket]),
-      );
+/** Returns the ticket of each allowed endpoint in a response of the advice service; undefined when it is malformed or undefined. */
+export const parseTickets = (response: unknown): ReadonlyMap<EndpointId, string> | undefined => {
+  const rows = adviceResponseSchema.safeParse(response).data?.good;
+  return rows && new Map(rows.map(([id, ticket]) => [toId<EndpointId>(id), ticket]));
+};
