fix: a less urgent queue gets its share of advice also from a leader whose rounds are far apart

Cause: steps that wait too long for a slot may send requests ahead of the placement order, for up to half of the time of all slots. But a round sent one such request, and nothing of the share was kept for the next one. A busy leader has ten to twenty-five rounds a second, so a queue of less urgent work got as many requests, whatever its share of 42 slots allows. The class: a bound for each round where a bound for each second is meant.

A round now sends as many as the share allows for the time since the last round, at most for 250 ms.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -524,7 +524,7 @@
 
   /**
    * Runs a scheduling round, unless nothing has happened since the last one that may allow a start: places waiting tasks in
-   * placement order and requests missing advice, with the given free slots: first that of an overdue step, then in placement order. Sends
+   * placement order and requests missing advice, with the given free slots: first that of overdue steps, then in placement order. Sends
    * early advice requests at most once a tick.
    */
   placeWaiting(now: number, wallMs: number, slots = UNLIMITED_ADVICE_SLOTS): void {
--- a/packages/dispatch/advice/AdviceRequester.ts
+++ b/packages/dispatch/advice/AdviceRequester.ts
@@ -24,6 +24,8 @@
 const BUDGETED_CANDIDATES = 30;
 /** Expected delay from a response to the starts that use it. */
 const RESPONSE_TO_START_MS = 120;
+/** Maximum number of overdue steps that a round considers although a request would not be useful for them. */
+const MAX_USELESS_STEPS = 4;
 /** Time by which the response to an early request is expected to arrive before its step becomes ready. */
 const EARLY_MARGIN_MS = 150;
 
@@ -157,8 +159,9 @@
   }
 
   /**
-   * Calls `requestAdvice` for the waiting steps that are overdue, until it sends a request or finds no slot for one. It returns what the
-   * tasks of a step wait for; if no request would be useful, the step begins a new wait for a slot.
+   * Calls `requestAdvice` for the waiting steps that are overdue, until their share of the slots is used up, it finds no slot, or
+   * `MAX_USELESS_STEPS` steps had no use for a request. It returns what the tasks of a step wait for; if no request would be useful, the step
+   * begins a new wait for a slot.
    */
   sendOverdueRequest(
     waiting: readonly WaitingStep[],
@@ -169,13 +172,20 @@
     if (this.remainingSlots.all === 0 || !isTried) {
       return;
     }
+    let uselessCount = 0;
     for (const step of this.overdueRequests.listFirstSteps(waiting, now)) {
+      if (!this.overdueRequests.canSendRequest() || uselessCount >= MAX_USELESS_STEPS) {
+        return;
+      }
       const cause = requestAdvice(step);
-      if (cause === 'answer' || cause === 'turn') {
+      if (cause === 'turn') {
         // Without a slot for long requests, the share is kept for the round in which one is free.
         return;
       }
-      step.job.getStepAdvice(step.repetition, step.step).clearSlotWait();
+      if (cause !== 'answer') {
+        uselessCount += 1;
+        step.job.getStepAdvice(step.repetition, step.step).clearSlotWait();
+      }
     }
   }
 
--- a/packages/dispatch/advice/OverdueRequests.ts
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -6,8 +6,8 @@
 const STARVATION_MS = 2000;
 /** Share of the time of all slots that requests ahead of the placement order may take. */
 const MAX_TIME_SHARE = 0.5;
-/** Maximum number of steps considered in a round. */
-const MAX_STEPS_PER_ROUND = 4;
+/** Time whose share may be saved at most, so that a leader that was suspended doesn't send many requests at once. */
+const MAX_SAVED_MS = 250;
 
 /**
  * Bounds how long a step waits for a slot while steps ahead of it in the placement order keep sending requests. An overdue step
@@ -15,17 +15,22 @@
  * take a limited share of the time of all slots, so that long ones don't crowd out the steps of the most urgent queue.
  */
 export class OverdueRequests {
-  /** Slot time that such requests may take, in milliseconds: at most 0, and negative until the time of earlier ones is made up for. */
+  /**
+   * Slot time that such requests may take, in milliseconds: at most what the time since the last round has added, and negative until the time of
+   * earlier ones is made up for.
+   */
   private balanceMs = 0;
-  private balanceUpdatedAt = 0;
+  private lastRoundAt: number | undefined;
   /** Monotonic time of each queue's latest request. */
   private readonly lastRequestedAt = new Map<string, number>();
 
   /** Begins a round. `slotCount` is the number of slots, free or not. */
   startRound(slotCount: number, now: number): void {
-    const earnedMs = Math.max(0, now - this.balanceUpdatedAt) * slotCount * MAX_TIME_SHARE;
-    this.balanceMs = Math.min(0, this.balanceMs + earnedMs);
-    this.balanceUpdatedAt = now;
+    const elapsedMs = Math.max(0, now - (this.lastRoundAt ?? now));
+    const shareMs = slotCount * MAX_TIME_SHARE;
+    const limitMs = Math.min(elapsedMs, MAX_SAVED_MS) * shareMs;
+    this.balanceMs = Math.min(limitMs, this.balanceMs + elapsedMs * shareMs);
+    this.lastRoundAt = now;
   }
 
   /** Returns whether a request may be sent ahead of the placement order now. */
@@ -34,8 +39,8 @@
   }
 
   /**
-   * Returns the overdue steps that may send a request ahead of the placement order, at most `MAX_STEPS_PER_ROUND`: long-running ones
-   * first, then those of the queue whose latest request is longest ago, then those that have waited longest.
+   * Returns the overdue steps that may send a request ahead of the placement order: long-running ones first, then those of the queue whose
+   * latest request is longest ago, then those that have waited longest.
    */
   listFirstSteps(waiting: readonly WaitingStep[], now: number): readonly WaitingStep[] {
     return waiting
@@ -55,7 +60,6 @@
             Number(left.queueRequestedAt < right.queueRequestedAt) ||
           left.since - right.since,
       )
-      .slice(0, MAX_STEPS_PER_ROUND)
       .map(({ step }) => step);
   }
 
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -137,7 +137,7 @@
     }
   }
 
-  /** Requests advice for the first overdue step that lacks tickets and for which it is useful, ahead of the placement order. */
+  /** Requests advice, ahead of the placement order and within their share of the slots, for overdue steps that lack tickets and for which it is useful. */
   requestOverdueAdvice(waiting: readonly WaitingStep[], now: number): void {
     this.options.adviceRequester.sendOverdueRequest(waiting, now, (step) =>
       this.requestAdviceForOverdueStep(step, now),
--- a/tests/helpers/AdviceSimulation.ts
+++ b/tests/helpers/AdviceSimulation.ts
@@ -41,6 +41,8 @@
   readonly seed: number;
   /** Returns the delay of a box's responses beyond the time that the service takes, in milliseconds; Infinity while it does not respond. */
   readonly getBoxDelayMs: (box: number, now: number) => number;
+  /** Time between two rounds of placement, a multiple of 5 ms; 5 ms if not given. */
+  readonly roundIntervalMs?: number;
   /** Time during which the service rejects all requests. */
   readonly outage?: { readonly from: number; readonly until: number };
 }
@@ -114,7 +116,9 @@
         this.sendStatuses();
         this.dispatcher.handleTick(this.now);
       }
-      this.dispatcher.placeWaiting(this.now, this.now, this.balancer.getFreeSlots());
+      if (this.now % (this.options.roundIntervalMs ?? TICK_MS) === 0) {
+        this.dispatcher.placeWaiting(this.now, this.now, this.balancer.getFreeSlots());
+      }
       this.dispatcher.takeEffects().forEach((effect) => this.handleEffect(effect));
       await vi.advanceTimersByTimeAsync(TICK_MS);
     }
--- a/tests/slotStarvation.test.ts
+++ b/tests/slotStarvation.test.ts
@@ -126,6 +126,52 @@
   });
 });
 
+describe('a less urgent queue', () => {
+  beforeEach(() => void vi.useFakeTimers({ now: 0 }));
+  afterEach(() => {
+    vi.clearAllTimers();
+    vi.useRealTimers();
+  });
+
+  /** The queues of a sheet: the most urgent one in a burst, and one whose floor on a calm day is the share of it that has to be served. */
+  const SHEET = { boxes: 42, classFloor: 0.49, objectiveMs: 13_800 };
+  const SHEET_URGENT: Stream = {
+    ...URGENT,
+    queue: {
+      name: 'urgent',
+      priority: 0,
+      advice: { decisionMs: 11.7, perEndpointMs: 0.169, validityMs: 2500 },
+    },
+    perSecond: 190,
+  };
+  const SHEET_BATCH: Stream = {
+    ...BATCH,
+    queue: { name: 'batch', priority: 2, advice: { decisionMs: 130, perEndpointMs: 1.82, validityMs: 2500 } },
+    perSecond: 21,
+    allowedShare: 0.45,
+  };
+
+  it.each([20, 100])(
+    'is served beside a burst of the most urgent one, also by a leader whose rounds are %i ms apart',
+    async (roundIntervalMs) => {
+      const simulation = new AdviceSimulation({
+        policy: 'asked',
+        streams: [SHEET_URGENT, SHEET_BATCH],
+        endpoints: 40,
+        boxes: SHEET.boxes,
+        seed: 1,
+        getBoxDelayMs: () => 300,
+        roundIntervalMs,
+      });
+      await simulation.runUntil(SHEET.objectiveMs);
+      const batch = simulation.jobs.filter(({ definition }) => definition.queue.name === 'batch');
+      const started = batch.filter(({ startedAt }) => startedAt !== undefined);
+      expect(started.length / batch.length).toBeGreaterThanOrEqual(SHEET.classFloor);
+    },
+    60_000,
+  );
+});
+
 describe('the log line on a shortage of slots', () => {
   const PENDING = { queue: 'urgent', isLong: false, isOverdue: false, expectedResponseMs: 50 };
   const FREE = { all: 1, long: 0, quarantined: 2 };
