fix: a leader that can poll its endpoints itself uses no relays

On a site with 48 endpoints and boxes of 0.675 cores a leader had its calls relayed, though it is not busy: each start takes a hop more, and the loss of a relay interrupts calls.

A leader now uses relays from 150 endpoints for each of its cores on, in place of 40.

The log lines of relays name the relay in `relay`: the field `box` is the box that logs, and was overwritten.

callRelays, serve/callRelays and serve/soak pass.

--- a/dev/soak/startSoak.ts
+++ b/dev/soak/startSoak.ts
@@ -37,7 +37,7 @@
 
 const ROOM = 4;
 /** So few that the leader's calls go through other boxes. */
-const CORES_PER_BOX = 0.1;
+const CORES_PER_BOX = 0.02;
 const JOB_EVERY_MS = 150;
 const BURST_JOB_EVERY_MS = 25;
 const HARMFUL_SHARE = 0.03;
--- a/packages/relay/CallRelays.ts
+++ b/packages/relay/CallRelays.ts
@@ -27,7 +27,7 @@
 }
 
 /** Number of endpoints that a leader can poll without help, for each of its cores. */
-const OWN_ENDPOINTS_PER_CORE = 40;
+const OWN_ENDPOINTS_PER_CORE = 150;
 /** Number of endpoints that a relay polls, for each of its cores. */
 const RELAYED_ENDPOINTS_PER_CORE = 100;
 const MAX_RELAYS = 12;
@@ -151,7 +151,7 @@
     const connection = new RelayConnection({
       address: box.address,
       clock,
-      handleOpen: () => logger.info('Call relay connected.', { box: box.box }),
+      handleOpen: () => logger.info('Call relay connected.', { relay: box.box }),
       handleClosed: (detail, wasOpen, callCount) => this.handleClosed(box.box, detail, wasOpen, callCount),
     });
     this.relays.set(box.box, { box, connection, slowTicks: 0 });
@@ -166,9 +166,9 @@
     }
     if (wasOpen) {
       recordCount('relaysLost');
-      logger.info('Call relay lost.', { box, detail, pendingCalls: callCount });
+      logger.info('Call relay lost.', { relay: box, detail, pendingCalls: callCount });
     } else {
-      logger.info('Call relay cannot be reached.', { box, detail });
+      logger.info('Call relay cannot be reached.', { relay: box, detail });
     }
   }
 
