fix: only rounds that are far apart send several overdue advice requests

The share is now saved only beyond the 20 ms of a usual round, so that a leader with short rounds sends what it sent before, and a busy one as many a second.

--- a/packages/dispatch/advice/OverdueRequests.ts
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -6,7 +6,8 @@
 const STARVATION_MS = 2000;
 /** Share of the time of all slots that requests ahead of the placement order may take. */
 const MAX_TIME_SHARE = 0.5;
-/** Time whose share may be saved at most, so that a leader that was suspended doesn't send many requests at once. */
+/** Time between two rounds from which on its share may be saved, and at most: a leader that was suspended doesn't send many requests at once. */
+const MIN_SAVED_MS = 20;
 const MAX_SAVED_MS = 250;
 
 /**
@@ -16,8 +17,8 @@
  */
 export class OverdueRequests {
   /**
-   * Slot time that such requests may take, in milliseconds: at most what the time since the last round has added, and negative until the time of
-   * earlier ones is made up for.
+   * Slot time that such requests may take, in milliseconds: at most 0, or what a long time since the last round has added, and negative until the
+   * time of earlier ones is made up for.
    */
   private balanceMs = 0;
   private lastRoundAt: number | undefined;
@@ -28,7 +29,7 @@
   startRound(slotCount: number, now: number): void {
     const elapsedMs = Math.max(0, now - (this.lastRoundAt ?? now));
     const shareMs = slotCount * MAX_TIME_SHARE;
-    const limitMs = Math.min(elapsedMs, MAX_SAVED_MS) * shareMs;
+    const limitMs = Math.max(0, Math.min(elapsedMs, MAX_SAVED_MS) - MIN_SAVED_MS) * shareMs;
     this.balanceMs = Math.min(limitMs, this.balanceMs + elapsedMs * shareMs);
     this.lastRoundAt = now;
   }
