--- a/tests/malformedResponses.test.ts
+++ b/tests/malformedResponses.test.ts
@@ -39,6 +39,8 @@
   it.each([
     ['without rows', JSON.stringify({ 'clock-ms': 1, running: 7 })],
     ['that is no JSON', 'internal error'],
+    ['with a running task without a run number', JSON.stringify({ 'clock-ms': 1, running: [['0.0.0.0']] })],
+    ['with an end that is no list', JSON.stringify({ 'clock-ms': 1, running: [], 'end-time': ['done'] })],
   ])('of an endpoint, %s, counts as none', async (_name, body) => {
     responseBody = body;
     const client = new HttpEndpointClient({
@@ -59,6 +61,20 @@
     await expect(poll.finally(() => client.stop())).resolves.toMatchObject({ kind: 'unanswered' });
   });
 
+  it('of the log to an append counts as one without a response, which may have been applied', async () => {
+    responseBody = '{}';
+    const client = new HttpLogClient({ address });
+    const append = client.append({
+      topic: 'keyed.op',
+      writes: [{ key: 'k', value: 'v' }],
+      timeoutMs: TIMEOUT_MS,
+    });
+    await expect(append.finally(() => client.stop())).resolves.toMatchObject({
+      ok: false,
+      error: { kind: 'unknown' },
+    });
+  });
+
   it('of the log counts as a failed call', async () => {
     responseBody = JSON.stringify({ end: 1 });
     const client = new HttpLogClient({ address });
