fix: a truncated response to a read of the log counts as a failed call

A body without its head threw in the follower, and of a record that was cut off a shorter one was made, which a reader would have applied.

--- a/tests/foreignRecords.test.ts
+++ b/tests/foreignRecords.test.ts
@@ -183,7 +183,7 @@
           length.writeUInt32BE(payload.length);
           return Buffer.concat([length, payload]);
         });
-        const { records } = logFrames.parseRecords(7, Buffer.concat([Buffer.alloc(16), ...frames]));
+        const { records } = logFrames.parseRecords(7, Buffer.concat([Buffer.alloc(16), ...frames]))!;
         expect(records.map(({ offset }) => offset)).toEqual(payloads.map((_payload, index) => 7 + index));
       }),
       { numRuns: RUNS, seed: SEED },
--- a/tests/helpers/MemoryLog.ts
+++ b/tests/helpers/MemoryLog.ts
@@ -49,7 +49,7 @@
     await waitForDelay(LATENCY_MS);
     return {
       ok: true,
-      value: logFrames.parseRecords(fromOffset, topicState.getReadBody(fromOffset, Infinity)!),
+      value: logFrames.parseRecords(fromOffset, topicState.getReadBody(fromOffset, Infinity)!)!,
     };
   }
 
--- a/tests/malformedResponses.test.ts
+++ b/tests/malformedResponses.test.ts
@@ -16,7 +16,7 @@
 describe('a malformed response', () => {
   let server: Server;
   let address = '';
-  let responseBody = '';
+  let responseBody: string | Buffer = '';
 
   beforeEach(async () => {
     server = createServer((_request, response) => response.end(responseBody));
@@ -75,6 +75,19 @@
     });
   });
 
+  it.each([
+    ['that is too short', Buffer.alloc(4)],
+    [
+      'with a record that is cut off',
+      Buffer.concat([Buffer.alloc(16), Buffer.from([0, 0, 0, 9]), Buffer.from([1, 107, 118])]),
+    ],
+  ])('of the log to a read, %s, counts as a failed call', async (_name, body) => {
+    responseBody = body;
+    const client = new HttpLogClient({ address });
+    const read = client.readRecords({ topic: 'keyed.op', fromOffset: 0, waitMs: 0, timeoutMs: TIMEOUT_MS });
+    await expect(read.finally(() => client.stop())).resolves.toMatchObject({ ok: false });
+  });
+
   it('of the log counts as a failed call', async () => {
     responseBody = JSON.stringify({ end: 1 });
     const client = new HttpLogClient({ address });
