fix: a slow call relay only gets no new calls, and a stronger box takes its place back

An interrupted start waits for a poll.

Cause: a slow relay was closed like a lost one, and boxes were only chosen to fill a gap. A slow, replaced or stopping relay now drains: calls under way end as usual, then the connection closes. The boxes are chosen anew at each tick, the strongest first, and a weaker one drains once all that are wanted are open. A poll through a relay that has no response makes the next one go directly, also if it must reuse its connection.

Messages between leaders and relays are objects with branded ids, in place of tuples of numbers; pings and the choice of boxes are modules of their own.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -398,7 +398,7 @@
     const { clock, logger, epoch } = this.options;
     this.hasBegunTakeover = true;
     const takenOverAt = clock.getNow();
-    this.callRelays.startRelays(this.endpointSessions.countEndpoints());
+    this.callRelays.updateRelays(this.endpointSessions.countEndpoints());
     await this.addKnownJobs();
     await this.callRelays.waitForConnections(RELAY_WAIT_MS);
     if (!this.isActive()) {
--- a/packages/dispatch/runs/RunCommands.ts
+++ b/packages/dispatch/runs/RunCommands.ts
@@ -150,14 +150,11 @@
         endpoint.recordRunOutcome(true, now);
         // No more starts until a poll succeeds: on a partitioned endpoint each one would wait for its lease to expire.
         endpoint.recordUnreachable(now);
-        // The run may have started with only the response late. A poll shows that, while a stop would lose the run's work.
-        run.startTimedOutAt = now;
-        runTracker.sendPoll(endpoint);
+        this.handleStartInDoubt(endpoint, run, now);
         return;
       case 'interrupted':
         // Says nothing about the endpoint, where other starts may go on.
-        run.startTimedOutAt = now;
-        runTracker.sendPoll(endpoint);
+        this.handleStartInDoubt(endpoint, run, now);
         return;
       case 'gone':
         handleIncarnationEnd(incarnation, now);
@@ -179,4 +176,10 @@
         return;
     }
   }
+
+  /** Polls the endpoint, since the run may have started with only the response missing. A stop would lose the run's work. */
+  private handleStartInDoubt(endpoint: EndpointState, run: PlacedRun, now: number): void {
+    run.startTimedOutAt = now;
+    this.options.runTracker.sendPoll(endpoint);
+  }
 }
--- a/packages/relay/CallRelays.ts
+++ b/packages/relay/CallRelays.ts
@@ -4,9 +4,11 @@
 import type { JsonClient } from '../common/JsonClient';
 import type { JsonClientOptions } from '../common/JsonClientOptions';
 import type { Logger } from '../common/Logger';
-import { waitWithTimeout } from '../common/waitWithTimeout';
+import { waitForDelay } from '../common/waitForDelay';
+import { chooseRelayBoxes } from './chooseRelayBoxes';
 import type { RelayBox } from './RelayBox';
 import { RelayConnection } from './RelayConnection';
+import type { RelayEnd } from './RelayEnd';
 import { RelayedClient } from './RelayedClient';
 
 interface CallRelaysOptions {
@@ -14,7 +16,7 @@
   readonly logger: Logger;
   /** Resources of this box. */
   readonly ownBox: BoxResources;
-  /** Lists the other announced boxes, some of which may no longer exist. */
+  /** Lists the other announced boxes, which may have ended. */
   readonly listBoxes: () => readonly RelayBox[];
   readonly recordCount: (name: 'relaysLost') => void;
 }
@@ -22,18 +24,14 @@
 interface Relay {
   readonly box: RelayBox;
   readonly connection: RelayConnection;
-  /** Number of consecutive ticks in which responses of other boxes came much sooner. */
+  /** Number of consecutive ticks with a round trip far above that of the fastest relay. */
   slowTicks: number;
 }
 
-/** Number of endpoints that a leader can poll without help, for each of its cores. */
-const OWN_ENDPOINTS_PER_CORE = 150;
-/** Number of endpoints that a relay polls, for each of its cores. */
-const RELAYED_ENDPOINTS_PER_CORE = 100;
-const MAX_RELAYS = 12;
-/** Time for which a box that was lost as relay is not tried again. */
+/** Time for which a box whose connection was closed is not tried again. */
 const RETRY_DELAY_MS = 5000;
-/** Difference to the fastest relay's round trip from which a relay counts as slow, and number of ticks until it is replaced. */
+const CONNECTION_CHECK_MS = 5;
+/** Difference to the fastest relay's round trip from which a relay counts as slow, and number of ticks until it gets no more calls. */
 const MAX_EXTRA_ROUND_TRIP_MS = 150;
 const MAX_SLOW_TICKS = 10;
 
@@ -42,41 +40,56 @@
  * decide nothing: a call carries the leader's fencing token and lease. Calls go directly while no relay is open.
  */
 export class CallRelays {
+  /** Relay of each box by its name, from the begin of the connection until its end. */
   private readonly relays = new Map<string, Relay>();
+  /** Monotonic time from which a box is tried again, by its name. */
   private readonly retryAt = new Map<string, number>();
   /** Relay of each endpoint address in use. */
   private readonly assignments = new Map<string, RelayConnection>();
-  private endpointCount = 0;
   private isStopped = false;
 
   constructor(private readonly options: CallRelaysOptions) {}
 
-  /** Connects to as many boxes as a number of endpoints needs. */
-  startRelays(endpointCount: number): void {
-    this.endpointCount = endpointCount;
-    this.updateRelays();
+  /** Connects to the boxes that should relay the calls to a number of endpoints, and drains the others once these are open. */
+  updateRelays(endpointCount: number): void {
+    if (this.isStopped) {
+      return;
+    }
+    const { ownBox, listBoxes } = this.options;
+    const wanted = chooseRelayBoxes({
+      ownBox,
+      endpointCount,
+      boxes: listBoxes().filter((box) => this.canRelay(box)),
+      isInUse: ({ box }) => this.relays.has(box),
+    });
+    wanted.filter(({ box }) => !this.relays.has(box)).forEach((box) => this.startRelay(box));
+    const wantedNames = new Set(wanted.map(({ box }) => box));
+    if (wanted.every(({ box }) => this.relays.get(box)?.connection.isOpen() === true)) {
+      this.listRelays()
+        .filter(({ box }) => !wantedNames.has(box.box))
+        .forEach(({ connection }) => connection.startDrain('replaced'));
+    }
   }
 
-  /** Resolves once the connections that are being made are open or have failed, at the latest after a time in milliseconds. */
-  waitForConnections(timeoutMs: number): Promise<void> {
-    const isPending = (): boolean =>
-      [...this.relays.values()].some(({ connection }) => !connection.isOpen() && !connection.isClosed());
-    const settled = new Promise<void>((resolve) => {
-      const check = (): void => (isPending() && !this.isStopped ? void setTimeout(check, 5) : resolve());
-      check();
-    });
-    return waitWithTimeout(settled, timeoutMs, undefined);
+  /** Resolves once no connection is being made, at the latest after a time in milliseconds. */
+  async waitForConnections(timeoutMs: number): Promise<void> {
+    const until = this.options.clock.getNow() + timeoutMs;
+    while (
+      this.listRelays().some(({ connection }) => connection.isConnecting()) &&
+      this.options.clock.getNow() < until
+    ) {
+      await waitForDelay(CONNECTION_CHECK_MS);
+    }
   }
 
-  /** Replaces lost and slow relays, and follows the number of endpoints. */
+  /** Drains slow relays, closes silent ones, and follows the number of endpoints. */
   handleTick(endpointCount: number): void {
-    this.endpointCount = endpointCount;
-    this.stopSlowRelays();
-    this.relays.forEach(({ connection }) => connection.handleTick());
-    this.updateRelays();
+    this.stopUsingSlowRelays();
+    this.listRelays().forEach(({ connection }) => connection.handleTick());
+    this.updateRelays(endpointCount);
   }
 
-  /** Returns the relay of an endpoint address: the same while it is open, then the one with most capacity for each endpoint; undefined when none is open. */
+  /** Returns the relay of an endpoint address: the same while it is open, else the least used one; undefined when none is open. */
   chooseRelay(address: string): RelayConnection | undefined {
     const assigned = this.assignments.get(address);
     if (assigned?.isOpen() === true) {
@@ -101,49 +114,31 @@
     });
   }
 
+  /** Closes all connections; pending calls are interrupted. */
   stop(): void {
     this.isStopped = true;
-    for (const { connection } of [...this.relays.values()]) {
-      connection.stop('this box has stopped leading');
-    }
+    this.listRelays().forEach(({ connection }) => connection.stop('this box has stopped leading'));
   }
 
-  private findLeastUsed(): RelayConnection | undefined {
-    const computeUse = ({ box, connection }: Relay): number =>
-      (connection.countClients() + 1) / computeLeaderCapacity(box);
-    const open = [...this.relays.values()].filter(({ connection }) => connection.isOpen());
-    return open.sort((left, right) => computeUse(left) - computeUse(right))[0]?.connection;
+  /** Returns whether a box relays calls or may be tried: not while its connection drains, nor for some time after its end. */
+  private canRelay({ box }: RelayBox): boolean {
+    const connection = this.relays.get(box)?.connection;
+    return connection === undefined
+      ? (this.retryAt.get(box) ?? -Infinity) <= this.options.clock.getNow()
+      : connection.isConnecting() || connection.isOpen();
   }
 
-  /** Connects to further boxes, the strongest first, until they suffice for the endpoints. */
-  private updateRelays(): void {
-    const { clock, ownBox, listBoxes } = this.options;
-    if (this.isStopped || this.endpointCount <= computeLeaderCapacity(ownBox) * OWN_ENDPOINTS_PER_CORE) {
-      return;
-    }
-    const now = clock.getNow();
-    let missing = this.endpointCount - this.countRelayedEndpoints();
-    if (missing <= 0 || this.relays.size >= MAX_RELAYS) {
-      return;
-    }
-    const candidates = listBoxes()
-      .filter(({ box }) => !this.relays.has(box) && (this.retryAt.get(box) ?? -Infinity) <= now)
-      .sort((left, right) => computeLeaderCapacity(right) - computeLeaderCapacity(left));
-    for (const box of candidates) {
-      if (missing <= 0 || this.relays.size >= MAX_RELAYS) {
-        return;
-      }
-      this.startRelay(box);
-      missing -= computeLeaderCapacity(box) * RELAYED_ENDPOINTS_PER_CORE;
-    }
+  private listRelays(): readonly Relay[] {
+    return [...this.relays.values()];
   }
 
-  /** Returns for how many endpoints the relays that are open or being connected suffice. */
-  private countRelayedEndpoints(): number {
-    return [...this.relays.values()].reduce(
-      (sum, { box }) => sum + computeLeaderCapacity(box) * RELAYED_ENDPOINTS_PER_CORE,
-      0,
-    );
+  /** Returns the open relay with the fewest clients for its capacity; undefined when none is open. */
+  private findLeastUsed(): RelayConnection | undefined {
+    const computeUse = ({ box, connection }: Relay): number =>
+      (connection.countClients() + 1) / computeLeaderCapacity(box);
+    return this.listRelays()
+      .filter(({ connection }) => connection.isOpen())
+      .sort((left, right) => computeUse(left) - computeUse(right))[0]?.connection;
   }
 
   private startRelay(box: RelayBox): void {
@@ -152,35 +147,37 @@
       address: box.address,
       clock,
       handleOpen: () => logger.info('Call relay connected.', { relay: box.box }),
-      handleClosed: (detail, wasOpen, callCount) => this.handleClosed(box.box, detail, wasOpen, callCount),
+      handleClosed: (end) => this.handleClosed(box, end),
     });
     this.relays.set(box.box, { box, connection, slowTicks: 0 });
   }
 
-  private handleClosed(box: string, detail: string, wasOpen: boolean, callCount: number): void {
+  private handleClosed({ box }: RelayBox, { wasOpen, isPlanned, detail, pendingCalls }: RelayEnd): void {
     const { clock, logger, recordCount } = this.options;
     this.relays.delete(box);
     this.retryAt.set(box, clock.getNow() + RETRY_DELAY_MS);
     if (this.isStopped) {
       return;
     }
-    if (wasOpen) {
+    if (isPlanned) {
+      logger.info('Call relay released.', { relay: box, detail });
+    } else if (wasOpen) {
       recordCount('relaysLost');
-      logger.info('Call relay lost.', { relay: box, detail, pendingCalls: callCount });
+      logger.info('Call relay lost.', { relay: box, detail, pendingCalls });
     } else {
       logger.info('Call relay cannot be reached.', { relay: box, detail });
     }
   }
 
-  /** Closes connections whose pings take much longer than those of the fastest relay for some time. */
-  private stopSlowRelays(): void {
-    const relays = [...this.relays.values()];
+  /** Drains relays whose round trips are far above that of the fastest one for some time. */
+  private stopUsingSlowRelays(): void {
+    const relays = this.listRelays();
     const fastestMs = Math.min(...relays.map(({ connection }) => connection.getRoundTripMs() ?? Infinity));
     for (const relay of relays) {
-      const extraMs = (relay.connection.getRoundTripMs() ?? 0) - fastestMs;
+      const extraMs = (relay.connection.getRoundTripMs() ?? fastestMs) - fastestMs;
       relay.slowTicks = extraMs > MAX_EXTRA_ROUND_TRIP_MS ? relay.slowTicks + 1 : 0;
       if (relay.slowTicks >= MAX_SLOW_TICKS) {
-        relay.connection.stop(`slow: ${Math.round(extraMs)} ms longer than another`);
+        relay.connection.startDrain(`slow: ${Math.round(extraMs)} ms longer than another`);
       }
     }
   }
--- a/packages/relay/FrameBatcher.ts
+++ b/packages/relay/FrameBatcher.ts
@@ -2,14 +2,14 @@
 
 interface FrameBatcherOptions {
   readonly clock: Clock;
-  /** Sends a frame: a JSON list of messages. */
+  /** Sends a frame, which is a JSON list of messages. */
   readonly sendFrame: (text: string) => void;
 }
 
-/** Shortest time between two frames. Messages within it share a frame, so that their number does not rise with that of the messages. */
+/** Shortest time between two frames of a connection. Bounds the cost of frames when messages are many. */
 const MIN_FRAME_INTERVAL_MS = 12;
 
-/** Gathers the messages of one connection into frames. A message after a pause is sent in the same turn of the event loop. */
+/** Gathers the messages of one connection into frames. The first message after a pause waits for the end of the event loop's turn only. */
 export class FrameBatcher<Message> {
   private messages: Message[] = [];
   private isFrameQueued = false;
--- a/packages/relay/RelayConnection.ts
+++ b/packages/relay/RelayConnection.ts
@@ -6,137 +6,152 @@
 import { formatError } from '../common/formatError';
 import { FrameBatcher } from './FrameBatcher';
 import { parseFrame } from './parseFrame';
+import { PingMonitor } from './PingMonitor';
+import type { RelayCallId } from './RelayCallId';
+import type { RelayClientId } from './RelayClientId';
+import type { RelayEnd } from './RelayEnd';
 import type { RelayMessage } from './RelayMessage';
 import { relayPath } from './relayPath';
 import type { RelayReply } from './RelayReply';
 import { relayReplySchema } from './relayReplySchema';
 
 type JsonRequest = Parameters<JsonClient['sendJsonRequest']>[0];
-type ReplyKind = RelayReply[0];
-type ReplyOf<Kind extends ReplyKind> = Extract<RelayReply, readonly [Kind, ...unknown[]]>;
+type ReplyKind = RelayReply['kind'];
+type ReplyOf<Kind extends ReplyKind> = Extract<RelayReply, { kind: Kind }>;
 type ReplyHandlers = { readonly [Kind in ReplyKind]: (reply: ReplyOf<Kind>) => void };
-type ConnectionState = 'connecting' | 'open' | 'leaving' | 'closed';
+
+/**
+ * State of a connection.
+ * - `connecting`: the box has not responded yet.
+ * - `open`: calls may be sent.
+ * - `draining`: calls under way end as usual, and no new ones are sent.
+ * - `closed`: the connection has ended, or could not be made.
+ */
+type ConnectionState = 'connecting' | 'open' | 'draining' | 'closed';
 
 interface RelayConnectionOptions {
   /** Host and port of the box. */
   readonly address: string;
   readonly clock: Clock;
-  /** Called once, when the box can be used. */
+  /** Called once, when calls may be sent. */
   readonly handleOpen: () => void;
-  /** Called once, when the connection was closed, or could not be made; `callCount` calls were pending. */
-  readonly handleClosed: (detail: string, wasOpen: boolean, callCount: number) => void;
+  /** Called once, when the connection is closed. */
+  readonly handleClosed: (end: RelayEnd) => void;
 }
 
 const CONNECT_TIMEOUT_MS = 600;
-/** Number of ticks without a response to a ping after which the connection is closed. Ticks of a blocked process don't add up, unlike time. */
-const MAX_SILENT_TICKS = 6;
 
 /** Connection of a leader to the call relay of another box. */
 export class RelayConnection {
   private state: ConnectionState = 'connecting';
   private readonly socket: WebSocket;
   private readonly batcher: FrameBatcher<RelayMessage>;
-  private readonly pendingCalls = new Map<number, (result: JsonResult) => void>();
-  private callCount = 0;
+  private readonly pingMonitor: PingMonitor;
+  private readonly pendingCalls = new Map<RelayCallId, (result: JsonResult) => void>();
+  private newestCall = 0;
   private newestClient = 0;
-  private clientCount = 0;
-  private pingCount = 0;
-  private pendingPing: { readonly number: number; readonly sentAt: number; silentTicks: number } | undefined;
-  private roundTripMs: number | undefined;
+  private readonly clients = new Set<RelayClientId>();
+  private drainReason = '';
   private readonly handlers: ReplyHandlers = {
-    answer: ([, call, status, value]) => this.handleResult(call, { kind: 'answered', status, value }),
-    failure: ([, call, kind, detail]) => this.handleResult(call, { kind, detail }),
-    pong: ([, number]) => this.handlePong(number),
-    leave: () => {
-      this.state = this.state === 'closed' ? 'closed' : 'leaving';
-    },
+    answer: ({ call, status, value }) => this.handleResult(call, { kind: 'answered', status, value }),
+    failure: ({ call, failure, detail }) => this.handleResult(call, { kind: failure, detail }),
+    pong: ({ number }) => this.pingMonitor.handlePong(number),
+    leave: () => this.startDrain('the box is about to stop'),
   };
 
   constructor(private readonly options: RelayConnectionOptions) {
-    this.socket = new WebSocket(`ws://${options.address}${relayPath}`, {
+    const { address, clock } = options;
+    this.socket = new WebSocket(`ws://${address}${relayPath}`, {
       handshakeTimeout: CONNECT_TIMEOUT_MS,
       perMessageDeflate: false,
     });
     this.batcher = new FrameBatcher({
-      clock: options.clock,
+      clock,
       sendFrame: (text) => this.socket.send(text, (error) => error && this.stop(formatError(error))),
     });
+    this.pingMonitor = new PingMonitor({
+      clock,
+      sendPing: (number) => this.queueMessage({ kind: 'ping', number }),
+    });
     this.socket.on('open', () => this.handleOpen());
     this.socket.on('message', (data) => this.handleFrame(String(data)));
     this.socket.on('error', (error) => this.stop(formatError(error)));
     this.socket.on('close', () => this.stop('closed by the box'));
   }
 
+  isConnecting(): boolean {
+    return this.state === 'connecting';
+  }
+
   /** Returns whether new calls may be sent. */
   isOpen(): boolean {
     return this.state === 'open';
   }
 
-  isClosed(): boolean {
-    return this.state === 'closed';
-  }
-
   /** Returns how long the response to the last ping took, in milliseconds; undefined before the first one. */
   getRoundTripMs(): number | undefined {
-    return this.roundTripMs;
+    return this.pingMonitor.getRoundTripMs();
   }
 
-  /** Adds a client at the relay, whose connections are its own, and returns its number. */
-  addClient({ address, connections, headers }: JsonClientOptions): number {
+  /** Adds a client at the relay, which has connections of its own. */
+  addClient({ address, connections, headers }: JsonClientOptions): RelayClientId {
     this.newestClient += 1;
-    this.clientCount += 1;
-    this.queueMessage(['open', this.newestClient, address, connections, headers]);
-    return this.newestClient;
+    const client = this.newestClient as RelayClientId;
+    this.clients.add(client);
+    this.queueMessage({ kind: 'open', client, address, connections, headers });
+    return client;
   }
 
-  /** Returns the number of clients that were opened and not removed. */
   countClients(): number {
-    return this.clientCount;
+    return this.clients.size;
   }
 
   /** Sends a call of a client through the relay. Resolves to `interrupted` when the connection is lost first. Never rejects. */
-  sendCall(client: number, { path, body, timeoutMs, mustReuseConnection }: JsonRequest): Promise<JsonResult> {
+  sendCall(client: RelayClientId, { body, ...request }: JsonRequest): Promise<JsonResult> {
     if (this.state === 'closed') {
       return Promise.resolve({ kind: 'interrupted', detail: 'the connection to the relay is closed' });
     }
-    this.callCount += 1;
-    const call = this.callCount;
-    this.queueMessage([
-      'call',
-      client,
-      call,
-      path,
-      body as Record<string, unknown>,
-      timeoutMs,
-      mustReuseConnection === true,
-    ]);
+    this.newestCall += 1;
+    const call = this.newestCall as RelayCallId;
+    this.queueMessage({ kind: 'call', client, call, body: { ...body }, ...request });
     return new Promise((resolve) => this.pendingCalls.set(call, resolve));
   }
 
-  renewClient(client: number): void {
-    this.queueMessage(['renew', client]);
+  /** Makes later calls of a client use new connections. */
+  renewClient(client: RelayClientId): void {
+    this.queueMessage({ kind: 'renew', client });
+  }
+
+  /** Removes a client; its active calls end as usual. */
+  removeClient(client: RelayClientId): void {
+    this.clients.delete(client);
+    this.queueMessage({ kind: 'close', client });
   }
 
-  /** Removes a client at the relay; with `isAborted` its active calls fail. */
-  removeClient(client: number, isAborted: boolean): void {
-    this.clientCount -= 1;
-    this.queueMessage([isAborted ? 'abort' : 'close', client]);
+  /** Removes a client; its active calls fail. */
+  cancelClient(client: RelayClientId): void {
+    this.clients.delete(client);
+    this.queueMessage({ kind: 'abort', client });
   }
 
-  /** Sends a ping, or closes the connection when the last one has had no response for too long. */
+  /** Sends pings. Closes the connection when the box is silent, or when it drains and no call is left. */
   handleTick(): void {
-    if (this.state !== 'open' && this.state !== 'leaving') {
-      return;
-    }
-    if (this.pendingPing === undefined) {
-      this.pingCount += 1;
-      this.pendingPing = { number: this.pingCount, sentAt: this.options.clock.getNow(), silentTicks: 0 };
-      this.queueMessage(['ping', this.pingCount]);
+    if (this.state === 'connecting' || this.state === 'closed') {
       return;
     }
-    this.pendingPing.silentTicks += 1;
-    if (this.pendingPing.silentTicks >= MAX_SILENT_TICKS) {
+    this.pingMonitor.handleTick();
+    if (this.pingMonitor.isSilent()) {
       this.stop('silent');
+    } else if (this.state === 'draining' && this.pendingCalls.size === 0) {
+      this.stop(this.drainReason);
+    }
+  }
+
+  /** Sends no new calls, and closes the connection once those under way have ended. Does nothing unless it is open. */
+  startDrain(reason: string): void {
+    if (this.state === 'open') {
+      this.state = 'draining';
+      this.drainReason = reason;
     }
   }
 
@@ -146,12 +161,13 @@
       return;
     }
     const wasOpen = this.state !== 'connecting';
+    const pending = [...this.pendingCalls.values()];
+    const isPlanned = this.state === 'draining' && pending.length === 0;
     this.state = 'closed';
     this.batcher.stop();
     this.socket.terminate();
-    const pending = [...this.pendingCalls.values()];
     this.pendingCalls.clear();
-    this.options.handleClosed(detail, wasOpen, pending.length);
+    this.options.handleClosed({ wasOpen, isPlanned, detail, pendingCalls: pending.length });
     pending.forEach((resolve) => resolve({ kind: 'interrupted', detail: `relay lost: ${detail}` }));
   }
 
@@ -178,20 +194,13 @@
   }
 
   private handleReply<Kind extends ReplyKind>(reply: ReplyOf<Kind>): void {
-    const handle = this.handlers[reply[0] as Kind] as (reply: ReplyOf<Kind>) => void;
+    const handle = this.handlers[reply.kind as Kind] as (reply: ReplyOf<Kind>) => void;
     handle(reply);
   }
 
-  private handleResult(call: number, result: JsonResult): void {
+  private handleResult(call: RelayCallId, result: JsonResult): void {
     const resolve = this.pendingCalls.get(call);
     this.pendingCalls.delete(call);
     resolve?.(result);
   }
-
-  private handlePong(number: number): void {
-    if (this.pendingPing?.number === number) {
-      this.roundTripMs = this.options.clock.getNow() - this.pendingPing.sentAt;
-      this.pendingPing = undefined;
-    }
-  }
 }
--- a/packages/relay/RelaySession.ts
+++ b/packages/relay/RelaySession.ts
@@ -1,5 +1,4 @@
 import type { WebSocket } from 'ws';
-import { checkNever } from '../common/checkNever';
 import type { Clock } from '../common/Clock';
 import { HttpJsonClient } from '../common/HttpJsonClient';
 import type { JsonClient } from '../common/JsonClient';
@@ -7,6 +6,8 @@
 import type { Logger } from '../common/Logger';
 import { FrameBatcher } from './FrameBatcher';
 import { parseFrame } from './parseFrame';
+import type { RelayCallId } from './RelayCallId';
+import type { RelayClientId } from './RelayClientId';
 import type { RelayMessage } from './RelayMessage';
 import { relayMessageSchema } from './relayMessageSchema';
 import type { RelayReply } from './RelayReply';
@@ -17,50 +18,54 @@
   readonly logger: Logger;
 }
 
-type MessageKind = RelayMessage[0];
-type MessageOf<Kind extends MessageKind> = Extract<RelayMessage, readonly [Kind, ...unknown[]]>;
+type MessageKind = RelayMessage['kind'];
+type MessageOf<Kind extends MessageKind> = Extract<RelayMessage, { kind: Kind }>;
 type MessageHandlers = { readonly [Kind in MessageKind]: (message: MessageOf<Kind>) => void };
 
-/** Silence after which the leader at the other end has ended without closing the connection. */
+/** Silence after which the leader at the other end is assumed to have ended without closing the connection. */
 const MAX_SILENCE_MS = 10_000;
 
+/** Converts the result of a call to the reply for the leader. */
+const toReply = (call: RelayCallId, result: JsonResult): RelayReply =>
+  result.kind === 'answered'
+    ? { kind: 'answer', call, status: result.status, value: result.value ?? null }
+    : { kind: 'failure', call, failure: result.kind, detail: result.detail };
+
 /** Sends the calls of one leader, over connections that belong to this leader alone, and returns their results. */
 export class RelaySession {
-  private readonly clients = new Map<number, JsonClient>();
+  private readonly clients = new Map<RelayClientId, JsonClient>();
   private readonly batcher: FrameBatcher<RelayReply>;
   private silenceTimer: NodeJS.Timeout | undefined;
   private readonly handlers: MessageHandlers = {
     call: (message) => void this.sendCall(message),
-    open: ([, client, address, connections, headers]) => {
+    open: ({ client, address, connections, headers }) => {
       this.clients.set(client, new HttpJsonClient({ address, connections, headers }));
     },
-    renew: ([, client]) => this.clients.get(client)?.renewConnections(),
-    close: ([, client]) => {
+    renew: ({ client }) => this.clients.get(client)?.renewConnections(),
+    close: ({ client }) => {
       // Closes the connections once the active calls have ended.
       this.clients.get(client)?.renewConnections();
       this.clients.delete(client);
     },
-    abort: ([, client]) => {
+    abort: ({ client }) => {
       void this.clients.get(client)?.stop();
       this.clients.delete(client);
     },
-    ping: ([, number]) => this.batcher.queueMessage(['pong', number]),
+    ping: ({ number }) => this.batcher.queueMessage({ kind: 'pong', number }),
   };
 
   constructor(private readonly options: RelaySessionOptions) {
-    const { socket, clock } = options;
+    const { socket, clock, logger } = options;
     this.batcher = new FrameBatcher({ clock, sendFrame: (text) => socket.send(text) });
     socket.on('message', (data) => this.handleFrame(String(data)));
-    socket.on('error', (error) =>
-      options.logger.info('Connection of a leader failed.', { error: error.message }),
-    );
+    socket.on('error', (error) => logger.info('Connection of a leader failed.', { detail: error.message }));
     socket.on('close', () => this.stop());
     this.startSilenceTimer();
   }
 
   /** Tells the leader that this box is about to stop. */
   sendLeave(): void {
-    this.batcher.queueMessage(['leave']);
+    this.batcher.queueMessage({ kind: 'leave' });
   }
 
   /** Closes the connection and gives up active calls. May be called more than once. */
@@ -88,38 +93,17 @@
   }
 
   private handleMessage<Kind extends MessageKind>(message: MessageOf<Kind>): void {
-    const handle = this.handlers[message[0] as Kind] as (message: MessageOf<Kind>) => void;
+    const handle = this.handlers[message.kind as Kind] as (message: MessageOf<Kind>) => void;
     handle(message);
   }
 
-  private async sendCall([
-    ,
-    client,
-    call,
-    path,
-    body,
-    timeoutMs,
-    mustReuseConnection,
-  ]: MessageOf<'call'>): Promise<void> {
-    const result = await this.clients
-      .get(client)
-      ?.sendJsonRequest({ path, body, timeoutMs, mustReuseConnection });
-    this.batcher.queueMessage(this.createReply(call, result));
-  }
-
-  private createReply(call: number, result: JsonResult | undefined): RelayReply {
-    switch (result?.kind) {
-      case undefined:
-        return ['failure', call, 'refused', 'the client was closed'];
-      case 'answered':
-        return ['answer', call, result.status, result.value ?? null];
-      case 'refused':
-      case 'unanswered':
-      case 'interrupted':
-        return ['failure', call, result.kind, result.detail];
-      default:
-        return checkNever(result);
-    }
+  private async sendCall({ client, call, ...request }: MessageOf<'call'>): Promise<void> {
+    const sender = this.clients.get(client);
+    const result: JsonResult =
+      sender === undefined
+        ? { kind: 'refused', detail: 'the client was closed' }
+        : await sender.sendJsonRequest(request);
+    this.batcher.queueMessage(toReply(call, result));
   }
 
   private startSilenceTimer(): void {
--- a/packages/relay/RelayedClient.ts
+++ b/packages/relay/RelayedClient.ts
@@ -3,25 +3,32 @@
 import type { JsonClient } from '../common/JsonClient';
 import type { JsonClientOptions } from '../common/JsonClientOptions';
 import type { JsonResult } from '../common/JsonResult';
+import type { RelayClientId } from './RelayClientId';
 import type { RelayConnection } from './RelayConnection';
 
+type JsonRequest = Parameters<JsonClient['sendJsonRequest']>[0];
+
 interface RelayedClientOptions extends JsonClientOptions {
   readonly clock: Clock;
   /** Returns the relay to use now; undefined to send calls directly. */
   readonly chooseRelay: () => RelayConnection | undefined;
-  /** Called when the address is no longer used. */
+  /** Called when this client stops. */
   readonly releaseRelay: () => void;
 }
 
+/** A relay, and this client there. */
 interface RelayRoute {
   readonly relay: RelayConnection;
-  /** Number of this client at the relay. */
-  readonly client: number;
+  readonly client: RelayClientId;
 }
 
 /** Time for which calls go directly after one through a relay has failed, since the relay may be cut off from the address. */
 const DIRECT_AFTER_FAILURE_MS = 5000;
 
+/** Returns whether a result may be due to the relay, which may be cut off from the address. */
+const isRelaySuspect = (result: JsonResult, { mustReuseConnection }: JsonRequest): boolean =>
+  result.kind === 'unanswered' || (result.kind === 'refused' && mustReuseConnection !== true);
+
 /** Client of one address whose calls are sent by a relay while there is one, and directly otherwise. */
 export class RelayedClient implements JsonClient {
   private readonly direct: HttpJsonClient;
@@ -34,25 +41,22 @@
     this.direct = new HttpJsonClient(options);
   }
 
-  async sendJsonRequest(request: Parameters<JsonClient['sendJsonRequest']>[0]): Promise<JsonResult> {
+  async sendJsonRequest(request: JsonRequest): Promise<JsonResult> {
+    const { clock, chooseRelay } = this.options;
     if (this.isStopped) {
       return { kind: 'refused', detail: 'the client has stopped' };
     }
-    const relay = this.options.clock.getNow() < this.directUntil ? undefined : this.options.chooseRelay();
-    if (relay !== this.route?.relay) {
-      if (request.mustReuseConnection === true) {
-        return { kind: 'refused', detail: 'the connection of the last response is no longer used' };
-      }
-      this.setRoute(relay);
+    const relay = clock.getNow() < this.directUntil ? undefined : chooseRelay();
+    if (relay !== this.route?.relay && request.mustReuseConnection === true) {
+      return { kind: 'refused', detail: 'the connection of the last response is no longer used' };
     }
-    const { route } = this;
-    if (route === undefined) {
+    this.setRelay(relay);
+    if (this.route === undefined) {
       return this.direct.sendJsonRequest(request);
     }
-    const result = await route.relay.sendCall(route.client, request);
-    const hasFailed = result.kind === 'refused' || result.kind === 'unanswered';
-    if (hasFailed && request.mustReuseConnection !== true) {
-      this.directUntil = this.options.clock.getNow() + DIRECT_AFTER_FAILURE_MS;
+    const result = await this.route.relay.sendCall(this.route.client, request);
+    if (isRelaySuspect(result, request)) {
+      this.directUntil = clock.getNow() + DIRECT_AFTER_FAILURE_MS;
     }
     return result;
   }
@@ -67,14 +71,17 @@
 
   async stop(): Promise<void> {
     this.isStopped = true;
-    this.route?.relay.removeClient(this.route.client, true);
+    this.route?.relay.cancelClient(this.route.client);
     this.options.releaseRelay();
     await this.direct.stop();
   }
 
-  /** Sends later calls another way. Active calls end as usual. */
-  private setRoute(relay: RelayConnection | undefined): void {
-    this.route?.relay.removeClient(this.route.client, false);
+  /** Sends later calls through a relay, or directly. Active calls end as usual. */
+  private setRelay(relay: RelayConnection | undefined): void {
+    if (relay === this.route?.relay) {
+      return;
+    }
+    this.route?.relay.removeClient(this.route.client);
     this.direct.renewConnections();
     this.route = relay === undefined ? undefined : { relay, client: relay.addClient(this.options) };
   }
--- a/packages/relay/relayMessageSchema.ts
+++ b/packages/relay/relayMessageSchema.ts
@@ -1,29 +1,38 @@
 import { z } from 'zod';
+import type { RelayCallId } from './RelayCallId';
+import type { RelayClientId } from './RelayClientId';
 
-const number = z.number();
+const client = z.number().transform((number) => number as RelayClientId);
+const call = z.number().transform((number) => number as RelayCallId);
 
 /**
- * Schema of a message of a leader to a call relay, a tuple that begins with its kind.
- * - `call`: client, call, path, body, timeout in milliseconds, and whether the call must reuse the connection of the client's last response.
- * - `open`: client, address, number of connections, headers.
+ * Schema of a message of a leader to a call relay.
+ * - `call`: a request to be sent by a client.
+ * - `open`: a client with connections of its own to one address.
  * - `renew`: a client whose later calls use new connections.
  * - `close`: a client without further calls; active ones end as usual.
  * - `abort`: a client whose active calls are given up.
  * - `ping`: a number to be sent back.
  */
-export const relayMessageSchema = z.union([
-  z.tuple([
-    z.literal('call'),
-    number,
-    number,
-    z.string(),
-    z.record(z.string(), z.unknown()),
-    number.positive(),
-    z.boolean(),
-  ]),
-  z.tuple([z.literal('open'), number, z.string(), number.int().positive(), z.record(z.string(), z.string())]),
-  z.tuple([z.literal('renew'), number]),
-  z.tuple([z.literal('close'), number]),
-  z.tuple([z.literal('abort'), number]),
-  z.tuple([z.literal('ping'), number]),
+export const relayMessageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('call'),
+    client,
+    call,
+    path: z.string(),
+    body: z.record(z.string(), z.unknown()),
+    timeoutMs: z.number().positive(),
+    mustReuseConnection: z.boolean().optional(),
+  }),
+  z.object({
+    kind: z.literal('open'),
+    client,
+    address: z.string(),
+    connections: z.number().int().positive(),
+    headers: z.record(z.string(), z.string()),
+  }),
+  z.object({ kind: z.literal('renew'), client }),
+  z.object({ kind: z.literal('close'), client }),
+  z.object({ kind: z.literal('abort'), client }),
+  z.object({ kind: z.literal('ping'), number: z.number() }),
 ]);
--- a/packages/relay/relayReplySchema.ts
+++ b/packages/relay/relayReplySchema.ts
@@ -1,17 +1,23 @@
 import { z } from 'zod';
+import type { RelayCallId } from './RelayCallId';
 
-const number = z.number();
+const call = z.number().transform((number) => number as RelayCallId);
 
 /**
- * Schema of a message of a call relay to a leader, a tuple that begins with its kind.
- * - `answer`: call, status, and body of the response; null if it was not JSON.
- * - `failure`: call, and how it failed.
+ * Schema of a message of a call relay to a leader.
+ * - `answer`: the response to a call, with its body; null if it was not JSON.
+ * - `failure`: how a call failed, as in `JsonResult`.
  * - `pong`: the number of a ping.
- * - `leave`: the relay is about to stop, and should get no more calls.
+ * - `leave`: the box is about to stop, and should get no more calls.
  */
-export const relayReplySchema = z.union([
-  z.tuple([z.literal('answer'), number, number, z.unknown()]),
-  z.tuple([z.literal('failure'), number, z.enum(['refused', 'unanswered', 'interrupted']), z.string()]),
-  z.tuple([z.literal('pong'), number]),
-  z.tuple([z.literal('leave')]),
+export const relayReplySchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('answer'), call, status: z.number(), value: z.unknown() }),
+  z.object({
+    kind: z.literal('failure'),
+    call,
+    failure: z.enum(['refused', 'unanswered', 'interrupted']),
+    detail: z.string(),
+  }),
+  z.object({ kind: z.literal('pong'), number: z.number() }),
+  z.object({ kind: z.literal('leave') }),
 ]);
--- a/tests/callRelays.test.ts
+++ b/tests/callRelays.test.ts
@@ -1,8 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import { createConnection, createServer as createNetServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
 import { waitForDelay } from '../packages/common/waitForDelay';
 import { CallRelays } from '../packages/relay/CallRelays';
+import { chooseRelayBoxes } from '../packages/relay/chooseRelayBoxes';
+import { FrameBatcher } from '../packages/relay/FrameBatcher';
+import type { RelayBox } from '../packages/relay/RelayBox';
 import { RelayServer } from '../packages/relay/RelayServer';
 
 const LOGGER = { info: () => undefined, warn: () => undefined, error: () => undefined };
@@ -11,6 +14,10 @@
 const WEAK_BOX = { cores: 0.001, linkMbps: 10 };
 const STRONG_BOX = { cores: 1, linkMbps: 100 };
 const TIMEOUT_MS = 500;
+/** Number of endpoints for which a leader wants two strong relays. */
+const TWO_RELAYS = 150;
+/** Delay of a slow relay's link in either direction. */
+const PROXY_DELAY_MS = 120;
 /** Time in which a relay without a response has to be given up. */
 const MAX_SILENCE_MS = 1500;
 
@@ -43,23 +50,46 @@
   return { relay, address };
 };
 
-const startRelays = async (addresses: readonly string[]): Promise<CallRelays> => {
+/** Starts a proxy that passes everything on with a delay, as a link or a box without time to spare does. */
+const startDelayedProxy = async (target: string): Promise<string> => {
+  const [host, port] = target.split(':');
+  const server = createNetServer((socket) => {
+    const onward = createConnection({ host: host!, port: Number(port) });
+    const pass = (from: Socket, to: Socket): unknown =>
+      from
+        .on('data', (chunk) => setTimeout(() => to.writable && to.write(chunk), PROXY_DELAY_MS))
+        .on('error', () => to.destroy())
+        .on('close', () => to.destroy());
+    pass(socket, onward);
+    pass(onward, socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  stops.push(() => server.close());
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
+const createRelays = (listBoxes: () => readonly RelayBox[]): CallRelays => {
   const relays = new CallRelays({
     clock: CLOCK,
     logger: LOGGER,
     ownBox: WEAK_BOX,
-    listBoxes: () => addresses.map((address) => ({ box: address, address, ...STRONG_BOX })),
+    listBoxes,
     recordCount: () => undefined,
   });
   stops.push(() => relays.stop());
-  relays.startRelays(1);
+  return relays;
+};
+
+const startRelays = async (addresses: readonly string[], endpointCount = 1): Promise<CallRelays> => {
+  const relays = createRelays(() => addresses.map((address) => ({ box: address, address, ...STRONG_BOX })));
+  relays.updateRelays(endpointCount);
   await relays.waitForConnections(1000);
   return relays;
 };
 
 /** Runs the ticks of a leader until the test ends. */
-const startTicks = (relays: CallRelays): void => {
-  const timer = setInterval(() => relays.handleTick(1), 100);
+const startTicks = (relays: CallRelays, endpointCount = 1): void => {
+  const timer = setInterval(() => relays.handleTick(endpointCount), 100);
   stops.push(() => clearInterval(timer));
 };
 
@@ -211,16 +241,58 @@
   });
 
   it('is not used by a leader that can poll all endpoints itself', async () => {
-    const relays = new CallRelays({
-      clock: CLOCK,
-      logger: LOGGER,
-      ownBox: STRONG_BOX,
-      listBoxes: () => {
-        throw new Error('No box is needed.');
-      },
-      recordCount: () => undefined,
+    const boxes = [{ box: 'a', address: '127.0.0.1:1', ...STRONG_BOX }];
+    const choose = (endpointCount: number): readonly RelayBox[] =>
+      chooseRelayBoxes({ ownBox: STRONG_BOX, endpointCount, boxes, isInUse: () => false });
+    expect(choose(100)).toEqual([]);
+    expect(choose(245)).toEqual(boxes);
+  });
+
+  it('that is slow gets no new calls, and its active ones end as usual', async () => {
+    const held: ServerResponse[] = [];
+    const endpoint = await startServer((_request, response) => void held.push(response));
+    const [slow, other] = [await startRelay(), await startRelay()];
+    const relays = await startRelays([await startDelayedProxy(slow.address), other.address], TWO_RELAYS);
+    const client = createClient(relays, endpoint.address, 2);
+    const pending = client.sendJsonRequest({ path: '/hold', body: {}, timeoutMs: 10_000 });
+    await expect.poll(() => held.length).toBe(1);
+    const used = relays.chooseRelay(endpoint.address);
+    startTicks(relays, TWO_RELAYS);
+    await expect.poll(() => relays.chooseRelay(endpoint.address), { timeout: 8000 }).not.toBe(used);
+    const next = client.sendJsonRequest({ path: '/hold', body: {}, timeoutMs: 5000 });
+    await expect.poll(() => held.length).toBe(2);
+    held.forEach((response) => response.end('{}'));
+    expect(await pending).toMatchObject({ kind: 'answered' });
+    expect(await next).toMatchObject({ kind: 'answered' });
+  });
+
+  it('gives its place to a stronger box that has come back', async () => {
+    const endpoint = await startServer(handleEcho);
+    const [weak, strong] = [await startRelay(), await startRelay()];
+    const boxes = [{ box: 'weak', address: weak.address, ...WEAK_BOX }];
+    const relays = createRelays(() => boxes);
+    relays.updateRelays(1);
+    await relays.waitForConnections(1000);
+    const used = relays.chooseRelay(endpoint.address);
+    expect(used).toBeDefined();
+    boxes.push({ box: 'strong', address: strong.address, ...STRONG_BOX });
+    startTicks(relays);
+    await expect.poll(() => used?.isOpen()).toBe(false);
+    const client = createClient(relays, endpoint.address);
+    expect(await client.sendJsonRequest({ path: '/hold', body: {}, timeoutMs: TIMEOUT_MS })).toMatchObject({
+      kind: 'answered',
     });
-    relays.startRelays(10);
-    expect(relays.chooseRelay('127.0.0.1:1')).toBeUndefined();
+    expect(relays.chooseRelay(endpoint.address)?.countClients()).toBe(1);
+  });
+
+  it('gets the calls of one turn of the event loop, and then those of an interval, in one frame', async () => {
+    const frames: string[] = [];
+    const batcher = new FrameBatcher<number>({ clock: CLOCK, sendFrame: (text) => frames.push(text) });
+    const numbers = Array.from({ length: 200 }, (_none, index) => index);
+    numbers.forEach((number) => batcher.queueMessage(number));
+    await waitForDelay(1);
+    numbers.forEach((number) => batcher.queueMessage(number));
+    await waitForDelay(50);
+    expect(frames.map((text) => JSON.parse(text) as unknown)).toEqual([numbers, numbers]);
   });
 });
