--- a/dev/soak/readKeptSoak.ts
+++ b/dev/soak/readKeptSoak.ts
@@ -11,6 +11,7 @@
     seed: z.number().int(),
     boxes: z.number().int().min(1),
     executors: z.number().int().min(1),
+    coresPerBox: z.number().positive().optional(),
     troubledMs: time,
   }),
   troubles: z.array(
--- a/dev/soak/soakCommand.ts
+++ b/dev/soak/soakCommand.ts
@@ -16,6 +16,7 @@
     boxes: Number(values['boxes'] ?? 3),
     executors: Number(values['endpoints'] ?? 6),
     troubledMs: Number(values['seconds'] ?? 20) * MS_PER_S,
+    ...(values['cores'] === undefined ? {} : { coresPerBox: Number(values['cores']) }),
   }));
 };
 
@@ -23,13 +24,18 @@
 export const soakCommand: Command = {
   name: 'soak',
   summary: 'Run real processes under overlapping troubles; stop at the first broken promise.',
-  usage: '[--seed N] [--runs N] [--seconds S] [--boxes N] [--endpoints N] [--keep DIR] [--replay FILE]',
+  usage:
+    '[--seed N] [--runs N] [--seconds S] [--boxes N] [--endpoints N] [--cores N] [--keep DIR] [--replay FILE]',
   options: {
     seed: { type: 'string', help: 'first seed (1)' },
     runs: { type: 'string', help: 'number of runs, one seed each (1)' },
     seconds: { type: 'string', help: 'seconds with troubles in each run (20)' },
     boxes: { type: 'string', help: 'entry processes (3)' },
     endpoints: { type: 'string', help: 'endpoints (6)' },
+    cores: {
+      type: 'string',
+      help: 'cores that a box declares (1); with 0.02 calls to endpoints are relayed',
+    },
     keep: { type: 'string', help: 'directory for the logs of a failed run' },
     replay: { type: 'string', help: 'plays the troubles of a failed run again: its problems.json' },
   },
--- a/dev/soak/startSoak.ts
+++ b/dev/soak/startSoak.ts
@@ -36,8 +36,6 @@
 }
 
 const ROOM = 4;
-/** So few that the leader's calls go through other boxes. */
-const CORES_PER_BOX = 0.02;
 const JOB_EVERY_MS = 150;
 const BURST_JOB_EVERY_MS = 25;
 const HARMFUL_SHARE = 0.03;
@@ -313,7 +311,7 @@
     executors,
     roomPerExecutor: ROOM,
     keepsIds: true,
-    coresPerBox: CORES_PER_BOX,
+    ...(plan.coresPerBox === undefined ? {} : { coresPerBox: plan.coresPerBox }),
   });
   const world = new SoakWorld(cell);
   const randoms = createRandoms(seed);
--- a/tests/serve/soak.test.ts
+++ b/tests/serve/soak.test.ts
@@ -17,4 +17,18 @@
     expect(accepted).toBeGreaterThan(40);
     expect(starts).toBeGreaterThan(100);
   }, 120_000);
+
+  it('keeps every promise while other boxes relay the calls of the leader', async () => {
+    const { problems, accepted, starts } = await startSoak({
+      seed: SEED,
+      boxes: 3,
+      executors: 6,
+      coresPerBox: 0.02,
+      troubledMs: 15_000,
+      ...(KEPT_LOGS === undefined ? {} : { keptLogs: `${KEPT_LOGS}-relayed` }),
+    });
+    expect(problems).toEqual([]);
+    expect(accepted).toBeGreaterThan(40);
+    expect(starts).toBeGreaterThan(100);
+  }, 120_000);
 });
