--- a/packages/dispatch/advice/OverdueRequests.ts
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -6,8 +6,9 @@
 const STARVATION_MS = 2000;
 /** Share of the time of all slots that requests ahead of the placement order may take. */
 const MAX_TIME_SHARE = 0.5;
-/** Time between two rounds from which on its share may be saved, and at most: a leader that was suspended doesn't send many requests at once. */
-const MIN_SAVED_MS = 20;
+/** Time between two rounds whose share is not saved: a leader that isn't busy sends one request a round. */
+const UNSAVED_MS = 20;
+/** Time between two rounds whose share is saved at most, so that a leader that was suspended doesn't send many requests at once. */
 const MAX_SAVED_MS = 250;
 
 /**
@@ -28,9 +29,9 @@
   /** Begins a round. `slotCount` is the number of slots, free or not. */
   startRound(slotCount: number, now: number): void {
     const elapsedMs = Math.max(0, now - (this.lastRoundAt ?? now));
-    const shareMs = slotCount * MAX_TIME_SHARE;
-    const limitMs = Math.max(0, Math.min(elapsedMs, MAX_SAVED_MS) - MIN_SAVED_MS) * shareMs;
-    this.balanceMs = Math.min(limitMs, this.balanceMs + elapsedMs * shareMs);
+    const slotShare = slotCount * MAX_TIME_SHARE;
+    const limitMs = Math.max(0, Math.min(elapsedMs, MAX_SAVED_MS) - UNSAVED_MS) * slotShare;
+    this.balanceMs = Math.min(limitMs, this.balanceMs + elapsedMs * slotShare);
     this.lastRoundAt = now;
   }
 
