--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -6,7 +6,7 @@
 import type { StartCommand } from './endpoints/StartCommand';
 import type { WaitTimes } from './waiting/WaitTimes';
 
-/** A side effect that the dispatcher requests and the `LeaderController` carries out. */
+/** A side effect that the dispatcher requests and the `EffectSender` carries out. */
 export type DispatchEffect =
   /** Write the job's progress to the log. */
   | { readonly kind: 'record'; readonly job: JobId }
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -25,8 +25,8 @@
 import type { AdviceBalancer } from './advice/AdviceBalancer';
 import type { AdviceBalancerOptions } from './advice/AdviceBalancerOptions';
 import type { DispatchCounterName } from './DispatchCounterName';
-import type { DispatchEffect } from './DispatchEffect';
 import { Dispatcher } from './Dispatcher';
+import { EffectSender } from './EffectSender';
 import type { DispatchPolicies } from './DispatchPolicies';
 import type { EndpointClient } from './endpoints/EndpointClient';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
@@ -135,6 +135,7 @@
   private readonly adviceBalancer: AdviceBalancer;
   private readonly loadPublisher: LoadPublisher;
   private readonly commandSender: CommandSender;
+  private readonly effectSender: EffectSender;
   /** Services of all known jobs, whose endpoints are needed even when the configuration no longer names them. */
   private readonly jobServices = new Set<ServiceName>();
   private hasReadJobs = false;
@@ -256,6 +257,16 @@
         this.queueSchedulingRound();
       },
     });
+    this.effectSender = new EffectSender({
+      dispatcher: this.dispatcher,
+      journal: this.journal,
+      commandSender: this.commandSender,
+      endpointSessions: this.endpointSessions,
+      adviceBalancer: this.adviceBalancer,
+      lineBatcher: this.lineBatcher,
+      clock,
+      recordCount: options.recordCount,
+    });
   }
 
   /**
@@ -454,7 +465,7 @@
   /** Counts the ends that a poll's status newly reported, carries out the effects of applying the status, and queues a round. */
   private handleStatusApplied(newEndCount: number): void {
     this.options.recordCount('ends', newEndCount);
-    this.sendEffects();
+    this.effectSender.sendEffects();
     this.queueSchedulingRound();
   }
 
@@ -542,7 +553,7 @@
         this.dispatcher.placeWaiting(now, clock.getWallTime(), slots);
       }
     }
-    this.sendEffects();
+    this.effectSender.sendEffects();
     this.slowRoundLogger.recordRoundDuration(clock.getNow() - now, now);
     return isRoundDue;
   }
@@ -562,58 +573,6 @@
     }
   }
 
-  /** Takes the dispatcher's pending effects and carries them out. */
-  private sendEffects(): void {
-    for (const effect of this.dispatcher.takeEffects()) {
-      this.sendEffect(effect);
-    }
-  }
-
-  private sendEffect(effect: DispatchEffect): void {
-    switch (effect.kind) {
-      case 'record':
-        this.queueProgressRecord(effect.job);
-        return;
-      case 'begin':
-        this.queueJobState(effect.job);
-        return;
-      case 'start':
-        this.queueProgressRecord(effect.job, () => void this.commandSender.sendStart(effect));
-        return;
-      case 'stop':
-        void this.commandSender.sendStop(effect);
-        return;
-      case 'look':
-        void this.endpointSessions.getSession(effect.endpoint)?.sendExtraPoll();
-        return;
-      case 'advise':
-        this.options.recordCount('questions');
-        void this.adviceBalancer.sendRequest(effect);
-        return;
-      case 'count':
-        this.options.recordCount(effect.name, effect.amount);
-        return;
-      case 'tell':
-        this.lineBatcher.recordLine(effect.message, effect.fields, this.options.clock.getNow());
-        return;
-    }
-  }
-
-  /** Queues a write of a known job's progress; `handleWritten` is called once it is durable. */
-  private queueProgressRecord(id: JobId, handleWritten?: () => void): void {
-    const job = this.dispatcher.getJob(id);
-    if (job !== undefined) {
-      this.journal.queueJobProgress(job.definition, job.progress, handleWritten);
-    }
-  }
-
-  private queueJobState(id: JobId): void {
-    const job = this.dispatcher.getJob(id);
-    if (job !== undefined) {
-      this.journal.queueJobState(id, job.progress.getState());
-    }
-  }
-
   /** Counts a start for the load digest, if load is published. */
   private recordStartForLoad(job: JobId): void {
     const queue = this.dispatcher.getJob(job)?.definition.queue.name;
