--- a/tests/slotStarvation.test.ts
+++ b/tests/slotStarvation.test.ts
@@ -133,9 +133,9 @@
     vi.useRealTimers();
   });
 
-  /** The queues of a sheet: the most urgent one in a burst, and one whose floor on a calm day is the share of it that has to be served. */
-  const SHEET = { boxes: 42, classFloor: 0.49, objectiveMs: 13_800 };
-  const SHEET_URGENT: Stream = {
+  /** A deployment with a burst of its most urgent queue; `classFloor` is the share of another queue that has to be served on a calm day. */
+  const DEPLOYMENT = { boxes: 42, classFloor: 0.49, objectiveMs: 13_800 };
+  const BURST: Stream = {
     ...URGENT,
     queue: {
       name: 'urgent',
@@ -144,7 +144,7 @@
     },
     perSecond: 190,
   };
-  const SHEET_BATCH: Stream = {
+  const BESIDE_BURST: Stream = {
     ...BATCH,
     queue: { name: 'batch', priority: 2, advice: { decisionMs: 130, perEndpointMs: 1.82, validityMs: 2500 } },
     perSecond: 21,
@@ -156,17 +156,17 @@
     async (roundIntervalMs) => {
       const simulation = new AdviceSimulation({
         policy: 'asked',
-        streams: [SHEET_URGENT, SHEET_BATCH],
+        streams: [BURST, BESIDE_BURST],
         endpoints: 40,
-        boxes: SHEET.boxes,
+        boxes: DEPLOYMENT.boxes,
         seed: 1,
         getBoxDelayMs: () => 300,
         roundIntervalMs,
       });
-      await simulation.runUntil(SHEET.objectiveMs);
+      await simulation.runUntil(DEPLOYMENT.objectiveMs);
       const batch = simulation.jobs.filter(({ definition }) => definition.queue.name === 'batch');
       const started = batch.filter(({ startedAt }) => startedAt !== undefined);
-      expect(started.length / batch.length).toBeGreaterThanOrEqual(SHEET.classFloor);
+      expect(started.length / batch.length).toBeGreaterThanOrEqual(DEPLOYMENT.classFloor);
     },
     60_000,
   );
