fix: a box counts pending jobs only once it knows those accepted during its first read

Cause: the first read of all jobs ends with its last page, but is only as old as the first one; what was written between them is read afterwards. The box counted from the last page on. Since each page is followed by a pause, the read takes 23 to 38 s on small boxes, so that many jobs lie between.

A follower that has read several pages now counts as up to date once it has reached the end of the topic after them, and the count is unavailable until then, as it was before the last page.

Evidence: the new test of tests/jobStates gives 2 of 3 jobs before.

--- a/packages/serve/BoxJobService.ts
+++ b/packages/serve/BoxJobService.ts
@@ -292,9 +292,9 @@
 
   countPendingJobs(queueName: string): JobServiceResult<number> {
     const { replica, jobsFollower } = this.options;
-    return jobsFollower.getOffset() === undefined
-      ? { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS }
-      : { kind: 'answered', answer: replica.countPending(queueName) };
+    return jobsFollower.hasReadWholeTopic()
+      ? { kind: 'answered', answer: replica.countPending(queueName) }
+      : { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS };
   }
 
   /** Requests the state of a job that this box does not know from the leader; unavailable when the leader returns none. */
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -48,6 +48,7 @@
   /** Increases with each start, so that the loop of an earlier start ends even when its read returns late. */
   private generation = 0;
   private isConnected = false;
+  private hasCaughtUp = false;
   private isReadFailing = false;
   private hasLogResponded = false;
   private newestReader: NewestReader;
@@ -105,6 +106,7 @@
       } else if (outcome.kind === 'forgotten') {
         this.recordFailure(outcome);
         this.nextOffset = undefined;
+        this.hasCaughtUp = false;
         this.newestReader = new NewestReader(this.options.client, this.options.topic);
         // Avoids a tight loop of full reads when the log retains too little.
         await this.waitForPause(this.readBackoff.computeNextDelay());
@@ -150,6 +152,14 @@
     return this.lastSuccessAt;
   }
 
+  /**
+   * Returns true from the first time on at which all records of the topic had been handled, also while reads fail. After the newest record of each key
+   * has been read in several pages, those that were written meanwhile have to be read as well.
+   */
+  hasReadWholeTopic(): boolean {
+    return this.hasCaughtUp;
+  }
+
   /** Returns true once the whole topic has been read, as long as reads succeed. */
   isUpToDate(): boolean {
     return this.isConnected;
@@ -207,8 +217,11 @@
     return false;
   }
 
-  /** Reads pages of the newest records until the topic is complete or a read fails. The next attempt resumes after the last page. */
-  private async readNewestPages(): Promise<LogError | 'complete'> {
+  /**
+   * Reads pages of the newest records until each key has been read or a read fails; the next attempt resumes after the last page. Returns `more` if
+   * records may have been written between the pages.
+   */
+  private async readNewestPages(): Promise<LogError | 'complete' | 'more'> {
     while (this.nextOffset === undefined && !this.isStopped) {
       const sentAt = this.options.clock.getNow();
       this.responseDueAt = this.options.clock.getNow() + this.callTimeoutMs;
@@ -225,7 +238,7 @@
         await this.waitForPause(tookMs * (this.options.pagePauseRatio ?? 0));
       }
     }
-    return 'complete';
+    return this.newestReader.countPages() > 1 ? 'more' : 'complete';
   }
 
   /** Reads the next records once; `more` when further records are known to be pending, which the next read returns at once. */
@@ -266,6 +279,7 @@
 
   private recordSuccess(): void {
     this.recordResponse();
+    this.hasCaughtUp = true;
     if (!this.isConnected) {
       this.isConnected = true;
       this.options.handleConnection?.(true, '', this.readSentAt);
--- a/packages/store/NewestReader.ts
+++ b/packages/store/NewestReader.ts
@@ -18,12 +18,18 @@
   private afterKey: string | undefined;
   /** End of the topic at the first page. Reading continues from there, which repeats records that changed between pages. */
   private endOffset: number | undefined;
+  private pageCount = 0;
 
   constructor(
     private readonly client: LogClient,
     private readonly topic: string,
   ) {}
 
+  /** Returns the number of pages read. With more than one, records that were written between them may be missing. */
+  countPages(): number {
+    return this.pageCount;
+  }
+
   /**
    * Reads the next page; without records when a concurrent call has read it. `timeoutMs` bounds the time without data from the log, not the
    * duration of the response.
@@ -40,6 +46,7 @@
       return { ok: true, value: { records: [], endOffset: undefined } };
     }
     this.endOffset ??= page.value.endOffset;
+    this.pageCount += 1;
     const last = records[records.length - 1];
     this.afterKey = last?.key ?? afterKey;
     const isComplete = !hasMore || last === undefined;
--- a/tests/jobStates.test.ts
+++ b/tests/jobStates.test.ts
@@ -35,8 +35,8 @@
     stop: () => Promise.resolve(),
   });
 
-  /** Creates the job service of a box that has read its topics when they were empty, and cannot reach the leader. */
-  const startService = async (records: readonly LogRecord[]): Promise<BoxJobService> => {
+  /** Creates the job service of a box that has begun to read its topics, and cannot reach the leader. */
+  const startService = async (jobsLog: LogClient): Promise<BoxJobService> => {
     const replica = new JobReplica();
     const startFollower = (client: LogClient): LogFollower => {
       const follower = new LogFollower({
@@ -55,7 +55,7 @@
     const service = new BoxJobService({
       replica,
       writer: { writeRecord: () => Promise.resolve('refused'), getOutageMs: () => 0 },
-      jobsFollower: startFollower(createLog(records)),
+      jobsFollower: startFollower(jobsLog),
       statesFollower: startFollower(createLog([])),
       clock: systemClock,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
@@ -74,7 +74,7 @@
 
   it('is found in the log behind more records than one response holds', async () => {
     const records: LogRecord[] = [];
-    const service = await startService(records);
+    const service = await startService(createLog(records));
     for (let number = 0; number < JOBS; number += 1) {
       const definition = createJobDefinition(number, [createStep()]);
       const key = jobKeys.toDefinitionKey(definition.id);
@@ -90,4 +90,36 @@
       answer: 'absent',
     });
   });
+
+  it('is missing from no count of pending jobs when it was accepted while the box read all jobs in pages', async () => {
+    const keys = [1, 2, 3].map((number) => jobKeys.toDefinitionKey(createJobDefinition(number, []).id));
+    const records = [1, 2, 3].map((number, offset) => ({
+      offset,
+      key: keys[offset]!,
+      value: formatDefinition(createJobDefinition(number, [createStep()])),
+    }));
+    const catchUp = { start: (): void => undefined };
+    const isCatchingUp = new Promise<void>((resolve) => (catchUp.start = resolve));
+    const log: LogClient = {
+      ...createLog([]),
+      // The second job is written after the first page, whose key it precedes.
+      readPageOfNewestByKey: ({ afterKey }) => {
+        const value =
+          afterKey === undefined
+            ? { records: [records[0]!], endOffset: 1, hasMore: true }
+            : { records: [records[2]!], endOffset: 3, hasMore: false };
+        return Promise.resolve({ ok: true, value });
+      },
+      readRecords: async ({ fromOffset }) => {
+        await isCatchingUp;
+        return { ok: true, value: { records: records.slice(fromOffset), endOffset: 3 } };
+      },
+    };
+    const service = await startService(log);
+    expect(service.countPendingJobs('jobs')).toMatchObject({ kind: 'unavailable' });
+    catchUp.start();
+    await expect
+      .poll(() => service.countPendingJobs('jobs'))
+      .toEqual({ kind: 'answered', answer: records.length });
+  });
 });
