fix: data of another process no longer ends a box, a list or a relay

What callers saw: after one odd record among those of the endpoints or boxes (an address that makes no URL, a port out of range) each leader ended, one after the other and again after a restart; jobs were no longer accepted. A response nested deeper than JSON.stringify takes ended one relay after the other.

Cause: values were checked for their shape and not for their use; the client, header, frame, timer or log line that is made of them later throws, where nobody handles it. HttpClient said that it never rejects, and did.

Why this works: one schema for addresses and bounds at the boundary, and the layers below turn what they can't send, format or handle into a failed call, a passed-over record or a shortened line. A relay passes bodies on as they are.

--- a/packages/boxes/BoxDirectory.ts
+++ b/packages/boxes/BoxDirectory.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import { hostPortSchema } from '../common/hostPortSchema';
 import { parseJson } from '../common/parseJson';
 import type { LogRecord } from '../store/LogRecord';
 import type { BoxResources } from './BoxResources';
@@ -6,7 +6,7 @@
 import { computeLeaderCapacity } from './computeLeaderCapacity';
 
 const ANNOUNCEMENT_KEY_PREFIX = 'b/';
-const announcementSchema = boxResourcesSchema.extend({ address: z.string() });
+const announcementSchema = boxResourcesSchema.extend({ address: hostPortSchema });
 /** Ratio of leader capacities from which a box counts as clearly stronger than another. */
 const MIN_STRONGER_RATIO = 1.5;
 
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -2,8 +2,10 @@
 import { z } from 'zod';
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
+import { hostPortSchema } from '../common/hostPortSchema';
 import { parseJson } from '../common/parseJson';
 import { parseHostPort } from '../common/parseHostPort';
+import { timeoutSchema } from '../common/timeoutSchema';
 import { toId } from '../common/toId';
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import type { JobCaller } from '../customers/JobCaller';
@@ -52,20 +54,29 @@
 
 /** Largest request body. Exceeds the largest record of the log. */
 const MAX_BODY_BYTES = 524_288;
+/** Longest key of a record, in UTF-16 code units. Keys of this system are ASCII. */
+const MAX_KEY_LENGTH = 200;
 const adviceRequestSchema = z.object({
   step: z.string(),
   endpoints: z.array(z.string()),
-  timeoutMs: z.number().positive(),
+  timeoutMs: timeoutSchema,
 });
 
 const stateRequestSchema = z.object({
   id: z.string(),
   caller: jobCallerSchema,
-  timeoutMs: z.number().positive(),
+  timeoutMs: timeoutSchema,
+});
+const writeRequestSchema = z.object({
+  key: z.string().max(MAX_KEY_LENGTH),
+  value: z.string(),
+  timeoutMs: timeoutSchema,
 });
-const writeRequestSchema = z.object({ key: z.string(), value: z.string(), timeoutMs: z.number().positive() });
 const configurationRequestSchema = z.object({ knownVersion: z.number() });
-const announcementSchema = leaderRecordSchema.extend({ address: z.string(), ...boxResourcesSchema.shape });
+const announcementSchema = leaderRecordSchema.extend({
+  address: hostPortSchema,
+  ...boxResourcesSchema.shape,
+});
 const handoverSchema = z.object({ epoch: z.number() });
 const vouchRequestSchema = z.object({ epoch: z.number() });
 
--- a/packages/boxes/boxResourcesSchema.ts
+++ b/packages/boxes/boxResourcesSchema.ts
@@ -1,7 +1,9 @@
 import { z } from 'zod';
 
+const MAX_CORES = 100_000;
+
 /** Announced resources of a box. Boxes of earlier versions announce no link bandwidth. */
 export const boxResourcesSchema = z.object({
-  cores: z.number(),
+  cores: z.number().positive().max(MAX_CORES),
   linkMbps: z.number().positive().default(Infinity),
 });
--- a/packages/common/HttpClient.ts
+++ b/packages/common/HttpClient.ts
@@ -1,5 +1,6 @@
 import { buildConnector, Pool } from 'undici';
 import { ConnectionGoneError } from './ConnectionGoneError';
+import { formatError } from './formatError';
 import { HttpExchange } from './HttpExchange';
 import type { HttpResult } from './HttpResult';
 import { parseJson } from './parseJson';
@@ -25,6 +26,8 @@
   readonly mustReuseConnection?: boolean;
 }
 
+/** Largest response. A longer one counts as unanswered. */
+const MAX_RESPONSE_BYTES = 33_554_432;
 const KEEP_ALIVE_MS = 60_000;
 const CONNECT_TIMEOUT_MS = 1500;
 const startConnection = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -52,6 +55,9 @@
     this.isReusing = call.mustReuseConnection === true;
     try {
       return await this.sendWithSlot(call);
+    } catch (thrown) {
+      // No request can be made of the address, the path or a header: nothing was sent.
+      return { kind: 'refused', detail: formatError(thrown) };
     } finally {
       this.isReusing = false;
       this.releaseSlot();
@@ -81,8 +87,7 @@
   /** Closes all connections; active and later requests fail. */
   async stop(): Promise<void> {
     this.isStopped = true;
-    // Creates the pool if necessary, so that later requests find a closed one.
-    await this.getPool().destroy();
+    await this.pool?.destroy();
   }
 
   private waitForSlot(): Promise<void> {
@@ -103,6 +108,9 @@
   }
 
   private sendWithSlot(call: HttpRequest): Promise<HttpResult> {
+    if (this.isStopped) {
+      return Promise.resolve({ kind: 'refused', detail: 'the client has stopped' });
+    }
     const pool = this.getPool();
     return new Promise((resolve) => {
       const { method, path, headers = {}, body = null } = call;
@@ -129,6 +137,7 @@
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
+      maxResponseSize: MAX_RESPONSE_BYTES,
       connect: (options, callback) => {
         if (this.isReusing) {
           callback(new ConnectionGoneError(), null);
--- a/packages/common/HttpExchange.ts
+++ b/packages/common/HttpExchange.ts
@@ -4,11 +4,13 @@
 import type { HttpResult } from './HttpResult';
 import { formatError } from './formatError';
 
-const NOT_CONNECTED_CODES = new Set([
+/** Codes of errors after which certainly nothing was sent. */
+const NOT_SENT_CODES = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
   'UND_ERR_CONNECT_TIMEOUT',
+  'UND_ERR_INVALID_ARG',
   ConnectionGoneError.CODE,
 ]);
 /** A timer that fires later than this shows that this process was blocked or paused. */
@@ -63,7 +65,7 @@
       onResponseEnd: () =>
         this.recordResult({ kind: 'answered', status: this.status, body: Buffer.concat(this.chunks) }),
       onResponseError: (_controller, error) => {
-        const kind = NOT_CONNECTED_CODES.has(getErrorCode(error)) ? 'refused' : 'unanswered';
+        const kind = NOT_SENT_CODES.has(getErrorCode(error)) ? 'refused' : 'unanswered';
         this.recordResult({ kind, detail: formatError(error) });
       },
     };
--- a/packages/common/HttpJsonClient.ts
+++ b/packages/common/HttpJsonClient.ts
@@ -1,8 +1,12 @@
+import { formatError } from './formatError';
 import { HttpClient } from './HttpClient';
 import type { JsonClient } from './JsonClient';
 import type { JsonClientOptions } from './JsonClientOptions';
 import type { JsonResult } from './JsonResult';
 import { parseJson } from './parseJson';
+import type { TextResult } from './TextResult';
+
+type JsonRequest = Parameters<JsonClient['sendJsonRequest']>[0];
 
 /** Posts JSON over connections of this process. */
 export class HttpJsonClient implements JsonClient {
@@ -14,22 +18,31 @@
     this.headers = { 'content-type': 'application/json', ...headers };
   }
 
-  async sendJsonRequest({
-    path,
-    body,
-    timeoutMs,
-    mustReuseConnection,
-  }: Parameters<JsonClient['sendJsonRequest']>[0]): Promise<JsonResult> {
+  async sendJsonRequest(request: JsonRequest): Promise<JsonResult> {
+    const result = await this.sendForText(request);
+    return result.kind === 'answered'
+      ? { kind: 'answered', status: result.status, value: parseJson(result.text) }
+      : result;
+  }
+
+  /** Sends a request, and resolves to the text of the response. Never rejects: a body that can't be formatted is not sent. */
+  async sendForText({ path, body, timeoutMs, mustReuseConnection }: JsonRequest): Promise<TextResult> {
+    let text: string;
+    try {
+      text = JSON.stringify(body);
+    } catch (thrown) {
+      return { kind: 'refused', detail: formatError(thrown) };
+    }
     const result = await this.httpClient.sendRequest({
       method: 'POST',
       path,
       headers: this.headers,
-      body: JSON.stringify(body),
+      body: text,
       timeoutMs,
       ...(mustReuseConnection === undefined ? {} : { mustReuseConnection }),
     });
     return result.kind === 'answered'
-      ? { kind: 'answered', status: result.status, value: parseJson(result.body.toString('utf8')) }
+      ? { kind: 'answered', status: result.status, text: result.body.toString('utf8') }
       : result;
   }
 
--- a/packages/leadership/LeaderWatch.ts
+++ b/packages/leadership/LeaderWatch.ts
@@ -1,5 +1,6 @@
 import { connect, type Socket } from 'node:net';
 import { waitForDelay } from '../common/waitForDelay';
+import { isHostPort } from '../common/isHostPort';
 import { parseHostPort } from '../common/parseHostPort';
 
 interface LeaderWatchOptions {
@@ -27,7 +28,7 @@
   constructor(private readonly options: LeaderWatchOptions) {}
 
   /**
-   * Sets the process to watch, and connects to it; undefined to watch none. Keeps the connection when process and address are unchanged.
+   * Sets the process to watch, and connects to it; undefined to watch none. One with an invalid address is not watched. Keeps the connection when process and address are unchanged.
    */
   setLeader(watched: WatchedLeader | undefined): void {
     if (
@@ -45,6 +46,9 @@
   }
 
   private startConnection(watched: WatchedLeader): void {
+    if (!isHostPort(watched.address)) {
+      return;
+    }
     const { host, port } = parseHostPort(watched.address);
     const socket = connect({ host, port });
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../common/Clock';
 import type { Logger } from '../common/Logger';
+import { formatIssues } from '../common/formatIssues';
 import { parseJson } from '../common/parseJson';
 import type { Random } from '../common/Random';
 import type { LogClient } from '../store/LogClient';
@@ -121,7 +122,9 @@
       }
       const parsed = leaderRecordSchema.safeParse(parseJson(value));
       const epoch = this.leaderRecord?.epoch ?? 0;
-      if (parsed.success && parsed.data.epoch >= epoch) {
+      if (!parsed.success) {
+        this.options.logger.warn('Invalid leader record is ignored.', { reason: formatIssues(parsed.error) });
+      } else if (parsed.data.epoch >= epoch) {
         if (parsed.data.epoch > epoch && this.logReadableSince === undefined) {
           // A topic that is read anew shows only the newest record of each key.
           this.leaseHistory.recordMissedWrites(now);
--- a/packages/logging/DecisionLog.ts
+++ b/packages/logging/DecisionLog.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '../common/Logger';
 import { chooseMinSamplingLevel } from './chooseMinSamplingLevel';
+import { formatLine } from './formatLine';
 import { SuppressedLines } from './SuppressedLines';
 import { LineBudget } from './LineBudget';
 import type { LineClass } from './LineClass';
@@ -125,6 +126,6 @@
     const time = new Date(this.options.getWallMs()).toISOString();
     const entry = { time, level, box: this.options.box, part, message, ...fields };
     const canWait = level !== 'error' && DEFERRABLE_PARTS.has(part);
-    this.options.writeLine(`${JSON.stringify(entry)}\n`, canWait);
+    this.options.writeLine(formatLine(entry), canWait);
   }
 }
--- a/packages/relay/FrameBatcher.ts
+++ b/packages/relay/FrameBatcher.ts
@@ -8,18 +8,27 @@
 
 /** Shortest time between two frames of a connection. Bounds the cost of frames when messages are many. */
 const MIN_FRAME_INTERVAL_MS = 12;
+/** Length from which a frame takes no further message. */
+const MAX_FRAME_LENGTH = 1_048_576;
 
 /** Gathers the messages of one connection into frames. The first message after a pause waits for the end of the event loop's turn only. */
 export class FrameBatcher<Message> {
-  private messages: Message[] = [];
+  /** JSON texts of the queued messages. */
+  private messages: string[] = [];
   private isFrameQueued = false;
   private isStopped = false;
   private lastSentAt = -Infinity;
 
   constructor(private readonly options: FrameBatcherOptions) {}
 
+  /** Queues a message. Throws when it can't be formatted. */
   queueMessage(message: Message): void {
-    this.messages.push(message);
+    this.queueText(JSON.stringify(message));
+  }
+
+  /** Queues a message that is formatted already. */
+  queueText(text: string): void {
+    this.messages.push(text);
     if (this.isFrameQueued) {
       return;
     }
@@ -38,14 +47,27 @@
     this.messages = [];
   }
 
+  /** Sends the queued messages, in more than one frame if they are long. */
   private sendQueued(): void {
     this.isFrameQueued = false;
-    if (this.isStopped) {
-      return;
-    }
     const { messages } = this;
     this.messages = [];
     this.lastSentAt = this.options.clock.getNow();
-    this.options.sendFrame(JSON.stringify(messages));
+    let first = 0;
+    let length = 0;
+    messages.forEach((message, index) => {
+      length += message.length;
+      if (length >= MAX_FRAME_LENGTH || index === messages.length - 1) {
+        this.sendFrame(messages.slice(first, index + 1));
+        first = index + 1;
+        length = 0;
+      }
+    });
+  }
+
+  private sendFrame(messages: readonly string[]): void {
+    if (!this.isStopped) {
+      this.options.sendFrame(`[${messages.join(',')}]`);
+    }
   }
 }
--- a/packages/relay/RelayConnection.ts
+++ b/packages/relay/RelayConnection.ts
@@ -44,7 +44,8 @@
 /** Connection of a leader to the call relay of another box. */
 export class RelayConnection {
   private state: ConnectionState = 'connecting';
-  private readonly socket: WebSocket;
+  /** Undefined when no socket can be made of the address. */
+  private readonly socket: WebSocket | undefined;
   private readonly batcher: FrameBatcher<RelayMessage>;
   private readonly pingMonitor: PingMonitor;
   private readonly pendingCalls = new Map<RelayCallId, (result: JsonResult) => void>();
@@ -60,23 +61,16 @@
   };
 
   constructor(private readonly options: RelayConnectionOptions) {
-    const { address, clock } = options;
-    this.socket = new WebSocket(`ws://${address}${relayPath}`, {
-      handshakeTimeout: CONNECT_TIMEOUT_MS,
-      perMessageDeflate: false,
-    });
+    const { clock } = options;
     this.batcher = new FrameBatcher({
       clock,
-      sendFrame: (text) => this.socket.send(text, (error) => error && this.stop(formatError(error))),
+      sendFrame: (text) => this.socket?.send(text, (error) => error && this.stop(formatError(error))),
     });
     this.pingMonitor = new PingMonitor({
       clock,
       sendPing: (number) => this.queueMessage({ kind: 'ping', number }),
     });
-    this.socket.on('open', () => this.handleOpen());
-    this.socket.on('message', (data) => this.handleFrame(String(data)));
-    this.socket.on('error', (error) => this.stop(formatError(error)));
-    this.socket.on('close', () => this.stop('closed by the box'));
+    this.socket = this.createSocket();
   }
 
   isConnecting(): boolean {
@@ -165,12 +159,30 @@
     const isPlanned = this.state === 'draining' && pending.length === 0;
     this.state = 'closed';
     this.batcher.stop();
-    this.socket.terminate();
+    this.socket?.terminate();
     this.pendingCalls.clear();
     this.options.handleClosed({ wasOpen, isPlanned, detail, pendingCalls: pending.length });
     pending.forEach((resolve) => resolve({ kind: 'interrupted', detail: `relay lost: ${detail}` }));
   }
 
+  /** Creates the socket. The connection closes in a later turn of the event loop if that fails. */
+  private createSocket(): WebSocket | undefined {
+    try {
+      const socket = new WebSocket(`ws://${this.options.address}${relayPath}`, {
+        handshakeTimeout: CONNECT_TIMEOUT_MS,
+        perMessageDeflate: false,
+      });
+      socket.on('open', () => this.handleOpen());
+      socket.on('message', (data) => this.handleFrame(String(data)));
+      socket.on('error', (error) => this.stop(formatError(error)));
+      socket.on('close', () => this.stop('closed by the box'));
+      return socket;
+    } catch (thrown) {
+      setImmediate(() => this.stop(formatError(thrown)));
+      return undefined;
+    }
+  }
+
   private queueMessage(message: RelayMessage): void {
     if (this.state !== 'closed') {
       this.batcher.queueMessage(message);
--- a/packages/relay/RelaySession.ts
+++ b/packages/relay/RelaySession.ts
@@ -1,10 +1,10 @@
 import type { WebSocket } from 'ws';
 import type { Clock } from '../common/Clock';
 import { HttpJsonClient } from '../common/HttpJsonClient';
-import type { JsonClient } from '../common/JsonClient';
-import type { JsonResult } from '../common/JsonResult';
 import type { Logger } from '../common/Logger';
+import type { TextResult } from '../common/TextResult';
 import { FrameBatcher } from './FrameBatcher';
+import { formatAnswer } from './formatAnswer';
 import { parseFrame } from './parseFrame';
 import type { RelayCallId } from './RelayCallId';
 import type { RelayClientId } from './RelayClientId';
@@ -25,15 +25,9 @@
 /** Silence after which the leader at the other end is assumed to have ended without closing the connection. */
 const MAX_SILENCE_MS = 10_000;
 
-/** Converts the result of a call to the reply for the leader. */
-const toReply = (call: RelayCallId, result: JsonResult): RelayReply =>
-  result.kind === 'answered'
-    ? { kind: 'answer', call, status: result.status, value: result.value ?? null }
-    : { kind: 'failure', call, failure: result.kind, detail: result.detail };
-
 /** Sends the calls of one leader, over connections that belong to this leader alone, and returns their results. */
 export class RelaySession {
-  private readonly clients = new Map<RelayClientId, JsonClient>();
+  private readonly clients = new Map<RelayClientId, HttpJsonClient>();
   private readonly batcher: FrameBatcher<RelayReply>;
   private silenceTimer: NodeJS.Timeout | undefined;
   private readonly handlers: MessageHandlers = {
@@ -99,11 +93,19 @@
 
   private async sendCall({ client, call, ...request }: MessageOf<'call'>): Promise<void> {
     const sender = this.clients.get(client);
-    const result: JsonResult =
+    const result: TextResult =
       sender === undefined
         ? { kind: 'refused', detail: 'the client was closed' }
-        : await sender.sendJsonRequest(request);
-    this.batcher.queueMessage(toReply(call, result));
+        : await sender.sendForText(request);
+    this.queueResult(call, result);
+  }
+
+  private queueResult(call: RelayCallId, result: TextResult): void {
+    if (result.kind === 'answered') {
+      this.batcher.queueText(formatAnswer(call, result.status, result.text));
+    } else {
+      this.batcher.queueMessage({ kind: 'failure', call, failure: result.kind, detail: result.detail });
+    }
   }
 
   private startSilenceTimer(): void {
--- a/packages/relay/relayMessageSchema.ts
+++ b/packages/relay/relayMessageSchema.ts
@@ -1,4 +1,6 @@
 import { z } from 'zod';
+import { hostPortSchema } from '../common/hostPortSchema';
+import { timeoutSchema } from '../common/timeoutSchema';
 import type { RelayCallId } from './RelayCallId';
 import type { RelayClientId } from './RelayClientId';
 
@@ -21,13 +23,13 @@
     call,
     path: z.string(),
     body: z.record(z.string(), z.unknown()),
-    timeoutMs: z.number().positive(),
+    timeoutMs: timeoutSchema,
     mustReuseConnection: z.boolean().optional(),
   }),
   z.object({
     kind: z.literal('open'),
     client,
-    address: z.string(),
+    address: hostPortSchema,
     connections: z.number().int().positive(),
     headers: z.record(z.string(), z.string()),
   }),
--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { readJsonBody } from '../readJsonBody';
-import { sendJson } from '../sendJson';
+import { sendJsonText } from '../sendJsonText';
 import { startListening } from '../startListening';
 import type { ExecutorFault } from './ExecutorFault';
 import type { ExecutorRun } from './ExecutorRun';
@@ -74,6 +74,8 @@
   private readonly incarnation: string;
   /** Number of the last end that a response has listed. */
   private lastListedEndNumber = 0;
+  /** JSON text of an additional field of all responses, after a comma; empty without one. */
+  private extraField = '';
   private readonly connections = new BlackholedConnections();
 
   private readonly handlers: Readonly<Record<string, CommandHandler>> = {
@@ -114,6 +116,11 @@
     this.fault = fault;
   }
 
+  /** Adds a field with a value, which is JSON text, to all responses from now on, or replaces it. */
+  setExtraField(name: string, value: string): void {
+    this.extraField = `,${JSON.stringify(name)}:${value}`;
+  }
+
   /** Blackholes all connections that are open now. New connections work. */
   applyBlackhole(): void {
     this.connections.applyBlackhole();
@@ -309,6 +316,7 @@
 
   /** Sends a response with the time of the endpoint's clock. */
   private sendResponse(response: ServerResponse, status: number, fields: object): void {
-    sendJson(response, status, { 'clock-ms': this.getClockMs(), ...fields });
+    const text = JSON.stringify({ 'clock-ms': this.getClockMs(), ...fields });
+    sendJsonText(response, status, `${text.slice(0, -1)}${this.extraField}}`);
   }
 }
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -1,5 +1,6 @@
 import { Backoff } from '../common/Backoff';
 import type { Clock } from '../common/Clock';
+import { formatError } from '../common/formatError';
 import type { Random } from '../common/Random';
 import { waitWithTimeout } from '../common/waitWithTimeout';
 import { waitForDelay } from '../common/waitForDelay';
@@ -25,8 +26,13 @@
   readonly pagePauseRatio?: number;
   /** Time that a read waits for a record. Shorter polls detect an unavailable log sooner. */
   readonly pollWaitMs: number;
-  /** Handles records in order. Must be idempotent: after a gap the newest record of each key is delivered again. */
+  /**
+   * Handles records in order. Must be idempotent: after a gap the newest record of each key is delivered again, and if it throws, each record is
+   * delivered again by itself.
+   */
   readonly handleRecords: (records: readonly LogRecord[]) => void;
+  /** Called with each record that can't be handled, and is passed over. */
+  readonly handleFailedRecord?: (record: LogRecord, error: string) => void;
   /**
    * Called when the whole topic has been read, when reads start to fail (including the first ones), and when they succeed again, with
    * the monotonic time at which that read was sent.
@@ -232,7 +238,7 @@
       this.recordResponse();
       // A concurrent read may have set the offset already.
       this.nextOffset ??= page.value.endOffset;
-      this.options.handleRecords(page.value.records);
+      this.applyRecords(page.value.records);
       if (page.value.endOffset === undefined && this.pauseMs > 0) {
         const tookMs = this.options.clock.getNow() - sentAt;
         await this.waitForPause(tookMs * (this.options.pagePauseRatio ?? 0));
@@ -269,7 +275,7 @@
     const last = newRecords[newRecords.length - 1];
     if (last !== undefined) {
       this.nextOffset = last.offset + 1;
-      this.options.handleRecords(newRecords);
+      this.applyRecords(newRecords);
     }
     if ((this.nextOffset ?? 0) >= endOffset) {
       return 'complete';
@@ -277,6 +283,22 @@
     return records.length === 0 ? 'stuck' : 'more';
   }
 
+  /** Handles records, one by one if that fails for them together, so that one that can't be handled does not keep others from being followed. */
+  private applyRecords(records: readonly LogRecord[]): void {
+    const { handleRecords, handleFailedRecord } = this.options;
+    try {
+      handleRecords(records);
+    } catch {
+      for (const record of records) {
+        try {
+          handleRecords([record]);
+        } catch (thrown) {
+          handleFailedRecord?.(record, formatError(thrown));
+        }
+      }
+    }
+  }
+
   private recordSuccess(): void {
     this.recordResponse();
     this.hasCaughtUp = true;
--- a/tests/logFollower.test.ts
+++ b/tests/logFollower.test.ts
@@ -72,6 +72,39 @@
     return follower;
   };
 
+  it('passes over a record that cannot be handled, and goes on with those beside and after it', async () => {
+    const handled: string[] = [];
+    const failed: string[] = [];
+    const topic = ['a', 'odd', 'b', 'c'].map((key, offset) => ({ key, value: '', offset }));
+    follower = new LogFollower({
+      client: {
+        ...createLog([]),
+        readRecords: async ({ fromOffset }) => {
+          await waitFor(1);
+          const records = topic.slice(fromOffset, fromOffset === 0 ? 3 : 4);
+          return { ok: true, value: { records, endOffset: fromOffset + records.length } };
+        },
+      },
+      topic: 'keyed.jobs',
+      clock: systemClock,
+      random: () => 0.5,
+      pauseMs: 0,
+      pollWaitMs: POLL_MS,
+      handleRecords: (records) =>
+        records.forEach(({ key }) => {
+          if (key === 'odd') {
+            throw new Error('cannot be handled');
+          }
+          handled.push(key);
+        }),
+      handleFailedRecord: ({ key }) => failed.push(key),
+    });
+    void follower.start();
+    await expect.poll(() => handled.includes('c')).toBe(true);
+    expect(new Set(handled)).toEqual(new Set(['a', 'b', 'c']));
+    expect(failed).toEqual(['odd']);
+  });
+
   it('backs off between reads of a log that does not retain the records', async () => {
     let reads = 0;
     const log: LogClient = {
