--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -1,4 +1,5 @@
 import type { CustomerUsage } from '../../customers/CustomerUsage';
+import type { JobId } from '../../jobs/JobId';
 import type { TaskDemand } from '../../jobs/TaskDemand';
 import type { TaskName } from '../../jobs/TaskName';
 import { resourceMath } from '../../jobs/resourceMath';
@@ -98,6 +99,17 @@
     return this.runs.values();
   }
 
+  /** Returns the runs of the tasks of a job. */
+  listRunsOfJob(job: JobId): readonly PlacedRun[] {
+    const runs: PlacedRun[] = [];
+    for (const run of this.runs.values()) {
+      if (run.job === job) {
+        runs.push(run);
+      }
+    }
+    return runs;
+  }
+
   countRuns(): number {
     return this.runs.size;
   }
--- a/packages/dispatch/runs/RunTracker.ts
+++ b/packages/dispatch/runs/RunTracker.ts
@@ -178,10 +178,8 @@
     this.sendLogLine('Job ended.', { job: job.definition.id, queue: job.definition.queue.name, ending });
     this.logFailedOrLateJob(job, ending, wallMs);
     for (const endpoint of this.endpoints.values()) {
-      for (const run of [...endpoint.getRuns()]) {
-        if (run.job === job.definition.id) {
-          this.sendStop(endpoint, run, 'jobEnded');
-        }
+      for (const run of endpoint.listRunsOfJob(job.definition.id)) {
+        this.sendStop(endpoint, run, 'jobEnded');
       }
     }
   }
