serve: boxes with half a core or more optimize code as V8 does by default

Callers of the most urgent queue were late wherever the leader was out of processor time, and its code ran unoptimized for tens of seconds: the budget that keeps a box of 0.12 cores from compiling at its start (eight times V8's) held for boxes with 1.35 cores too, which lead where there are any.

--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -76,7 +76,7 @@
       policies.error.forEach(writeError);
       return exitCodes.usage;
     }
-    setOptimizationBudget();
+    setOptimizationBudget(settings.value.cores);
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
     const lineBuffer = new LineBuffer((text) => void process.stdout.write(text));
     const decisionLog = new DecisionLog({
