jobs: a box that would not lead parses definitions when they are needed

Each box parsed and checked the definitions of all jobs as it read them. For a box that only follows this was a quarter of its processor time: the code runs too rarely to be optimized.

A box that knows a clearly stronger one keeps the text, and parses it when a caller asks for the job, for its cancellation or for pending jobs, or when the box begins to lead. Others parse at once, as before, so that a takeover by the strongest box does not take longer.

--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -18,29 +18,42 @@
   readonly invalid: readonly JobId[];
 }
 
+interface JobReplicaOptions {
+  /** Returns whether this process can put off the parsing of definitions until they are needed. */
+  readonly canDeferParsing: () => boolean;
+  /** Called when a definition that was put off is malformed. The job is skipped. */
+  readonly handleInvalid: (id: JobId) => void;
+}
+
 /** All jobs in the log: accepted definitions, cancellations, and the newest state of each job. */
 export class JobReplica {
   private readonly definitions = new Map<JobId, JobDefinition>();
+  /** Records of definitions that have not been parsed yet. */
+  private readonly deferredRecords = new Map<JobId, string>();
   private readonly cancelledIds = new Set<JobId>();
   /** Callers that have cancelled jobs whose definitions are not known yet, by the keys of their records. */
   private readonly earlyCancels = new Map<JobId, Map<string, JobCaller>>();
   /** States written by leaders; a job without one is queued. */
   private readonly writtenStates = new Map<JobId, JobState>();
 
+  /** Without options each definition is parsed when its record is folded. */
+  constructor(private readonly options?: JobReplicaOptions) {}
+
   /**
-   * Folds records of the jobs' topic, and returns the jobs and cancellations that were not known. An empty definition removes the job, but not its
-   * cancellation, which is a record of its own.
+   * Folds records of the jobs' topic, and returns the jobs and cancellations that were not known, without jobs whose definitions are parsed later. An
+   * empty definition removes the job, but not its cancellation, which is a record of its own.
    */
   foldJobRecords(records: readonly LogWrite[]): ReplicaChange {
     const accepted: JobDefinition[] = [];
     const cancelled: JobId[] = [];
     const invalid: JobId[] = [];
+    const canDefer = this.options?.canDeferParsing() ?? false;
     for (const record of records) {
       const definitionId = jobKeys.parseDefinitionKey(record.key);
       const cancelId = jobKeys.parseCancelKey(record.key);
       const earlyCancelId = jobKeys.parseEarlyCancelKey(record.key);
       if (definitionId !== undefined) {
-        const definition = this.foldDefinition(definitionId, record.value);
+        const definition = this.foldDefinition(definitionId, record.value, canDefer);
         if (definition === 'unreadable') {
           invalid.push(definitionId);
         } else if (definition !== undefined) {
@@ -62,7 +75,7 @@
 
   /** Adds a job whose record is in the log, cancelled if a caller with access to it has cancelled it before. Returns false when its id is known already. */
   recordDefinition(definition: JobDefinition): boolean {
-    if (this.definitions.has(definition.id)) {
+    if (this.getDefinition(definition.id) !== undefined) {
       return false;
     }
     this.definitions.set(definition.id, definition);
@@ -88,7 +101,7 @@
    * if this cancels a known job.
    */
   recordEarlyCancel(id: JobId, caller: JobCaller): boolean {
-    const definition = this.definitions.get(id);
+    const definition = this.getDefinition(id);
     if (definition !== undefined) {
       return hasAccess(caller, definition) && this.recordCancel(id);
     }
@@ -124,15 +137,16 @@
   }
 
   getDefinition(id: JobId): JobDefinition | undefined {
-    return this.definitions.get(id);
+    return this.definitions.get(id) ?? this.parseDeferred(id);
   }
 
   countJobs(): number {
-    return this.definitions.size;
+    return this.definitions.size + this.deferredRecords.size;
   }
 
   /** Lists all jobs in order of acceptance time, then of id. The order is the same in every process. */
   listDefinitionsInOrder(): readonly JobDefinition[] {
+    [...this.deferredRecords.keys()].forEach((id) => this.parseDeferred(id));
     return [...this.definitions.values()].sort(
       (left, right) => left.acceptedAtMs - right.acceptedAtMs || (left.id < right.id ? -1 : 1),
     );
@@ -146,7 +160,7 @@
    * Returns the state as callers see it: `cancelled` from the cancellation on, unless the job has completed or failed; undefined for an unknown job.
    */
   getState(id: JobId): JobState | undefined {
-    if (!this.definitions.has(id)) {
+    if (this.getDefinition(id) === undefined) {
       return undefined;
     }
     const state = this.getWrittenState(id);
@@ -156,22 +170,56 @@
 
   /** Counts the jobs of a queue that have neither a state from a leader nor been cancelled. */
   countPending(queueName: string): number {
+    for (const id of [...this.deferredRecords.keys()]) {
+      if (this.isPending(id)) {
+        this.parseDeferred(id);
+      }
+    }
     let count = 0;
-    for (const definition of this.definitions.values()) {
-      const isPending = !this.writtenStates.has(definition.id) && !this.cancelledIds.has(definition.id);
-      if (definition.queue.name === queueName && isPending) {
+    for (const { id, queue } of this.definitions.values()) {
+      if (queue.name === queueName && this.isPending(id)) {
         count += 1;
       }
     }
     return count;
   }
 
-  private foldDefinition(id: JobId, value: string): JobDefinition | 'unreadable' | undefined {
+  private isPending(id: JobId): boolean {
+    return !this.writtenStates.has(id) && !this.cancelledIds.has(id);
+  }
+
+  /** Parses a definition that was put off, and returns it; undefined if there is none, or it is malformed. */
+  private parseDeferred(id: JobId): JobDefinition | undefined {
+    const text = this.deferredRecords.get(id);
+    if (text === undefined) {
+      return undefined;
+    }
+    this.deferredRecords.delete(id);
+    const definition = parseDefinition(id, text);
+    if (definition === undefined) {
+      this.options?.handleInvalid(id);
+      return undefined;
+    }
+    this.recordDefinition(definition);
+    return definition;
+  }
+
+  private foldDefinition(
+    id: JobId,
+    value: string,
+    canDefer: boolean,
+  ): JobDefinition | 'unreadable' | undefined {
     if (value === '') {
       this.definitions.delete(id);
+      this.deferredRecords.delete(id);
+      return undefined;
+    }
+    if (this.deferredRecords.get(id) === value || this.getDefinition(id) !== undefined) {
       return undefined;
     }
-    if (this.definitions.has(id)) {
+    // Whether a cancellation that came first holds depends on the definition.
+    if (canDefer && !this.earlyCancels.has(id)) {
+      this.deferredRecords.set(id, value);
       return undefined;
     }
     const definition = parseDefinition(id, value);
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -76,7 +76,7 @@
 export class ServeProcess {
   private readonly logClient: LogClient;
   private readonly logger: Logger;
-  private readonly replica = new JobReplica();
+  private readonly replica: JobReplica;
   private readonly router = new QueueRouter();
   private readonly metrics = new ServeMetrics();
   private readonly loadView = new LoadView();
@@ -109,6 +109,11 @@
       tickIntervalMs: TICK_INTERVAL_MS,
       isLeading: () => this.controller !== undefined,
     });
+    this.replica = new JobReplica({
+      // A box that leads next has to know all jobs at once.
+      canDeferParsing: () => this.controller === undefined && this.isOutranked(),
+      handleInvalid: (job) => this.logger.warn('Malformed job record ignored.', { job }),
+    });
     this.jobRecords = new JobRecords({
       replica: this.replica,
       logger: this.logger,
@@ -152,7 +157,7 @@
       clock,
       random,
       logger: options.createPartLogger('leadership'),
-      isOutranked: () => this.otherBoxes.directory.listStronger(settings).length > 0,
+      isOutranked: () => this.isOutranked(),
       isReadyToLead: () => this.followers.jobs.getOffset() !== undefined,
       handleElected: (election) => this.startLeading(election),
     });
@@ -258,6 +263,11 @@
     return this.isLogReadable() && (this.controller?.getLogOutageMs() ?? 0) < UNREADY_WRITE_OUTAGE_MS;
   }
 
+  /** Returns whether a clearly stronger box has announced itself, which should lead rather than this one. */
+  private isOutranked(): boolean {
+    return this.otherBoxes.directory.listStronger(this.options.settings).length > 0;
+  }
+
   private isLogReadable(): boolean {
     return this.followers.isLogReadable(this.controller !== undefined);
   }
