--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -184,6 +184,7 @@
     return count;
   }
 
+  /** Returns whether the job has neither a state from a leader nor been cancelled. */
   private isPending(id: JobId): boolean {
     return !this.writtenStates.has(id) && !this.cancelledIds.has(id);
   }
--- a/packages/leadership/LeaderWatch.ts
+++ b/packages/leadership/LeaderWatch.ts
@@ -28,7 +28,8 @@
   constructor(private readonly options: LeaderWatchOptions) {}
 
   /**
-   * Sets the process to watch, and connects to it; undefined to watch none. One with an invalid address is not watched. Keeps the connection when process and address are unchanged.
+   * Sets the process to watch, and connects to it; undefined to watch none. One with an invalid address is not watched. Keeps the connection when
+   * process and address are unchanged.
    */
   setLeader(watched: WatchedLeader | undefined): void {
     if (
