tests: the dispatcher's properties let the runner hear from their worker

The runner gives a worker 60 s to respond, and tests/dispatch took 76 s in that run, of which three properties 71 s one after the other without a pause. It rests between its tests now, as tests/crashes and tests/endpointSpeeds do. No check changes.

--- a/tests/dispatch.test.ts
+++ b/tests/dispatch.test.ts
@@ -1,8 +1,9 @@
 import fc from 'fast-check';
-import { describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it } from 'vitest';
 import { createRandom } from '../packages/common/createRandom';
 import type { Random } from '../packages/common/Random';
 import { toId } from '../packages/common/toId';
+import { waitForDelay } from '../packages/common/waitForDelay';
 import { CustomerUsage } from '../packages/customers/CustomerUsage';
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
@@ -23,6 +24,10 @@
 import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 
+const REST_MS = 5;
+/** Yields to the test runner, which takes a worker for dead that blocks for too long. */
+afterEach(() => waitForDelay(REST_MS));
+
 const CPUS = 4000;
 const LEASE_MS = 4000;
 /** Limit of each customer: half of the capacity of the three endpoints. */
