--- a/packages/common/HttpClient.ts
+++ b/packages/common/HttpClient.ts
@@ -1,6 +1,7 @@
 import { buildConnector, Pool } from 'undici';
 import { ConnectionGoneError } from './ConnectionGoneError';
 import { formatError } from './formatError';
+import { formatJson } from './formatJson';
 import { HttpExchange } from './HttpExchange';
 import type { HttpResult } from './HttpResult';
 import { parseJson } from './parseJson';
@@ -64,11 +65,17 @@
     }
   }
 
-  /** Posts a value as JSON. Returns the body of a 200 response ({} if it is no JSON), otherwise undefined. Never rejects. */
+  /**
+   * Posts a value as JSON. Returns the body of a 200 response ({} if it is no JSON), otherwise undefined, also when the value can't be formatted.
+   * Never rejects.
+   */
   async sendJson(path: string, value: object, timeoutMs: number): Promise<unknown> {
     const headers = { 'content-type': 'application/json' };
-    const body = JSON.stringify(value);
-    const result = await this.sendRequest({ method: 'POST', path, headers, body, timeoutMs });
+    const body = formatJson(value);
+    if (!body.ok) {
+      return undefined;
+    }
+    const result = await this.sendRequest({ method: 'POST', path, headers, body: body.value, timeoutMs });
     const isOk = result.kind === 'answered' && result.status === 200;
     return isOk ? (parseJson(result.body.toString('utf8')) ?? {}) : undefined;
   }
--- a/packages/common/HttpJsonClient.ts
+++ b/packages/common/HttpJsonClient.ts
@@ -1,4 +1,4 @@
-import { formatError } from './formatError';
+import { formatJson } from './formatJson';
 import { HttpClient } from './HttpClient';
 import type { JsonClient } from './JsonClient';
 import type { JsonClientOptions } from './JsonClientOptions';
@@ -27,17 +27,15 @@
 
   /** Sends a request, and resolves to the text of the response. Never rejects: a body that can't be formatted is not sent. */
   async sendForText({ path, body, timeoutMs, mustReuseConnection }: JsonRequest): Promise<TextResult> {
-    let text: string;
-    try {
-      text = JSON.stringify(body);
-    } catch (thrown) {
-      return { kind: 'refused', detail: formatError(thrown) };
+    const text = formatJson(body);
+    if (!text.ok) {
+      return { kind: 'refused', detail: text.error };
     }
     const result = await this.httpClient.sendRequest({
       method: 'POST',
       path,
       headers: this.headers,
-      body: text,
+      body: text.value,
       timeoutMs,
       ...(mustReuseConnection === undefined ? {} : { mustReuseConnection }),
     });
--- a/packages/relay/RelayConnection.ts
+++ b/packages/relay/RelayConnection.ts
@@ -4,6 +4,7 @@
 import type { JsonClientOptions } from '../common/JsonClientOptions';
 import type { JsonResult } from '../common/JsonResult';
 import { formatError } from '../common/formatError';
+import { formatJson } from '../common/formatJson';
 import { FrameBatcher } from './FrameBatcher';
 import { parseFrame } from './parseFrame';
 import { PingMonitor } from './PingMonitor';
@@ -107,7 +108,12 @@
     }
     this.newestCall += 1;
     const call = this.newestCall as RelayCallId;
-    this.queueMessage({ kind: 'call', client, call, body: { ...body }, ...request });
+    const message: RelayMessage = { kind: 'call', client, call, body: { ...body }, ...request };
+    const text = formatJson(message);
+    if (!text.ok) {
+      return Promise.resolve({ kind: 'refused', detail: text.error });
+    }
+    this.batcher.queueText(text.value);
     return new Promise((resolve) => this.pendingCalls.set(call, resolve));
   }
 
