--- a/packages/dispatch/endpoints/EndpointRecords.ts
+++ b/packages/dispatch/endpoints/EndpointRecords.ts
@@ -56,8 +56,7 @@
       pauseMs: READ_RETRY_DELAY_MS,
       pollWaitMs: LOG_POLL_MS,
       handleRecords: (records) => this.handleRecords(records),
-      handleFailedRecord: ({ key, offset }, error) =>
-        options.logger.error('Record cannot be handled and is passed over.', { topic, key, offset, error }),
+      logger: options.logger,
       handleConnection: (isConnected, detail, sentAt) =>
         this.handleLogConnection(isConnected, detail, sentAt),
     });
--- a/packages/serve/TopicFollowers.ts
+++ b/packages/serve/TopicFollowers.ts
@@ -115,8 +115,7 @@
       random,
       ...interval,
       handleRecords,
-      handleFailedRecord: ({ key, offset }, error) =>
-        logger.error('Record cannot be handled and is passed over.', { topic, key, offset, error }),
+      logger,
       handleConnection: (isConnected, detail, sentAt) => {
         logger.info(isConnected ? 'Topic can be read.' : 'Topic cannot be read.', { topic, detail });
         if (topic === topics.states) {
--- a/packages/store/LogFollower.ts
+++ b/packages/store/LogFollower.ts
@@ -1,6 +1,7 @@
 import { Backoff } from '../common/Backoff';
 import type { Clock } from '../common/Clock';
 import { formatError } from '../common/formatError';
+import type { Logger } from '../common/Logger';
 import type { Random } from '../common/Random';
 import { waitWithTimeout } from '../common/waitWithTimeout';
 import { waitForDelay } from '../common/waitForDelay';
@@ -31,8 +32,7 @@
    * delivered again by itself.
    */
   readonly handleRecords: (records: readonly LogRecord[]) => void;
-  /** Called with each record that can't be handled, and is passed over. */
-  readonly handleFailedRecord?: (record: LogRecord, error: string) => void;
+  readonly logger: Logger;
   /**
    * Called when the whole topic has been read, when reads start to fail (including the first ones), and when they succeed again, with
    * the monotonic time at which that read was sent.
@@ -285,17 +285,25 @@
 
   /** Handles records, one by one if that fails for them together, so that one that can't be handled does not keep others from being followed. */
   private applyRecords(records: readonly LogRecord[]): void {
-    const { handleRecords, handleFailedRecord } = this.options;
+    const { handleRecords, logger, topic } = this.options;
     try {
       handleRecords(records);
-    } catch {
-      for (const record of records) {
-        try {
-          handleRecords([record]);
-        } catch (thrown) {
-          handleFailedRecord?.(record, formatError(thrown));
-        }
-      }
+    } catch (thrown) {
+      const error = formatError(thrown);
+      logger.error('Records cannot be handled together.', { topic, records: records.length, error });
+      records.forEach((record) => this.applyRecord(record));
+    }
+  }
+
+  /** Handles a record, or logs that it is passed over. */
+  private applyRecord(record: LogRecord): void {
+    const { handleRecords, logger, topic } = this.options;
+    try {
+      handleRecords([record]);
+    } catch (thrown) {
+      const { key, offset } = record;
+      const error = formatError(thrown);
+      logger.error('Record cannot be handled and is passed over.', { topic, key, offset, error });
     }
   }
 
--- a/tests/firstReadLink.test.ts
+++ b/tests/firstReadLink.test.ts
@@ -43,6 +43,7 @@
   const times: number[] = [];
   let isComplete = false;
   const follower = new LogFollower({
+    logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
     client: createPagedLog(link, () => {
       isComplete = true;
     }),
--- a/tests/helpers/LeaseSimulation.ts
+++ b/tests/helpers/LeaseSimulation.ts
@@ -143,6 +143,7 @@
     const logger = { info: record, warn: record, error: record };
     const client = this.createLogClient(name);
     const follower: LogFollower = new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client,
       topic: TOPICS.states,
       clock,
--- a/tests/jobStates.test.ts
+++ b/tests/jobStates.test.ts
@@ -40,6 +40,7 @@
     const replica = new JobReplica();
     const startFollower = (client: LogClient): LogFollower => {
       const follower = new LogFollower({
+        logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
         client,
         topic: 'keyed.jobs',
         clock: systemClock,
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -34,6 +34,7 @@
     const client = createLog(claims, clock.getNow);
     const logger = { info: () => undefined, warn: () => undefined, error: () => undefined };
     const follower = new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client,
       topic: 'keyed.states',
       clock,
--- a/tests/logFollower.test.ts
+++ b/tests/logFollower.test.ts
@@ -60,6 +60,7 @@
 
   const startFollower = (readTimes: number[]): LogFollower => {
     follower = new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client: createLog(readTimes),
       topic: 'keyed.jobs',
       clock: systemClock,
@@ -74,9 +75,14 @@
 
   it('passes over a record that cannot be handled, and goes on with those beside and after it', async () => {
     const handled: string[] = [];
-    const failed: string[] = [];
+    const logged: unknown[] = [];
     const topic = ['a', 'odd', 'b', 'c'].map((key, offset) => ({ key, value: '', offset }));
     follower = new LogFollower({
+      logger: {
+        info: () => undefined,
+        warn: () => undefined,
+        error: (message, fields) => logged.push([message, fields?.['key'] ?? fields?.['records']]),
+      },
       client: {
         ...createLog([]),
         readRecords: async ({ fromOffset }) => {
@@ -97,12 +103,14 @@
           }
           handled.push(key);
         }),
-      handleFailedRecord: ({ key }) => failed.push(key),
     });
     void follower.start();
     await expect.poll(() => handled.includes('c')).toBe(true);
     expect(new Set(handled)).toEqual(new Set(['a', 'b', 'c']));
-    expect(failed).toEqual(['odd']);
+    expect(logged).toEqual([
+      ['Records cannot be handled together.', 3],
+      ['Record cannot be handled and is passed over.', 'odd'],
+    ]);
   });
 
   it('backs off between reads of a log that does not retain the records', async () => {
@@ -116,6 +124,7 @@
       },
     };
     follower = new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client: log,
       topic: 'keyed.jobs',
       clock: systemClock,
@@ -135,6 +144,7 @@
   /** Creates a follower of a log that returns one record a read, as a log with a limited response size does. */
   const createPagedFollower = (log: PagedLog): LogFollower =>
     new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client: log.client,
       topic: 'keyed.jobs',
       clock: systemClock,
@@ -205,6 +215,7 @@
     };
     const connections: boolean[] = [];
     follower = new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client: log,
       topic: 'keyed.jobs',
       clock: systemClock,
--- a/tests/suspension.test.ts
+++ b/tests/suspension.test.ts
@@ -237,6 +237,7 @@
       stop: () => Promise.resolve(),
     };
     const follower = new LogFollower({
+      logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
       client,
       topic: 'keyed.states',
       clock: machine,
