--- a/packages/common/isHostPort.ts
+++ b/packages/common/isHostPort.ts
@@ -1,4 +1,5 @@
-const MAX_LENGTH = 261;
+/** Length of the longest host name, a colon and the longest port. */
+const MAX_LENGTH = 259;
 const MAX_PORT = 65_535;
 const HOST_PORT = /^[A-Za-z0-9._-]+:(\d{1,5})$/;
 
