fix: a status that can't be applied doesn't stop the session with its endpoint

What callers would see: an endpoint that is polled no more after one odd status, so that its lease expires and its runs are lost again and again; after an extra poll, a leader that ends.

Cause: an error of applying a status was taken for the loss of leadership, which alone may stop the polls; the extra poll called it outside of its catch.

Why this works: the two are apart. What throws when it is applied counts as no response, is logged with the endpoint and polled again; a rejected write still stops the polls.

--- a/packages/dispatch/endpoints/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '../../common/Clock';
+import { formatError } from '../../common/formatError';
 import { waitWithTimeout } from '../../common/waitWithTimeout';
 import { waitForDelay } from '../../common/waitForDelay';
 import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
@@ -91,7 +92,7 @@
     }
     // Only the poll loop handles missing responses and acknowledges ends.
     if (!this.isStopped && result.kind === 'held' && this.options.handleResponse(sentAt)) {
-      await this.applyStatus(result, sentAt).catch(() => undefined);
+      await this.applyStatus(result, sentAt)?.catch(() => undefined);
     }
   }
 
@@ -192,14 +193,18 @@
     if (!this.options.handleResponse(sentAt)) {
       return;
     }
-    const acknowledged = this.applyAndAcknowledge(result, sentAt);
-    await waitWithTimeout(acknowledged, MAX_DURABLE_WAIT_MS, undefined);
+    const durable = this.applyStatus(result, sentAt);
+    if (durable === undefined) {
+      await this.waitForRetry();
+      return;
+    }
+    await waitWithTimeout(this.waitForDurableEnds(result, durable), MAX_DURABLE_WAIT_MS, undefined);
   }
 
-  /** Applies a status, and lets the next poll acknowledge its ends once they are durable. Stops polling when the leadership is lost. */
-  private async applyAndAcknowledge(result: StatusResult, sentAt: number): Promise<void> {
+  /** Waits until the ends of a status are durable, so that the next poll acknowledges them. Stops polling when the leadership is lost. */
+  private async waitForDurableEnds(result: StatusResult, durable: Promise<void>): Promise<void> {
     try {
-      await this.applyStatus(result, sentAt);
+      await durable;
     } catch {
       this.isStopped = true;
       return;
@@ -207,11 +212,19 @@
     this.lastDurableEnd = this.getNewestEndNumber(result, this.lastDurableEnd);
   }
 
-  /** Passes a status on with the number of its ends that no earlier status has listed. Resolves once its ends are durable. */
-  private applyStatus(result: StatusResult, sentAt: number): Promise<void> {
+  /**
+   * Passes a status on with the number of its ends that no earlier status has listed. The result resolves once its ends are durable; undefined
+   * for a status that can't be applied, which counts as no response.
+   */
+  private applyStatus(result: StatusResult, sentAt: number): Promise<void> | undefined {
     const newEndCount = result.ended.filter(({ number }) => number > this.lastReceivedEnd).length;
     this.lastReceivedEnd = this.getNewestEndNumber(result, this.lastReceivedEnd);
-    return this.options.handleStatus(result, sentAt, newEndCount);
+    try {
+      return this.options.handleStatus(result, sentAt, newEndCount);
+    } catch (thrown) {
+      this.options.handleUnreachable(`status cannot be applied: ${formatError(thrown)}`);
+      return undefined;
+    }
   }
 
   /** Returns the highest sequence number among the ends of a status, and at least `atLeast`. */
--- a/tests/endpointSession.test.ts
+++ b/tests/endpointSession.test.ts
@@ -70,6 +70,38 @@
   });
 });
 
+describe('a session with a status that cannot be applied', () => {
+  const ODD = toId<TaskName>('odd');
+  const checkTask = (status: Parameters<StatusHandler>[0]): Promise<void> => {
+    if (status.running.some(({ task }) => task === ODD)) {
+      throw new Error('no such task');
+    }
+    return Promise.resolve();
+  };
+  const ODD_STATUS = {
+    kind: 'held',
+    running: [{ task: ODD, run: 1, checkpoint: '', percent: 0, load: 0 }],
+    ended: [],
+  } as const;
+
+  it('goes on polling, and applies the next one', async () => {
+    const results: PollResult[] = [ODD_STATUS, ODD_STATUS, { kind: 'held', running: [], ended: [] }];
+    let appliedCount = 0;
+    const session = createSession(
+      createEndpoint(),
+      () => Promise.resolve(results.shift() ?? { kind: 'gone' }),
+      (status) => checkTask(status).then(() => void (appliedCount += 1)),
+    );
+    await session.runPollLoop();
+    expect(appliedCount).toBe(1);
+  });
+
+  it('does not fail as an extra poll', async () => {
+    const session = createSession(createEndpoint(), () => Promise.resolve(ODD_STATUS), checkTask);
+    await expect(session.sendExtraPoll()).resolves.toBeUndefined();
+  });
+});
+
 describe('a session with ends that are not durable yet', () => {
   it('renews the lease, acknowledges nothing, and reports each end as new once', async () => {
     const endpoint = createEndpoint();
