fix: a configuration with a version too large doesn't end the following of later ones

What operators saw: after one record of another writer with the version 2^53 - 1 or 1e300 each later configuration counted as older, on all boxes, for good.

Cause: versions rise by one, and any number was taken for one. The same class as epochs of leaders, which have their bound now from the same place. Durations of advice reached timers unbounded (1e300 becomes 1 ms) from configurations and from records of jobs.

Why this works: a version or duration out of bounds makes the record malformed; it is logged, the last good configuration stays, and the next one is applied.

--- a/packages/gateway/configurationSchema.ts
+++ b/packages/gateway/configurationSchema.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { maxRisingNumber } from '../common/maxRisingNumber';
 import { toId } from '../common/toId';
 import type { CustomerName } from '../customers/CustomerName';
 import type { KeyDigest } from '../customers/KeyDigest';
@@ -23,7 +24,7 @@
 
 /** Schema of the configuration as sent between boxes. It contains digests of keys, not the keys. */
 export const configurationSchema: z.ZodType<QueueConfiguration> = z.object({
-  version: z.number(),
+  version: z.number().max(maxRisingNumber),
   routes: z.array(routeSchema),
   customers: z.array(customerSchema),
   maxBodyBytes: z.number(),
--- a/packages/jobs/queueSchema.ts
+++ b/packages/jobs/queueSchema.ts
@@ -1,12 +1,13 @@
 import { z } from 'zod';
+import { durationSchema } from '../common/durationSchema';
 import { toId } from '../common/toId';
 import type { JobQueue } from './JobQueue';
 import type { ServiceName } from './ServiceName';
 
 const adviceSchema = z.object({
-  decisionMs: z.number(),
-  perEndpointMs: z.number(),
-  validityMs: z.number(),
+  decisionMs: durationSchema,
+  perEndpointMs: durationSchema,
+  validityMs: durationSchema,
 });
 
 /** Schema of a queue's policy in log records and in messages between boxes. */
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -1,12 +1,10 @@
 import { z } from 'zod';
 import { hostPortSchema } from '../common/hostPortSchema';
-
-/** Highest valid epoch. Leaves room for the epochs of later claims, which have to be exact integers. */
-const MAX_EPOCH = Number.MAX_SAFE_INTEGER - 2 ** 32;
+import { maxRisingNumber } from '../common/maxRisingNumber';
 
 /** Schema of a leader record, in the log and in announcements. */
 export const leaderRecordSchema = z.object({
-  epoch: z.number().int().nonnegative().max(MAX_EPOCH),
+  epoch: z.number().int().nonnegative().max(maxRisingNumber),
   box: z.string(),
   address: hostPortSchema.optional(),
   process: z.string(),
--- a/packages/standins/platform/AdviceStandin.ts
+++ b/packages/standins/platform/AdviceStandin.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server } from 'node:http';
 import { readJsonBody } from '../readJsonBody';
-import { sendJson } from '../sendJson';
+import { sendJsonText } from '../sendJsonText';
 import { startListening } from '../startListening';
 import { BlackholedConnections } from './BlackholedConnections';
 import { ticketTexts } from './ticketTexts';
@@ -10,6 +10,8 @@
   private server: Server | undefined;
   private requestCount = 0;
   private rejectedEndpoints: readonly string[] = [];
+  /** Body of all responses; undefined for tickets. */
+  private replacedBody: string | undefined;
   private readonly connections = new BlackholedConnections();
 
   constructor(private readonly address: string) {}
@@ -25,7 +27,7 @@
         const good = workers
           .filter((id) => !this.rejectedEndpoints.includes(id))
           .map((id) => [id, ticketTexts.format(step, id)]);
-        sendJson(response, 200, { good });
+        sendJsonText(response, 200, this.replacedBody ?? JSON.stringify({ good }));
       });
     });
     this.connections.addServer(this.server);
@@ -47,6 +49,11 @@
     this.rejectedEndpoints = endpoints;
   }
 
+  /** Sets the body of all responses from now on; undefined for tickets again. */
+  setReplacedBody(body: string | undefined): void {
+    this.replacedBody = body;
+  }
+
   /** Returns the number of advice requests that got a response. */
   countRequests(): number {
     return this.requestCount;
