jobs: definitions that are parsed later have a class of their own

The replica knows jobs, cancellations and states; which definitions are still texts is kept by JobDefinitions. Behaviour and tests are unchanged.

--- a/packages/jobs/JobReplica.ts
+++ b/packages/jobs/JobReplica.ts
@@ -5,6 +5,7 @@
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
 import type { JobDefinition } from './JobDefinition';
+import { JobDefinitions } from './JobDefinitions';
 import type { JobId } from './JobId';
 import { jobKeys } from './jobKeys';
 import { jobStates } from './jobStates';
@@ -19,17 +20,15 @@
 }
 
 interface JobReplicaOptions {
-  /** Returns whether this process can put off the parsing of definitions until they are needed. */
+  /** Returns whether definitions may be parsed when they are first needed, and not when their records are folded. */
   readonly canDeferParsing: () => boolean;
-  /** Called when a definition that was put off is malformed. The job is skipped. */
+  /** Called when a definition that is parsed later is malformed. The job is skipped. */
   readonly handleInvalid: (id: JobId) => void;
 }
 
 /** All jobs in the log: accepted definitions, cancellations, and the newest state of each job. */
 export class JobReplica {
-  private readonly definitions = new Map<JobId, JobDefinition>();
-  /** Records of definitions that have not been parsed yet. */
-  private readonly deferredRecords = new Map<JobId, string>();
+  private readonly definitions: JobDefinitions;
   private readonly cancelledIds = new Set<JobId>();
   /** Callers that have cancelled jobs whose definitions are not known yet, by the keys of their records. */
   private readonly earlyCancels = new Map<JobId, Map<string, JobCaller>>();
@@ -37,7 +36,9 @@
   private readonly writtenStates = new Map<JobId, JobState>();
 
   /** Without options each definition is parsed when its record is folded. */
-  constructor(private readonly options?: JobReplicaOptions) {}
+  constructor(private readonly options?: JobReplicaOptions) {
+    this.definitions = new JobDefinitions((id) => options?.handleInvalid(id));
+  }
 
   /**
    * Folds records of the jobs' topic, and returns the jobs and cancellations that were not known, without jobs whose definitions are parsed later. An
@@ -78,7 +79,7 @@
     if (this.getDefinition(definition.id) !== undefined) {
       return false;
     }
-    this.definitions.set(definition.id, definition);
+    this.definitions.addDefinition(definition);
     const callers = [...(this.earlyCancels.get(definition.id)?.values() ?? [])];
     if (callers.some((caller) => hasAccess(caller, definition))) {
       this.cancelledIds.add(definition.id);
@@ -137,17 +138,16 @@
   }
 
   getDefinition(id: JobId): JobDefinition | undefined {
-    return this.definitions.get(id) ?? this.parseDeferred(id);
+    return this.definitions.getDefinition(id);
   }
 
   countJobs(): number {
-    return this.definitions.size + this.deferredRecords.size;
+    return this.definitions.countDefinitions();
   }
 
   /** Lists all jobs in order of acceptance time, then of id. The order is the same in every process. */
   listDefinitionsInOrder(): readonly JobDefinition[] {
-    [...this.deferredRecords.keys()].forEach((id) => this.parseDeferred(id));
-    return [...this.definitions.values()].sort(
+    return [...this.definitions.listDefinitions(() => true)].sort(
       (left, right) => left.acceptedAtMs - right.acceptedAtMs || (left.id < right.id ? -1 : 1),
     );
   }
@@ -170,18 +170,8 @@
 
   /** Counts the jobs of a queue that have neither a state from a leader nor been cancelled. */
   countPending(queueName: string): number {
-    for (const id of [...this.deferredRecords.keys()]) {
-      if (this.isPending(id)) {
-        this.parseDeferred(id);
-      }
-    }
-    let count = 0;
-    for (const { id, queue } of this.definitions.values()) {
-      if (queue.name === queueName && this.isPending(id)) {
-        count += 1;
-      }
-    }
-    return count;
+    const pending = this.definitions.listDefinitions((id) => this.isPending(id));
+    return pending.filter(({ queue }) => queue.name === queueName).length;
   }
 
   /** Returns whether the job has neither a state from a leader nor been cancelled. */
@@ -189,38 +179,21 @@
     return !this.writtenStates.has(id) && !this.cancelledIds.has(id);
   }
 
-  /** Parses a definition that was put off, and returns it; undefined if there is none, or it is malformed. */
-  private parseDeferred(id: JobId): JobDefinition | undefined {
-    const text = this.deferredRecords.get(id);
-    if (text === undefined) {
-      return undefined;
-    }
-    this.deferredRecords.delete(id);
-    const definition = parseDefinition(id, text);
-    if (definition === undefined) {
-      this.options?.handleInvalid(id);
-      return undefined;
-    }
-    this.recordDefinition(definition);
-    return definition;
-  }
-
   private foldDefinition(
     id: JobId,
     value: string,
     canDefer: boolean,
   ): JobDefinition | 'unreadable' | undefined {
     if (value === '') {
-      this.definitions.delete(id);
-      this.deferredRecords.delete(id);
+      this.definitions.removeDefinition(id);
       return undefined;
     }
-    if (this.deferredRecords.get(id) === value || this.getDefinition(id) !== undefined) {
+    if (this.definitions.hasText(id, value) || this.getDefinition(id) !== undefined) {
       return undefined;
     }
     // Whether a cancellation that came first holds depends on the definition.
     if (canDefer && !this.earlyCancels.has(id)) {
-      this.deferredRecords.set(id, value);
+      this.definitions.addText(id, value);
       return undefined;
     }
     const definition = parseDefinition(id, value);
