--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -7,7 +7,6 @@
 import type { AdviceClient } from '../dispatch/advice/AdviceClient';
 import { LeaderController } from '../dispatch/LeaderController';
 import { QueueRouter } from '../gateway/QueueRouter';
-import { formatCustomerMetrics } from '../customers/formatCustomerMetrics';
 import type { JobCaller } from '../customers/JobCaller';
 import { CallerAuthorizer } from '../gateway/CallerAuthorizer';
 import type { JobId } from '../jobs/JobId';
@@ -35,7 +34,7 @@
 import { LeaderHandover } from './LeaderHandover';
 import { LoadAdmission } from './LoadAdmission';
 import { OtherBoxes } from './OtherBoxes';
-import { computeCustomerMetrics } from './computeCustomerMetrics';
+import { formatBoxMetrics } from './formatBoxMetrics';
 import type { ServeAdapter } from './ServeAdapter';
 import { ServeMetrics } from './ServeMetrics';
 import type { ServeSettings } from './ServeSettings';
@@ -579,37 +578,17 @@
   }
 
   private formatMetrics(): string {
-    const speeds = this.controller?.getDispatcher().getEndpointSpeeds().countByClass();
-    const text = this.metrics.formatText({
-      leading: this.controller === undefined ? 0 : 1,
-      liveJobs: this.controller?.getDispatcher().countJobs() ?? 0,
-      slowEndpoints: speeds?.slow ?? 0,
-      fastEndpoints: speeds?.fast ?? 0,
-      configurationVersion: this.router.getConfiguration()?.version ?? 0,
-      logWriteFailingMs: Math.round(this.writer.getOutageMs()),
-      readingOperatorTopic: Number(this.followers.operator.isUpToDate()),
-      readingStatesTopic: Number(this.followers.states.isUpToDate()),
-      readingJobsTopic: Number(this.followers.jobs.isUpToDate()),
-      knownJobs: this.replica.countJobs(),
-      ...this.getLoadGauges(),
+    const { metrics, router, writer, followers, replica, loadView } = this;
+    return formatBoxMetrics({
+      metrics,
+      dispatcher: this.controller?.getDispatcher(),
+      router,
+      writer,
+      followers,
+      replica,
+      loadView,
+      epoch: this.leadership.getLeaderRecord()?.epoch,
+      clock: this.options.clock,
     });
-    return text + this.formatCustomerMetrics();
-  }
-
-  /** Returns the gauge of the age of the newest load digest in milliseconds; none before the first digest. */
-  private getLoadGauges(): Readonly<Record<string, number>> {
-    const { clock } = this.options;
-    const epoch = this.leadership.getLeaderRecord()?.epoch;
-    const ageMs = this.loadView.getDigestAgeMs({ now: clock.getNow(), wallMs: clock.getWallTime(), epoch });
-    return ageMs === undefined ? {} : { loadDigestAgeMs: Math.round(ageMs) };
-  }
-
-  /** Formats the metrics of each customer; empty while this process does not lead. */
-  private formatCustomerMetrics(): string {
-    const dispatcher = this.controller?.getDispatcher();
-    const wallMs = this.options.clock.getWallTime();
-    return dispatcher === undefined
-      ? ''
-      : formatCustomerMetrics(computeCustomerMetrics(this.router.getCustomers(), dispatcher, wallMs));
   }
 }
