--- a/review/tools-2/Deployed.mjs
+++ b/review/tools-2/Deployed.mjs
@@ -63,9 +63,9 @@
     appendFileSync(this.recordFile, `${atMs} ${kind} ${JSON.stringify(fields)}\n`);
   }
 
-  async start({ routes = [ROUTE], serverOptions = () => ({}), boxStore } = {}) {
+  async start({ routes = [ROUTE], services, serverOptions = () => ({}), boxStore } = {}) {
     this.store = new Store(this.storeOptions);
-    this.putConfig(1, routes);
+    this.putConfig(1, routes, services);
     for (let index = 0; index < this.serverCount; index += 1) {
       const server = new Server({
         id: `i-${(0x7f000000 + index * 4099).toString(16)}`,
@@ -86,21 +86,19 @@
     }
   }
 
-  putConfig(version, routes) {
+  putConfig(version, routes, services = ['plan-service']) {
     this.store.put('keyed.op', 'config', {
       version,
       routes,
-      services: [
-        {
-          name: 'plan-service',
-          'health-path': '/health',
-          'max-connections': 64,
-          protocol: 'h1',
-          tls: false,
-          'enforces-capacity': false,
-          headroom: false,
-        },
-      ],
+      services: services.map((name) => ({
+        name,
+        'health-path': '/health',
+        'max-connections': 64,
+        protocol: 'h1',
+        tls: false,
+        'enforces-capacity': false,
+        headroom: false,
+      })),
       limits: {
         'max-header-bytes': 16_384,
         'max-body-bytes': 262_144,
--- a/review/tools-2/Server.mjs
+++ b/review/tools-2/Server.mjs
@@ -1,6 +1,8 @@
 // Stand-in of an executor, as PROTOCOL.md describes it. It does not guard its capacity. The spec of a task is `ms=N`: it ends `done` after N ms.
 import { createServer } from 'node:http';
 
+const FAIL_AFTER_MS = 60;
+
 export class Server {
   runs = new Map();
   ended = new Map();
@@ -10,6 +12,8 @@
   expiresAt = Infinity;
   waiters = new Set();
   startedAt = performance.now();
+  /** True while the server fails all that it starts. */
+  isFailing = false;
 
   /** `record(line)` gets what the executor does; `decide(path, body)` may return 'silent', or a delay in ms, for a call. */
   constructor({
@@ -109,7 +113,8 @@
     started.ms = Number(/ms=(\d+)/.exec(spec)?.[1] ?? 500);
     this.runs.set(task, started);
     this.record('start', { task, run, server: this.id });
-    started.timer = setTimeout(() => this.end(started, 'done'), started.ms);
+    const how = this.isFailing ? 'failed' : 'done';
+    started.timer = setTimeout(() => this.end(started, how), this.isFailing ? FAIL_AFTER_MS : started.ms);
     return send(200);
   }
 
