--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,105 +1,112 @@
-// Servers crash in turn, a few at a time. A lasting job whose tasks never ended `failed` is ended by the system and shown as `failed`.
+// All machines but one are taken away for good. The one that is left has the time to ask for advice, but its jobs wait for many seconds.
+import { createServer } from 'node:net';
 import { fileURLToPath } from 'node:url';
+import { Advice } from '../tools-2/Advice.mjs';
 import { Deployed, ROUTE, delay, toId } from '../tools-2/Deployed.mjs';
-import { Server } from '../tools-2/Server.mjs';
+import { findIdleStretch } from '../tools-2/findIdleStretch.mjs';
 
 const isTroubled = process.env.TROUBLE !== '0';
+const BOXES = 7;
 const SERVERS = 33;
-const JOBS = 4;
-const TASKS = 12;
-const CPU = 3400;
-const CRASH_SHARE = 0.15;
-const CRASHES = 40;
-const CRASH_EVERY_MS = 1500;
-const DOWN_MS = 1000;
-const HEARTBEAT_MS = 1500;
-const MISSED_HEARTBEATS = 3;
+const SERVER_CPU = 16_000;
+const TRAFFIC_MS = 50_000;
 const FINISH_MS = 14_000;
+const CALM_MS = 12_000;
+const BUILD = { count: 4, cpu: 1000, ms: 1000, everyMs: 1250, base: 0x1000 };
+const REFRESH = { count: 3, cpu: 500, ms: 400, everyMs: 250, base: 0x2000 };
+const BUILD_ADVICE = { 'decision-ms': 528, 'period-ms': 5.3, 'validity-ms': 2500 };
+const REFRESH_ADVICE = { 'decision-ms': 27, 'period-ms': 0.28, 'validity-ms': 2500 };
 
-const route = { ...ROUTE, name: 'r-render', 'path-prefix': '/render/', priority: 1, attempts: 2 };
-const job = {
-  spec: 'ms=600000',
-  steps: [{ count: TASKS, cpu: CPU, 'mem-mb': 2000, 'estimated-ms': 400, 'long-running': true }],
-};
+const routes = [
+  { ...ROUTE, advice: BUILD_ADVICE },
+  {
+    ...ROUTE,
+    name: 'r-refresh',
+    'path-prefix': '/refresh/',
+    'target-latency-ms': 250,
+    priority: 0,
+    attempts: 2,
+    stretch: 1.5,
+    advice: REFRESH_ADVICE,
+  },
+];
+const isBuild = (id) => Number.parseInt(id, 16) < REFRESH.base;
+const shapeOf = (id) => (isBuild(id) ? BUILD : REFRESH);
+const toJob = ({ count, cpu, ms }) => ({
+  spec: `ms=${ms}`,
+  steps: [{ count, cpu, 'mem-mb': 64, 'estimated-ms': ms }],
+});
 
-/** Random numbers from 0 to 1 by a seed, so that the servers that crash are the same in each run. */
-const createRandom = (seed) => {
-  let state = seed;
-  return () => {
-    state = (Math.imul(state, 1_103_515_245) + 12_345) & 0x7fffffff;
-    return state / 0x7fffffff;
-  };
-};
+/** Takes the place of a machine that says nothing: connections to its address hang. */
+const startSilence = (port) =>
+  new Promise((resolve) => {
+    const server = createServer((socket) => socket.on('error', () => undefined));
+    server.on('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve(server));
+  });
 
 const run = async () => {
   const recordFile = fileURLToPath(new URL('record.txt', import.meta.url));
-  const site = new Deployed({ recordFile, boxCount: 3, serverCount: SERVERS });
-  await site.start({ routes: [route] });
+  const site = new Deployed({ recordFile, boxCount: BOXES, serverCount: SERVERS });
+  const advice = new Advice((job) =>
+    isBuild(job) ? { ...BUILD_ADVICE, share: 0.35 } : { ...REFRESH_ADVICE, share: 0.7 },
+  );
+  await site.start({
+    routes,
+    serverOptions: () => ({ refuse: (body, server) => advice.refuse(body, server) }),
+    boxAdvice: (index) => advice.listen(index),
+  });
   if (!(await site.waitReady())) return 2;
-  const ids = Array.from({ length: JOBS }, (_none, index) => toId(0x200 + index));
-  for (const [index, id] of ids.entries()) {
-    if ((await site.submit(id, job, { first: index, prefix: '/render/' })) !== 200) return 2;
+  await delay(2000);
+  const now = () => Math.round(performance.now() - site.startedAt);
+  const [left, ...others] = site.boxes;
+  if (isTroubled) {
+    for (const box of others) {
+      site.note('machine taken away', { box: box.name });
+      box.child.kill('SIGKILL');
+    }
+    await delay(300);
+    await Promise.all(others.map(({ internal }) => startSilence(internal)));
+    site.boxes = [left];
   }
-  await delay(4000);
-  const random = createRandom(Number(process.env.SEED ?? 7));
-  let lives = 0;
-
-  /** Crashes a server; another life of it, with a new id, starts at the same address after a while. */
-  const crash = async (index) => {
-    const server = site.servers[index];
-    if (server.isDown) return;
-    server.isDown = true;
-    const port = Number(server.address.split(':')[1]);
-    for (const { task, run: number } of server.runs.values()) {
-      site.note('end', { task, run: number, how: 'lost with its server', server: server.id });
+  await delay(CALM_MS);
+  const workBefore = advice.work[0].ms;
+  const trafficFrom = now();
+  const accepted = [];
+  const send = async (shape) => {
+    for (let index = 0; index * shape.everyMs < TRAFFIC_MS; index += 1) {
+      const id = toId(shape.base + index);
+      const prefix = shape === BUILD ? '/build/' : '/refresh/';
+      const call = site.submit(id, toJob(shape), { first: index, prefix }).then((status) => {
+        if (status === 200) accepted.push({ id, prefix, ...shape, acceptedAtMs: now() });
+      });
+      await Promise.all([call, delay(shape.everyMs)]);
     }
-    site.note('crash', { server: server.id, runs: server.runs.size });
-    server.stop();
-    setTimeout(() => site.store.put('keyed.servers', server.id, undefined), HEARTBEAT_MS * MISSED_HEARTBEATS);
-    await delay(DOWN_MS);
-    lives += 1;
-    const { store, service, zone, rack, capacity, record } = server;
-    const next = new Server({
-      id: `i-${(0x50000000 + lives * 7919).toString(16)}`,
-      store,
-      service,
-      zone,
-      rack,
-      capacity,
-      record,
-    });
-    await next.start(port);
-    site.servers[index] = next;
   };
-
-  const pending = [];
-  for (let round = 0; round < CRASHES; round += 1) {
-    if (isTroubled) {
-      const up = site.servers.map((_server, index) => index).filter((index) => !site.servers[index].isDown);
-      for (let count = Math.round(SERVERS * CRASH_SHARE); count > 0; count -= 1) {
-        pending.push(crash(up.splice(Math.floor(random() * up.length), 1)[0]));
-      }
-    }
-    await delay(CRASH_EVERY_MS);
-  }
-  await Promise.all(pending);
-  site.note('crashes end');
+  await Promise.all([send(BUILD), send(REFRESH)]);
+  const busyShare = (advice.work[0].ms - workBefore) / (now() - trafficFrom);
+  site.note('traffic ends', { shareOfTimeInAdviceOfTheFirstMachine: Number(busyShare.toFixed(2)) });
   await delay(FINISH_MS);
+  const untilMs = now();
   let broken = 0;
-  for (const id of ids) {
-    const state = await site.getState(id, { prefix: '/render/' });
-    const failedEnds = site.events.filter(
-      ({ kind, how, task }) => kind === 'end' && how === 'failed' && task.startsWith(id),
-    ).length;
-    if ((state === 'failed' && failedEnds < route.attempts) || state === 'cancelled' || state === 'gone') {
+  let longestMs = 0;
+  for (const job of accepted) {
+    const idle = findIdleStretch({
+      events: site.events,
+      job,
+      demandOf: shapeOf,
+      totalCpu: SERVERS * SERVER_CPU,
+      serverCpu: SERVER_CPU,
+      untilMs,
+    });
+    if (idle !== undefined) {
       broken += 1;
-      const said = site.boxes.flatMap(({ output }) =>
-        output.split('\n').filter((line) => line.includes('Task failed') && line.includes(id)),
-      );
-      site.note('LOST', { id, state, failedEnds, cancelsSent: 0, log: said });
+      longestMs = Math.max(longestMs, idle.ms);
+      site.note('LOST', { id: job.id, nothingRanFromMs: idle.fromMs, forMs: idle.ms });
     }
   }
-  site.note('result', { jobs: JOBS, broken });
+  site.note('result', { accepted: accepted.length, broken, longestMs, adviceOfEachMachine: advice.work });
+  advice.stop();
   site.stop();
   return broken > 0 ? 1 : 0;
 };
--- a/review/tools-2/Deployed.mjs
+++ b/review/tools-2/Deployed.mjs
@@ -63,7 +63,7 @@
     appendFileSync(this.recordFile, `${atMs} ${kind} ${JSON.stringify(fields)}\n`);
   }
 
-  async start({ routes = [ROUTE], services, serverOptions = () => ({}), boxStore } = {}) {
+  async start({ routes = [ROUTE], services, serverOptions = () => ({}), boxStore, boxAdvice } = {}) {
     this.store = new Store(this.storeOptions);
     this.putConfig(1, routes, services);
     for (let index = 0; index < this.serverCount; index += 1) {
@@ -82,7 +82,7 @@
     }
     for (let index = 0; index < this.boxCount; index += 1) {
       const address = boxStore === undefined ? await this.store.listen() : await boxStore(index);
-      await this.startBox(index, address);
+      await this.startBox(index, address, boxAdvice === undefined ? '' : await boxAdvice(index));
     }
   }
 
@@ -108,7 +108,7 @@
     });
   }
 
-  async startBox(index, storeAddress) {
+  async startBox(index, storeAddress, advice = '') {
     const [front, ready, control, internal] = await findPorts(4);
     const zone = ZONES[index % ZONES.length];
     const name = `edge-${zone}-${index}`;
@@ -156,7 +156,7 @@
         status_s: 120,
       },
       commands: 'invoke',
-      advice: '',
+      advice,
       platform: {
         address: storeAddress,
         form: 'log',
@@ -175,7 +175,16 @@
       'cloud-api': { address: '', 'rate-per-s': 60, duties: [], 'duty-per-s': 60 },
     };
     writeFileSync(file, JSON.stringify(settings));
-    const box = { index, name, file, front: { host: '127.0.0.1', port: front }, ready, output: '', lives: 0 };
+    const box = {
+      index,
+      name,
+      file,
+      internal,
+      front: { host: '127.0.0.1', port: front },
+      ready,
+      output: '',
+      lives: 0,
+    };
     this.boxes.push(box);
     this.spawnBox(box);
     return box;
--- a/review/tools-2/Server.mjs
+++ b/review/tools-2/Server.mjs
@@ -25,9 +25,10 @@
     capacity,
     record,
     decide = () => undefined,
+    refuse,
     heartbeatMs = 1500,
   }) {
-    Object.assign(this, { id, store, service, zone, rack, capacity, record, decide, heartbeatMs });
+    Object.assign(this, { id, store, service, zone, rack, capacity, record, decide, refuse, heartbeatMs });
   }
 
   async start(port = 0) {
@@ -103,10 +104,13 @@
     for (const run of [...this.runs.values()]) this.end(run, 'lapsed');
   }
 
-  startRun({ task, run, spec, 'expires-ms': expires }, send) {
+  startRun(body, send) {
+    const { task, run, spec, 'expires-ms': expires } = body;
     const known = this.runs.get(task);
     if (known?.run === run) return send(200);
     if (expires <= this.clock()) return send(409, { reason: 'late' });
+    const refusal = this.refuse?.(body, this);
+    if (refusal !== undefined) return send(409, { reason: refusal });
     this.extendLease(expires);
     if (run <= (this.ended.get(task) ?? 0) || known !== undefined) return send(409, { reason: 'old' });
     const started = { task, run, at: performance.now() };
