--- a/review/tools-2/Deployed.mjs
+++ b/review/tools-2/Deployed.mjs
@@ -54,6 +54,7 @@
     this.folder = mkdtempSync(join(tmpdir(), 'stairline-review-'));
     writeFileSync(recordFile, '');
     process.on('exit', () => this.killAll());
+    for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(2));
   }
 
   /** Writes a line to the record, and keeps it as an event. */
