--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,61 +1,77 @@
-// A job of as many tasks as the program accepts gets 200. Each box that leads runs out of memory and ends, again after each restart.
+// A version of the configuration sends a queue to another service. A job that was accepted before waits for the old service for good.
 import { fileURLToPath } from 'node:url';
-import { Deployed, delay, toId } from '../tools-2/Deployed.mjs';
+import { Deployed, ROUTE, delay, toId } from '../tools-2/Deployed.mjs';
+import { findIdleStretch } from '../tools-2/findIdleStretch.mjs';
 
 const isTroubled = process.env.TROUBLE !== '0';
-const SERVERS = 33;
-const LARGE = { id: toId(0xa11), count: 100_000, cpu: 5, ms: 1000, specBytes: 1200 };
-const SMALL = { count: 4, cpu: 500, ms: 500 };
-const TRAFFIC_MS = 85_000;
-const SMALL_EVERY_MS = 1000;
-const RESTART_MS = 500;
-/** The rule counts processes that end by themselves three times in the day on at least two machines. */
-const MOST_ENDS = 3;
-const MOST_MACHINES = 2;
+const OLD = 'plan-service';
+const NEW = 'plan-service-2';
+const SERVERS_EACH = 6;
+const SERVER_CPU = 16_000;
+const CONFIG_APPLY_MS = 2000;
+const CALM_MS = 4000;
+const FINISH_MS = 14_000;
+/** Fills the old service: one task takes a server. */
+const LASTING = { id: toId(0x500), count: SERVERS_EACH, cpu: SERVER_CPU, ms: 600_000 };
+const WAITING = { id: toId(0x501), count: 4, cpu: 1000, ms: 500 };
+const LATER = { id: toId(0x502), count: 4, cpu: 1000, ms: 500 };
 
-const toJob = ({ count, cpu, ms, specBytes = 0 }) => ({
-  spec: `ms=${ms} `.padEnd(specBytes, 'x'),
-  steps: [{ count, cpu, 'estimated-ms': ms }],
+const lastingRoute = { ...ROUTE, name: 'r-render', 'path-prefix': '/render/', priority: 1 };
+const toJob = ({ count, cpu, ms }, extra = {}) => ({
+  spec: `ms=${ms}`,
+  steps: [{ count, cpu, 'mem-mb': 64, 'estimated-ms': 500, ...extra }],
 });
 
 const run = async () => {
   const recordFile = fileURLToPath(new URL('record.txt', import.meta.url));
-  const site = new Deployed({ recordFile, boxCount: 3, serverCount: SERVERS });
-  await site.start();
+  const site = new Deployed({ recordFile, boxCount: 3, serverCount: 2 * SERVERS_EACH });
+  const services = [OLD, NEW];
+  await site.start({
+    routes: [ROUTE, lastingRoute],
+    services,
+    serverOptions: (index) => ({ service: index < SERVERS_EACH ? OLD : NEW }),
+  });
   if (!(await site.waitReady())) return 2;
-  const warm = await site.submit(toId(1), toJob(SMALL));
-  await delay(2500);
-  if (warm !== 200 || (await site.getState(toId(1))) !== 'completed') return 2;
-  // The platform starts a process that has ended again after a short delay.
-  const watch = setInterval(() => {
-    for (const box of site.boxes) {
-      const hasEnded = box.child.exitCode !== null || box.child.signalCode !== null;
-      if (hasEnded && performance.now() - box.endedAt >= RESTART_MS) site.spawnBox(box);
-    }
-  }, 100);
-  if (isTroubled) await site.submit(LARGE.id, toJob(LARGE));
-  const statuses = {};
-  const until = performance.now() + TRAFFIC_MS;
-  for (let index = 0; performance.now() < until; index += 1) {
-    const status = await site.submit(toId(0x100 + index), toJob(SMALL), { tries: 1, first: index });
-    statuses[status] = (statuses[status] ?? 0) + 1;
-    await delay(SMALL_EVERY_MS);
+  const now = () => Math.round(performance.now() - site.startedAt);
+  const lasting = await site.submit(LASTING.id, toJob(LASTING, { 'long-running': true }), {
+    prefix: '/render/',
+  });
+  await delay(3000);
+  const waiting = await site.submit(WAITING.id, toJob(WAITING));
+  if (lasting !== 200 || waiting !== 200) return 2;
+  await delay(4000);
+  if (isTroubled) {
+    site.putConfig(2, [{ ...ROUTE, service: NEW }, lastingRoute], services);
+    site.note('config', { version: 2, queue: ROUTE.name, service: NEW });
   }
-  clearInterval(watch);
-  const ends = site.events.filter(({ kind }) => kind === 'process ended');
-  const machines = new Set(ends.map(({ box }) => box));
-  const reasons = site.boxes.map(({ name, output }) => [
-    name,
-    (output.match(/heap out of memory/g) ?? []).length,
-  ]);
-  site.note('result', {
-    ends: ends.length,
-    machines: machines.size,
-    smallJobs: statuses,
-    outOfMemory: reasons,
+  const changedAtMs = now();
+  await delay(CONFIG_APPLY_MS + CALM_MS);
+  const later = await site.submit(LATER.id, toJob(LATER));
+  await delay(FINISH_MS);
+  const untilMs = now();
+  const states = { waiting: await site.getState(WAITING.id), later: await site.getState(LATER.id) };
+  // The service that the newest configuration names for the queue, and its servers.
+  const inForce = site.servers.filter(({ service }) => service === (isTroubled ? NEW : OLD));
+  const ids = new Set(inForce.map(({ id }) => id));
+  const idle = findIdleStretch({
+    events: site.events.filter(({ server, task }) => ids.has(server) || task?.startsWith(WAITING.id)),
+    job: { ...WAITING, acceptedAtMs: changedAtMs + CONFIG_APPLY_MS + CALM_MS },
+    demandOf: (id) => [LASTING, WAITING, LATER].find((job) => job.id === id),
+    totalCpu: SERVERS_EACH * SERVER_CPU,
+    serverCpu: SERVER_CPU,
+    untilMs,
   });
+  if (idle !== undefined) {
+    site.note('LOST', {
+      id: WAITING.id,
+      state: states.waiting,
+      nothingRanFromMs: idle.fromMs,
+      forMs: idle.ms,
+    });
+  }
+  site.note('result', { ...states, laterGot: later });
   site.stop();
-  return ends.length >= MOST_ENDS && machines.size >= MOST_MACHINES ? 1 : 0;
+  return idle === undefined ? 0 : 1;
 };
 
 run().then(
