--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -35,10 +35,12 @@
   }, 100);
   if (isTroubled) await site.submit(LARGE.id, toJob(LARGE));
   const statuses = {};
+  const accepted = [];
   const until = performance.now() + TRAFFIC_MS;
   for (let index = 0; performance.now() < until; index += 1) {
     const status = await site.submit(toId(0x100 + index), toJob(SMALL), { tries: 1, first: index });
     statuses[status] = (statuses[status] ?? 0) + 1;
+    if (status === 200) accepted.push(toId(0x100 + index));
     await delay(SMALL_EVERY_MS);
   }
   clearInterval(watch);
@@ -48,10 +50,16 @@
     name,
     (output.match(/heap out of memory/g) ?? []).length,
   ]);
+  const countDone = (id) =>
+    site.events.filter(({ kind, how, task }) => kind === 'end' && how === 'done' && task.startsWith(id))
+      .length;
+  const completed = accepted.filter((id) => countDone(id) === SMALL.count);
   site.note('result', {
     ends: ends.length,
     machines: machines.size,
     smallJobs: statuses,
+    acceptedSmallJobs: accepted.length,
+    completedSmallJobs: completed.length,
     outOfMemory: reasons,
   });
   site.stop();
