--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -1,4 +1,4 @@
-// A version of the configuration sends a queue to another service. A job that was accepted before waits for the old service for good.
+// A version of the configuration replaces a service by another one. A job that was accepted before waits for the old service for good.
 import { fileURLToPath } from 'node:url';
 import { Deployed, ROUTE, delay, toId } from '../tools-2/Deployed.mjs';
 import { findIdleStretch } from '../tools-2/findIdleStretch.mjs';
@@ -41,8 +41,9 @@
   if (lasting !== 200 || waiting !== 200) return 2;
   await delay(4000);
   if (isTroubled) {
-    site.putConfig(2, [{ ...ROUTE, service: NEW }, lastingRoute], services);
-    site.note('config', { version: 2, queue: ROUTE.name, service: NEW });
+    const moved = [ROUTE, lastingRoute].map((route) => ({ ...route, service: NEW }));
+    site.putConfig(2, moved, [NEW]);
+    site.note('config', { version: 2, queues: moved.map(({ name }) => name), service: NEW, services: [NEW] });
   }
   const changedAtMs = now();
   await delay(CONFIG_APPLY_MS + CALM_MS);
