logs: which calls reach another incarnation with a lease, and whose lease was waited for

To tell the hypotheses of docs/incidents/lease-of-a-returned-endpoint.md apart: a poll that another incarnation answered is logged with the lease that it carried, a start whose incarnation has ended is no longer dropped without a line, and the end of runs by a lease says whose lease decided.

--- a/packages/dispatch/endpoints/CommandSender.ts
+++ b/packages/dispatch/endpoints/CommandSender.ts
@@ -66,6 +66,7 @@
     const result = await session.getClient().sendStart(effect.command, leaderTimings.leaseMs, timeoutMs);
     if (endpoints.getSession(effect.endpoint) !== session) {
       // The incarnation has ended: polls of the next one show whether it got the command. A rejection from there is no proof of a newer leader.
+      this.logStartNotConfirmed(effect, { ...result, hasIncarnationEnded: true });
       return;
     }
     this.handleStartResult(effect, result, sentAt);
@@ -107,14 +108,14 @@
 
   /** Records the response time, logs a start that failed, and hands the result to the dispatcher unless the leadership is lost. */
   private handleStartResult(effect: StartEffect, result: CommandResult, sentAt: number): void {
-    const { clock, dispatcher, lineBatcher, recordTime, handleSchedulingChange } = this.options;
-    const { job, endpoint, command } = effect;
+    const { clock, dispatcher, recordTime, handleSchedulingChange } = this.options;
+    const { endpoint, command } = effect;
     const { task, run } = command;
     const now = clock.getNow();
     this.recordResponseTime(result, now - sentAt);
     recordTime('startMs', now - sentAt);
     if (result.kind !== 'done') {
-      lineBatcher.recordLine('Start not confirmed.', { job, task, run, endpoint, ...result }, now);
+      this.logStartNotConfirmed(effect, result);
     }
     if (this.checkLeadershipOver(result)) {
       return;
@@ -123,6 +124,12 @@
     handleSchedulingChange();
   }
 
+  private logStartNotConfirmed({ job, endpoint, command }: StartEffect, result: object): void {
+    const { clock, lineBatcher } = this.options;
+    const { task, run } = command;
+    lineBatcher.recordLine('Start not confirmed.', { job, task, run, endpoint, ...result }, clock.getNow());
+  }
+
   private recordResponseTime(result: CommandResult, tookMs: number): void {
     if (result.kind === 'unanswered') {
       this.responseTimeout.recordUnansweredTime(tookMs);
--- a/packages/dispatch/endpoints/EndpointLossHandler.ts
+++ b/packages/dispatch/endpoints/EndpointLossHandler.ts
@@ -53,7 +53,15 @@
     }
     // A poll meant for this incarnation may have given the next one a lease, counted by its own clock: assume the longest lease that an
     // endpoint accepts.
-    nextEndpoint?.recordLease(now + computeMaxLeaseMs(this.options.longestLeaseMs));
+    if (nextEndpoint !== undefined) {
+      const leaseMs = computeMaxLeaseMs(this.options.longestLeaseMs);
+      nextEndpoint.recordLease(now + leaseMs);
+      tracker.sendLogLine('Lease of the next incarnation may be longer.', {
+        endpoint: next,
+        before: incarnation,
+        leaseMs: Math.round(leaseMs),
+      });
+    }
     endpoints.delete(incarnation);
   }
 
@@ -69,6 +77,14 @@
     }
     const { tracker, crashes } = this.options;
     const runs = [...endpoint.getRuns()].filter(({ stage }) => stage !== 'recording');
+    if (runs.length > 0) {
+      tracker.sendLogLine('Lease of an endpoint has expired.', {
+        endpoint: endpoint.getProfile().incarnation,
+        grantedBy: endpoint.getLeaseGranter(),
+        sinceMs: Math.round(now - endpoint.getLeasedUntil()),
+        runCount: runs.length,
+      });
+    }
     crashes.handleLeaseExpiry(endpoint, runs, now);
     for (const run of runs) {
       tracker.sendCount('runsLapsed');
--- a/packages/dispatch/endpoints/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -19,8 +19,15 @@
   readonly canGrantLeases: () => boolean;
   /** Called when the incarnation has responded to a poll that was sent at `sentAt`. Returns false when its status must be ignored. */
   readonly handleResponse: (sentAt: number) => boolean;
-  /** Called when another incarnation of the endpoint than the polled one has responded. */
-  readonly handleOtherIncarnation: (incarnation: EndpointIncarnation, sentAt: number) => void;
+  /**
+   * Called when another incarnation of the endpoint than the polled one has responded, with the length of the lease that the poll carried, if any, in
+   * milliseconds.
+   */
+  readonly handleOtherIncarnation: (
+    incarnation: EndpointIncarnation,
+    sentAt: number,
+    leaseMs: number | undefined,
+  ) => void;
   /**
    * Applies a status; resolves once its ends are durable. Rejects when this leader has lost its leadership. A status repeats an end until it is
    * acknowledged; `newEndCount` of its ends are new.
@@ -88,7 +95,7 @@
     });
     this.isExtraPollPending = false;
     if (!this.isStopped && result.kind === 'otherLife') {
-      this.options.handleOtherIncarnation(result.incarnation, sentAt);
+      this.options.handleOtherIncarnation(result.incarnation, sentAt, undefined);
     }
     // Only the poll loop handles missing responses and acknowledges ends.
     if (!this.isStopped && result.kind === 'held' && this.options.handleResponse(sentAt)) {
@@ -145,7 +152,7 @@
       timeoutMs: waitMs + Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_MS * 2 ** this.failedPollCount),
     });
     if (!this.isStopped) {
-      await this.handlePollResult(result, sentAt);
+      await this.handlePollResult(result, sentAt, leaseMs);
     }
   }
 
@@ -154,7 +161,11 @@
     this.options.endpoint.recordLease(sentAt + computeMaxLeaseMs(leaderTimings.leaseMs));
   }
 
-  private async handlePollResult(result: PollResult, sentAt: number): Promise<void> {
+  private async handlePollResult(
+    result: PollResult,
+    sentAt: number,
+    leaseMs: number | undefined,
+  ): Promise<void> {
     this.isConnected = result.kind === 'held';
     switch (result.kind) {
       case 'held':
@@ -169,7 +180,7 @@
         this.options.handleIncarnationGone();
         return;
       case 'otherLife':
-        this.options.handleOtherIncarnation(result.incarnation, sentAt);
+        this.options.handleOtherIncarnation(result.incarnation, sentAt, leaseMs);
         await this.waitForRetry();
         return;
       case 'disconnected':
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -255,7 +255,8 @@
       handleResponse: (sentAt) => this.handleResponse(profile, incarnation, sentAt),
       handleStatus: (result, sentAt, newEndCount) =>
         this.handleStatus(incarnation, result, sentAt, newEndCount),
-      handleOtherIncarnation: (other, sentAt) => this.handleOtherIncarnation(profile, other, sentAt),
+      handleOtherIncarnation: (other, sentAt, leaseMs) =>
+        this.handleOtherIncarnation(profile, other, sentAt, leaseMs),
       handleUnreachable: (detail) => this.handleUnreachable(incarnation, detail),
       handleIncarnationGone: () => this.handleIncarnationGone(incarnation),
       handleNewerLeader: () => handleNewerLeader(`endpoint ${incarnation} has accepted a newer leader`),
@@ -343,7 +344,19 @@
   }
 
   /** Handles a response of another incarnation than the polled one, which is unreachable if it is not replaced by that. */
-  private handleOtherIncarnation(profile: EndpointProfile, other: EndpointIncarnation, sentAt: number): void {
+  private handleOtherIncarnation(
+    profile: EndpointProfile,
+    other: EndpointIncarnation,
+    sentAt: number,
+    leaseMs: number | undefined,
+  ): void {
+    const { clock, logger } = this.options;
+    logger.info('Poll reached another incarnation.', {
+      endpoint: profile.incarnation,
+      other,
+      leaseMs: leaseMs ?? 'none',
+      tookMs: Math.round(clock.getNow() - sentAt),
+    });
     this.handleResponse(profile, other, sentAt);
     if (this.sessions.has(profile.incarnation)) {
       this.handleUnreachable(profile.incarnation, `${other} responded`);
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -247,6 +247,11 @@
     return Math.max(this.leasedUntil, this.earlierLeasesEndAt);
   }
 
+  /** Returns who granted the lease that expires last, as far as is known. */
+  getLeaseGranter(): 'this leader' | 'earlier leaders' {
+    return this.leasedUntil >= this.earlierLeasesEndAt ? 'this leader' : 'earlier leaders';
+  }
+
   /** Sets an earlier time by which all leases of earlier leaders have expired. */
   setEarlierLeasesEnd(endAt: number): void {
     this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, endAt);
