--- a/tests/helpers/LeaseSimulation.ts
+++ b/tests/helpers/LeaseSimulation.ts
@@ -5,12 +5,16 @@
 import { waitForDelay } from '../../packages/common/waitForDelay';
 import type { EndpointClient } from '../../packages/dispatch/endpoints/EndpointClient';
 import type { EndpointProfile } from '../../packages/dispatch/endpoints/EndpointProfile';
+import type { PollResult } from '../../packages/dispatch/endpoints/PollResult';
 import { LeaderController } from '../../packages/dispatch/LeaderController';
+import type { EndpointId } from '../../packages/jobs/EndpointId';
 import type { EndpointIncarnation } from '../../packages/jobs/EndpointIncarnation';
+import { endpointIncarnations } from '../../packages/jobs/endpointIncarnations';
 import type { JobDefinition } from '../../packages/jobs/JobDefinition';
 import { JobReplica } from '../../packages/jobs/JobReplica';
 import type { LeaderAnnouncement } from '../../packages/leadership/LeaderAnnouncement';
 import { Leadership } from '../../packages/leadership/Leadership';
+import { leaderTimings } from '../../packages/leadership/leaderTimings';
 import { LeaderAnnouncer } from '../../packages/serve/LeaderAnnouncer';
 import { RunChecker } from '../../packages/standins/platform/RunChecker';
 import type { LogClient } from '../../packages/store/LogClient';
@@ -45,6 +49,7 @@
 
 interface SimulatedEndpoint {
   readonly id: string;
+  incarnation: EndpointIncarnation;
   process: SimulatedIncarnation | undefined;
 }
 
@@ -81,6 +86,7 @@
   /** Cut directions of links, each as `FROM>TO`. */
   private readonly cuts = new Map<string, number>();
   private processCount = 0;
+  private startTime = 1_700_000_000_000;
 
   constructor(private readonly options: LeaseSimulationOptions) {
     this.random = createRandom(options.seed);
@@ -206,22 +212,47 @@
     setTimeout(() => this.log.writeRecord(TOPICS.endpoints, endpoint.id, ''), RECORD_EXPIRY_MS);
   }
 
+  /**
+   * Ends an endpoint with its runs, and starts it again under its id. The next incarnation carries out a poll for the earlier one, which grants a lease
+   * by the earlier clock.
+   */
+  startNextIncarnation(index: number): void {
+    const endpoint = this.endpoints[index]!;
+    const earlier = endpoint.process;
+    earlier?.stop();
+    this.startTime += 1000;
+    endpoint.incarnation = endpointIncarnations.toIncarnation(toId<EndpointId>(endpoint.id), this.startTime);
+    endpoint.process = this.createIncarnation(endpoint.incarnation);
+    endpoint.process.handlePoll(0, (earlier?.getClock() ?? 0) + leaderTimings.leaseMs);
+    this.writeEndpointRecord(endpoint);
+  }
+
   stop(): void {
     this.boxes.forEach((_box, index) => this.stopBox(index));
     this.endpoints.forEach(({ process }) => process?.stop());
   }
 
   private startEndpoint(id: string): void {
-    const process = new SimulatedIncarnation({
-      incarnation: toId<EndpointIncarnation>(id),
+    const incarnation = toId<EndpointIncarnation>(id);
+    const endpoint = { id, incarnation, process: this.createIncarnation(incarnation) };
+    this.endpoints.push(endpoint);
+    this.writeEndpointRecord(endpoint);
+  }
+
+  private createIncarnation(incarnation: EndpointIncarnation): SimulatedIncarnation {
+    return new SimulatedIncarnation({
+      incarnation,
       runChecker: this.runChecker,
       handleCrash: () => undefined,
       clockRate: 1 - this.random() * MAX_ENDPOINT_DRIFT,
     });
-    this.endpoints.push({ id, process });
+  }
+
+  private writeEndpointRecord({ id, incarnation }: SimulatedEndpoint): void {
     const cpuMillis = TASKS_PER_ENDPOINT * TASK_CPU_MILLIS;
     const capacity = { cpuMillis, memoryMb: 100_000, accelerators: 0 };
-    this.log.writeRecord(TOPICS.endpoints, id, JSON.stringify(createProfile(id, { capacity })));
+    const profile = createProfile(id, { incarnation, capacity });
+    this.log.writeRecord(TOPICS.endpoints, id, JSON.stringify(profile));
   }
 
   private startLeading(
@@ -248,7 +279,7 @@
         random: this.random,
         logger,
         parseEndpoint: (_id, text) => ({ ok: true, value: JSON.parse(text) as EndpointProfile }),
-        createEndpointClient: ({ id }) => this.createEndpointClient(box, id, election.epoch),
+        createEndpointClient: (profile, getToken) => this.createEndpointClient(box, profile, getToken),
         listOtherBoxes: () => this.listOthers(box),
         formatLeaderRecord: (isResigned, witnesses) =>
           box.leadership.formatLeaderRecord(election.epoch, isResigned, witnesses),
@@ -350,14 +381,19 @@
     };
   }
 
-  private createEndpointClient(box: SimulatedBox, id: string, token: number): EndpointClient {
+  private createEndpointClient(
+    box: SimulatedBox,
+    { id, incarnation }: EndpointProfile,
+    getToken: () => number,
+  ): EndpointClient {
     let clockOffsetMs: number | undefined;
+    const findEndpoint = (): SimulatedEndpoint => this.endpoints.find((endpoint) => endpoint.id === id)!;
     const send = async <Response>(
       timeoutMs: number,
       deliver: (process: SimulatedIncarnation) => Promise<Response> | Response,
     ): Promise<Response | { readonly kind: 'unanswered'; readonly detail: string }> => {
       await waitForDelay(BOX_LATENCY_MS + this.random() * BOX_LATENCY_MS);
-      const { process } = this.endpoints.find((endpoint) => endpoint.id === id)!;
+      const { process } = findEndpoint();
       const isDelivered = process !== undefined && !this.isCut(box.name, id);
       const response = isDelivered ? await deliver(process) : undefined;
       await waitForDelay(BOX_LATENCY_MS);
@@ -370,31 +406,38 @@
     const toExpiry = (leaseMs: number): number => box.clock.getNow() + (clockOffsetMs ?? 0) + leaseMs;
     return {
       sendStart: ({ task, run, spec }, leaseMs, timeoutMs) => {
-        const expiresMs = toExpiry(leaseMs);
+        const [token, expiresMs] = [getToken(), toExpiry(leaseMs)];
         return send(timeoutMs, (process) => {
           const result = process.handleStart(task, run, spec, expiresMs, token);
           return result === 'done' ? { kind: 'done' } : { kind: 'rejected', reason: result };
         });
       },
-      sendStop: (task, run, timeoutMs) =>
-        send(timeoutMs, (process) => {
+      sendStop: (task, run, timeoutMs) => {
+        const token = getToken();
+        return send(timeoutMs, (process) => {
           if (!process.checkToken(token)) {
             return { kind: 'rejected', reason: 'fence' };
           }
           process.handleStop(task, run);
           return { kind: 'done' };
-        }),
+        });
+      },
       sendPoll: ({ acknowledgedUpTo, leaseMs, waitMs, timeoutMs }) => {
+        const token = getToken();
         const expiresMs =
           leaseMs === undefined || clockOffsetMs === undefined ? undefined : toExpiry(leaseMs);
-        return send(timeoutMs, async (process) => {
+        return send<PollResult>(timeoutMs, async (process) => {
           if (!process.checkToken(token)) {
-            return { kind: 'fenced' } as const;
+            return { kind: 'fenced' };
           }
+          const responder = findEndpoint().incarnation;
           process.handlePoll(acknowledgedUpTo, expiresMs);
           await process.waitForEnd(waitMs);
+          if (responder !== incarnation) {
+            return { kind: 'otherLife', incarnation: responder };
+          }
           clockOffsetMs = process.getClock() - box.clock.getNow();
-          return { kind: 'held', ...process.getStatus() } as const;
+          return { kind: 'held', ...process.getStatus() };
         });
       },
       stop: () => Promise.resolve(),
