fix: later leaders know of the leases that endpoints have beyond the usual length

Callers saw two runs of a task at the same time: endpoints came back under their ids, the leader handed over, the endpoints were cut off, and the next leader started their tasks elsewhere 4.4 s later, while they ran for up to 10 s.

Cause: a call for the earlier incarnation, by its clock, gives the next one the longest lease. The leader that sees the restart counts it; it told nobody, and its successors counted the usual length for every endpoint.

Now the leader names such a lease in its record until it has expired, and places nothing on the endpoint before that record is durable. Each later leader has read the record before it was elected, or knows that it may have missed it, and names the lease on.

--- a/packages/dispatch/DispatchEffect.ts
+++ b/packages/dispatch/DispatchEffect.ts
@@ -10,6 +10,8 @@
 export type DispatchEffect =
   /** Write the job's progress to the log. */
   | { readonly kind: 'record'; readonly job: JobId }
+  /** Write the leader's record to the log, since it has to name an extended lease. */
+  | { readonly kind: 'recordLeases' }
   /** Write the job's state to the log, as a task of it has begun. Its progress has been written before. */
   | { readonly kind: 'begin'; readonly job: JobId }
   /** Write the job's progress to the log, then send a start command if `Dispatcher.handleStartRecorded` returns true. */
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -12,6 +12,7 @@
 import type { TaskName } from '../jobs/TaskName';
 import type { TaskProgress } from '../jobs/TaskProgress';
 import { resourceMath } from '../jobs/resourceMath';
+import { ExtendedLeases } from '../leadership/ExtendedLeases';
 import { endpointIncarnations } from '../jobs/endpointIncarnations';
 import type { LoadSnapshot } from '../load/LoadSnapshot';
 import { defaultPolicies } from './defaultPolicies';
@@ -66,6 +67,8 @@
   readonly earlierLeasesEndAt: number;
   /** Longest lease that an endpoint accepts, in milliseconds; `DEFAULT_LONGEST_LEASE_MS` if not given. */
   readonly longestLeaseMs?: number;
+  /** Extended leases that earlier leaders have named, to which the dispatcher adds those that it finds; none if not given. */
+  readonly extendedLeases?: ExtendedLeases;
   /** Returns a customer's limit in the current configuration; if undefined, the limit stored with the job applies. */
   readonly getCustomerLimit?: (customer: CustomerName) => TaskDemand | undefined;
 }
@@ -119,9 +122,11 @@
   private earlierLeasesEndAt: number;
   private readonly capacityView: CapacityView;
   private readonly reservations = new EndpointReservations();
+  private readonly extendedLeases: ExtendedLeases;
 
   constructor(private readonly options: DispatcherOptions) {
     this.earlierLeasesEndAt = options.earlierLeasesEndAt;
+    this.extendedLeases = options.extendedLeases ?? new ExtendedLeases();
     const sendEffect = (effect: DispatchEffect): void => void this.pendingEffects.push(effect);
     const policies: DispatchPolicies = { ...defaultPolicies, ...options };
     this.placementOrder = placementOrders[policies.placementOrder];
@@ -143,7 +148,9 @@
       endpoints: this.endpoints,
       tracker: this.runTracker,
       crashes: this.crashTracker,
+      extendedLeases: this.extendedLeases,
       longestLeaseMs: options.longestLeaseMs ?? DEFAULT_LONGEST_LEASE_MS,
+      sendEffect,
     });
     const { reservations } = this;
     this.capacityView = new CapacityView(this.endpoints, reservations);
@@ -309,6 +316,11 @@
     }
   }
 
+  /** Makes a round due, since later leaders know of extended leases that were pending: tasks may be placed on these endpoints. */
+  handleExtendedLeasesWritten(): void {
+    this.isRoundDue = true;
+  }
+
   getEndpointState(incarnation: EndpointIncarnation): EndpointState | undefined {
     return this.endpoints.get(incarnation);
   }
@@ -360,7 +372,7 @@
     if (endpoint === undefined) {
       this.endpoints.set(
         profile.incarnation,
-        new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage),
+        new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage, this.extendedLeases),
       );
       return;
     }
@@ -651,7 +663,7 @@
     if (endpoint === undefined) {
       // Without a record the endpoint may still be running the task, until its lease expires.
       const profile = createDeregisteredProfile(task.endpoint, definition.queue.service);
-      endpoint = new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage);
+      endpoint = new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage, this.extendedLeases);
       // The endpoint's record may have been deleted, by a drain or a crash, before this leader read the records.
       endpoint.recordDeregistration();
       this.endpoints.set(task.endpoint, endpoint);
--- a/packages/dispatch/EffectSender.ts
+++ b/packages/dispatch/EffectSender.ts
@@ -28,6 +28,7 @@
 export class EffectSender {
   private readonly handlers: EffectHandlers = {
     record: ({ job }) => this.queueProgressRecord(job),
+    recordLeases: () => this.options.journal.queueLeaderRecord(),
     begin: ({ job }) => this.queueJobState(job),
     start: (effect) =>
       this.queueProgressRecord(effect.job, () => void this.options.commandSender.sendStart(effect)),
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -13,6 +13,8 @@
 import type { ServiceName } from '../jobs/ServiceName';
 import type { Result } from '../common/Result';
 import type { JobReplica } from '../jobs/JobReplica';
+import type { ExtendedLease } from '../leadership/ExtendedLease';
+import type { ExtendedLeases } from '../leadership/ExtendedLeases';
 import { leaderTimings } from '../leadership/leaderTimings';
 import type { LeaseWitness } from '../leadership/LeaseWitness';
 import { LeaseWitnesses } from '../leadership/LeaseWitnesses';
@@ -45,6 +47,8 @@
   readonly claimedAt: number;
   /** Monotonic time at which leases granted by earlier leaders have expired on endpoints that are not yet synced. */
   readonly earlierLeasesEndAt: number;
+  /** Extended leases that earlier leaders have named. This leader adds those that it finds. */
+  readonly extendedLeases: ExtendedLeases;
   readonly client: LogClient;
   /** Topic of the states of jobs and of the leader's record, which every box follows. */
   readonly statesTopic: string;
@@ -87,8 +91,15 @@
   readonly listChannels: AdviceBalancerOptions['listChannels'];
   /** Lists the other boxes, which may be witnesses of this leader. */
   readonly listOtherBoxes: ConstructorParameters<typeof LeaseWitnesses>[0]['listOthers'];
-  /** Formats this leader's record in the states topic, with its witnesses, if any; with `isResigned` it says that another box may lead. */
-  readonly formatLeaderRecord: (isResigned: boolean, witnesses?: readonly LeaseWitness[]) => string;
+  /**
+   * Formats this leader's record in the states topic, with its witnesses, if any, and the extended leases, if all are known; with `isResigned` it says
+   * that another box may lead.
+   */
+  readonly formatLeaderRecord: (
+    isResigned: boolean,
+    witnesses: readonly LeaseWitness[] | undefined,
+    extendedLeases: readonly ExtendedLease[] | undefined,
+  ) => string;
   /** Called once, after this leader has stopped since a newer one was seen. */
   readonly handleLeadershipLost: (detail: string) => void;
   /** Called when the log has recovered from an outage, with the monotonic time at which the first successful call was sent. */
@@ -169,6 +180,7 @@
       ...options.policies,
       earlierLeasesEndAt: options.earlierLeasesEndAt,
       longestLeaseMs: options.longestLeaseMs,
+      extendedLeases: options.extendedLeases,
       getDefinition: (id) => replica.getDefinition(id),
       getCustomerLimit: options.getCustomerLimit,
     });
@@ -180,9 +192,8 @@
     });
     this.journal = new LeaderJournal({
       ...options,
-      formatLeaderRecord: (isResigned) =>
-        options.formatLeaderRecord(isResigned, this.witnesses.updateNamedWitnesses()),
-      handleLeaderRecordWritten: () => this.witnesses.handleRecordWritten(),
+      formatLeaderRecord: (isResigned) => this.formatLeaderRecord(isResigned),
+      handleLeaderRecordWritten: () => this.handleLeaderRecordWritten(),
       handleFenced: (detail) => this.handleLeadershipLost(`the log rejected a write: ${detail}`),
     });
     this.witnesses = new LeaseWitnesses({
@@ -496,6 +507,21 @@
     }
   }
 
+  private formatLeaderRecord(isResigned: boolean): string {
+    const { extendedLeases, clock, formatLeaderRecord } = this.options;
+    const leases = extendedLeases.listLeases(clock.getNow());
+    extendedLeases.recordFormatted();
+    return formatLeaderRecord(isResigned, this.witnesses.updateNamedWitnesses(), leases);
+  }
+
+  private handleLeaderRecordWritten(): void {
+    this.witnesses.handleRecordWritten();
+    if (this.options.extendedLeases.handleRecordWritten()) {
+      this.dispatcher.handleExtendedLeasesWritten();
+      this.queueSchedulingRound();
+    }
+  }
+
   /**
    * Queues a write of the leader's record, which says how long leases of earlier leaders may run: at the first tick, at intervals until they
    * have expired, and then. A later leader may know none of them, and counts what the record says from when it reads it.
--- a/packages/dispatch/endpoints/EndpointLossHandler.ts
+++ b/packages/dispatch/endpoints/EndpointLossHandler.ts
@@ -1,6 +1,8 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
+import type { ExtendedLeases } from '../../leadership/ExtendedLeases';
 import type { CrashTracker } from '../crashes/CrashTracker';
+import type { DispatchEffect } from '../DispatchEffect';
 import type { RunEnd } from '../runs/RunEnd';
 import type { RunTracker } from '../runs/RunTracker';
 import type { EndpointState } from './EndpointState';
@@ -10,8 +12,10 @@
   readonly endpoints: Map<EndpointIncarnation, EndpointState>;
   readonly tracker: RunTracker;
   readonly crashes: CrashTracker;
+  readonly extendedLeases: ExtendedLeases;
   /** Longest lease that an endpoint accepts, in milliseconds. */
   readonly longestLeaseMs: number;
+  readonly sendEffect: (effect: DispatchEffect) => void;
 }
 
 const INCARNATION_ENDED: RunEnd = { outcome: 'interrupted', evidence: 'lifeOver', checkpoint: '' };
@@ -51,20 +55,28 @@
         tracker.recordRunEnd(endpoint, run, INCARNATION_ENDED, now);
       }
     }
-    // A poll meant for this incarnation may have given the next one a lease, counted by its own clock: assume the longest lease that an
-    // endpoint accepts.
-    if (nextEndpoint !== undefined) {
-      const leaseMs = computeMaxLeaseMs(this.options.longestLeaseMs);
-      nextEndpoint.recordLease(now + leaseMs);
-      tracker.sendLogLine('Lease of the next incarnation may be longer.', {
-        endpoint: next,
-        before: incarnation,
-        leaseMs: Math.round(leaseMs),
-      });
+    if (next !== undefined && nextEndpoint !== undefined) {
+      this.recordExtendedLease(next, incarnation, now);
     }
     endpoints.delete(incarnation);
   }
 
+  /**
+   * Records that a call to an incarnation may have given the next one a lease by its own clock: the longest that an endpoint accepts. Nothing is placed
+   * there until a record of this leader has named the lease, since a later leader would assume the usual length.
+   */
+  private recordExtendedLease(next: EndpointIncarnation, earlier: EndpointIncarnation, now: number): void {
+    const { tracker, extendedLeases, longestLeaseMs, sendEffect } = this.options;
+    const leaseMs = computeMaxLeaseMs(longestLeaseMs);
+    extendedLeases.recordPendingLease(next, now + leaseMs);
+    sendEffect({ kind: 'recordLeases' });
+    tracker.sendLogLine('Lease of the next incarnation may be longer.', {
+      endpoint: next,
+      before: earlier,
+      leaseMs: Math.round(leaseMs),
+    });
+  }
+
   /**
    * Ends the runs of an endpoint that is unreachable, or not yet synced, once its lease has expired, and records that the endpoint may have crashed.
    * Runs whose start command was not sent go on. Does nothing while the endpoint responds, its lease is valid, or the response to the first poll is
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -4,6 +4,7 @@
 import type { TaskName } from '../../jobs/TaskName';
 import { resourceMath } from '../../jobs/resourceMath';
 import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
+import { ExtendedLeases } from '../../leadership/ExtendedLeases';
 import { leaderTimings } from '../../leadership/leaderTimings';
 import type { EndpointProfile } from './EndpointProfile';
 import type { PlacedRun } from '../runs/PlacedRun';
@@ -69,6 +70,8 @@
     private earlierLeasesEndAt: number,
     /** Usage of the customers, updated with each run that is added or removed. */
     private readonly customerUsage: CustomerUsage,
+    /** Leases that may be longer than the usual ones, by incarnation. */
+    private readonly extendedLeases = new ExtendedLeases(),
   ) {}
 
   getProfile(): EndpointProfile {
@@ -166,9 +169,15 @@
     return !resourceMath.isWithin(this.usedCapacity, this.profile.capacity);
   }
 
-  /** Returns true when new runs may be placed there: the endpoint is registered, synced, reachable and not draining. */
+  /**
+   * Returns true when new runs may be placed there: the endpoint is registered, synced, reachable and not draining, and later leaders would know of its
+   * extended lease, if it has one.
+   */
   isSchedulable(): boolean {
-    return this.registered && this.synced && this.unreachableSince === undefined && !this.profile.isDraining;
+    const isReachable = this.registered && this.synced && this.unreachableSince === undefined;
+    return (
+      isReachable && !this.profile.isDraining && !this.extendedLeases.isPending(this.profile.incarnation)
+    );
   }
 
   /** Returns true while the endpoint has a record. */
@@ -244,14 +253,21 @@
 
   /** Returns the monotonic time by which all leases of the endpoint have expired. */
   getLeasedUntil(): number {
-    return Math.max(this.leasedUntil, this.earlierLeasesEndAt);
+    return Math.max(this.leasedUntil, this.earlierLeasesEndAt, this.getExtendedUntil());
   }
 
   /** Returns who granted the lease that expires last, as far as is known. */
-  getLeaseGranter(): 'this leader' | 'earlier leaders' {
+  getLeaseGranter(): 'this leader' | 'earlier leaders' | 'another clock' {
+    if (this.getExtendedUntil() === this.getLeasedUntil()) {
+      return 'another clock';
+    }
     return this.leasedUntil >= this.earlierLeasesEndAt ? 'this leader' : 'earlier leaders';
   }
 
+  private getExtendedUntil(): number {
+    return this.extendedLeases.getEndsAt(this.profile.incarnation);
+  }
+
   /** Sets an earlier time by which all leases of earlier leaders have expired. */
   setEarlierLeasesEnd(endAt: number): void {
     this.earlierLeasesEndAt = Math.min(this.earlierLeasesEndAt, endAt);
--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -1,3 +1,4 @@
+import type { ExtendedLease } from './ExtendedLease';
 import type { LeaseWitness } from './LeaseWitness';
 
 /** Record of the leader in the log. The one with the highest epoch is valid. */
@@ -23,6 +24,11 @@
    * its last acknowledged write. Not given by earlier versions, or while no other box vouches for the leader.
    */
   readonly witnesses?: readonly LeaseWitness[] | undefined;
+  /**
+   * Extended leases of endpoints when the record was written. A claim lacks those that the leader before it finds until the claim is written. Not given
+   * by earlier versions, or while the leader may not know all of them.
+   */
+  readonly extendedLeases?: readonly ExtendedLease[] | undefined;
   /** In a claim, the leader of the epoch before it, which may act until the claim is written. */
   readonly previous?: Pick<LeaderRecord, 'box' | 'address' | 'process'> | undefined;
 }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -8,6 +8,8 @@
 import type { LogRecord } from '../store/LogRecord';
 import type { BoxProcess } from './BoxProcess';
 import type { LeaderRecord } from './LeaderRecord';
+import type { ExtendedLease } from './ExtendedLease';
+import type { ExtendedLeases } from './ExtendedLeases';
 import { LeaderVoucher } from './LeaderVoucher';
 import { LeaseHistory } from './LeaseHistory';
 import type { LeaseWitness } from './LeaseWitness';
@@ -27,6 +29,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  /** Longest lease that an endpoint accepts, in milliseconds. */
+  readonly longestLeaseMs: number;
   /** Returns true when stronger boxes are known, which should lead instead of this one. */
   readonly isOutranked: () => boolean;
   /** Returns true when this process knows the jobs, without which it could not take over. */
@@ -42,6 +46,8 @@
   readonly claimedAt: number;
   /** Time at which all leases of earlier leaders have expired. */
   readonly earlierLeasesEndAt: number;
+  /** Extended leases that earlier leaders have named, to which the leader adds those that it finds. */
+  readonly extendedLeases: ExtendedLeases;
 }
 
 const CLAIM_TIMEOUT_MS = 700;
@@ -84,7 +90,7 @@
   private endedClaimReason: ClaimReason = 'the leader handed over';
   /** Monotonic time at which this process noticed that the process of the leader had ended. */
   private leaderEndNoticedAt = -Infinity;
-  private readonly leaseHistory = new LeaseHistory();
+  private readonly leaseHistory: LeaseHistory;
   private readonly voucher: LeaderVoucher;
   /** Monotonic time at which a read first showed the heartbeat timeout of the leader; undefined without a timeout. */
   private timeoutSeenAt: number | undefined;
@@ -98,6 +104,7 @@
 
   constructor(private readonly options: LeadershipOptions) {
     this.claimJitter = options.random();
+    this.leaseHistory = new LeaseHistory(options.longestLeaseMs);
     this.voucher = new LeaderVoucher({
       clock: options.clock,
       getNewestEpoch: () => this.leaderRecord?.epoch,
@@ -215,14 +222,27 @@
 
   /**
    * Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. Names the
-   * witnesses, if any.
+   * witnesses, if any, and the extended leases, if all are known.
    */
-  formatLeaderRecord(epoch: number, isResigned: boolean, witnesses?: readonly LeaseWitness[]): string {
+  formatLeaderRecord(
+    epoch: number,
+    isResigned: boolean,
+    witnesses: readonly LeaseWitness[] | undefined,
+    extendedLeases: readonly ExtendedLease[] | undefined,
+  ): string {
     const { box, address, process, clock } = this.options;
     const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
     const successor = isResigned && this.successor !== undefined ? { successor: this.successor } : {};
-    const named = witnesses && { witnesses };
-    const record: LeaderRecord = { epoch, box, address, process, isResigned, ...successor, ...named };
+    const record: LeaderRecord = {
+      epoch,
+      box,
+      address,
+      process,
+      isResigned,
+      ...successor,
+      witnesses,
+      extendedLeases,
+    };
     return JSON.stringify(this.leaderRecord?.epoch === epoch ? { ...record, earlierLeasesMs } : record);
   }
 
@@ -243,6 +263,7 @@
       process,
       isResigned: false,
       earlierLeasesMs,
+      extendedLeases: this.leaseHistory.getExtendedLeases().listLeases(clock.getNow()),
       previous,
     };
     return JSON.stringify(record);
@@ -393,7 +414,9 @@
       epoch,
       claimMs: Math.round(now - claimedAt),
       earlierLeasesMs: Math.max(0, Math.round(earlierLeasesEndAt - now)),
+      extendedLeases: this.leaseHistory.getExtendedLeases().listLeases(now)?.length ?? 'not known',
     });
-    this.options.handleElected({ epoch, claimedAt, earlierLeasesEndAt });
+    const extendedLeases = this.leaseHistory.getExtendedLeases();
+    this.options.handleElected({ epoch, claimedAt, earlierLeasesEndAt, extendedLeases });
   }
 }
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -1,5 +1,6 @@
 import type { BoxProcess } from './BoxProcess';
 import { computeMaxLeaseMs } from './computeMaxLeaseMs';
+import { ExtendedLeases } from './ExtendedLeases';
 import type { LeaderRecord } from './LeaderRecord';
 import { leaderTimings } from './leaderTimings';
 import type { LeaseWitness } from './LeaseWitness';
@@ -44,12 +45,17 @@
   /** Monotonic time by which the process of the newest leader has certainly ended; Infinity while it may run. */
   private leaderEndedAt = Infinity;
   private earlierLeaders: readonly EarlierLeader[] = [];
+  private readonly extendedLeases = new ExtendedLeases();
+
+  /** @param longestLeaseMs Longest lease that an endpoint accepts, in milliseconds. */
+  constructor(private readonly longestLeaseMs: number) {}
 
   /**
    * Records that a leader record was read. With a newer epoch, the leases of the known leader become earlier ones. What the record says of
    * the leases of earlier leaders includes leaders whose records this process has not read.
    */
   recordLeader(record: LeaderRecord, now: number): void {
+    this.recordExtendedLeases(record, now);
     if (record.epoch > (this.newestLeader?.epoch ?? 0)) {
       this.earlierLeaders = this.listLeadersBefore(record, now);
       this.leaderEndedAt = Infinity;
@@ -73,6 +79,9 @@
    * witnesses, or none.
    */
   recordMissedWrites(now: number): void {
+    if (this.newestLeader?.isResigned !== true) {
+      this.recordUnnamedLeases(now);
+    }
     if (!this.hasLeaderStopped) {
       this.leaderActiveAt = now;
       this.newestLeader = this.newestLeader && { ...this.newestLeader, witnesses: undefined };
@@ -116,6 +125,11 @@
     );
   }
 
+  /** Returns the extended leases that leaders have named. */
+  getExtendedLeases(): ExtendedLeases {
+    return this.extendedLeases;
+  }
+
   /** Returns the monotonic time at which all leases of the leaders before the newest one have expired; -Infinity without such leaders. */
   getEarlierLeasesEndAt(): number {
     return Math.max(-Infinity, ...this.earlierLeaders.map(({ leasesEndAt }) => leasesEndAt));
@@ -150,6 +164,26 @@
     };
   }
 
+  /**
+   * Records the extended leases that a leader record names. A claim lacks those that the leader before it has named since, unless this process has read
+   * that leader's records up to the claim.
+   */
+  private recordExtendedLeases({ epoch, previous, extendedLeases }: LeaderRecord, now: number): void {
+    const hasReadPrevious = (this.newestLeader?.epoch ?? 0) >= epoch - 1;
+    if (extendedLeases === undefined || (previous !== undefined && !hasReadPrevious)) {
+      this.recordUnnamedLeases(now);
+    } else if (previous === undefined) {
+      this.extendedLeases.recordAllNamed();
+    }
+    for (const { incarnation, remainingMs } of extendedLeases ?? []) {
+      this.extendedLeases.recordLease(incarnation, now + remainingMs);
+    }
+  }
+
+  private recordUnnamedLeases(now: number): void {
+    this.extendedLeases.recordUnnamedLeases(now + computeMaxLeaseMs(this.longestLeaseMs));
+  }
+
   private listLeadersBefore({ epoch, previous }: LeaderRecord, now: number): readonly EarlierLeader[] {
     const { newestLeader } = this;
     const knownEpoch = newestLeader?.epoch ?? 0;
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -1,6 +1,8 @@
 import { z } from 'zod';
 import { hostPortSchema } from '../common/hostPortSchema';
 import { maxRisingNumber } from '../common/maxRisingNumber';
+import { toId } from '../common/toId';
+import type { EndpointIncarnation } from '../jobs/EndpointIncarnation';
 
 /** Schema of a leader record, in the log and in announcements. */
 export const leaderRecordSchema = z.object({
@@ -12,5 +14,13 @@
   successor: hostPortSchema.optional(),
   earlierLeasesMs: z.number().min(0).optional(),
   witnesses: z.array(z.object({ box: z.string(), address: hostPortSchema, process: z.string() })).optional(),
+  extendedLeases: z
+    .array(
+      z.object({
+        incarnation: z.string().transform((text) => toId<EndpointIncarnation>(text)),
+        remainingMs: z.number().min(0),
+      }),
+    )
+    .optional(),
   previous: z.object({ box: z.string(), address: hostPortSchema.optional(), process: z.string() }).optional(),
 });
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -156,6 +156,7 @@
       clock,
       random,
       logger: options.createPartLogger('leadership'),
+      longestLeaseMs: settings.longestLeaseMs,
       isOutranked: () => this.isOutranked(),
       isReadyToLead: () => this.followers.jobs.getOffset() !== undefined,
       handleElected: (election) => this.startLeading(election),
@@ -517,8 +518,8 @@
       longestLeaseMs: settings.longestLeaseMs,
       listChannels: () => this.adviceChannels.listChannels(),
       listOtherBoxes: () => this.otherBoxes.clients.listOthers(),
-      formatLeaderRecord: (isResigned, witnesses) =>
-        this.leadership.formatLeaderRecord(epoch, isResigned, witnesses),
+      formatLeaderRecord: (isResigned, witnesses, extendedLeases) =>
+        this.leadership.formatLeaderRecord(epoch, isResigned, witnesses, extendedLeases),
       handleLeadershipLost: (detail) => this.handleLeadershipLost(epoch, detail),
       handleLogRecovered: (sentAt) => this.handleLogRecovered(sentAt),
       recordCount: (name, amount) => this.metrics.recordCount(name, amount),
--- a/tests/helpers/LeaseSimulation.ts
+++ b/tests/helpers/LeaseSimulation.ts
@@ -169,6 +169,7 @@
       clock,
       random: this.random,
       logger,
+      longestLeaseMs: 10_000,
       isOutranked: () => false,
       isReadyToLead: () => true,
       handleElected: (election) => this.startLeading(box, client, logger, election),
@@ -259,7 +260,7 @@
     box: SimulatedBox,
     client: LogClient,
     logger: ConstructorParameters<typeof LeaderController>[0]['logger'],
-    election: { readonly epoch: number; readonly claimedAt: number; readonly earlierLeasesEndAt: number },
+    election: Parameters<ConstructorParameters<typeof Leadership>[0]['handleElected']>[0],
   ): void {
     const { job, toEarlierLeasesEnd = (endAt: number) => endAt } = this.options;
     const replica = new JobReplica();
@@ -281,8 +282,8 @@
         parseEndpoint: (_id, text) => ({ ok: true, value: JSON.parse(text) as EndpointProfile }),
         createEndpointClient: (profile, getToken) => this.createEndpointClient(box, profile, getToken),
         listOtherBoxes: () => this.listOthers(box),
-        formatLeaderRecord: (isResigned, witnesses) =>
-          box.leadership.formatLeaderRecord(election.epoch, isResigned, witnesses),
+        formatLeaderRecord: (isResigned, witnesses, extendedLeases) =>
+          box.leadership.formatLeaderRecord(election.epoch, isResigned, witnesses, extendedLeases),
         handleLeadershipLost,
       }),
     );
--- a/tests/helpers/createLeaderOptions.ts
+++ b/tests/helpers/createLeaderOptions.ts
@@ -1,5 +1,6 @@
 import type { LeaderController } from '../../packages/dispatch/LeaderController';
 import { JobReplica } from '../../packages/jobs/JobReplica';
+import { ExtendedLeases } from '../../packages/leadership/ExtendedLeases';
 import type { LogClient } from '../../packages/store/LogClient';
 
 type LeaderOptions = ConstructorParameters<typeof LeaderController>[0];
@@ -12,6 +13,7 @@
   epoch: 1,
   claimedAt: 0,
   earlierLeasesEndAt: 0,
+  extendedLeases: new ExtendedLeases(),
   client,
   statesTopic: 'keyed.states',
   progressTopic: 'keyed.progress',
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -11,6 +11,7 @@
 import { LogFollower } from '../packages/store/LogFollower';
 import type { LogRecord } from '../packages/store/LogRecord';
 
+const LONGEST_LEASE_MS = 10_000;
 const LEADER = { epoch: 1, box: 'box-0', process: 'box-0#1', isResigned: false };
 
 /** Creates a readable log that never responds to claims. */
@@ -55,6 +56,7 @@
       clock,
       random: () => 0.2,
       logger,
+      longestLeaseMs: LONGEST_LEASE_MS,
       isOutranked: () => isOutranked,
       isReadyToLead: () => true,
       handleElected: () => undefined,
@@ -109,6 +111,7 @@
       clock,
       random: () => random,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      longestLeaseMs: LONGEST_LEASE_MS,
       isOutranked: () => isOutranked,
       isReadyToLead: () => now - 1000 >= knowsJobsAfterMs,
       handleElected: () => undefined,
@@ -259,7 +262,7 @@
   const NEXT_PROCESS = { box: 'box-1', address: 'box-1:1', process: 'box-1#2' };
 
   it('expire a bounded time after the last activity of a leader, however late the next one is elected', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordActivity(2000);
     leases.recordLeader(toRecord(2), 9000);
@@ -267,12 +270,12 @@
   });
 
   it('expire without the grace period when the leader has stopped gracefully', () => {
-    const resigned = new LeaseHistory();
+    const resigned = new LeaseHistory(LONGEST_LEASE_MS);
     resigned.recordLeader(toRecord(1), 1000);
     resigned.recordLeader(toRecord(1, true), 5000);
     resigned.recordLeader(toRecord(2), 5500);
     expect(resigned.getEarlierLeasesEndAt()).toBe(5000 + LEASE_BOUND_MS);
-    const notified = new LeaseHistory();
+    const notified = new LeaseHistory(LONGEST_LEASE_MS);
     notified.recordLeader(toRecord(1), 1000);
     notified.recordLeaderStopped(1, 5000);
     notified.recordLeader(toRecord(2), 5500);
@@ -280,7 +283,7 @@
   });
 
   it('expire without the grace period when the process of the leader has ended, also if its records are read later', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordBoxProcess({ ...NEXT_PROCESS, startedBy: 5000 }, 2);
     leases.recordLeader(toRecord(1), 5200);
@@ -290,7 +293,7 @@
   });
 
   it('expire no later when the end of the process is noticed long after its last activity', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordBoxProcess({ ...NEXT_PROCESS, startedBy: 30_000 }, 2);
     leases.recordLeader(toRecord(2), 31_000);
@@ -298,7 +301,7 @@
   });
 
   it('expire with the grace period when another process than that of the leader has ended', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordBoxProcess({ ...NEXT_PROCESS, startedBy: 1100 }, 2);
     leases.recordLeader(toRecord(2), 2000);
@@ -342,6 +345,7 @@
         clock,
         random: () => 0,
         logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+        longestLeaseMs: LONGEST_LEASE_MS,
         isOutranked: () => false,
         isReadyToLead: () => true,
         handleElected: ({ earlierLeasesEndAt }) => resolve(earlierLeasesEndAt),
@@ -369,6 +373,7 @@
       clock: { getNow: () => 1000, getWallTime: () => 1000 },
       random: () => 0,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      longestLeaseMs: LONGEST_LEASE_MS,
       isOutranked: () => false,
       isReadyToLead: () => true,
       handleElected: () => undefined,
@@ -412,6 +417,7 @@
       clock: { getNow: () => now, getWallTime: () => now },
       random: () => 0,
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      longestLeaseMs: LONGEST_LEASE_MS,
       isOutranked: () => false,
       isReadyToLead: () => true,
       handleElected: () => undefined,
@@ -450,7 +456,7 @@
   });
 
   it('are still bounded by an earlier leader when the one in between was short', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 3000);
     leases.recordLeader(toRecord(2, true), 3100);
@@ -459,7 +465,7 @@
   });
 
   it('count from a heartbeat read after the stop message of its leader, and not from the stop message of another epoch', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeaderStopped(1, 1100);
     leases.recordLeader(toRecord(1), 1200);
@@ -469,7 +475,7 @@
   });
 
   it('expire without the grace period once another process of the box of their leader runs', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 2000);
     leases.recordBoxProcess({ box: 'box-1', address: 'box-1:1', process: 'box-1#2', startedBy: 1800 }, 1);
@@ -477,7 +483,7 @@
   });
 
   it('are not shortened by the same process, by other boxes, or for leaders that were announced later', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader(toRecord(2), 2000);
     leases.recordLeader(toRecord(3), 2000);
@@ -490,7 +496,7 @@
   it('are not shortened by a process of that box at another address, as the earlier machine may still run', () => {
     const addresses = ['box-1:1', undefined];
     for (const address of addresses) {
-      const leases = new LeaseHistory();
+      const leases = new LeaseHistory(LONGEST_LEASE_MS);
       leases.recordLeader({ ...toRecord(1), address }, 1000);
       leases.recordBoxProcess({ ...NEXT_PROCESS, address: 'box-1:2', startedBy: 1100 }, 1);
       leases.recordLeader(toRecord(2), 2000);
@@ -505,7 +511,7 @@
     const witnesses = ['box-8', 'box-9'].map((box) => ({ box, address: `${box}:1`, process: `${box}#1` }));
     const LONG_END = 2000 + UNCONFIRMED_GRACE_MS + LEASE_BOUND_MS;
     const createHistory = (): LeaseHistory => {
-      const leases = new LeaseHistory();
+      const leases = new LeaseHistory(LONGEST_LEASE_MS);
       leases.recordLeader({ ...toRecord(1), witnesses }, 2000);
       leases.recordLeader(toRecord(2), 4000);
       return leases;
@@ -557,7 +563,7 @@
     });
 
     it('are not shortened when records of it may have been missed, which may name others', () => {
-      const leases = new LeaseHistory();
+      const leases = new LeaseHistory(LONGEST_LEASE_MS);
       leases.recordLeader({ ...toRecord(1), witnesses }, 2000);
       leases.recordMissedWrites(3000);
       leases.recordLeader(toRecord(2), 4000);
@@ -567,7 +573,7 @@
   });
 
   it('include those of leaders that a new process has not read, which may still renew them', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(6, true), 1000);
     leases.recordBoxProcess({ box: 'box-6', address: 'box-6:1', process: 'box-6#2', startedBy: 1000 }, 6);
     leases.recordLeader(toRecord(7), 1500);
@@ -575,7 +581,7 @@
   });
 
   it('end for a new process when the record of the leader says so', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700 }, 1000);
     expect(leases.getEarlierLeasesEndAt()).toBe(1700);
     leases.recordBoxProcess({ box: 'box-6', address: 'box-6:1', process: 'box-6#2', startedBy: 900 }, 6);
@@ -584,7 +590,7 @@
   });
 
   it('end with the process that the claim of a leader names as the previous one, when it ran in a box that has restarted', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     const previous = { box: 'box-0', address: 'box-0:1', process: 'box-0#1' };
     leases.recordLeader({ ...toRecord(6), earlierLeasesMs: 700, previous }, 1000);
     expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
@@ -593,7 +599,7 @@
   });
 
   it('are not bounded for the previous leader by what a claim says of those before it', () => {
-    const leases = new LeaseHistory();
+    const leases = new LeaseHistory(LONGEST_LEASE_MS);
     leases.recordLeader(toRecord(1), 1000);
     leases.recordLeader({ ...toRecord(2), earlierLeasesMs: 0, previous: toRecord(1) }, 2000);
     expect(leases.getEarlierLeasesEndAt()).toBe(1000 + LEASE_BOUND_MS + UNCONFIRMED_GRACE_MS);
