--- a/packages/dispatch/endpoints/EndpointClient.ts
+++ b/packages/dispatch/endpoints/EndpointClient.ts
@@ -14,7 +14,7 @@
   readonly timeoutMs: number;
   /**
    * True when the poll may only be sent over the connection of the last response, since it acknowledges ends that only the process at its other end
-   * has listed. The result is `disconnected` when that connection is closed.
+   * has listed, or renews the lease by the clock of that process. The result is `disconnected` when that connection is closed.
    */
   readonly isSameConnectionOnly?: boolean;
   /** True for a poll that is sent outside of the poll loop, and acknowledges nothing. */
--- a/packages/dispatch/endpoints/EndpointSession.ts
+++ b/packages/dispatch/endpoints/EndpointSession.ts
@@ -126,27 +126,28 @@
   }
 
   /**
-   * Sends one poll of the loop and handles its result. The poll renews the lease only while the endpoint responds and this leader may grant leases.
+   * Sends one poll of the loop and handles its result. The poll renews the lease only while the endpoint responds, over the connection of its last
+   * response, and while this leader may grant leases.
    * Only while the endpoint responds may it delay its response until a run ends.
    */
   private async runPoll(): Promise<void> {
     const { client, clock, endpoint, canGrantLeases } = this.options;
     const isUnreachable = endpoint.getUnreachableSince() !== undefined;
     const isResponding = endpoint.isSynced() && !isUnreachable;
-    const leaseMs = isResponding && canGrantLeases() ? leaderTimings.leaseMs : undefined;
+    // Another incarnation may respond on a new connection. It must not take a lease by this one's clock, nor forget ends that it hasn't listed.
+    const isConnected = isResponding && this.isConnected;
+    const leaseMs = isConnected && canGrantLeases() ? leaderTimings.leaseMs : undefined;
     const usualWaitMs = endpoint.countRuns() === 0 ? IDLE_POLL_WAIT_MS : POLL_WAIT_MS;
     const waitMs = isResponding ? usualWaitMs : 0;
     const sentAt = clock.getNow();
     if (leaseMs !== undefined) {
       this.recordLease(sentAt);
     }
-    // Another incarnation may respond on a new connection. It must not forget ends that it hasn't listed, or tasks that are done
-    // would run again.
     const acknowledgedUpTo = isUnreachable || !this.isConnected ? 0 : this.lastDurableEnd;
     endpoint.recordPollSent();
     const result = await client.sendPoll({
       acknowledgedUpTo,
-      isSameConnectionOnly: acknowledgedUpTo > 0,
+      isSameConnectionOnly: acknowledgedUpTo > 0 || leaseMs !== undefined,
       leaseMs,
       waitMs,
       timeoutMs: waitMs + Math.min(MAX_RESPONSE_TIMEOUT_MS, RESPONSE_TIMEOUT_MS * 2 ** this.failedPollCount),
