--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -27,6 +27,11 @@
   readonly coresPerBox?: number;
   /** Further arguments of each entry process. */
   readonly args?: readonly string[];
+  /** Arguments of Node for each entry process. */
+  readonly nodeArgs?: readonly string[];
+  /** Memory that a box declares, in megabytes, and its descriptors; not declared if not given. */
+  readonly memoryMbPerBox?: number;
+  readonly descriptorsPerBox?: number;
 }
 
 /** A customer in the cell's configuration. */
@@ -405,10 +410,15 @@
     await this.log.startListener(name, log);
     const port = Number(internal.split(':')[1]);
     const settingsFile = join(this.folder, `${name}.json`);
+    const { memoryMbPerBox, descriptorsPerBox } = this.options;
     const isStrong = this.boxes.length < (this.options.strongBoxes ?? 0);
     const settings = {
       'node-name': name,
-      limits: { 'cpu-share': isStrong ? STRONG_CORES : (this.options.coresPerBox ?? 1) },
+      limits: {
+        'cpu-share': isStrong ? STRONG_CORES : (this.options.coresPerBox ?? 1),
+        ...(memoryMbPerBox === undefined ? {} : { 'memory-mb': memoryMbPerBox }),
+        ...(descriptorsPerBox === undefined ? {} : { 'max-fds': descriptorsPerBox }),
+      },
       zone: 'hall-a',
       ip: HOST,
       listen: { front, ready },
@@ -437,7 +447,14 @@
   private createProcess(name: string, settingsFile: string, logFile: string): ManagedProcess {
     return new ManagedProcess({
       name,
-      args: [PROGRAM, 'serve', '--settings', settingsFile, ...(this.options.args ?? [])],
+      args: [
+        ...(this.options.nodeArgs ?? []),
+        PROGRAM,
+        'serve',
+        '--settings',
+        settingsFile,
+        ...(this.options.args ?? []),
+      ],
       logFile,
     });
   }
--- a/dev/fleet/ManagedProcess.ts
+++ b/dev/fleet/ManagedProcess.ts
@@ -1,5 +1,5 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, readFileSync, type WriteStream } from 'node:fs';
+import { createWriteStream, readdirSync, readFileSync, type WriteStream } from 'node:fs';
 import { addExitCleanup } from './addExitCleanup';
 
 interface ManagedProcessOptions {
@@ -52,6 +52,17 @@
     return (Number(fields[11]) + Number(fields[12])) / CLOCK_TICKS_PER_SECOND;
   }
 
+  /** Largest resident memory so far, in megabytes (2^20 bytes), as the kernel counts it. */
+  readPeakMemoryMb(): number {
+    const status = readFileSync(`/proc/${this.child.pid}/status`, 'utf8');
+    return Number(/^VmHWM:\s+(\d+) kB/m.exec(status)?.[1]) / 1024;
+  }
+
+  /** Counts its open descriptors. */
+  countDescriptors(): number {
+    return readdirSync(`/proc/${this.child.pid}/fd`).length;
+  }
+
   sendSignal(signal: NodeJS.Signals): void {
     this.child.kill(signal);
   }
