fix: listeners hold a bounded amount for their connections

Callers saw a box end for want of memory, or answer nobody, while clients that do not behave sent bodies without an end, in tiny chunks, or thousands of requests ahead. Cause: nothing bounded what one connection, and all of them, may hold before and after the handler; each chunk of a body was an object of its own, Node parses and keeps all requests of what it has read, and no time was set for a request to arrive or for a response to be read.

Each listener (callers, readiness, boxes) has a guard now that counts connections, requests and bytes, and refuses or closes first what has waited longest for its client, so that ordinary requests, which are complete at once, pass. Limits follow the memory and descriptors of the settings; those of callers are options.

--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -11,6 +11,8 @@
 import type { JobCaller } from '../customers/JobCaller';
 import { jobCallerSchema } from '../customers/jobCallerSchema';
 import { createRawBodyApp } from '../gateway/createRawBodyApp';
+import type { ListenerLimits } from '../gateway/ListenerLimits';
+import type { RefusalCause } from '../gateway/RefusalCause';
 import { stopAppWithin } from '../gateway/stopAppWithin';
 import type { EndpointId } from '../jobs/EndpointId';
 import type { JobId } from '../jobs/JobId';
@@ -30,6 +32,9 @@
   readonly address: string;
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly limits: ListenerLimits;
+  /** Called for each request that is refused and each connection that is closed by a limit. */
+  readonly recordRefusal: (cause: RefusalCause) => void;
   readonly adviceClient: AdviceClient;
   readonly formatMetrics: () => string;
   /** Checks whether this box can use the log now. */
@@ -89,8 +94,8 @@
   private readonly relayServer: RelayServer;
 
   constructor(private readonly options: BoxServerOptions) {
-    this.app = createRawBodyApp(MAX_BODY_BYTES);
-    const { clock, logger } = options;
+    const { clock, logger, limits, recordRefusal } = options;
+    this.app = createRawBodyApp(MAX_BODY_BYTES, { limits, logger, recordRefusal });
     this.relayServer = new RelayServer({ server: this.app.server, clock, logger });
     this.app.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.formatMetrics()));
     this.app.get('/log', async (_request, reply) =>
--- a/packages/cli/serveCommand.ts
+++ b/packages/cli/serveCommand.ts
@@ -15,6 +15,8 @@
 import type { Command } from './Command';
 import { exitCodes } from './exitCodes';
 import { formatPolicyHelp } from './formatPolicyHelp';
+import { limitOptions } from './limitOptions';
+import { parseLimits } from './parseLimits';
 import { parsePolicies } from './parsePolicies';
 import type { PolicyOption } from './PolicyOption';
 import { policyOptions } from './policyOptions';
@@ -47,7 +49,7 @@
 export const serveCommand: Command = {
   name: 'serve',
   summary: 'Run one entry process on the platform. SIGTERM stops it gracefully, SIGHUP reloads the settings.',
-  usage: `[--settings FILE] ${POLICY_OPTIONS.map(({ name }) => `[--${name} NAME]`).join(' ')}`,
+  usage: `[--settings FILE] ${POLICY_OPTIONS.map(({ name }) => `[--${name} NAME]`).join(' ')} [--LIMIT NUMBER]`,
   options: {
     settings: {
       type: 'string',
@@ -59,6 +61,9 @@
         { type: 'string', help: formatPolicyHelp(option) } as const,
       ]),
     ),
+    ...Object.fromEntries(
+      Object.values(limitOptions).map(({ name, help }) => [name, { type: 'string', help } as const]),
+    ),
   },
   run: async (input) => {
     const file = input.values['settings'] ?? process.env[wireNames.settingsVariable];
@@ -76,6 +81,11 @@
       policies.error.forEach(writeError);
       return exitCodes.usage;
     }
+    const callerLimits = parseLimits(input.values, settings.value);
+    if (!callerLimits.ok) {
+      callerLimits.error.forEach(writeError);
+      return exitCodes.usage;
+    }
     setOptimizationBudget(settings.value.cores);
     const incarnation = `${Date.now().toString(36)}${randomBytes(3).toString('hex')}`;
     const lineBuffer = new LineBuffer((text) => void process.stdout.write(text));
@@ -91,7 +101,7 @@
     const createPartLogger = (part: string): Logger => decisionLog.createLogger(part);
     const clock = createMachineClock(createPartLogger('clock'));
     const serve = new ServeProcess({
-      settings: { ...settings.value, ...policies.value },
+      settings: { ...settings.value, ...policies.value, callerLimits: callerLimits.value },
       adapter: createPlatformAdapter(settings.value, clock),
       clock,
       random: createRandom(randomBytes(4).readUInt32LE()),
--- a/packages/serve/ServeAdapter.ts
+++ b/packages/serve/ServeAdapter.ts
@@ -7,8 +7,10 @@
 import type { EndpointClient } from '../dispatch/endpoints/EndpointClient';
 import type { EndpointProfile } from '../dispatch/endpoints/EndpointProfile';
 import type { JobService } from '../gateway/JobService';
+import type { ListenerLimits } from '../gateway/ListenerLimits';
 import type { QueueConfiguration } from '../gateway/QueueConfiguration';
 import type { QueueRouter } from '../gateway/QueueRouter';
+import type { RefusalCause } from '../gateway/RefusalCause';
 import type { LogClient } from '../store/LogClient';
 
 interface CallerServerOptions {
@@ -18,6 +20,10 @@
   readonly isStopping: () => boolean;
   readonly authorizer: CallerAuthorizer;
   readonly logger: Logger;
+  readonly callerLimits: ListenerLimits;
+  readonly readinessLimits: ListenerLimits;
+  /** Called for each request that is refused and each connection that is closed by a limit. */
+  readonly recordRefusal: (cause: RefusalCause) => void;
 }
 
 interface CallerServerHandle {
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -1,4 +1,6 @@
 import { build, type Histogram } from 'hdr-histogram-js';
+import { refusalCauses } from '../gateway/refusalCauses';
+import type { RefusalCause } from '../gateway/RefusalCause';
 import { lossCauses } from '../dispatch/stops/lossCauses';
 import type { LossCounterName } from '../dispatch/stops/LossCounterName';
 
@@ -33,6 +35,7 @@
   'tasksGivenUp',
   ...lossCauses.map((cause): LossCounterName => `runsLostBy.${cause}`),
   ...lossCauses.map((cause): LossCounterName => `coreMsLostBy.${cause}`),
+  ...refusalCauses.map((cause): `limitRefusals.${RefusalCause}` => `limitRefusals.${cause}`),
   'questionsFirst',
   'questionsMore',
   'questionsAgain',
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -9,6 +9,8 @@
 import { QueueRouter } from '../gateway/QueueRouter';
 import type { JobCaller } from '../customers/JobCaller';
 import { CallerAuthorizer } from '../gateway/CallerAuthorizer';
+import { computeListenerLimits } from '../gateway/computeListenerLimits';
+import type { RefusalCause } from '../gateway/RefusalCause';
 import type { JobId } from '../jobs/JobId';
 import { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
@@ -167,6 +169,7 @@
       handleProcessEnded: (process) => this.leadership.handleLeaderEnded(process),
     });
     this.jobService = this.createJobService();
+    const recordRefusal = (cause: RefusalCause): void => this.metrics.recordCount(`limitRefusals.${cause}`);
     this.callerServer = adapter.createCallerServer({
       router: this.router,
       jobs: this.jobService,
@@ -174,11 +177,16 @@
       isStopping: () => this.isStopping,
       authorizer: this.createAuthorizer(),
       logger: this.logger,
+      callerLimits: settings.callerLimits,
+      readinessLimits: computeListenerLimits(settings, 'readiness'),
+      recordRefusal,
     });
     this.boxServer = new BoxServer({
       address: settings.internal,
       clock,
       logger: options.createPartLogger('relay'),
+      limits: computeListenerLimits(settings, 'boxes'),
+      recordRefusal,
       adviceClient: this.adviceClient,
       formatMetrics: () => this.formatMetrics(),
       isLogUsable: () => this.isLogUsable(),
--- a/packages/serve/ServeSettings.ts
+++ b/packages/serve/ServeSettings.ts
@@ -1,13 +1,17 @@
+import type { ListenerLimits } from '../gateway/ListenerLimits';
+import type { ListenerResources } from '../gateway/ListenerResources';
 import type { ServePolicies } from './ServePolicies';
 
 /** Settings of an entry process. */
-export interface ServeSettings extends ServePolicies {
+export interface ServeSettings extends ServePolicies, ListenerResources {
   readonly box: string;
   readonly hall: string;
   /** Processing capacity that the box may use, as a number of cores of reference speed. */
   readonly cores: number;
   /** Bandwidth of the box's network link in Mbit/s. */
   readonly linkMbps: number;
+  /** Limits of the listener for callers. */
+  readonly callerLimits: ListenerLimits;
   /** Host and port for callers. */
   readonly front: string;
   /** Host and port for the readiness probe of the load balancer. */
--- a/tests/helpers/RawConnection.ts
+++ b/tests/helpers/RawConnection.ts
@@ -33,6 +33,11 @@
     this.socket.write(text);
   }
 
+  /** Stops reading what is received. */
+  stopReading(): void {
+    this.socket.pause();
+  }
+
   /** Returns the first complete response that has been received; undefined while there is none. */
   findResponse(): { readonly status: number; readonly headers: string } | undefined {
     const match = RESPONSE_HEAD.exec(this.received);
