bench: a section for what a caller's request costs a box

The section 'front' sets up the server for callers with a job service that answers at once, and a process of 16 callers on loopback. For reads of a state, jobs of 2 kB and 200 kB, and reads that each open a connection it prints requests per second, processor time of the server's process for each request, and the heap that the end of an idle connection frees (heapUsed: without sockets' and parsers' native memory). Every response is checked for status 200. The job service, the log and the check of keys are not part of it: the queue is open.

--- a/dev/bench/benchSections.ts
+++ b/dev/bench/benchSections.ts
@@ -2,6 +2,7 @@
 import { controlSection } from './controlSection';
 import { customersSection } from './customersSection';
 import { decisionSection } from './decisionSection';
+import { frontSection } from './frontSection';
 import { leaderSection } from './leaderSection';
 import { memorySection } from './memorySection';
 import { outageSection } from './outageSection';
@@ -18,6 +19,7 @@
   policySection,
   overloadSection,
   memorySection,
+  frontSection,
   controlSection,
   outageSection,
 ];
--- a/dev/devCommands.ts
+++ b/dev/devCommands.ts
@@ -1,5 +1,6 @@
 import type { Command } from '../packages/cli/Command';
 import { benchCommand } from './bench/benchCommand';
+import { callersCommand } from './bench/callersCommand';
 import { demoCommand } from './demo/demoCommand';
 import { exploreCommand } from './explorer/exploreCommand';
 import { endpointsCommand } from './endpointsCommand';
@@ -15,5 +16,6 @@
   exploreCommand,
   replayAllCommand,
   benchCommand,
+  callersCommand,
   soakCommand,
 ];
