--- a/packages/common/HttpClient.ts
+++ b/packages/common/HttpClient.ts
@@ -30,6 +30,8 @@
 /** Largest response. A longer one counts as unanswered. */
 const MAX_RESPONSE_BYTES = 33_554_432;
 const KEEP_ALIVE_MS = 60_000;
+/** Time by which a connection is closed before the server would close it by its own keep-alive timeout. */
+const KEEP_ALIVE_MARGIN_MS = 500;
 const CONNECT_TIMEOUT_MS = 1500;
 const startConnection = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
 
@@ -142,6 +144,7 @@
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
       maxResponseSize: MAX_RESPONSE_BYTES,
--- a/tests/nextIncarnationCalls.test.ts
+++ b/tests/nextIncarnationCalls.test.ts
@@ -1,6 +1,8 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { JsonClient } from '../packages/common/JsonClient';
+import type { JsonClientOptions } from '../packages/common/JsonClientOptions';
 import { HttpJsonClient } from '../packages/common/HttpJsonClient';
 import { systemClock } from '../packages/common/systemClock';
 import { toId } from '../packages/common/toId';
@@ -71,20 +73,25 @@
     return listening;
   };
 
-  const countCalls = (path: string): number => listening.calls.filter((call) => call.path === path).length;
-
-  beforeEach(async () => {
-    port = 0;
-    listening = await startListening(EARLIER_START_MS, EARLIER_CLOCK_MS);
-    endpoint = new HttpEndpointClient({
+  const createEndpointClient = (
+    createJsonClient: (options: JsonClientOptions) => JsonClient,
+  ): HttpEndpointClient =>
+    new HttpEndpointClient({
       address: `127.0.0.1:${port}`,
       id: ID,
       incarnation: endpointIncarnations.toIncarnation(ID, EARLIER_START_MS),
       getToken: () => 7,
       getNow: () => performance.now(),
       initialClockMs: undefined,
-      createJsonClient: (options) => new HttpJsonClient(options),
+      createJsonClient,
     });
+
+  const countCalls = (path: string): number => listening.calls.filter((call) => call.path === path).length;
+
+  beforeEach(async () => {
+    port = 0;
+    listening = await startListening(EARLIER_START_MS, EARLIER_CLOCK_MS);
+    endpoint = createEndpointClient((options) => new HttpJsonClient(options));
     const poll = { acknowledgedUpTo: 0, leaseMs: LEASE_MS, waitMs: 0, timeoutMs: 1000 };
     expect((await endpoint.sendPoll(poll)).kind).toBe('held');
   });
@@ -122,6 +129,31 @@
     expect(result.kind).toBe('undelivered');
   });
 
+  it('are starts and renewals again where it offers to keep connections open for a second only', async () => {
+    await endpoint.stop();
+    listening.server.closeAllConnections();
+    await new Promise((resolve) => listening.server.close(resolve));
+    listening = await startListening(EARLIER_START_MS, EARLIER_CLOCK_MS);
+    listening.server.keepAliveTimeout = 1000;
+    endpoint = createEndpointClient((options) => new HttpJsonClient(options));
+    const poll = { acknowledgedUpTo: 0, waitMs: 0, timeoutMs: 1000 };
+    await endpoint.sendPoll({ ...poll, leaseMs: undefined });
+    const renewal = { ...poll, leaseMs: LEASE_MS, isSameConnectionOnly: true };
+    expect((await endpoint.sendPoll(renewal)).kind).toBe('held');
+    expect(await endpoint.sendStart(createCommand(0), LEASE_MS, TIMEOUT_MS)).toEqual({ kind: 'done' });
+  });
+
+  it('say nothing about the endpoint when the relay is lost that confirms their connection', async () => {
+    await endpoint.stop();
+    const interrupted = { kind: 'interrupted', detail: 'the relay is lost' } as const;
+    endpoint = createEndpointClient(() => ({
+      sendJsonRequest: () => Promise.resolve(interrupted),
+      renewConnections: () => undefined,
+      stop: () => Promise.resolve(),
+    }));
+    expect(await endpoint.sendStart(createCommand(0), LEASE_MS, TIMEOUT_MS)).toEqual(interrupted);
+  });
+
   it('are no polls that grant a lease', async () => {
     const incarnation = endpointIncarnations.toIncarnation(ID, EARLIER_START_MS);
     const state = new EndpointState(createProfile(ID, { incarnation }), 0, new CustomerUsage());
