--- a/packages/gateway/createBodyParser.ts
+++ b/packages/gateway/createBodyParser.ts
@@ -22,7 +22,8 @@
 ) => void;
 type BodyRefusal = Extract<RefusalCause, 'bodyBytes' | 'heldBytes' | 'smallChunks'>;
 
-const FIRST_CAPACITY_BYTES = 1024;
+const NO_BYTES = Buffer.alloc(0);
+const MIN_CAPACITY_BYTES = 1024;
 /** Bytes of a body for each of its chunks beyond `maxSmallChunks`. */
 const MIN_CHUNK_BYTES = 16;
 
@@ -50,12 +51,12 @@
 export const createBodyParser =
   ({ bodyLimit, maxSmallChunks, guard }: BodyParserOptions): BodyParser =>
   (_request, payload, done) => {
-    let buffer = Buffer.alloc(0);
+    let buffer: Buffer = NO_BYTES;
     let length = 0;
     let chunkCount = 0;
 
     const stopReading = (): void => {
-      buffer = Buffer.alloc(0);
+      buffer = NO_BYTES;
       payload.off('data', handleChunk);
       payload.off('end', handleEnd);
       payload.off('error', handleError);
@@ -69,16 +70,19 @@
     };
     const body = guard.addBody(payload, () => refuse('heldBytes'));
 
-    /** Returns whether the buffer has room for a length, after growing it if need be. */
+    /** Returns whether the buffer has room for a length, after growing it if need be. The first chunk takes the place of the buffer. */
     const reserveCapacity = (neededBytes: number): boolean => {
       if (neededBytes <= buffer.length) {
         return true;
       }
-      const capacity = Math.min(bodyLimit, Math.max(neededBytes, 2 * buffer.length, FIRST_CAPACITY_BYTES));
+      if (length === 0) {
+        return guard.reserveBytes(body, neededBytes);
+      }
+      const capacity = Math.min(bodyLimit, Math.max(neededBytes, 2 * buffer.length, MIN_CAPACITY_BYTES));
       if (!guard.reserveBytes(body, capacity - buffer.length)) {
         return false;
       }
-      const grown = Buffer.allocUnsafeSlow(capacity);
+      const grown = Buffer.allocUnsafe(capacity);
       buffer.copy(grown, 0, 0, length);
       buffer = grown;
       return true;
@@ -100,7 +104,11 @@
         refuse(refusal);
         return;
       }
-      chunk.copy(buffer, length);
+      if (length === 0) {
+        buffer = chunk;
+      } else {
+        chunk.copy(buffer, length);
+      }
       length += chunk.length;
     };
     const handleEnd = (): void => {
