fix: a restart that the leader has not seen whole gives an extended lease too

The lease is recorded wherever a second incarnation of an id shows, by its record or its response, and holds for the endpoint, as a run may be booked on either incarnation. What a leader may not know is named with its remaining time, so that it is not counted anew by each next leader.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -413,6 +413,11 @@
     this.endpointLossHandler.handleIncarnationEnd(incarnation, now, next);
   }
 
+  /** Records that a call to an incarnation may have given the next one a lease beyond the usual length, by the earlier clock. */
+  recordExtendedLease(next: EndpointIncarnation, earlier: EndpointIncarnation, now: number): void {
+    this.endpointLossHandler.recordExtendedLease(next, earlier, now);
+  }
+
   /** Returns true while a poll may still show whether an endpoint whose lease expired while it was unreachable has crashed. */
   isCrashUnconfirmed(incarnation: EndpointIncarnation, now: number): boolean {
     return this.crashTracker.isCrashUnconfirmed(incarnation, now);
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -92,13 +92,13 @@
   /** Lists the other boxes, which may be witnesses of this leader. */
   readonly listOtherBoxes: ConstructorParameters<typeof LeaseWitnesses>[0]['listOthers'];
   /**
-   * Formats this leader's record in the states topic, with its witnesses, if any, and the extended leases, if all are known; with `isResigned` it says
-   * that another box may lead.
+   * Formats this leader's record in the states topic, with its witnesses, if any, and the extended leases; with `isResigned` it says that another
+   * box may lead.
    */
   readonly formatLeaderRecord: (
     isResigned: boolean,
     witnesses: readonly LeaseWitness[] | undefined,
-    extendedLeases: readonly ExtendedLease[] | undefined,
+    extendedLeases: readonly ExtendedLease[],
   ) => string;
   /** Called once, after this leader has stopped since a newer one was seen. */
   readonly handleLeadershipLost: (detail: string) => void;
@@ -509,7 +509,7 @@
 
   private formatLeaderRecord(isResigned: boolean): string {
     const { extendedLeases, clock, formatLeaderRecord } = this.options;
-    const leases = extendedLeases.listLeases(clock.getNow());
+    const leases = extendedLeases.listActiveLeases(clock.getNow());
     extendedLeases.recordFormatted();
     return formatLeaderRecord(isResigned, this.witnesses.updateNamedWitnesses(), leases);
   }
--- a/packages/dispatch/endpoints/EndpointLossHandler.ts
+++ b/packages/dispatch/endpoints/EndpointLossHandler.ts
@@ -1,4 +1,5 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
+import { endpointIncarnations } from '../../jobs/endpointIncarnations';
 import { computeMaxLeaseMs } from '../../leadership/computeMaxLeaseMs';
 import type { ExtendedLeases } from '../../leadership/ExtendedLeases';
 import type { CrashTracker } from '../crashes/CrashTracker';
@@ -55,9 +56,6 @@
         tracker.recordRunEnd(endpoint, run, INCARNATION_ENDED, now);
       }
     }
-    if (next !== undefined && nextEndpoint !== undefined) {
-      this.recordExtendedLease(next, incarnation, now);
-    }
     endpoints.delete(incarnation);
   }
 
@@ -65,10 +63,10 @@
    * Records that a call to an incarnation may have given the next one a lease by its own clock: the longest that an endpoint accepts. Nothing is placed
    * there until a record of this leader has named the lease, since a later leader would assume the usual length.
    */
-  private recordExtendedLease(next: EndpointIncarnation, earlier: EndpointIncarnation, now: number): void {
+  recordExtendedLease(next: EndpointIncarnation, earlier: EndpointIncarnation, now: number): void {
     const { tracker, extendedLeases, longestLeaseMs, sendEffect } = this.options;
     const leaseMs = computeMaxLeaseMs(longestLeaseMs);
-    extendedLeases.recordPendingLease(next, now + leaseMs);
+    extendedLeases.recordPendingLease(endpointIncarnations.toEndpointId(next), now + leaseMs);
     sendEffect({ kind: 'recordLeases' });
     tracker.sendLogLine('Lease of the next incarnation may be longer.', {
       endpoint: next,
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -171,6 +171,10 @@
       dispatcher.handleEndpointDeregistered(previousProfile.incarnation);
     }
     dispatcher.handleEndpointProfile(profile);
+    const earlier = known.currentIncarnation ?? previousProfile?.incarnation;
+    if (earlier !== undefined && earlier !== profile.incarnation) {
+      dispatcher.recordExtendedLease(profile.incarnation, earlier, this.options.clock.getNow());
+    }
     this.logProfileChange(previousProfile, profile);
     this.startSessionsFor(profile.id);
     if (previousProfile !== undefined && previousProfile.incarnation !== profile.incarnation) {
@@ -320,7 +324,12 @@
       // Its capacity and kind are unknown until its record has come, and nothing is placed there before.
       dispatcher.handleEndpointDeregistered(incarnation);
     }
-    for (const earlier of dispatcher.listOtherIncarnations(incarnation)) {
+    const others = dispatcher.listOtherIncarnations(incarnation);
+    const earlierIncarnation = previousIncarnation ?? others[0];
+    if (earlierIncarnation !== undefined) {
+      dispatcher.recordExtendedLease(incarnation, earlierIncarnation, clock.getNow());
+    }
+    for (const earlier of others) {
       logger.info('Endpoint has restarted under its id.', {
         endpoint: incarnation,
         before: earlier,
--- a/packages/leadership/ExtendedLease.ts
+++ b/packages/leadership/ExtendedLease.ts
@@ -1,11 +1,11 @@
-import type { EndpointIncarnation } from '../jobs/EndpointIncarnation';
+import type { EndpointId } from '../jobs/EndpointId';
 
 /**
- * Lease of an incarnation that may be longer than those which leaders grant: a call to an earlier incarnation of the endpoint may have granted it, by
- * the clock of that one.
+ * Lease of an endpoint that may be longer than those which leaders grant: a call to an earlier incarnation of it may have granted it to the next one, by
+ * the earlier clock.
  */
 export interface ExtendedLease {
-  readonly incarnation: EndpointIncarnation;
+  readonly endpoint: EndpointId;
   /** Time until the lease has expired, in milliseconds. */
   readonly remainingMs: number;
 }
--- a/packages/leadership/LeaderRecord.ts
+++ b/packages/leadership/LeaderRecord.ts
@@ -26,9 +26,11 @@
   readonly witnesses?: readonly LeaseWitness[] | undefined;
   /**
    * Extended leases of endpoints when the record was written. A claim lacks those that the leader before it finds until the claim is written. Not given
-   * by earlier versions, or while the leader may not know all of them.
+   * by earlier versions.
    */
   readonly extendedLeases?: readonly ExtendedLease[] | undefined;
+  /** Milliseconds from the writing of this record in which any other endpoint may have an extended lease, as the leader may not know all; 0 if not given. */
+  readonly unnamedLeasesMs?: number | undefined;
   /** In a claim, the leader of the epoch before it, which may act until the claim is written. */
   readonly previous?: Pick<LeaderRecord, 'box' | 'address' | 'process'> | undefined;
 }
--- a/packages/leadership/Leadership.ts
+++ b/packages/leadership/Leadership.ts
@@ -222,13 +222,13 @@
 
   /**
    * Formats the leader record of this process, which serves as heartbeat, and with `isResigned` as the last write of a graceful stop. Names the
-   * witnesses, if any, and the extended leases, if all are known.
+   * witnesses, if any, and the extended leases.
    */
   formatLeaderRecord(
     epoch: number,
     isResigned: boolean,
     witnesses: readonly LeaseWitness[] | undefined,
-    extendedLeases: readonly ExtendedLease[] | undefined,
+    extendedLeases: readonly ExtendedLease[],
   ): string {
     const { box, address, process, clock } = this.options;
     const earlierLeasesMs = Math.max(0, Math.ceil(this.getEarlierLeasesEndAt() - clock.getNow()));
@@ -242,6 +242,7 @@
       ...successor,
       witnesses,
       extendedLeases,
+      unnamedLeasesMs: this.computeUnnamedLeasesMs(),
     };
     return JSON.stringify(this.leaderRecord?.epoch === epoch ? { ...record, earlierLeasesMs } : record);
   }
@@ -263,12 +264,20 @@
       process,
       isResigned: false,
       earlierLeasesMs,
-      extendedLeases: this.leaseHistory.getExtendedLeases().listLeases(clock.getNow()),
+      extendedLeases: this.leaseHistory.getExtendedLeases().listActiveLeases(clock.getNow()),
+      unnamedLeasesMs: this.computeUnnamedLeasesMs(),
       previous,
     };
     return JSON.stringify(record);
   }
 
+  /** Returns the time in which endpoints that no record has named may have an extended lease, in milliseconds; undefined without any. */
+  private computeUnnamedLeasesMs(): number | undefined {
+    const { leaseHistory, options } = this;
+    const unnamedMs = leaseHistory.getExtendedLeases().computeUnnamedMs(options.clock.getNow());
+    return unnamedMs === 0 ? undefined : unnamedMs;
+  }
+
   /** Returns the monotonic time at which all leases of the leaders before the newest one have expired. */
   getEarlierLeasesEndAt(): number {
     return this.leaseHistory.getEarlierLeasesEndAt();
@@ -414,7 +423,8 @@
       epoch,
       claimMs: Math.round(now - claimedAt),
       earlierLeasesMs: Math.max(0, Math.round(earlierLeasesEndAt - now)),
-      extendedLeases: this.leaseHistory.getExtendedLeases().listLeases(now)?.length ?? 'not known',
+      extendedLeases: this.leaseHistory.getExtendedLeases().listActiveLeases(now).length,
+      unnamedLeasesMs: this.computeUnnamedLeasesMs() ?? 0,
     });
     const extendedLeases = this.leaseHistory.getExtendedLeases();
     this.options.handleElected({ epoch, claimedAt, earlierLeasesEndAt, extendedLeases });
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -168,15 +168,18 @@
    * Records the extended leases that a leader record names. A claim lacks those that the leader before it has named since, unless this process has read
    * that leader's records up to the claim.
    */
-  private recordExtendedLeases({ epoch, previous, extendedLeases }: LeaderRecord, now: number): void {
+  private recordExtendedLeases(
+    { epoch, previous, extendedLeases, unnamedLeasesMs = 0 }: LeaderRecord,
+    now: number,
+  ): void {
     const hasReadPrevious = (this.newestLeader?.epoch ?? 0) >= epoch - 1;
     if (extendedLeases === undefined || (previous !== undefined && !hasReadPrevious)) {
       this.recordUnnamedLeases(now);
     } else if (previous === undefined) {
-      this.extendedLeases.recordAllNamed();
+      this.extendedLeases.setUnnamedUntil(unnamedLeasesMs > 0 ? now + unnamedLeasesMs : -Infinity);
     }
-    for (const { incarnation, remainingMs } of extendedLeases ?? []) {
-      this.extendedLeases.recordLease(incarnation, now + remainingMs);
+    for (const { endpoint, remainingMs } of extendedLeases ?? []) {
+      this.extendedLeases.recordLease(endpoint, now + remainingMs);
     }
   }
 
--- a/packages/leadership/leaderRecordSchema.ts
+++ b/packages/leadership/leaderRecordSchema.ts
@@ -2,7 +2,7 @@
 import { hostPortSchema } from '../common/hostPortSchema';
 import { maxRisingNumber } from '../common/maxRisingNumber';
 import { toId } from '../common/toId';
-import type { EndpointIncarnation } from '../jobs/EndpointIncarnation';
+import type { EndpointId } from '../jobs/EndpointId';
 
 /** Schema of a leader record, in the log and in announcements. */
 export const leaderRecordSchema = z.object({
@@ -17,10 +17,11 @@
   extendedLeases: z
     .array(
       z.object({
-        incarnation: z.string().transform((text) => toId<EndpointIncarnation>(text)),
+        endpoint: z.string().transform((text) => toId<EndpointId>(text)),
         remainingMs: z.number().min(0),
       }),
     )
     .optional(),
+  unnamedLeasesMs: z.number().min(0).optional(),
   previous: z.object({ box: z.string(), address: hostPortSchema.optional(), process: z.string() }).optional(),
 });
--- a/tests/helpers/LeaseSimulation.ts
+++ b/tests/helpers/LeaseSimulation.ts
@@ -82,7 +82,7 @@
     readonly fields: unknown;
   }[] = [];
   private readonly random: Random;
-  private readonly log: MemoryLog;
+  readonly log: MemoryLog;
   /** Cut directions of links, each as `FROM>TO`. */
   private readonly cuts = new Map<string, number>();
   private processCount = 0;
