standins: an endpoint reports calls by the clock of another incarnation

The stand-in took any time to expire, so that a start or a poll for an earlier incarnation showed only if a task then ran twice. Leaders grant 4 s: a call that carries more than 6 s by the endpoint's own clock is a violation now, also one that is rejected for its token.

--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -43,6 +43,8 @@
 const CRASHING_SPEC = 'crashes';
 const CRASH_DELAY_MS = 10;
 const FULL_PERCENT = 100;
+/** Limit of the time from now to a call's time to expire, by the endpoint's clock: one and a half times the lease that leaders grant. */
+const MAX_LEASE_AHEAD_MS = 6000;
 
 /**
  * Stands in for one incarnation of an endpoint, with the commands that the platform documents. It doesn't check its capacity, rejects
@@ -149,6 +151,7 @@
       this.sendResponse(response, 421, {});
       return;
     }
+    this.checkLease(request.url ?? '', body['expires-ms']);
     const token = body['fencing-token'] ?? 0;
     if (token < this.highestToken) {
       this.sendResponse(response, 409, { reason: 'fence' });
@@ -163,6 +166,14 @@
     await handler(body, response);
   }
 
+  /** Reports a call whose time to expire is farther ahead than leaders grant: it is by the clock of another incarnation. */
+  private checkLease(path: string, expiresMs = 0): void {
+    const aheadMs = expiresMs - this.getClockMs();
+    if (aheadMs > MAX_LEASE_AHEAD_MS) {
+      this.options.runChecker.recordForeignLease(this.incarnation, path, aheadMs);
+    }
+  }
+
   private handleStart(body: CommandBody, response: ServerResponse): void {
     if (this.fault === 'lateStarts') {
       setTimeout(() => this.startRun(body), START_DELAY_MS);
--- a/packages/standins/platform/RunChecker.ts
+++ b/packages/standins/platform/RunChecker.ts
@@ -71,6 +71,11 @@
     this.violations.push(`${task} run ${run} on ${endpoint}: end acknowledged before it was listed`);
   }
 
+  /** Records as a violation a call with a time to expire that leaders don't grant, so many milliseconds ahead by the endpoint's clock. */
+  recordForeignLease(endpoint: string, path: string, aheadMs: number): void {
+    this.violations.push(`${endpoint}: ${path} with a lease of ${aheadMs} ms, by another clock than its own`);
+  }
+
   /** Records the acknowledged end of a completed run. A start of the task after its completion is then a violation. */
   recordAcknowledgedEnd(task: string, run: number): void {
     const key = `${task}#${run}`;
--- a/tests/executorStandin.test.ts
+++ b/tests/executorStandin.test.ts
@@ -9,6 +9,7 @@
 const TASK = '0000000000000001.0.0.0';
 /** Longer than the delay of the `lateStarts` fault. */
 const LATE_START_WAIT_MS = 1700;
+const CALL_TIMEOUT_MS = 700;
 
 describe('stand-in of one incarnation of an endpoint', () => {
   it('carries out no start command after its stop, even one received before', async () => {
@@ -30,4 +31,40 @@
     await waitForDelay(LATE_START_WAIT_MS);
     expect(runChecker.countStarts(TASK)).toBe(0);
   });
+
+  const startStandin = async (runChecker: RunChecker): Promise<[ExecutorStandin, string]> => {
+    const [port] = await chooseFreePorts(1);
+    const address = `127.0.0.1:${port}`;
+    const standin = new ExecutorStandin({ id: ID, address, runChecker, bornAtMs: 5 });
+    await standin.start();
+    return [standin, address];
+  };
+
+  const sendCall = async (address: string, path: string, fields: object): Promise<number | undefined> => {
+    const response = await request(`http://${address}${path}`, {
+      method: 'POST',
+      headers: { 'x-stairline-expect-instance': ID },
+      body: JSON.stringify({ 'fencing-token': 1, ...fields }),
+      headersTimeout: CALL_TIMEOUT_MS,
+      reset: true,
+    }).catch(() => undefined);
+    await response?.body.dump();
+    return response?.statusCode;
+  };
+
+  it('reports starts and polls by the clock of another incarnation, and none by its own', async () => {
+    const runChecker = new RunChecker(4);
+    const [standin, address] = await startStandin(runChecker);
+    await sendCall(address, '/run-start', { task: TASK, run: 1, spec: 'lasts', 'expires-ms': 4000 });
+    await sendCall(address, '/hold', { 'expires-ms': 4000 });
+    await sendCall(address, '/hold', {});
+    expect(runChecker.getViolations()).toEqual([]);
+    await sendCall(address, '/run-start', { task: TASK, run: 1, spec: 'lasts', 'expires-ms': 20_000 });
+    await sendCall(address, '/hold', { 'expires-ms': 20_000 });
+    expect(runChecker.getViolations()).toEqual([
+      expect.stringContaining('i-0@5: /run-start with a lease of'),
+      expect.stringContaining('i-0@5: /hold with a lease of'),
+    ]);
+    await standin.stop();
+  });
 });
