soak: endpoints are back under their ids before the leader is lost and they are cut off

Two troubles, returnBeforePlannedStop and returnBeforeKill: two to three of six endpoints lose power and are back under their ids after up to 0.8 s; 0.5 to 2.5 s later the leader is stopped or killed, and within 0.4 s of that, before or after, the endpoints are cut off for 9 s while they run on. Old connections are reset on the return, or hang until they are used. The stand-in can lose power (stopSilently) and be cut off (applyCut); a cut overlaps with its faults.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -65,6 +65,10 @@
   readonly downMs: number;
   /** Its record follows so much later. */
   readonly recordAfterMs?: number;
+  /** It ends as by a loss of power: nobody is told, and calls get no answer until it is back. */
+  readonly isSilent?: boolean;
+  /** Connections that are still open from before a silent end are closed as soon as it is back, and not only when they are used again. */
+  readonly isResetOnReturn?: boolean;
 }
 
 interface CellAnswer {
@@ -196,19 +200,29 @@
   }
 
   /** Ends an executor; another life of it is there after a while. */
-  async startExecutorAgain(id: string, { downMs, recordAfterMs = 0 }: CellReturn): Promise<void> {
+  async startExecutorAgain(
+    id: string,
+    { downMs, recordAfterMs = 0, isSilent, isResetOnReturn }: CellReturn,
+  ): Promise<void> {
     const index = this.executors.findIndex((executor) => executor.id === id);
     const ended = this.executors[index];
     if (ended === undefined) {
       return;
     }
     this.executors.splice(index, 1);
-    await ended.standin.stop();
-    await waitForDelay(downMs);
+    if (isSilent === true) {
+      await ended.standin.stopSilently(downMs);
+    } else {
+      await ended.standin.stop();
+      await waitForDelay(downMs);
+    }
     if (!this.isStopped) {
       const nextId = this.options.keepsIds === true ? id : `${id}-again`;
       await this.startExecutor(nextId, ended.address, recordAfterMs);
     }
+    if (isResetOnReturn === true) {
+      await ended.standin.stop();
+    }
   }
 
   /**
--- a/dev/soak/SoakWorld.ts
+++ b/dev/soak/SoakWorld.ts
@@ -6,6 +6,7 @@
 type Box = Cell['boxes'][number];
 
 const POLL_MS = 20;
+const MIN_SEVERAL = 2;
 
 /** What the troubles of a soak act on. All that they begin is over by the end of `startCalm`. */
 export class SoakWorld {
@@ -45,6 +46,15 @@
     }
   }
 
+  /** Uses the box that leads, unless another trouble ends or pauses it. */
+  async startWithLeader(work: (box: Box) => Promise<void>): Promise<void> {
+    const free = this.listFreeBoxes();
+    const leader = this.cell.readLeaders().find((box) => free.includes(box));
+    if (leader !== undefined) {
+      await this.startWithBoxes([leader], () => work(leader));
+    }
+  }
+
   /** Uses several boxes at once, but not all; does nothing without two that no other trouble uses. */
   async startWithSeveralBoxes(work: (boxes: readonly Box[]) => Promise<void>): Promise<void> {
     const free = this.listFreeBoxes().slice(0, this.cell.boxes.length - 1);
@@ -72,6 +82,17 @@
     return choices.chooseFrom(this.cell.executors);
   }
 
+  /** Several executors that are there, half of them at most; none if there are fewer than four. */
+  chooseExecutors(choices: SoakChoices): readonly Cell['executors'][number][] {
+    const remaining = [...this.cell.executors];
+    const most = Math.floor(remaining.length / 2);
+    const count = most < MIN_SEVERAL ? 0 : MIN_SEVERAL + choices.chooseUpTo(most - MIN_SEVERAL);
+    return Array.from(
+      { length: count },
+      () => remaining.splice(choices.chooseUpTo(remaining.length - 1), 1)[0]!,
+    );
+  }
+
   /** One of the boxes. */
   chooseBox(choices: SoakChoices): Box {
     return choices.chooseFrom(this.cell.boxes)!;
--- a/dev/soak/soakTroubles.ts
+++ b/dev/soak/soakTroubles.ts
@@ -21,6 +21,14 @@
 const GRACE_MS = 6000;
 const REQUEST_LEAD_MS = 20;
 const REPLACEMENT_MS = 1500;
+/** Longest time for which executors are away that come back before the leader is lost. */
+const SILENT_DOWN_MS = 800;
+/** Time from the return of executors to the loss of the leader: at least, and beyond that at most. */
+const HANDOVER_LEAD_MS = 500;
+const HANDOVER_RANGE_MS = 2000;
+/** How long before or after the loss of the leader the executors are cut off, at most. */
+const CUT_RANGE_MS = 400;
+const CUT_MS = 9000;
 
 const stopTogether = async (
   world: SoakWorld,
@@ -103,6 +111,38 @@
   }
 };
 
+const stopByKill = async (world: SoakWorld, box: Box): Promise<void> => {
+  box.process.sendSignal('SIGKILL');
+  await box.process.exit;
+  world.cell.startBox(box);
+};
+
+/** Cuts off the executors that are there under some ids, and waits until that is over. */
+const startCut = async (world: SoakWorld, ids: readonly string[]): Promise<void> => {
+  world.cell.executors
+    .filter(({ id }) => ids.includes(id))
+    .forEach(({ standin }) => standin.applyCut(CUT_MS));
+  await waitForDelay(CUT_MS);
+};
+
+/** Several executors are back under their ids; soon after, the leader is lost and they are cut off, in either order. */
+const startReturnAndHandover = async (
+  world: SoakWorld,
+  choices: SoakChoices,
+  stopLeader: (world: SoakWorld, box: Box) => Promise<void>,
+): Promise<void> => {
+  const ids = world.chooseExecutors(choices).map(({ id }) => id);
+  const downMs = choices.chooseUpTo(SILENT_DOWN_MS);
+  const isResetOnReturn = choices.chooseUpTo(1) === 1;
+  const handoverMs = downMs + HANDOVER_LEAD_MS + choices.chooseUpTo(HANDOVER_RANGE_MS);
+  const cutMs = handoverMs - CUT_RANGE_MS + choices.chooseUpTo(2 * CUT_RANGE_MS);
+  await Promise.all([
+    ...ids.map((id) => world.cell.startExecutorAgain(id, { downMs, isSilent: true, isResetOnReturn })),
+    waitForDelay(handoverMs).then(() => world.startWithLeader((box) => stopLeader(world, box))),
+    waitForDelay(cutMs).then(() => startCut(world, ids)),
+  ]);
+};
+
 /** What goes wrong in a soak. Each ends by itself, and several go on beside each other. */
 export const soakTroubles: Readonly<Record<string, Trouble>> = {
   killBox: (world, choices) =>
@@ -115,9 +155,7 @@
   killLeader: (world, choices) =>
     world.startWithBox(choices, async (box) => {
       if (box.process.readOutput().includes('"Leading."')) {
-        box.process.sendSignal('SIGKILL');
-        await box.process.exit;
-        world.cell.startBox(box);
+        await stopByKill(world, box);
       }
     }),
   killSeveral: (world, choices) =>
@@ -170,6 +208,8 @@
   returnLater: (world, choices) => startReturn(world, choices, choices.chooseUpTo(DOWN_MS), 0),
   returnWithLateRecord: (world, choices) =>
     startReturn(world, choices, choices.chooseUpTo(200), choices.chooseUpTo(2000)),
+  returnBeforePlannedStop: (world, choices) => startReturnAndHandover(world, choices, stopGracefully),
+  returnBeforeKill: (world, choices) => startReturnAndHandover(world, choices, stopByKill),
   silentExecutor: (world, choices) => startExecutorFault(world, choices, 'silent'),
   lateStarts: (world, choices) => startExecutorFault(world, choices, 'lateStarts'),
   lateAnswers: (world, choices) => startExecutorFault(world, choices, 'lateAnswers'),
--- a/packages/standins/platform/ExecutorStandin.ts
+++ b/packages/standins/platform/ExecutorStandin.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { waitForDelay } from '../../common/waitForDelay';
 import { readJsonBody } from '../readJsonBody';
 import { sendJsonText } from '../sendJsonText';
 import { startListening } from '../startListening';
@@ -68,6 +69,10 @@
   private fault: ExecutorFault = 'none';
   /** True after `stop`; requests that connections still deliver after it are dropped. */
   private isStopped = false;
+  /** True while the endpoint is down without a sign: its address takes connections and requests, and nothing answers. */
+  private isPoweredOff = false;
+  /** Monotonic time in milliseconds until which the endpoint is cut off. */
+  private cutOffUntil = 0;
   private expiredTicketCount = 0;
   private server: Server | undefined;
   private readonly pollWaiters = new Waiters();
@@ -102,17 +107,23 @@
 
   /** Ends the incarnation: records its runs as lost with it, and closes its server and connections. */
   async stop(): Promise<void> {
-    this.isStopped = true;
-    clearTimeout(this.leaseTimer);
-    for (const run of this.runs.values()) {
-      clearTimeout(run.timer);
-      this.options.runChecker.recordEnd(this.incarnation, run.task, run.runNumber, 'gone');
-    }
-    this.runs.clear();
+    this.recordLoss();
     this.server?.closeAllConnections();
     await new Promise((resolve) => this.server?.close(resolve));
   }
 
+  /**
+   * Ends the incarnation as a loss of power does: records its runs as lost with it, and answers nothing for a time in milliseconds, after which
+   * its address is free. Calls under way get no answer then either; a connection that is used again is closed.
+   */
+  async stopSilently(downMs: number): Promise<void> {
+    this.isPoweredOff = true;
+    this.recordLoss();
+    await waitForDelay(downMs);
+    this.isPoweredOff = false;
+    this.server?.close();
+  }
+
   /** Sets the fault to inject from now on. */
   setFault(fault: ExecutorFault): void {
     this.fault = fault;
@@ -128,6 +139,11 @@
     this.connections.applyBlackhole();
   }
 
+  /** Cuts the endpoint off from now on for a time in milliseconds: it takes no calls and sends no responses, and its runs go on. */
+  applyCut(cutMs: number): void {
+    this.cutOffUntil = Math.max(this.cutOffUntil, performance.now() + cutMs);
+  }
+
   /** Returns the number of start commands rejected because their ticket had expired. */
   countExpiredTickets(): number {
     return this.expiredTicketCount;
@@ -140,6 +156,9 @@
 
   private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = (await readJsonBody(request)) as CommandBody;
+    if (this.isPoweredOff || this.isCutOff()) {
+      return;
+    }
     if (this.isStopped) {
       request.socket.destroy();
       return;
@@ -166,6 +185,10 @@
     await handler(body, response);
   }
 
+  private isCutOff(): boolean {
+    return performance.now() < this.cutOffUntil;
+  }
+
   /** Reports a call whose time to expire is farther ahead than leaders grant: it is by the clock of another incarnation. */
   private checkLease(path: string, expiresMs = 0): void {
     const aheadMs = expiresMs - this.getClockMs();
@@ -174,6 +197,17 @@
     }
   }
 
+  /** Records the end of the incarnation, and its runs as lost with it. */
+  private recordLoss(): void {
+    this.isStopped = true;
+    clearTimeout(this.leaseTimer);
+    for (const run of this.runs.values()) {
+      clearTimeout(run.timer);
+      this.options.runChecker.recordEnd(this.incarnation, run.task, run.runNumber, 'gone');
+    }
+    this.runs.clear();
+  }
+
   private handleStart(body: CommandBody, response: ServerResponse): void {
     if (this.fault === 'lateStarts') {
       setTimeout(() => this.startRun(body), START_DELAY_MS);
@@ -325,8 +359,11 @@
     return Math.round(performance.now() - this.startedAt);
   }
 
-  /** Sends a response with the time of the endpoint's clock. */
+  /** Sends a response with the time of the endpoint's clock, unless the incarnation has ended or is cut off. */
   private sendResponse(response: ServerResponse, status: number, fields: object): void {
+    if (this.isStopped || this.isCutOff()) {
+      return;
+    }
     const text = JSON.stringify({ 'clock-ms': this.getClockMs(), ...fields });
     sendJsonText(response, status, `${text.slice(0, -1)}${this.extraField}}`);
   }
--- a/tests/executorStandin.test.ts
+++ b/tests/executorStandin.test.ts
@@ -10,6 +10,7 @@
 /** Longer than the delay of the `lateStarts` fault. */
 const LATE_START_WAIT_MS = 1700;
 const CALL_TIMEOUT_MS = 700;
+const CUT_MS = 2000;
 
 describe('stand-in of one incarnation of an endpoint', () => {
   it('carries out no start command after its stop, even one received before', async () => {
@@ -67,4 +68,38 @@
     ]);
     await standin.stop();
   });
+
+  it('answers nothing while it is cut off, and runs on', async () => {
+    const runChecker = new RunChecker(4);
+    const [standin, address] = await startStandin(runChecker);
+    await sendCall(address, '/run-start', { task: TASK, run: 1, spec: 'lasts', 'expires-ms': 4000 });
+    const pending = sendCall(address, '/hold', { 'wait-ms': 100 });
+    await waitForDelay(50);
+    standin.applyCut(CUT_MS);
+    expect(await pending).toBeUndefined();
+    expect(await sendCall(address, '/hold', {})).toBeUndefined();
+    expect(runChecker.isRunning(TASK)).toBe(true);
+    await waitForDelay(CUT_MS);
+    expect(await sendCall(address, '/hold', {})).toBe(200);
+    await standin.stop();
+  });
+
+  it('frees its address after a loss of power, and leaves calls under way without an answer', async () => {
+    const runChecker = new RunChecker(4);
+    const [ended, address] = await startStandin(runChecker);
+    await sendCall(address, '/run-start', { task: TASK, run: 1, spec: 'lasts', 'expires-ms': 4000 });
+    const sentAt = performance.now();
+    const pending = sendCall(address, '/hold', { 'wait-ms': 100 }).then((status) => {
+      expect(status).toBeUndefined();
+      return performance.now() - sentAt;
+    });
+    await waitForDelay(50);
+    await ended.stopSilently(100);
+    expect(runChecker.isRunning(TASK)).toBe(false);
+    const next = new ExecutorStandin({ id: ID, address, runChecker, bornAtMs: 6 });
+    await next.start();
+    expect(await sendCall(address, '/hold', {})).toBe(200);
+    expect(await pending).toBeGreaterThan(CALL_TIMEOUT_MS - 10);
+    await next.stop();
+  });
 });
