--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -70,7 +70,7 @@
     private earlierLeasesEndAt: number,
     /** Usage of the customers, updated with each run that is added or removed. */
     private readonly customerUsage: CustomerUsage,
-    /** Leases that may be longer than the usual ones, by incarnation. */
+    /** Leases of endpoints that may be longer than the usual ones. */
     private readonly extendedLeases = new ExtendedLeases(),
   ) {}
 
