--- a/packages/gateway/createBodyParser.ts
+++ b/packages/gateway/createBodyParser.ts
@@ -63,6 +63,7 @@
     };
     const refuse = (cause: BodyRefusal): void => {
       stopReading();
+      // The guard logs the refusal; the rest of the body may end as it likes.
       payload.on('error', () => undefined);
       payload.resume();
       guard.handleRefusedBody(payload, cause);
--- a/packages/gateway/createRawBodyApp.ts
+++ b/packages/gateway/createRawBodyApp.ts
@@ -4,6 +4,7 @@
 import { computeListenerLimits } from './computeListenerLimits';
 import { ConnectionGuard } from './ConnectionGuard';
 import { createBodyParser } from './createBodyParser';
+import { defaultListenerResources } from './defaultListenerResources';
 import type { ListenerLimits } from './ListenerLimits';
 import type { RefusalCause } from './RefusalCause';
 import { serverSockets } from './serverSockets';
@@ -18,7 +19,7 @@
   readonly recordRefusal?: ((cause: RefusalCause) => void) | undefined;
 }
 
-const DEFAULT_LIMITS = computeListenerLimits({ memoryMb: 350, maxDescriptors: 4096 }, 'callers');
+const DEFAULT_LIMITS = computeListenerLimits(defaultListenerResources, 'callers');
 const TIMEOUT_CHECK_INTERVAL_MS = 1000;
 
 /** Creates an HTTP server that passes request bodies to its handlers as buffers, whatever their content type, up to `bodyLimit` bytes. */
