--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -510,6 +510,7 @@
   private formatLeaderRecord(isResigned: boolean): string {
     const { extendedLeases, clock, formatLeaderRecord } = this.options;
     const leases = extendedLeases.listActiveLeases(clock.getNow());
+    extendedLeases.removeExpiredLeases(clock.getNow());
     extendedLeases.recordFormatted();
     return formatLeaderRecord(isResigned, this.witnesses.updateNamedWitnesses(), leases);
   }
--- a/packages/leadership/ExtendedLeases.ts
+++ b/packages/leadership/ExtendedLeases.ts
@@ -59,16 +59,20 @@
     return this.pending.size > 0 && this.pending.has(endpointIncarnations.toEndpointId(incarnation));
   }
 
-  /** Forgets the leases that have expired, and lists the others. */
+  /** Lists the leases that have not expired. */
   listActiveLeases(now: number): readonly ExtendedLease[] {
+    return [...this.endsAt]
+      .filter(([, endsAt]) => endsAt > now)
+      .map(([endpoint, endsAt]) => ({ endpoint, remainingMs: Math.ceil(endsAt - now) }));
+  }
+
+  /** Removes the leases that expired so long ago that they explain no end of runs any more. */
+  removeExpiredLeases(now: number): void {
     for (const [endpoint, endsAt] of this.endsAt) {
       if (endsAt + EXPIRED_KEPT_MS <= now) {
         this.endsAt.delete(endpoint);
       }
     }
-    return [...this.endsAt]
-      .filter(([, endsAt]) => endsAt > now)
-      .map(([endpoint, endsAt]) => ({ endpoint, remainingMs: Math.ceil(endsAt - now) }));
   }
 
   /** Records that a record of this leader is formatted now, with the leases that `listActiveLeases` returns. */
@@ -76,7 +80,7 @@
     this.formatted = new Set(this.pending);
   }
 
-  /** Records that the record formatted last is durable. Returns true if leases are no longer pending. */
+  /** Handles the acknowledgement of the newest formatted record: the leases that it names are pending no more. Returns true if it names any that were. */
   handleRecordWritten(): boolean {
     const { formatted } = this;
     this.pending = new Set([...this.pending].filter((endpoint) => !formatted.has(endpoint)));
--- a/packages/leadership/LeaseHistory.ts
+++ b/packages/leadership/LeaseHistory.ts
@@ -172,6 +172,7 @@
     { epoch, previous, extendedLeases, unnamedLeasesMs = 0 }: LeaderRecord,
     now: number,
   ): void {
+    this.extendedLeases.removeExpiredLeases(now);
     const hasReadPrevious = (this.newestLeader?.epoch ?? 0) >= epoch - 1;
     if (extendedLeases === undefined || (previous !== undefined && !hasReadPrevious)) {
       this.recordUnnamedLeases(now);
