--- a/packages/standins/platform/RunChecker.ts
+++ b/packages/standins/platform/RunChecker.ts
@@ -71,7 +71,7 @@
     this.violations.push(`${task} run ${run} on ${endpoint}: end acknowledged before it was listed`);
   }
 
-  /** Records as a violation a call with a time to expire that leaders don't grant, so many milliseconds ahead by the endpoint's clock. */
+  /** Records a violation: a call asked for a lease of `aheadMs` milliseconds by the endpoint's clock, more than any leader grants. */
   recordForeignLease(endpoint: string, path: string, aheadMs: number): void {
     this.violations.push(`${endpoint}: ${path} with a lease of ${aheadMs} ms, by another clock than its own`);
   }
