--- a/tests/leaseWitnesses.test.ts
+++ b/tests/leaseWitnesses.test.ts
@@ -5,6 +5,7 @@
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createStep } from './helpers/createStep';
 import { LeaseSimulation } from './helpers/LeaseSimulation';
+import { startVirtualTime } from './helpers/startVirtualTime';
 import type { SimulatedIncarnation } from './helpers/SimulatedIncarnation';
 
 const BOXES = 4;
@@ -139,17 +140,7 @@
 describe('lasting tasks, on virtual time', () => {
   let simulation: LeaseSimulation;
 
-  beforeEach(() => {
-    const toFake = [
-      'setTimeout',
-      'clearTimeout',
-      'setInterval',
-      'clearInterval',
-      'setImmediate',
-      'Date',
-    ] as const;
-    vi.useFakeTimers({ toFake: [...toFake, 'performance'], now: 1_700_000_000_000 });
-  });
+  beforeEach(startVirtualTime);
 
   afterEach(() => {
     simulation.stop();
--- a/tests/returnedEndpoints.test.ts
+++ b/tests/returnedEndpoints.test.ts
@@ -2,6 +2,8 @@
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createStep } from './helpers/createStep';
 import { LeaseSimulation } from './helpers/LeaseSimulation';
+import { runPlannedStop } from './helpers/runPlannedStop';
+import { startVirtualTime } from './helpers/startVirtualTime';
 
 const BOXES = 4;
 const ENDPOINTS = 4;
@@ -32,14 +34,6 @@
   }
 };
 
-const runPlannedStop: LeaderLoss = async (simulation) => {
-  const leader = simulation.findLeader()!;
-  const stopped = simulation.boxes[leader]!.controller!.stopGracefully();
-  await vi.advanceTimersByTimeAsync(100);
-  await stopped;
-  simulation.stopBox(leader);
-};
-
 const LEADER_LOSSES: Readonly<Record<string, LeaderLoss>> = {
   'stops by plan': runPlannedStop,
   'is killed': (simulation) => Promise.resolve(simulation.stopBox(simulation.findLeader()!)),
@@ -65,17 +59,7 @@
 describe('a lease that a call to the earlier incarnation of an endpoint gave to the next one', () => {
   let simulation: LeaseSimulation;
 
-  beforeEach(() => {
-    const toFake = [
-      'setTimeout',
-      'clearTimeout',
-      'setInterval',
-      'clearInterval',
-      'setImmediate',
-      'Date',
-    ] as const;
-    vi.useFakeTimers({ toFake: [...toFake, 'performance'], now: 1_700_000_000_000 });
-  });
+  beforeEach(startVirtualTime);
 
   afterEach(() => {
     simulation.stop();
--- a/tests/returnedEndpointsUnseen.test.ts
+++ b/tests/returnedEndpointsUnseen.test.ts
@@ -3,6 +3,8 @@
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createStep } from './helpers/createStep';
 import { LeaseSimulation } from './helpers/LeaseSimulation';
+import { runPlannedStop } from './helpers/runPlannedStop';
+import { startVirtualTime } from './helpers/startVirtualTime';
 
 const SEEDS = [1, 2, 3, 4];
 const SETTLED_MS = 12_000;
@@ -24,28 +26,10 @@
 const listLinks = (id: string): readonly string[] =>
   NAMES.filter((name) => name !== id).flatMap((name) => [`${name}>${id}`, `${id}>${name}`]);
 
-const runPlannedStop = async (simulation: LeaseSimulation): Promise<void> => {
-  const leader = simulation.findLeader()!;
-  const stopped = simulation.boxes[leader]!.controller!.stopGracefully();
-  await vi.advanceTimersByTimeAsync(100);
-  await stopped;
-  simulation.stopBox(leader);
-};
-
 describe('a restart of an endpoint that the leader has not seen whole', () => {
   let simulation: LeaseSimulation;
 
-  beforeEach(() => {
-    const toFake = [
-      'setTimeout',
-      'clearTimeout',
-      'setInterval',
-      'clearInterval',
-      'setImmediate',
-      'Date',
-    ] as const;
-    vi.useFakeTimers({ toFake: [...toFake, 'performance'], now: 1_700_000_000_000 });
-  });
+  beforeEach(startVirtualTime);
 
   afterEach(() => {
     simulation.stop();
