fix: a job follows the newest policy of its queue

Cause: the policy of the queue is copied into the job's definition at acceptance, and all of the leader (placement, advice, preemption, attempts) read that copy. Nothing applied a later version to a job that was there.

Why this works: `LiveJob.getQueue` is the one place that answers for a job's policy; `QueuePolicies` applies each newer version to all jobs, before the next round. Reservations and run priorities follow; endpoints with runs are polled also when no queue uses their service.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -57,6 +57,7 @@
   readonly address: string;
   /** Start of its life in Unix milliseconds; undefined where it does not tell it. */
   readonly bornAtMs: number | undefined;
+  readonly service: string;
   readonly standin: ExecutorStandin;
 }
 
@@ -154,13 +155,14 @@
   }
 
   /**
-   * Writes a version of the configuration: queue `jobs`, and `advised`, which needs advice. With customers all queues need one of
-   * their keys, but `open`.
+   * Writes a version of the configuration: queue `jobs`, and `advised`, which needs advice; all on one service. With customers all queues need one
+   * of their keys, but `open`.
    */
   writeConfiguration(
     version: number,
     extra: readonly string[] = [],
     customers?: readonly CellCustomer[],
+    service = SERVICE,
   ): void {
     const route = (name: string): object => ({
       name,
@@ -170,7 +172,7 @@
       'timeout-ms': 3000,
       'target-latency-ms': 250,
       priority: name === 'urgent' ? 0 : 1,
-      service: SERVICE,
+      service,
       attempts: 2,
       stretch: 1.5,
       'auth-exempt': name === OPEN_QUEUE,
@@ -184,17 +186,17 @@
       'upper-limit': { cpu: cpuMillis, 'mem-mb': 0, gpu: 0 },
     }));
     const known = tenants === undefined ? {} : { tenants };
-    const configuration = { version, routes, services: [{ name: SERVICE }], limits: {}, ...known };
+    const configuration = { version, routes, services: [{ name: service }], limits: {}, ...known };
     this.log.writeRecord(OPERATOR_TOPIC, 'config', configuration);
   }
 
-  async startExecutor(id: string, address: string, recordAfterMs = 0): Promise<void> {
+  async startExecutor(id: string, address: string, recordAfterMs = 0, service = SERVICE): Promise<void> {
     const handleCrash = (): void => void this.handleCrash(id);
     const bornAtMs = this.options.keepsIds === true ? this.createBirth() : undefined;
     const born = bornAtMs === undefined ? {} : { bornAtMs };
     const standin = new ExecutorStandin({ id, address, runChecker: this.runChecker, handleCrash, ...born });
     await standin.start();
-    this.executors.push({ id, address, bornAtMs, standin });
+    this.executors.push({ id, address, bornAtMs, service, standin });
     await waitForDelay(recordAfterMs);
     this.writeExecutor(id, address, 'ready');
   }
@@ -218,7 +220,7 @@
     }
     if (!this.isStopped) {
       const nextId = this.options.keepsIds === true ? id : `${id}-again`;
-      await this.startExecutor(nextId, ended.address, recordAfterMs);
+      await this.startExecutor(nextId, ended.address, recordAfterMs, ended.service);
     }
     if (isResetOnReturn === true) {
       await ended.standin.stop();
@@ -239,7 +241,7 @@
     await waitForDelay(downMs);
     if (!this.isStopped) {
       this.log.writeRecord(ENDPOINTS_TOPIC, id, '');
-      await this.startExecutor(`${id}-next`, ended.address);
+      await this.startExecutor(`${id}-next`, ended.address, 0, ended.service);
     }
   }
 
@@ -273,9 +275,9 @@
   /** `remainingMs` is how long a draining one stays at least. */
   writeExecutor(id: string, address: string, state: 'ready' | 'draining', remainingMs?: number): void {
     const { roomPerExecutor } = this.options;
-    const bornAtMs = this.executors.find((executor) => executor.id === id)?.bornAtMs;
+    const { bornAtMs, service = SERVICE } = this.executors.find((executor) => executor.id === id) ?? {};
     this.log.writeRecord(ENDPOINTS_TOPIC, id, {
-      service: SERVICE,
+      service,
       address,
       zone: 'hall-a',
       version: 'v1',
--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -6,11 +6,13 @@
 import type { EndpointIncarnation } from '../jobs/EndpointIncarnation';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
+import type { JobQueue } from '../jobs/JobQueue';
 import type { JobProgress } from '../jobs/JobProgress';
 import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { TaskName } from '../jobs/TaskName';
 import type { TaskProgress } from '../jobs/TaskProgress';
+import { isSameQueue } from '../jobs/isSameQueue';
 import { resourceMath } from '../jobs/resourceMath';
 import { ExtendedLeases } from '../leadership/ExtendedLeases';
 import { endpointIncarnations } from '../jobs/endpointIncarnations';
@@ -58,6 +60,7 @@
 import { StepPlacer } from './placing/StepPlacer';
 import { toStepName } from './waiting/toStepName';
 import type { WaitingStep } from './waiting/WaitingStep';
+import { QueuePolicies } from './waiting/QueuePolicies';
 import { LongWaitLogger } from './waiting/LongWaitLogger';
 
 interface DispatcherOptions extends Partial<DispatchPolicies> {
@@ -123,6 +126,7 @@
   private readonly capacityView: CapacityView;
   private readonly reservations = new EndpointReservations();
   private readonly extendedLeases: ExtendedLeases;
+  private readonly queuePolicies = new QueuePolicies();
 
   constructor(private readonly options: DispatcherOptions) {
     this.earlierLeasesEndAt = options.earlierLeasesEndAt;
@@ -340,7 +344,8 @@
     }
     const job = new LiveJob(definition, progress, now, isOverShare);
     this.jobs.set(definition.id, job);
-    this.capacityView.recordQueuePriority(definition.queue);
+    job.setQueue(this.queuePolicies.choosePolicy(definition, definition.queue));
+    this.capacityView.recordQueue(job.getQueue());
     this.isRoundDue = true;
     for (let repetition = 0; repetition < definition.times; repetition += 1) {
       for (const [step] of definition.steps.entries()) {
@@ -355,6 +360,64 @@
     }
   }
 
+  /**
+   * Applies the policies of the queues in a version of the configuration to all jobs, and makes a round due. Runs stay where they are; what starts
+   * from now on follows the new policy. Fails jobs that have used up the attempts that are allowed now. Ignores a version that is not newer.
+   */
+  handleQueuePolicies(version: number, queues: readonly JobQueue[], wallMs: number): void {
+    if (!this.queuePolicies.applyVersion({ version, queues })) {
+      return;
+    }
+    this.isRoundDue = true;
+    const changedQueues = new Map<
+      string,
+      { readonly before: JobQueue; readonly after: JobQueue; jobCount: number }
+    >();
+    for (const job of this.jobs.values()) {
+      const before = job.getQueue();
+      const after = this.queuePolicies.choosePolicy(job.definition, before);
+      if (isSameQueue(before, after)) {
+        continue;
+      }
+      job.setQueue(after);
+      this.reservations.releaseJobReservations(job.definition.id);
+      const change = changedQueues.get(after.name) ?? { before, after, jobCount: 0 };
+      changedQueues.set(after.name, { ...change, jobCount: change.jobCount + 1 });
+      this.applyAttemptsLimit(job.definition.id, wallMs);
+    }
+    this.capacityView.updateQueues((queue) => this.queuePolicies.getPolicy(queue));
+    this.updateRunPriorities();
+    for (const [queue, { before, after, jobCount }] of changedQueues) {
+      this.runTracker.sendLogLine('Jobs follow a new policy.', {
+        queue,
+        version,
+        jobs: jobCount,
+        service: after.service,
+        previousService: before.service,
+        priority: after.priority,
+        attempts: after.attempts,
+        isAdvised: after.advice !== undefined,
+      });
+    }
+  }
+
+  /** Fails a job of which a waiting task has used up its attempts. Does nothing if the job is unknown or has ended. */
+  applyAttemptsLimit(id: JobId, wallMs: number): void {
+    const job = this.jobs.get(id);
+    if (job !== undefined && !job.progress.isEnded() && job.hasExhaustedTask()) {
+      this.runTracker.recordJobEnd(job, 'failed', wallMs);
+    }
+  }
+
+  /** Sets the priority of each run to that of its job's queue. */
+  private updateRunPriorities(): void {
+    for (const endpoint of this.endpoints.values()) {
+      for (const run of endpoint.getRuns()) {
+        run.priority = this.jobs.get(run.job)?.getQueue().priority ?? run.priority;
+      }
+    }
+  }
+
   /** Ends a job as cancelled and stops its runs. Does nothing if the job is unknown or has ended. */
   handleCancel(id: JobId, wallMs: number): void {
     const job = this.jobs.get(id);
@@ -480,9 +543,9 @@
   ): void {
     const [id, repetition, index] = step.split('.');
     const job = this.jobs.get(id as JobId);
-    this.adviceStats.recordResponse(job?.definition.queue.name ?? '', requested, tickets?.size);
+    this.adviceStats.recordResponse(job?.getQueue().name ?? '', requested, tickets?.size);
     this.adviceCandidateSelector.recordResponse(step, requested);
-    const validityMs = job?.definition.queue.advice?.validityMs ?? 0;
+    const validityMs = job?.getQueue().advice?.validityMs ?? 0;
     const advice = job?.getStepAdvice(Number(repetition), Number(index));
     const tookMs = advice === undefined ? 0 : now - advice.getLastRequestedAt();
     this.adviceRequester.recordRequestEnd(step, tookMs);
@@ -667,13 +730,14 @@
     let endpoint = this.endpoints.get(task.endpoint);
     if (endpoint === undefined) {
       // Without a record the endpoint may still be running the task, until its lease expires.
-      const profile = createDeregisteredProfile(task.endpoint, definition.queue.service);
+      const profile = createDeregisteredProfile(task.endpoint, job.getQueue().service);
       endpoint = new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage, this.extendedLeases);
       // The endpoint's record may have been deleted, by a drain or a crash, before this leader read the records.
       endpoint.recordDeregistration();
       this.endpoints.set(task.endpoint, endpoint);
     }
     const run = createPlacedRun(definition, address, task.runNumber, now, {
+      queue: job.getQueue(),
       isCrashSuspect: isCrashSuspect(task),
     });
     run.stage = 'unconfirmed';
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -8,6 +8,7 @@
 import type { Random } from '../common/Random';
 import { TimeSlices } from '../common/TimeSlices';
 import { waitForDelay } from '../common/waitForDelay';
+import type { QueueConfiguration } from '../gateway/QueueConfiguration';
 import type { JobDefinition } from '../jobs/JobDefinition';
 import type { JobId } from '../jobs/JobId';
 import type { ServiceName } from '../jobs/ServiceName';
@@ -66,6 +67,8 @@
   readonly policies: DispatchPolicies;
   /** Called with each load digest that is written to the log; if not given, no load is published. */
   readonly handleLoadDigest?: (digest: string) => void;
+  /** Configuration that this process has applied; undefined before the first. Later versions come by `handleConfiguration`. */
+  readonly configuration: QueueConfiguration | undefined;
   /** Returns a customer's limit in the current configuration; if undefined, the limit stored with the job applies. */
   readonly getCustomerLimit: (customer: CustomerName) => TaskDemand | undefined;
   /** Parses the record of an endpoint; the error of the result says why the record is invalid. */
@@ -278,6 +281,9 @@
       clock,
       recordCount: options.recordCount,
     });
+    if (options.configuration !== undefined) {
+      this.applyQueuePolicies(options.configuration);
+    }
   }
 
   /**
@@ -339,6 +345,17 @@
     }
   }
 
+  /** Applies a new version of the configuration to the jobs, and queues a round. */
+  handleConfiguration(configuration: QueueConfiguration): void {
+    this.applyQueuePolicies(configuration);
+    this.queueSchedulingRound();
+  }
+
+  private applyQueuePolicies({ version, routes }: QueueConfiguration): void {
+    const queues = routes.map(({ queue }) => queue);
+    this.dispatcher.handleQueuePolicies(version, queues, this.options.clock.getWallTime());
+  }
+
   /** Cancels a job and queues a round. A job whose record comes later is cancelled when it is added. */
   handleCancel(id: JobId): void {
     if (this.options.replica.getDefinition(id) === undefined) {
@@ -470,6 +487,8 @@
     this.journal.queueJobState(definition.id, progress.getState());
     if (replica.isCancelled(definition.id)) {
       this.dispatcher.handleCancel(definition.id, clock.getWallTime());
+    } else {
+      this.dispatcher.applyAttemptsLimit(definition.id, clock.getWallTime());
     }
   }
 
--- a/packages/dispatch/advice/AdviceRequester.ts
+++ b/packages/dispatch/advice/AdviceRequester.ts
@@ -82,7 +82,7 @@
     neededUntil = now,
     stage: RequestStage = 'ordered',
   ): WaitCause {
-    const { queue } = step.job.definition;
+    const queue = step.job.getQueue();
     const { advice } = queue;
     const stepAdvice = step.job.getStepAdvice(step.repetition, step.step);
     if (stage === 'ordered') {
@@ -207,7 +207,7 @@
 
   /** Returns the expected time from a request for the step to the starts that use its response, in milliseconds; 0 without advice. */
   estimateRequestToStartMs({ job }: WaitingStep): number {
-    const { advice } = job.definition.queue;
+    const { advice } = job.getQueue();
     return advice === undefined
       ? 0
       : advice.decisionMs + advice.perEndpointMs * BUDGETED_CANDIDATES + RESPONSE_TO_START_MS;
@@ -223,7 +223,7 @@
    */
   sendEarlyRequests(job: LiveJob, now: number, wallMs: number): void {
     const { definition, progress } = job;
-    const { advice } = definition.queue;
+    const { advice } = job.getQueue();
     if (
       advice === undefined ||
       progress.isEnded() ||
--- a/packages/dispatch/advice/DemandAhead.ts
+++ b/packages/dispatch/advice/DemandAhead.ts
@@ -28,7 +28,7 @@
 
   /** Records the next step in placement order, with the number of its tasks that lack tickets, as demand ahead of later ones. */
   recordStep({ job, shape }: WaitingStep, missing: number): void {
-    const { service } = job.definition.queue;
+    const { service } = job.getQueue();
     this.cpuDemandAhead = this.cpuDemands.get(service) ?? 0;
     this.cpuDemands.set(service, this.cpuDemandAhead + missing * shape.demand.cpuMillis);
   }
@@ -45,7 +45,7 @@
     if (this.cpuDemandAhead === 0) {
       return false;
     }
-    const { priority } = job.definition.queue;
+    const { priority } = job.getQueue();
     let capacity = 0;
     for (const endpoint of eligible) {
       capacity += endpoint.getFreeCpuMillis();
--- a/packages/dispatch/advice/EagerCandidateSelector.ts
+++ b/packages/dispatch/advice/EagerCandidateSelector.ts
@@ -139,7 +139,7 @@
     ranked: TinyQueue<RankedCandidate>,
     missing: number,
   ): readonly EndpointState[] {
-    const { queue } = step.job.definition;
+    const queue = step.job.getQueue();
     const allowedShare = this.stats.getAllowedShare(queue.name);
     const wanted = (missing * PLACES_PER_TASK) / allowedShare;
     const minCount = Math.max(MIN_REQUEST_CANDIDATES, computeMinCandidates(queue.advice!, allowedShare));
--- a/packages/dispatch/advice/OverdueRequests.ts
+++ b/packages/dispatch/advice/OverdueRequests.ts
@@ -49,7 +49,7 @@
       .flatMap((step) => {
         const advice = step.job.getStepAdvice(step.repetition, step.step);
         const since = advice.getSlotWaitSince() ?? Infinity;
-        const queueRequestedAt = this.lastRequestedAt.get(step.job.definition.queue.name) ?? -Infinity;
+        const queueRequestedAt = this.lastRequestedAt.get(step.job.getQueue().name) ?? -Infinity;
         const isOverdue = now - since >= MAX_SLOT_WAIT_MS && advice.canRequest(now);
         const isStarved = Math.max(now - since, now - queueRequestedAt) >= STARVATION_MS;
         const isFirst = step.shape.isLongRunning || isStarved;
--- a/packages/dispatch/advice/PlannedCandidateSelector.ts
+++ b/packages/dispatch/advice/PlannedCandidateSelector.ts
@@ -113,7 +113,7 @@
   ): readonly EndpointState[] {
     const { capacityView } = this.options;
     const canPreempt = capacityView.isCapacityScarce(step, eligible);
-    const isLessUrgent = !capacityView.isMostUrgentQueue(step.job.definition.queue);
+    const isLessUrgent = !capacityView.isMostUrgentQueue(step.job.getQueue());
     if (
       isLessUrgent &&
       !this.isStarved(step, now) &&
@@ -142,7 +142,7 @@
     needed: number,
   ): readonly PlannedCandidate[] {
     const { isGang } = step.shape;
-    const { decisionMs, perEndpointMs } = step.job.definition.queue.advice!;
+    const { decisionMs, perEndpointMs } = step.job.getQueue().advice!;
     const available = this.sortCandidates(groups.available);
     const ranked = [...available, ...this.sortCandidates(groups.full)];
     const count = chooseRequestSize(ranked, needed, {
@@ -170,7 +170,7 @@
       0,
     );
     const advice = step.job.getStepAdvice(step.repetition, step.step);
-    const { decisionMs, validityMs } = step.job.definition.queue.advice!;
+    const { decisionMs, validityMs } = step.job.getQueue().advice!;
     if (step.shape.isGang) {
       // After a long deferral the request is sent although refusals are expected, since the expected share may be wrong for this step.
       const isDue = advice.getDeferredMs(now) >= validityMs && countTasks(available) >= needed;
@@ -205,7 +205,7 @@
     { canPreempt, neededUntil, now }: RequestContext,
   ): CandidateGroups {
     const { capacityView, stats, preference } = this.options;
-    const { queue } = step.job.definition;
+    const queue = step.job.getQueue();
     const { decisionMs, perEndpointMs, validityMs } = queue.advice!;
     const advice = step.job.getStepAdvice(step.repetition, step.step);
     const responseMs = decisionMs + perEndpointMs * MAX_CANDIDATES_WITHOUT_GANG;
@@ -316,7 +316,7 @@
     const { capacityView } = this.options;
     const claimed = this.claims.computeClaimed(
       endpoint.getProfile().incarnation,
-      step.job.definition.queue.priority,
+      step.job.getQueue().priority,
     );
     if (claimed === resourceMath.ZERO) {
       return taskCount;
@@ -329,7 +329,7 @@
   private addClaims(step: WaitingStep, chosen: readonly PlannedCandidate[], needed: number): void {
     const demand = toReservedDemand(step.shape);
     const share = Math.min(1, needed / Math.max(1, countTasks(chosen)));
-    const { priority } = step.job.definition.queue;
+    const { priority } = step.job.getQueue();
     for (const { endpoint, taskCount } of chosen) {
       const claim = {
         stepName: toStepName(step),
--- a/packages/dispatch/endpoints/EndpointSessions.ts
+++ b/packages/dispatch/endpoints/EndpointSessions.ts
@@ -223,14 +223,18 @@
 
   /**
    * Starts sessions, unless there are any, with the current incarnation of an endpoint and with the one that its newest record names. Does nothing
-   * without a record, and only notes the endpoint when no queue uses its service.
+   * without a record, and only notes the endpoint when no queue uses its service and it has no runs.
    */
   private startSessionsFor(id: EndpointId): void {
     const { newestProfile, currentIncarnation } = this.getKnownEndpoint(id);
     if (!this.canStartSessions || newestProfile === undefined) {
       return;
     }
-    const isUsed = currentIncarnation !== undefined || this.options.isServiceUsed(newestProfile.service);
+    const isUsed =
+      currentIncarnation !== undefined ||
+      this.options.isServiceUsed(newestProfile.service) ||
+      // Runs that an earlier leader placed go on, though no queue may use the service any more.
+      (this.options.dispatcher.getEndpointState(newestProfile.incarnation)?.countRuns() ?? 0) > 0;
     if (!isUsed) {
       this.unusedEndpoints.add(id);
       return;
--- a/packages/dispatch/placing/CapacityView.ts
+++ b/packages/dispatch/placing/CapacityView.ts
@@ -44,7 +44,9 @@
   private readonly positions = new Map<readonly EndpointState[], ReadonlyMap<EndpointIncarnation, number>>();
   /** What follows from the free capacity of the endpoints, until it changes. */
   private readonly freeCapacityCache = new FreeCapacityCache();
-  /** Lowest, which is the most urgent, priority of the queues recorded so far, by service. Not cleared between rounds. */
+  /** Policies of the queues that have had jobs, by name, service and priority. Not cleared between rounds. */
+  private readonly queuesWithJobs = new Map<string, JobQueue>();
+  /** Lowest, which is the most urgent, priority of these queues, by service. */
   private readonly mostUrgentPriorities = new Map<ServiceName, number>();
 
   constructor(
@@ -52,15 +54,28 @@
     private readonly reservations: EndpointReservations,
   ) {}
 
-  /** Keeps the most urgent (lowest) priority of the queues that use a service. */
-  recordQueuePriority({ service, priority }: JobQueue): void {
+  /** Records the policy of a queue that has a job. */
+  recordQueue(queue: JobQueue): void {
+    this.queuesWithJobs.set(`${queue.name} ${queue.service} ${queue.priority}`, queue);
+    this.addQueuePriority(queue);
+  }
+
+  /** Replaces the recorded policies by those that `choosePolicy` returns for them. */
+  updateQueues(choosePolicy: (queue: JobQueue) => JobQueue): void {
+    const queues = [...this.queuesWithJobs.values()];
+    this.queuesWithJobs.clear();
+    this.mostUrgentPriorities.clear();
+    queues.forEach((queue) => this.recordQueue(choosePolicy(queue)));
+  }
+
+  private addQueuePriority({ service, priority }: JobQueue): void {
     this.mostUrgentPriorities.set(
       service,
       Math.min(priority, this.mostUrgentPriorities.get(service) ?? Infinity),
     );
   }
 
-  /** Returns whether no more urgent queue of the same service has been recorded; also true when none has been. */
+  /** Returns whether no more urgent queue of the same service has had a job; also true when none has. */
   isMostUrgentQueue({ service, priority }: JobQueue): boolean {
     return priority <= (this.mostUrgentPriorities.get(service) ?? priority);
   }
@@ -75,7 +90,7 @@
     if (shape.isGang) {
       return true;
     }
-    const capacity = this.computeMeanEndpointCapacity(job.definition.queue.service, shape.requiredLabel);
+    const capacity = this.computeMeanEndpointCapacity(job.getQueue().service, shape.requiredLabel);
     const { cpuMillis, memoryMb, accelerators } = toReservedDemand(shape);
     return (
       cpuMillis > capacity.cpuMillis * LARGE_TASK_SHARE ||
@@ -144,7 +159,7 @@
    */
   listEligibleEndpoints(step: WaitingStep): readonly EndpointState[] {
     const { job, shape } = step;
-    const schedulable = this.listSchedulableEndpoints(job.definition.queue.service, shape.requiredLabel);
+    const schedulable = this.listSchedulableEndpoints(job.getQueue().service, shape.requiredLabel);
     if (this.reservations.isEmpty()) {
       return schedulable;
     }
@@ -164,7 +179,7 @@
       this.eligibleVersion = this.reservations.getVersion();
       this.eligibleEndpoints.clear();
     }
-    const { service, priority } = job.definition.queue;
+    const { service, priority } = job.getQueue();
     const key = `${priority} ${this.toCacheKey(service, shape.requiredLabel)}`;
     const known = this.eligibleEndpoints.get(key);
     if (known !== undefined) {
@@ -210,7 +225,7 @@
   /** Returns whether the reserved demand of one task of the step fits into the free capacity of any eligible endpoint. */
   hasCapacityForTask({ job, shape }: WaitingStep, eligible: readonly EndpointState[]): boolean {
     const demand = toReservedDemand(shape);
-    const key = this.toCacheKey(job.definition.queue.service, shape.requiredLabel);
+    const key = this.toCacheKey(job.getQueue().service, shape.requiredLabel);
     const unmet = this.unmetDemands.get(key) ?? [];
     if (unmet.some((smaller) => resourceMath.isWithin(smaller, demand))) {
       return false;
@@ -245,7 +260,7 @@
    * negative when others already use the reserve, Infinity for a step of the most urgent queue.
    */
   computeUnreservedCpuMillis(step: WaitingStep): number {
-    const { queue } = step.job.definition;
+    const queue = step.job.getQueue();
     if (this.isMostUrgentQueue(queue)) {
       return Infinity;
     }
@@ -277,8 +292,8 @@
    * change.
    */
   chooseHomeHall({ job, shape }: WaitingStep): string {
-    const { id, queue } = job.definition;
-    const halls = this.countEndpointsByHall(queue.service, shape.requiredLabel);
+    const { id } = job.definition;
+    const halls = this.countEndpointsByHall(job.getQueue().service, shape.requiredLabel);
     const total = halls.reduce((sum, [, count]) => sum + count, 0);
     let left = (parseInt(id.slice(-HOME_HALL_ID_DIGITS), 16) / 16 ** HOME_HALL_ID_DIGITS) * total;
     for (const [hall, count] of halls) {
--- a/packages/dispatch/placing/EndpointReservations.ts
+++ b/packages/dispatch/placing/EndpointReservations.ts
@@ -1,4 +1,5 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
+import type { JobId } from '../../jobs/JobId';
 import { toStepName } from '../waiting/toStepName';
 import type { WaitingStep } from '../waiting/WaitingStep';
 
@@ -33,7 +34,7 @@
 
   /** Reserves an endpoint for a step until a monotonic time. Replaces any reservation of the endpoint, also by another step. */
   setReservation(endpoint: EndpointIncarnation, step: WaitingStep, expiresAt: number): void {
-    const { priority } = step.job.definition.queue;
+    const { priority } = step.job.getQueue();
     const stepName = toStepName(step);
     this.removeReservation(endpoint);
     this.reservations.set(endpoint, { stepName, priority, expiresAt });
@@ -53,6 +54,15 @@
     }
   }
 
+  /** Removes the reservations for all steps of a job. */
+  releaseJobReservations(job: JobId): void {
+    for (const [endpoint, { stepName }] of this.reservations) {
+      if (stepName.startsWith(`${job}.`)) {
+        this.removeReservation(endpoint);
+      }
+    }
+  }
+
   /** Returns whether at least one endpoint is reserved for the step. */
   hasReservationFor(step: WaitingStep): boolean {
     return !this.isEmpty() && this.countsByStep.has(toStepName(step));
@@ -64,7 +74,7 @@
     return (
       reservation !== undefined &&
       reservation.stepName !== toStepName(step) &&
-      reservation.priority <= step.job.definition.queue.priority
+      reservation.priority <= step.job.getQueue().priority
     );
   }
 
--- a/packages/dispatch/placing/Preemptor.ts
+++ b/packages/dispatch/placing/Preemptor.ts
@@ -87,7 +87,7 @@
   canStartPreemption(step: WaitingStep, now: number): boolean {
     this.leastUrgentPriority ??= this.computeLeastUrgentPriority(now);
     return (
-      step.job.definition.queue.priority < this.leastUrgentPriority &&
+      step.job.getQueue().priority < this.leastUrgentPriority &&
       now >= step.job.getStepPreemptionRetryAt(step.repetition, step.step) &&
       !this.options.reservations.hasReservationFor(step)
     );
@@ -292,7 +292,7 @@
 
   /** Returns the runs on an endpoint that may be preempted for the step, the least urgent first, then by progress, the least first. */
   private listPreemptibleRuns(step: WaitingStep, endpoint: EndpointState, now: number): readonly PlacedRun[] {
-    const { priority } = step.job.definition.queue;
+    const { priority } = step.job.getQueue();
     const preemptible = this.getPreemptibleRuns(endpoint, now);
     return preemptible.length === 0 ? preemptible : preemptible.filter((run) => run.priority > priority);
   }
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -198,7 +198,7 @@
 
   /** Returns whether the step needs advice and can have no ticket, so that none of its tasks can start now. */
   private isWithoutTicket(step: WaitingStep, now: number): boolean {
-    return step.job.definition.queue.advice !== undefined && !this.getStepAdvice(step).canHaveTicket(now);
+    return step.job.getQueue().advice !== undefined && !this.getStepAdvice(step).canHaveTicket(now);
   }
 
   /** Starts preemption on the eligible endpoints that have a ticket valid for long enough and aren't quarantined. */
@@ -226,7 +226,7 @@
     until: number,
     demand?: TaskDemand,
   ): readonly EndpointState[] {
-    if (step.job.definition.queue.advice === undefined) {
+    if (step.job.getQueue().advice === undefined) {
       return demand === undefined ? eligible : eligible.filter((endpoint) => endpoint.hasCapacityFor(demand));
     }
     const advice = this.getStepAdvice(step);
@@ -255,7 +255,7 @@
     now: number,
   ): Placement[] {
     const placements: Placement[] = [];
-    const advice = step.job.definition.queue.advice === undefined ? undefined : this.getStepAdvice(step);
+    const advice = step.job.getQueue().advice === undefined ? undefined : this.getStepAdvice(step);
     if (!this.capacityView.hasUnreservedCpu(step)) {
       return placements;
     }
@@ -291,6 +291,7 @@
       const nextRun = step.shape.isGang ? runNumber : task.runNumber + 1;
       const isFromStart = task.checkpoint === '';
       const run = createPlacedRun(step.job.definition, address, nextRun, now, {
+        queue: step.job.getQueue(),
         isFromStart,
         isCrashSuspect: isSuspect,
       });
@@ -400,7 +401,8 @@
       fields: {
         job: definition.id,
         step: toStepName(step),
-        queue: definition.queue.name,
+        queue: job.getQueue().name,
+        service: job.getQueue().service,
         waits: toRoundedWaitTimes(waits),
         placed,
       },
--- a/packages/dispatch/placing/speedPolicies.ts
+++ b/packages/dispatch/placing/speedPolicies.ts
@@ -19,7 +19,7 @@
 
 /** Creates a cost function by which the most urgent queue prefers fast kinds of endpoints, and all others slow kinds. */
 const createKindSlowdownCost: CostFunctionFactory = (step, { labelSlowdowns, capacityView }) => {
-  const isMostUrgent = capacityView.isMostUrgentQueue(step.job.definition.queue);
+  const isMostUrgent = capacityView.isMostUrgentQueue(step.job.getQueue());
   return (endpoint) => {
     const slowdown = labelSlowdowns.getSlowdown(endpoint.getProfile().labels);
     const cost =
--- a/packages/dispatch/runs/PlacedRun.ts
+++ b/packages/dispatch/runs/PlacedRun.ts
@@ -35,7 +35,8 @@
   readonly isFiller: boolean;
   /** True for a run of a long-running task that is not a filler. */
   readonly isServing: boolean;
-  readonly priority: number;
+  /** Priority of the queue of its job, which a later version of the configuration may change. */
+  priority: number;
   /** True if the task was suspected of having crashed an endpoint when the run was placed, or recovered by this leader. */
   readonly isCrashSuspect: boolean;
   /** True if this leader placed the run without a checkpoint to resume from; false for recovered and orphan runs. */
--- a/packages/dispatch/runs/RunMover.ts
+++ b/packages/dispatch/runs/RunMover.ts
@@ -123,7 +123,7 @@
       pace: observedMs / Math.max(1, run.percent),
       percent: run.percent,
       stalledMs: run.lastListedAt - run.lastProgressAt,
-      moveMs: MOVE_OVERHEAD_MS + (this.getJob(run)?.definition.queue.advice?.decisionMs ?? 0),
+      moveMs: MOVE_OVERHEAD_MS + (this.getJob(run)?.getQueue().advice?.decisionMs ?? 0),
       isSavingOnStop: shape.isCheckpointing,
     };
     const reason = this.options.stopPolicy.findMoveReason(input);
@@ -147,7 +147,7 @@
     }
     const { stopPolicy, estimateRunTime } = this.options;
     const isEstimateUsed = job !== undefined && stopPolicy.isUsingLearntRunTimes;
-    const estimate = isEstimateUsed ? estimateRunTime(job.definition.queue.name, shape) : undefined;
+    const estimate = isEstimateUsed ? estimateRunTime(job.getQueue().name, shape) : undefined;
     if (estimate?.isLearnt === true) {
       const slowMs = Math.max(SLOW_PACE_RATIO * estimate.medianMs, SLOW_P90_RATIO * estimate.p90Ms);
       return { baselinePace: estimate.medianMs / FULL_PERCENT, slowPace: slowMs / FULL_PERCENT };
--- a/packages/dispatch/runs/RunTracker.ts
+++ b/packages/dispatch/runs/RunTracker.ts
@@ -156,7 +156,7 @@
     if (outcome === 'failed') {
       job.recordStepFailureOn(repetition, step, incarnation);
       const failures = job.countFailures(repetition, step, index);
-      if (!shape.isLongRunning && failures >= job.definition.queue.attempts) {
+      if (!shape.isLongRunning && failures >= job.getQueue().attempts) {
         this.recordJobEnd(job, 'failed', wallMs);
       }
     }
@@ -175,7 +175,7 @@
     }
     job.progress.recordJobEnd(ending, wallMs);
     this.callbacks.handleProgressChanged(job.definition.id);
-    this.sendLogLine('Job ended.', { job: job.definition.id, queue: job.definition.queue.name, ending });
+    this.sendLogLine('Job ended.', { job: job.definition.id, queue: job.getQueue().name, ending });
     this.logFailedOrLateJob(job, ending, wallMs);
     for (const endpoint of this.endpoints.values()) {
       for (const run of endpoint.listRunsOfJob(job.definition.id)) {
--- a/packages/dispatch/runs/createPlacedRun.ts
+++ b/packages/dispatch/runs/createPlacedRun.ts
@@ -1,14 +1,16 @@
 import { toReservedDemand } from '../../jobs/toReservedDemand';
 import type { JobDefinition } from '../../jobs/JobDefinition';
+import type { JobQueue } from '../../jobs/JobQueue';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import { toTaskName } from '../../jobs/toTaskName';
 import type { PlacedRun } from './PlacedRun';
 
-/** Flags of a new run; false by default. */
-interface PlacedRunFlags {
-  /** True if there is no checkpoint to resume from. */
+interface PlacedRunOptions {
+  /** Policy that the job follows; the one at its acceptance by default. */
+  readonly queue?: JobQueue;
+  /** True if there is no checkpoint to resume from; false by default. */
   readonly isFromStart?: boolean;
-  /** True if the task is suspected of having crashed an endpoint. */
+  /** True if the task is suspected of having crashed an endpoint; false by default. */
   readonly isCrashSuspect?: boolean;
 }
 
@@ -18,7 +20,7 @@
   address: TaskAddress,
   runNumber: number,
   now: number,
-  { isFromStart = false, isCrashSuspect = false }: PlacedRunFlags = {},
+  { queue = definition.queue, isFromStart = false, isCrashSuspect = false }: PlacedRunOptions = {},
 ): PlacedRun => {
   const shape = definition.steps[address.step]!;
   return {
@@ -31,7 +33,7 @@
     charge: shape.demand,
     isFiller: shape.isFiller,
     isServing: shape.isLongRunning && !shape.isFiller,
-    priority: definition.queue.priority,
+    priority: queue.priority,
     isCrashSuspect,
     isFromStart,
     stage: 'recording',
--- a/packages/dispatch/speeds/RunLearner.ts
+++ b/packages/dispatch/speeds/RunLearner.ts
@@ -170,7 +170,7 @@
     }
     return (
       run.percent >= MIN_EXTRAPOLATION_PERCENT ||
-      ageMs >= this.options.runTimes.getEstimate(job.definition.queue.name, stepDefinition).medianMs
+      ageMs >= this.options.runTimes.getEstimate(job.getQueue().name, stepDefinition).medianMs
     );
   }
 
@@ -204,7 +204,7 @@
   ): void {
     const { speeds, runTimes } = this.options;
     const profile = endpoint.getProfile();
-    const queue = job.definition.queue.name;
+    const queue = job.getQueue().name;
     const distribution = runTimes.getDistribution(queue, stepDefinition);
     const siblings = stepTimes.listSiblingTimes(profile.incarnation, (incarnation) =>
       speeds.getIncarnationEstimate(incarnation, profile.service),
@@ -236,7 +236,7 @@
    */
   private recordGangTime({ run, job, stepDefinition }: MeasurableRun, logMs: number, now: number): void {
     const { speeds, runTimes, endpoints } = this.options;
-    const queue = job.definition.queue.name;
+    const queue = job.getQueue().name;
     const distribution = runTimes.getDistribution(queue, stepDefinition);
     const members = job.progress
       .listTasks(run.address.repetition, run.address.step)
--- a/packages/dispatch/speeds/createCompletionTimeCost.ts
+++ b/packages/dispatch/speeds/createCompletionTimeCost.ts
@@ -65,12 +65,12 @@
   endpoints: readonly EndpointState[],
   wallMs: number,
 ): ((endpoint: EndpointState) => number) => {
-  const { definition } = step.job;
-  const runTime = sources.runTimes.getDistribution(definition.queue.name, step.shape);
+  const queue = step.job.getQueue();
+  const runTime = sources.runTimes.getDistribution(queue.name, step.shape);
   // The run times of gangs are those of the whole gang.
   const taskCount = step.shape.isGang ? 1 : step.shape.count;
   const leftMs = step.objectiveAtMs - wallMs - step.job.getCriticalPathAfterMs(step.step);
-  const isMostUrgent = sources.capacityView.isMostUrgentQueue(definition.queue);
+  const isMostUrgent = sources.capacityView.isMostUrgentQueue(queue);
   const baselineChance = computeLateChance({ runTime, taskCount, ratio: 1, leftMs });
   const computeCost = (ratio: number): number => {
     const lateCost = LATE_COST * (computeLateChance({ runTime, taskCount, ratio, leftMs }) - baselineChance);
--- a/packages/dispatch/waiting/LiveJob.ts
+++ b/packages/dispatch/waiting/LiveJob.ts
@@ -1,5 +1,6 @@
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import type { JobDefinition } from '../../jobs/JobDefinition';
+import type { JobQueue } from '../../jobs/JobQueue';
 import type { JobProgress } from '../../jobs/JobProgress';
 import type { TaskAddress } from '../../jobs/TaskAddress';
 import type { TaskName } from '../../jobs/TaskName';
@@ -63,6 +64,8 @@
   /** Monotonic time before which a task isn't started again, by task. */
   private readonly retryAt = new Map<TaskName, number>();
   isCancelled = false;
+  /** Policy that the job follows: that of its queue when it was accepted, or in a later version of the configuration. */
+  private queue: JobQueue;
   /** Breakdown of the job's time, logged if the job fails or completes after its objective. */
   readonly trace: JobTrace;
 
@@ -74,11 +77,24 @@
     /** The customer was over its share of the job rate when the job was accepted. */
     readonly isOverShare = false,
   ) {
+    this.queue = definition.queue;
     this.trace = new JobTrace(changedAt);
     this.stepCriticalPathsMs = computeCriticalPaths(definition.steps);
     this.jobCriticalPathMs = Math.max(0, ...this.stepCriticalPathsMs);
   }
 
+  /** Returns the policy that the job follows now. */
+  getQueue(): JobQueue {
+    return this.queue;
+  }
+
+  /** Sets the policy that the job follows from now on. */
+  setQueue(queue: JobQueue): void {
+    this.queue = queue;
+    // Waiting steps hold objectives, which depend on the policy.
+    this.cachedWaitingSteps = undefined;
+  }
+
   /** Returns the wall clock time at which a repetition may start. */
   getDueAtMs(repetition: number): number {
     return this.definition.firstRunMs + repetition * this.definition.intervalMs;
@@ -89,9 +105,8 @@
    * the objective allows the target latency of the queue plus `stretch` times the critical path.
    */
   getObjectiveAtMs(repetition: number): number {
-    const { queue, acceptedAtMs } = this.definition;
-    const startsAt = Math.max(acceptedAtMs, this.getDueAtMs(repetition));
-    return startsAt + queue.targetLatencyMs + queue.stretch * this.jobCriticalPathMs;
+    const startsAt = Math.max(this.definition.acceptedAtMs, this.getDueAtMs(repetition));
+    return startsAt + this.queue.targetLatencyMs + this.queue.stretch * this.jobCriticalPathMs;
   }
 
   /** Returns the critical path from the start of a step to the end of the job, in milliseconds; 0 for an unknown step. */
@@ -279,6 +294,29 @@
     return Infinity;
   }
 
+  /** Returns whether a waiting task, or its gang, has failed as often as the policy allows, so that it may not start again. */
+  hasExhaustedTask(): boolean {
+    for (let repetition = 0; repetition < this.definition.times; repetition += 1) {
+      for (const [step, { isLongRunning }] of this.definition.steps.entries()) {
+        if (isLongRunning || this.progress.isStepDone(repetition, step)) {
+          continue;
+        }
+        const isExhausted = this.progress
+          .listTasks(repetition, step)
+          .some(
+            ({ phase, failureCount }, index) =>
+              phase === 'waiting' &&
+              failureCount > 0 &&
+              this.countFailures(repetition, step, index) >= this.queue.attempts,
+          );
+        if (isExhausted) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   /** Returns the number of failed runs of a task, or of its gang by any member, which the allowed attempts limit. */
   countFailures(repetition: number, step: number, index: number): number {
     const tasks = this.progress.listTasks(repetition, step);
--- a/packages/dispatch/waiting/placementOrders.ts
+++ b/packages/dispatch/waiting/placementOrders.ts
@@ -8,7 +8,7 @@
 type StepComparator = (left: WaitingStep, right: WaitingStep, input: PlacementOrderInput) => number;
 
 const comparePriority: StepComparator = (left, right) =>
-  left.job.definition.queue.priority - right.job.definition.queue.priority;
+  left.job.getQueue().priority - right.job.getQueue().priority;
 
 /** Puts steps whose objective has passed last. */
 const compareLateness: StepComparator = (left, right, { wallMs }) =>
--- a/packages/dispatch/waiting/sortByHeldShares.ts
+++ b/packages/dispatch/waiting/sortByHeldShares.ts
@@ -54,7 +54,7 @@
   const isUseful = input.wallMs + remainingMs <= usefulUntilMs;
   return {
     step,
-    priority: job.definition.queue.priority,
+    priority: job.getQueue().priority,
     timeliness: isInTime ? TIMELINESS.inTime : isUseful ? TIMELINESS.late : TIMELINESS.expired,
     startByMs: (isInTime ? objectiveAtMs : usefulUntilMs) - remainingMs,
     demandedShare: computeDominantShare(computeWaitingDemand(step), capacity),
--- a/packages/jobs/JobDefinition.ts
+++ b/packages/jobs/JobDefinition.ts
@@ -3,10 +3,15 @@
 import type { JobQueue } from './JobQueue';
 import type { JobStep } from './JobStep';
 
-/** A job as submitted, with the policy of its queue at that time. Immutable once accepted. */
+/**
+ * A job as submitted, with the policy of its queue at that time. Immutable once accepted. The leader asks `LiveJob.getQueue` for the policy that
+ * the job follows now.
+ */
 export interface JobDefinition {
   readonly id: JobId;
   readonly queue: JobQueue;
+  /** Version of the configuration that `queue` is from; undefined in records of earlier versions of this program. */
+  readonly queueVersion?: number;
   /** Customer of the API key that the job was submitted with; undefined without a known key. */
   readonly customer?: JobCustomer;
   /** Opaque text that is passed to each task. */
--- a/packages/jobs/JobQueue.ts
+++ b/packages/jobs/JobQueue.ts
@@ -1,6 +1,6 @@
 import type { ServiceName } from './ServiceName';
 
-/** Policy of a queue, as configured when a job was accepted. */
+/** Policy of a queue in one version of the configuration. */
 export interface JobQueue {
   readonly name: string;
   readonly service: ServiceName;
--- a/packages/jobs/definitionSchema.ts
+++ b/packages/jobs/definitionSchema.ts
@@ -43,6 +43,7 @@
 export const definitionSchema: z.ZodType<JobDefinition> = z.object({
   id: z.string().transform((text) => toId<JobId>(text)),
   queue: queueSchema,
+  queueVersion: z.number().exactOptional(),
   customer: customerSchema.exactOptional(),
   spec: z.string(),
   steps: z.array(stepSchema),
--- a/packages/serve/BoxJobService.ts
+++ b/packages/serve/BoxJobService.ts
@@ -36,6 +36,8 @@
   readonly isLogReadable: () => boolean;
   /** Returns whether this process leads and has taken over, so that its replica is the newest. */
   readonly isLeading: () => boolean;
+  /** Returns the version of the configuration that this box has applied; undefined before the first. */
+  readonly getConfigurationVersion: () => number | undefined;
   /** Requests a job's state from the leader; undefined when this box leads, or the leader cannot be reached or returns no state in time. */
   readonly requestLeaderState: (
     id: JobId,
@@ -108,9 +110,11 @@
       return this.createUnavailableResult(id, queue.name);
     }
     const startedAt = clock.getNow();
+    const queueVersion = this.options.getConfigurationVersion();
     const definition: JobDefinition = {
       id,
       queue,
+      ...(queueVersion === undefined ? {} : { queueVersion }),
       ...(customer === undefined ? {} : { customer: this.toJobCustomer(customer) }),
       ...submission,
       acceptedAtMs: Math.round(clock.getWallTime()),
--- a/packages/serve/ConfigurationUpdater.ts
+++ b/packages/serve/ConfigurationUpdater.ts
@@ -25,6 +25,8 @@
   readonly getLastReadAt: () => number;
   /** Returns all other announced boxes. */
   readonly listOthers: () => readonly { readonly box: string; readonly client: BoxClient }[];
+  /** Called with each version that replaces an earlier one, after the router has it. */
+  readonly handleConfiguration: (configuration: QueueConfiguration) => void;
 }
 
 /**
@@ -125,6 +127,7 @@
         routes: configuration.routes.length,
         customers: configuration.customers.length,
       });
+      this.options.handleConfiguration(configuration);
     }
   }
 }
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -327,6 +327,7 @@
       admission: this.createAdmission(),
       isLogReadable: () => this.isLogReadable(),
       isLeading: () => this.controller?.isActive() ?? false,
+      getConfigurationVersion: () => this.router.getConfiguration()?.version,
       requestLeaderState: (id, caller, timeoutMs) => this.otherBoxes.requestJobState(id, caller, timeoutMs),
       handleJobAccepted: (definition) => this.jobRecords.applyAcceptedJob(definition),
       handleJobCancelled: (id) => this.jobRecords.applyCancelledJob(id),
@@ -471,6 +472,7 @@
       isTopicUpToDate: () => this.followers.operator.isUpToDate(),
       getLastReadAt: () => this.followers.operator.getLastSuccessAt(),
       listOthers: () => this.otherBoxes.clients.listOthers(),
+      handleConfiguration: (configuration) => this.controller?.handleConfiguration(configuration),
     });
   }
 
@@ -516,6 +518,7 @@
       ...(admissionModes[settings.door].isLoadPublished
         ? { handleLoadDigest: (value) => this.foldLoadRecords([{ key: loadKeys.digestKey, value }]) }
         : {}),
+      configuration: this.router.getConfiguration(),
       getCustomerLimit: (customer) => this.router.getCustomers().findByName(customer)?.limit,
       parseEndpoint: (id, text) => adapter.parseEndpoint(id, text),
       createEndpointClient: (profile, getToken, createJsonClient) =>
--- a/tests/cancelOrder.test.ts
+++ b/tests/cancelOrder.test.ts
@@ -217,6 +217,7 @@
       admission: {} as LoadAdmission,
       isLogReadable: () => true,
       isLeading: () => false,
+      getConfigurationVersion: () => undefined,
       requestLeaderState: () => Promise.resolve(undefined),
       handleJobAccepted: (definition) => records.applyAcceptedJob(definition),
       handleJobCancelled: (id) => records.applyCancelledJob(id),
--- a/tests/configurationUpdater.test.ts
+++ b/tests/configurationUpdater.test.ts
@@ -41,6 +41,7 @@
       maxAgeMs,
       isTopicUpToDate: () => this.isFollowing,
       getLastReadAt: () => this.followedAt,
+      handleConfiguration: () => undefined,
       listOthers: () => this.others,
     });
   }
--- a/tests/helpers/createLeaderOptions.ts
+++ b/tests/helpers/createLeaderOptions.ts
@@ -35,6 +35,7 @@
     stopChoice: 'ranked',
     turnChoice: 'asked',
   },
+  configuration: undefined,
   getCustomerLimit: () => undefined,
   parseEndpoint: () => ({ ok: false, error: 'not used' }),
   createEndpointClient: () => {
--- a/tests/jobStates.test.ts
+++ b/tests/jobStates.test.ts
@@ -64,6 +64,7 @@
       admission: {} as LoadAdmission,
       isLogReadable: () => true,
       isLeading: () => false,
+      getConfigurationVersion: () => undefined,
       requestLeaderState: () => Promise.resolve(undefined),
       handleJobAccepted: () => undefined,
       handleJobCancelled: () => undefined,
--- a/tests/suspension.test.ts
+++ b/tests/suspension.test.ts
@@ -213,6 +213,7 @@
       maxAgeMs: 5000,
       isTopicUpToDate: () => true,
       getLastReadAt: () => followedAt,
+      handleConfiguration: () => undefined,
       listOthers: () => [],
     });
     expect(desk.isFresh()).toBe(true);
