fix: a box that does not respond is no capacity until it responds again

Cause: trust came back by the clock. A lost box counted as a sound channel 2.5 s after each failure and while a request to it was pending, and the own channel was reserved while any other was sound. With three lost boxes or more, one nearly always was.

Lost boxes are probed; channels without trust get copies of requests. The reserve counts only channels that work. The same presence is asked by the other lists of boxes.

--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -155,7 +155,7 @@
   }
 
   /**
-   * Writes a version of the configuration: queue `jobs`, and `advised`, which needs advice; all on one service. With customers all queues need one
+   * Writes a version of the configuration: queue `jobs`, and `advised` and `advised-slowly`, which need advice; all on one service. With customers all queues need one
    * of their keys, but `open`.
    */
   writeConfiguration(
@@ -178,7 +178,12 @@
       'auth-exempt': name === OPEN_QUEUE,
     });
     const advice = { 'decision-ms': 5, 'period-ms': 1, 'validity-ms': 2500 };
-    const routes = [...['jobs', 'urgent', ...extra].map(route), { ...route('advised'), advice }];
+    const longAdvice = { ...advice, 'decision-ms': 528 };
+    const routes = [
+      ...['jobs', 'urgent', ...extra].map(route),
+      { ...route('advised'), advice },
+      { ...route('advised-slowly'), advice: longAdvice },
+    ];
     const tenants = customers?.map(({ name, keys, cpuMillis }) => ({
       name,
       'api-keys': keys,
--- a/packages/boxes/BoxClients.ts
+++ b/packages/boxes/BoxClients.ts
@@ -1,7 +1,15 @@
 import { BoxClient } from './BoxClient';
 import type { BoxDirectory } from './BoxDirectory';
 import type { BoxResources } from './BoxResources';
+import { BoxPresence } from './BoxPresence';
 import { computeLeaderCapacity } from './computeLeaderCapacity';
+import type { Clock } from '../common/Clock';
+import type { Logger } from '../common/Logger';
+
+interface BoxClientsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
 
 interface ConnectedBox extends BoxResources {
   readonly box: string;
@@ -25,21 +33,56 @@
   private listedBoxes: ReturnType<BoxDirectory['listBoxes']> | undefined;
   private others: readonly ConnectedBox[] = [];
 
+  private readonly presence: BoxPresence;
+
   constructor(
     private readonly directory: BoxDirectory,
     private readonly ownBox: BoxResources & { readonly box: string },
-  ) {}
+    private readonly options: BoxClientsOptions,
+  ) {
+    this.presence = new BoxPresence({
+      ...options,
+      sendProbe: async (box) => this.findClient(box)?.sendProbe(),
+    });
+  }
+
+  /** Returns which of the other boxes can be reached. */
+  getPresence(): BoxPresence {
+    return this.presence;
+  }
+
+  /** Probes lost boxes and, with `isProbingUnknown`, those that have neither responded nor failed yet. Called periodically. */
+  handleTick(isProbingUnknown: boolean): void {
+    this.presence.handleTick(this.listOthers(), isProbingUnknown);
+  }
+
+  /** Returns the other announced boxes that are not lost. */
+  listOthersNotLost(): readonly ConnectedBox[] {
+    return this.listOthers().filter(({ box }) => !this.presence.isLost(box));
+  }
 
   /** Returns all other announced boxes with their clients; the same array until the directory changes. */
   listOthers(): readonly ConnectedBox[] {
     const boxes = this.directory.listBoxes();
     if (boxes !== this.listedBoxes) {
+      this.recordNewAnnouncements(boxes);
       this.listedBoxes = boxes;
       this.others = this.createConnectedBoxes(boxes);
     }
     return this.others;
   }
 
+  /** Tells the presence of the boxes that have announced themselves again since the last listing, or at another address. */
+  private recordNewAnnouncements(boxes: ReturnType<BoxDirectory['listBoxes']>): void {
+    const listed = new Map(this.listedBoxes?.map((known) => [known.box, known]));
+    for (const { box, address, announcedAt } of boxes) {
+      const known = listed.get(box);
+      if (known !== undefined && (known.announcedAt !== announcedAt || known.address !== address)) {
+        this.presence.recordAnnouncement(box);
+      }
+    }
+  }
+
   private createConnectedBoxes(boxes: ReturnType<BoxDirectory['listBoxes']>): readonly ConnectedBox[] {
     return boxes
       .filter(({ box }) => box !== this.ownBox.box)
@@ -68,7 +111,7 @@
     return (
       (await this.findStrongerCandidate()) ??
       (await this.findFirstOfNamed(peers)) ??
-      this.findStrongestWithLog(this.listOthers())
+      this.findStrongestWithLog(this.listAsked())
     );
   }
 
@@ -95,10 +138,16 @@
     return this.findFirstOfNamed(this.directory.listStronger(this.ownBox));
   }
 
+  /** Returns the boxes to ask whether they can use the log: those that are not lost, or all when no other is left. */
+  private listAsked(): readonly ConnectedBox[] {
+    const others = this.listOthersNotLost();
+    return others.length > 0 ? others : this.listOthers();
+  }
+
   /** Returns the client of the first of the given other boxes to respond that it can use the log; undefined when none does. */
   private findFirstOfNamed(boxes: readonly { readonly box: string }[]): Promise<BoxClient | undefined> {
     const names = new Set(boxes.map(({ box }) => box));
-    return this.findFirstWithLog(this.listOthers().filter(({ box }) => names.has(box)));
+    return this.findFirstWithLog(this.listAsked().filter(({ box }) => names.has(box)));
   }
 
   /** Returns the first box to respond that it can use the log; undefined when none does. */
@@ -128,7 +177,13 @@
       return known;
     }
     void known?.stop();
-    const created = new BoxClient(address);
+    const { clock } = this.options;
+    const created = new BoxClient({
+      address,
+      clock,
+      handleResponse: () => this.presence.recordResponse(box),
+      handleFailure: (sentAt) => this.presence.recordFailure(box, sentAt),
+    });
     this.clients.set(box, created);
     return created;
   }
--- a/packages/boxes/BoxServer.ts
+++ b/packages/boxes/BoxServer.ts
@@ -88,7 +88,7 @@
 const parseBody = ({ body }: FastifyRequest): unknown =>
   parseJson(Buffer.isBuffer(body) ? body.toString('utf8') : '');
 
-/** HTTP server for other entry boxes: advice, job states, log writes, leadership, its witnesses and configuration; and for metrics collectors. */
+/** HTTP server for other entry boxes: probes, advice, job states, log writes, leadership, its witnesses and configuration; and for metrics collectors. */
 export class BoxServer {
   private readonly app: FastifyInstance;
   private readonly relayServer: RelayServer;
@@ -98,6 +98,7 @@
     this.app = createRawBodyApp(MAX_BODY_BYTES, { limits, logger, recordRefusal });
     this.relayServer = new RelayServer({ server: this.app.server, clock, logger });
     this.app.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.formatMetrics()));
+    this.app.get('/alive', (_request, reply) => reply.code(204).send());
     this.app.get('/log', async (_request, reply) =>
       reply.code((await options.isLogUsable()) ? 200 : 503).send(''),
     );
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -94,6 +94,8 @@
   readonly listChannels: AdviceBalancerOptions['listChannels'];
   /** Lists the other boxes, which may be witnesses of this leader. */
   readonly listOtherBoxes: ConstructorParameters<typeof LeaseWitnesses>[0]['listOthers'];
+  /** Returns whether the box has not responded to the newest request. */
+  readonly isBoxLost: (box: string) => boolean;
   /**
    * Formats this leader's record in the states topic, with its witnesses, if any, and the extended leases; with `isResigned` it says that another
    * box may lead.
@@ -204,6 +206,7 @@
       clock,
       logger: options.logger,
       listOthers: options.listOtherBoxes,
+      isLost: options.isBoxLost,
       hasAckedWriteWithin: (limitMs) => this.journal.hasAckedWriteWithin(limitMs),
       handleChange: () => this.journal.queueLeaderRecord(),
     });
--- a/packages/dispatch/advice/AdviceChannel.ts
+++ b/packages/dispatch/advice/AdviceChannel.ts
@@ -5,5 +5,7 @@
   readonly box: string;
   /** Whether the leader runs on this box. */
   readonly isOwnBox: boolean;
+  /** Returns whether the box has shown that it lives, and has not failed to respond since. Always true for the leader's own box. */
+  readonly isReachable: () => boolean;
   readonly client: AdviceClient;
 }
--- a/packages/dispatch/advice/AdviceSlots.ts
+++ b/packages/dispatch/advice/AdviceSlots.ts
@@ -4,6 +4,6 @@
   readonly all: number;
   /** Number of these that may be long; the rest is reserved for short requests. */
   readonly long: number;
-  /** Number of channels that send no requests for now, after a late or missing response. */
+  /** Number of channels that carry no requests for now, since their boxes cannot be reached, or after a late or missing response. */
   readonly quarantined: number;
 }
--- a/packages/dispatch/advice/ChannelState.ts
+++ b/packages/dispatch/advice/ChannelState.ts
@@ -1,4 +1,5 @@
 import { SmoothedTime } from '../../common/SmoothedTime';
+import { ChannelTrust } from './ChannelTrust';
 
 /** Upper bound on the hedge delay, and its default before the first response. */
 const MAX_HEDGE_DELAY_MS = 1200;
@@ -15,8 +16,8 @@
   private readonly delays = new SmoothedTime();
   /** Monotonic time of the latest response. */
   private lastRespondedAt = 0;
-  /** Monotonic time until which other channels are preferred, after a late or missing response. */
-  private quarantinedUntil = -Infinity;
+  /** Ends with a late or missing response; without it, other channels carry the requests. */
+  readonly trust = new ChannelTrust();
 
   /** Returns whether a request is pending. */
   isBusy(): boolean {
@@ -28,11 +29,6 @@
     return this.pendingRequest?.isLong === false;
   }
 
-  /** Returns whether other channels are preferred, after a late or missing response. */
-  isQuarantined(now: number): boolean {
-    return now < this.quarantinedUntil;
-  }
-
   /** Returns by how much the next response is expected to exceed its expected response time, in milliseconds; 0 before the first. */
   estimateDelayMs(now: number): number {
     return (this.delays.getMeanMs() ?? 0) * 0.5 ** ((now - this.lastRespondedAt) / DELAY_HALF_LIFE_MS);
@@ -54,27 +50,17 @@
     this.pendingRequest = { isLong };
   }
 
-  /** Ends the pending request and the quarantine, and records by how much the response exceeded its expected response time. */
+  /** Ends the pending request, restores the trust, and records by how much the response exceeded its expected response time. */
   recordResponse(delayMs: number, now: number): void {
     this.pendingRequest = undefined;
-    this.quarantinedUntil = -Infinity;
+    this.trust.recordResponse();
     this.lastRespondedAt = now;
     this.delays.recordTime(delayMs);
   }
 
-  /** Quarantines the channel until a monotonic time since its response is late. The request stays pending. */
-  recordLateResponse(quarantinedUntil: number): void {
-    this.quarantinedUntil = quarantinedUntil;
-  }
-
-  /** Ends the quarantine, when the service had failed and not the channel. */
-  clearQuarantine(): void {
-    this.quarantinedUntil = -Infinity;
-  }
-
-  /** Ends the pending request, which had no response, and quarantines the channel until a monotonic time. */
-  recordFailure(quarantinedUntil: number): void {
+  /** Ends the pending request, which had no response, and the trust. */
+  recordFailure(now: number): void {
     this.pendingRequest = undefined;
-    this.quarantinedUntil = quarantinedUntil;
+    this.trust.recordFailure(now);
   }
 }
--- a/packages/dispatch/advice/FirstFreeBalancer.ts
+++ b/packages/dispatch/advice/FirstFreeBalancer.ts
@@ -1,78 +1,169 @@
-import type { AdviceChannel } from './AdviceChannel';
-import type { AdviceSlots } from './AdviceSlots';
+import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
+import type { DispatchEffect } from '../DispatchEffect';
 import type { AdviceBalancer } from './AdviceBalancer';
 import type { AdviceBalancerOptions } from './AdviceBalancerOptions';
+import type { AdviceChannel } from './AdviceChannel';
+import type { AdviceSlots } from './AdviceSlots';
+import { ChannelTrust } from './ChannelTrust';
 import { sendAdviceRequest } from './sendAdviceRequest';
-import type { DispatchEffect } from '../DispatchEffect';
+import { waitForHedgedResponse } from './waitForHedgedResponse';
 
 type AdviceRequest = Extract<DispatchEffect, { kind: 'advise' }>;
+type Tickets = ReadonlyMap<EndpointIncarnation, string> | undefined;
 
 interface FirstFreeChannelState {
+  readonly trust: ChannelTrust;
   /** Whether a request is pending. */
   isBusy: boolean;
-  /** Monotonic time until which the channel is not used, after a request without a response. */
-  quarantinedUntil: number;
+  /** Monotonic time of the newest response; -Infinity without one. */
+  respondedAt: number;
+}
+
+/** A request as sent over one channel. */
+interface RequestAttempt {
+  readonly channel: AdviceChannel;
+  /** Resolves to the tickets of its response; to undefined when there was none. */
+  readonly response: Promise<Tickets>;
 }
 
 /** Time by which a response may exceed its expected response time before the request fails. */
 const RESPONSE_TIMEOUT_MARGIN_MS = 1200;
-/** Duration of a channel's quarantine after a request without a response. */
-const CHANNEL_QUARANTINE_MS = 2500;
+/** Time by which a response may exceed its expected response time before the request is also sent over another channel. */
+const LATE_MARGIN_MS = 400;
+/** Maximum number of attempts for a request. */
+const MAX_REQUEST_ATTEMPTS = 3;
 
-/** Sends short requests over the first free channel and long ones over the last, and reserves the leader's own box for short ones. */
+/**
+ * Sends short requests over the leader's own box if it is free, and reserves it for them while another channel works; else requests go over the free channel
+ * that has responded last, which is the least likely to be lost. Only channels that work carry requests; the others get copies of them, as trials. While none works, the service itself may fail: those that are
+ * due for a trial carry the requests.
+ */
 export class FirstFreeBalancer implements AdviceBalancer {
   /** State of each channel, by the name of its box. */
   private readonly channelStates = new Map<string, FirstFreeChannelState>();
+  /** Whether a trial is pending; there is one at a time. */
+  private isTrialPending = false;
   private isStopped = false;
 
   constructor(private readonly options: AdviceBalancerOptions) {}
 
   getFreeSlots(): AdviceSlots {
-    const channels = this.options.listChannels();
-    const free = channels.filter((channel) => this.isChannelFree(channel));
-    // The own box takes long requests too while all others are quarantined or there are none.
-    const hasOthers = channels.some(({ box, isOwnBox }) => !isOwnBox && !this.isChannelQuarantined(box));
+    const usable = this.listUsableChannels();
+    const free = this.listFreeChannels();
+    const hasOthers = usable.some(({ isOwnBox }) => !isOwnBox);
     return {
       all: free.length,
       long: hasOthers ? free.filter(({ isOwnBox }) => !isOwnBox).length : free.length,
-      quarantined: channels.filter(({ box }) => this.isChannelQuarantined(box)).length,
+      quarantined: this.options.listChannels().length - this.listWorkingChannels().length,
     };
   }
 
   async sendRequest(request: AdviceRequest): Promise<void> {
-    const free = this.options.listChannels().filter((channel) => this.isChannelFree(channel));
-    const channel = request.isLongRequest ? free[free.length - 1] : free[0];
-    if (channel === undefined) {
-      this.options.handleResponse(request, undefined, 0);
+    const { clock, handleResponse } = this.options;
+    const requestedAt = clock.getNow();
+    const first = this.startAttempt(request);
+    if (first !== undefined) {
+      this.startTrial(request);
+    }
+    const tickets = first && (await this.waitForResponse(request, first));
+    if (!this.isStopped) {
+      handleResponse(request, tickets, Math.round(clock.getNow() - requestedAt));
+    }
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private waitForResponse(request: AdviceRequest, first: RequestAttempt): Promise<Tickets> {
+    return waitForHedgedResponse<NonNullable<Tickets>, RequestAttempt>({
+      first,
+      maxAttempts: MAX_REQUEST_ATTEMPTS,
+      computeLateMs: () => request.expectedResponseMs + LATE_MARGIN_MS,
+      handleLate: ({ channel }) => this.getState(channel).trust.recordFailure(this.options.clock.getNow()),
+      startNext: () => this.startAttempt(request, true),
+      isStopped: () => this.isStopped,
+    });
+  }
+
+  /** Sends the request over a free channel; undefined when none is free. A repeated one may also take the own box if it is long. */
+  private startAttempt(request: AdviceRequest, isRepeated = false): RequestAttempt | undefined {
+    // A negative preference goes first.
+    const ownPreference = isRepeated ? 0 : request.isLongRequest ? 1 : -1;
+    const [channel] = this.listFreeChannels().sort(
+      (left, right) =>
+        ownPreference * (Number(left.isOwnBox) - Number(right.isOwnBox)) ||
+        this.getState(right).respondedAt - this.getState(left).respondedAt ||
+        0,
+    );
+    return channel && { channel, response: this.sendAttempt(request, channel) };
+  }
+
+  /** Sends a copy of a request over a channel that is due for a trial, if there is one and no trial is pending. */
+  private startTrial(request: AdviceRequest): void {
+    const channel = this.listTrialChannels().find((other) => !this.getState(other).isBusy);
+    if (channel === undefined || this.isTrialPending) {
       return;
     }
-    const state = this.channelStates.get(channel.box) ?? { isBusy: false, quarantinedUntil: 0 };
-    this.channelStates.set(channel.box, state);
+    this.isTrialPending = true;
+    void this.sendAttempt(request, channel).then(() => {
+      this.isTrialPending = false;
+    });
+  }
+
+  /** Sends the request over a channel and records the outcome. Resolves to the tickets; to undefined without a response. */
+  private async sendAttempt(request: AdviceRequest, channel: AdviceChannel): Promise<Tickets> {
+    const state = this.getState(channel);
     state.isBusy = true;
-    const requestedAt = this.options.clock.getNow();
     const timeoutMs = request.expectedResponseMs + RESPONSE_TIMEOUT_MARGIN_MS;
     const tickets = await sendAdviceRequest(channel, request, timeoutMs);
     state.isBusy = false;
-    if (this.isStopped) {
-      return;
-    }
-    const now = this.options.clock.getNow();
     if (tickets === undefined) {
-      state.quarantinedUntil = now + CHANNEL_QUARANTINE_MS;
+      state.trust.recordFailure(this.options.clock.getNow());
+      return undefined;
+    }
+    if (this.listWorkingChannels().length === 0) {
+      // The service had failed, and not the channels.
+      this.channelStates.forEach(({ trust }) => trust.clearTrialDelay());
     }
-    this.options.handleResponse(request, tickets, Math.round(now - requestedAt));
+    state.trust.recordResponse();
+    state.respondedAt = this.options.clock.getNow();
+    return tickets;
   }
 
-  stop(): void {
-    this.isStopped = true;
+  /** Returns the channels that may carry requests, busy or not: those that work, or while none does, those that are due for a trial. */
+  private listUsableChannels(): readonly AdviceChannel[] {
+    const working = this.listWorkingChannels();
+    return working.length > 0 ? working : this.listTrialChannels();
+  }
+
+  private listFreeChannels(): AdviceChannel[] {
+    return this.listUsableChannels().filter((channel) => !this.getState(channel).isBusy);
   }
 
-  /** Returns whether the channel has no pending request and is not quarantined. */
-  private isChannelFree({ box }: AdviceChannel): boolean {
-    return this.channelStates.get(box)?.isBusy !== true && !this.isChannelQuarantined(box);
+  /** Returns the channels that may carry a step's only request, busy or not. */
+  private listWorkingChannels(): readonly AdviceChannel[] {
+    return this.options
+      .listChannels()
+      .filter((channel) => channel.isReachable() && this.getState(channel).trust.isTrusted());
   }
 
-  private isChannelQuarantined(box: string): boolean {
-    return (this.channelStates.get(box)?.quarantinedUntil ?? 0) > this.options.clock.getNow();
+  /** Returns the channels of reachable boxes that are due for a trial, busy or not. */
+  private listTrialChannels(): readonly AdviceChannel[] {
+    const now = this.options.clock.getNow();
+    return this.options
+      .listChannels()
+      .filter((channel) => channel.isReachable() && this.getState(channel).trust.isTrialDue(now));
+  }
+
+  /** Returns the state of a channel, created when it is first used. */
+  private getState({ box }: AdviceChannel): FirstFreeChannelState {
+    const state = this.channelStates.get(box) ?? {
+      trust: new ChannelTrust(),
+      isBusy: false,
+      respondedAt: -Infinity,
+    };
+    this.channelStates.set(box, state);
+    return state;
   }
 }
--- a/packages/dispatch/advice/HedgingBalancer.ts
+++ b/packages/dispatch/advice/HedgingBalancer.ts
@@ -1,4 +1,3 @@
-import { waitForDelay } from '../../common/waitForDelay';
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import type { DispatchEffect } from '../DispatchEffect';
 import type { AdviceChannel } from './AdviceChannel';
@@ -8,6 +7,7 @@
 import type { AdviceBalancerOptions } from './AdviceBalancerOptions';
 import { sendAdviceRequest } from './sendAdviceRequest';
 import { ShortRequestReserve } from './ShortRequestReserve';
+import { waitForHedgedResponse } from './waitForHedgedResponse';
 
 type AdviceRequest = Extract<DispatchEffect, { kind: 'advise' }>;
 type Tickets = ReadonlyMap<EndpointIncarnation, string> | undefined;
@@ -21,19 +21,17 @@
 
 /** Time by which a response may exceed its expected response time before the attempt fails. */
 const RESPONSE_TIMEOUT_MARGIN_MS = 1200;
-/** Duration of a channel's quarantine after a late or missing response; a late response ends it. */
-const CHANNEL_QUARANTINE_MS = 2500;
 /** Maximum number of attempts for a request. It is above 2 since the second channel may be in the same unreachable hall. */
 const MAX_REQUEST_ATTEMPTS = 3;
 /** Lower bound on the hedge delay, as a share of the expected response time. */
 const MIN_HEDGE_DELAY_SHARE = 0.5;
-/** Minimum time from a failed attempt to the next probe of the service while all channels are quarantined. */
+/** Minimum time from a failed attempt to the next probe of the service while no channel works. */
 const MIN_SERVICE_PROBE_DELAY_MS = 100;
 
 /**
  * Sends short requests over the fastest free channel, and long ones over the fastest that is not reserved for short ones. As many channels
  * are reserved as short requests have recently used. A request whose response is late is hedged: it is sent over another channel too, and
- * the first response is used.
+ * the first response is used. A channel with a late or missing response gets only copies of requests, as trials, until it responds.
  */
 export class HedgingBalancer implements AdviceBalancer {
   /** State of each channel, by the name of its box. */
@@ -43,13 +41,15 @@
   private readonly shortRequestReserve = new ShortRequestReserve();
   /** Monotonic time at which a channel last failed to get a response from the service. */
   private lastFailedAt = -Infinity;
+  /** Whether a trial is pending; there is one at a time. */
+  private isTrialPending = false;
   private isStopped = false;
 
   constructor(private readonly options: AdviceBalancerOptions) {}
 
   getFreeSlots(): AdviceSlots {
     const free = this.listFreeChannels();
-    const healthyCount = this.listHealthyChannels(this.options.clock.getNow()).length;
+    const healthyCount = this.listHealthyChannels().length;
     return {
       all: free.length,
       long: Math.max(0, free.length - this.countReservedChannels()),
@@ -60,6 +60,9 @@
   async sendRequest(request: AdviceRequest): Promise<void> {
     const requestedAt = this.options.clock.getNow();
     const first = this.startAttempt(request);
+    if (first !== undefined) {
+      this.startTrial(request);
+    }
     const tickets = first && (await this.waitForResponse(request, first));
     if (this.isStopped) {
       return;
@@ -75,27 +78,16 @@
     this.isStopped = true;
   }
 
-  /**
-   * Resolves to the first response, and starts another attempt each time the latest one is late or all have failed, up to
-   * `MAX_REQUEST_ATTEMPTS` and while a channel is free. Late channels are quarantined. Resolves to undefined once all attempts have failed
-   * or the balancer is stopped.
-   */
-  private async waitForResponse(request: AdviceRequest, first: RequestAttempt): Promise<Tickets> {
-    const attempts = [first];
-    for (let latest = first; ;) {
-      const lateMs = request.expectedResponseMs + this.computeHedgeDelayMs(request, latest);
-      const tickets = await Promise.race([this.waitForFirstResponse(attempts), waitForDelay(lateMs)]);
-      if (tickets !== undefined || this.isStopped) {
-        return tickets ?? undefined;
-      }
-      latest.channelState.recordLateResponse(this.options.clock.getNow() + CHANNEL_QUARANTINE_MS);
-      const next = attempts.length < MAX_REQUEST_ATTEMPTS ? this.startAttempt(request) : undefined;
-      if (next === undefined) {
-        return this.waitForFirstResponse(attempts);
-      }
-      attempts.push(next);
-      latest = next;
-    }
+  /** Resolves to the first response to at most `MAX_REQUEST_ATTEMPTS` attempts; to undefined when all have failed or the balancer is stopped. */
+  private waitForResponse(request: AdviceRequest, first: RequestAttempt): Promise<Tickets> {
+    return waitForHedgedResponse<NonNullable<Tickets>, RequestAttempt>({
+      first,
+      maxAttempts: MAX_REQUEST_ATTEMPTS,
+      computeLateMs: (attempt) => request.expectedResponseMs + this.computeHedgeDelayMs(request, attempt),
+      handleLate: ({ channelState }) => channelState.trust.recordFailure(this.options.clock.getNow()),
+      startNext: () => this.startAttempt(request),
+      isStopped: () => this.isStopped,
+    });
   }
 
   /** Returns how far an attempt may exceed its expected response time before it is hedged, in milliseconds; more for long requests. */
@@ -109,14 +101,6 @@
     );
   }
 
-  /** Resolves to the first response; to undefined once all attempts have failed. */
-  private async waitForFirstResponse(attempts: readonly RequestAttempt[]): Promise<Tickets> {
-    const responses = attempts.map(
-      async (attempt) => (await attempt.response) ?? Promise.reject(new Error('no answer')),
-    );
-    return Promise.any(responses).catch(() => undefined);
-  }
-
   /**
    * Sends the request over the fastest free channel; a long one skips the reserved channels, and takes the slowest free one if all are
    * reserved. Returns undefined if no channel is free.
@@ -132,9 +116,25 @@
     return { channelState, response: this.sendAttempt(request, channel, channelState) };
   }
 
+  /** Sends a copy of a request over a channel of a reachable box that is due for a trial, if there is one and no trial is pending. */
+  private startTrial(request: AdviceRequest): void {
+    const now = this.options.clock.getNow();
+    const channel = this.listReachableChannels().find((other) => {
+      const state = this.getState(other);
+      return !state.isBusy() && state.trust.isTrialDue(now);
+    });
+    if (channel === undefined || this.isTrialPending) {
+      return;
+    }
+    this.isTrialPending = true;
+    void this.sendAttempt(request, channel, this.getState(channel)).then(() => {
+      this.isTrialPending = false;
+    });
+  }
+
   /**
-   * Sends the request over a channel and records the outcome in the channel's state. The first response after an outage of the service ends
-   * the quarantine of all channels. Resolves to the tickets; to undefined without a response, which quarantines the channel.
+   * Sends the request over a channel and records the outcome in the channel's state. The first response after an outage of the service restores
+   * the trust in all channels. Resolves to the tickets; to undefined without a response.
    */
   private async sendAttempt(
     request: AdviceRequest,
@@ -151,12 +151,12 @@
     );
     const now = clock.getNow();
     if (tickets === undefined) {
-      channelState.recordFailure(now + CHANNEL_QUARANTINE_MS);
+      channelState.recordFailure(now);
       this.lastFailedAt = now;
     } else {
-      // If all channels were quarantined, the service had failed and not the channels.
-      if (this.listHealthyChannels(now).length === 0) {
-        this.channelStates.forEach((other) => other.clearQuarantine());
+      // If no channel worked, the service had failed and not the channels.
+      if (this.listHealthyChannels().length === 0) {
+        this.channelStates.forEach((other) => other.trust.recordResponse());
       }
       const delayMs = Math.max(0, now - requestedAt - request.expectedResponseMs);
       channelState.recordResponse(delayMs, now);
@@ -166,18 +166,18 @@
   }
 
   /**
-   * Returns the channels that are neither busy nor quarantined, the fastest first. While all are quarantined, the service itself is assumed
-   * to fail: if none is busy and a probe is due, only the fastest is returned, to probe the service.
+   * Returns the channels that work and are not busy, the fastest first. While none works, the service itself is assumed to fail: if none is busy
+   * and a probe is due, only the fastest is returned, to probe the service.
    */
   private listFreeChannels(): readonly AdviceChannel[] {
     const now = this.options.clock.getNow();
-    const channels = this.options.listChannels();
+    const channels = this.listReachableChannels();
     const free = channels
       .filter((channel) => !this.getState(channel).isBusy())
       .sort(
         (left, right) => this.getState(left).estimateDelayMs(now) - this.getState(right).estimateDelayMs(now),
       );
-    const healthy = free.filter((channel) => !this.getState(channel).isQuarantined(now));
+    const healthy = free.filter((channel) => this.getState(channel).trust.isTrusted());
     const isServiceFailing = free.length === channels.length && healthy.length === 0;
     const isProbeDue = isServiceFailing && now - this.lastFailedAt >= MIN_SERVICE_PROBE_DELAY_MS;
     return isProbeDue ? free.slice(0, 1) : healthy;
@@ -186,14 +186,18 @@
   /** Returns how many free channels to reserve for short requests, beside those that have a pending short request. */
   private countReservedChannels(): number {
     const now = this.options.clock.getNow();
-    const healthy = this.listHealthyChannels(now);
+    const healthy = this.listHealthyChannels();
     const usedCount = healthy.filter((channel) => this.getState(channel).hasShortRequest()).length;
     return Math.max(0, this.shortRequestReserve.computeReservedCount(healthy.length, now) - usedCount);
   }
 
-  /** Returns the channels that are not quarantined, busy or not. */
-  private listHealthyChannels(now: number): readonly AdviceChannel[] {
-    return this.options.listChannels().filter((channel) => !this.getState(channel).isQuarantined(now));
+  /** Returns the channels that work, busy or not. */
+  private listHealthyChannels(): readonly AdviceChannel[] {
+    return this.listReachableChannels().filter((channel) => this.getState(channel).trust.isTrusted());
+  }
+
+  private listReachableChannels(): readonly AdviceChannel[] {
+    return this.options.listChannels().filter((channel) => channel.isReachable());
   }
 
   /** Returns the state of a channel, created when it is first used. */
--- a/packages/leadership/LeaseWitnesses.ts
+++ b/packages/leadership/LeaseWitnesses.ts
@@ -19,6 +19,8 @@
   readonly logger: Logger;
   /** Lists the other boxes. */
   readonly listOthers: () => readonly WitnessCandidate[];
+  /** Returns whether the box has not responded to the newest request; it is asked only when no other is left. */
+  readonly isLost: (box: string) => boolean;
   /** Returns true while certainly less than `limitMs` has passed since this leader's newest acknowledged write was sent. */
   readonly hasAckedWriteWithin: (limitMs: number) => boolean;
   /** Called when other witnesses are to be named in this leader's record. */
@@ -142,9 +144,10 @@
     return this.options.listOthers().filter(({ client }) => addresses.has(client.address));
   }
 
-  /** Returns the boxes of the named witnesses and, while there are too few, some others, those asked longest ago first. */
+  /** Returns the boxes of the named witnesses and, while there are too few, some others: lost ones last, then those asked longest ago first. */
   private listAsked(): readonly WitnessCandidate[] {
     const addresses = new Set(this.named?.map(({ address }) => address));
+    const { isLost } = this.options;
     const others = this.options.listOthers();
     const asked = others.filter(({ client }) => addresses.has(client.address));
     if (asked.length === WITNESS_COUNT) {
@@ -154,7 +157,11 @@
       this.requestedAt.get(client.address) ?? -1;
     const candidates = others
       .filter(({ client }) => !addresses.has(client.address))
-      .sort((left, right) => getRequestedAt(left) - getRequestedAt(right));
+      .sort(
+        (left, right) =>
+          Number(isLost(left.box)) - Number(isLost(right.box)) ||
+          getRequestedAt(left) - getRequestedAt(right),
+      );
     return [...asked, ...candidates].slice(0, MAX_ASKED);
   }
 
--- a/packages/serve/AdviceChannels.ts
+++ b/packages/serve/AdviceChannels.ts
@@ -7,7 +7,7 @@
   readonly box: string;
   /** Client of the advice service for this box. */
   readonly adviceClient: AdviceClient;
-  readonly boxes: Pick<BoxClients, 'listOthers'>;
+  readonly boxes: Pick<BoxClients, 'listOthers' | 'getPresence'>;
 }
 
 /** Channels for advice requests: that of this box first, then those of the other announced boxes. */
@@ -22,11 +22,17 @@
   listChannels(): readonly AdviceChannel[] {
     const others = this.options.boxes.listOthers();
     if (others !== this.listedOthers) {
-      const { box, adviceClient } = this.options;
+      const { box, adviceClient, boxes } = this.options;
+      const presence = boxes.getPresence();
       this.listedOthers = others;
       this.channels = [
-        { box, isOwnBox: true, client: adviceClient },
-        ...others.map((other) => ({ box: other.box, isOwnBox: false, client: other.client })),
+        { box, isOwnBox: true, isReachable: () => true, client: adviceClient },
+        ...others.map((other) => ({
+          box: other.box,
+          isOwnBox: false,
+          isReachable: () => presence.isReachable(other.box),
+          client: other.client,
+        })),
       ];
     }
     return this.channels;
--- a/packages/serve/ConfigurationUpdater.ts
+++ b/packages/serve/ConfigurationUpdater.ts
@@ -23,7 +23,7 @@
   readonly isTopicUpToDate: () => boolean;
   /** Returns the monotonic time of the last successful read of the operator topic, in milliseconds. */
   readonly getLastReadAt: () => number;
-  /** Returns all other announced boxes. */
+  /** Returns the other announced boxes that are not lost. */
   readonly listOthers: () => readonly { readonly box: string; readonly client: BoxClient }[];
   /** Called with each version that replaces an earlier one, after the router has it. */
   readonly handleConfiguration: (configuration: QueueConfiguration) => void;
--- a/packages/serve/OtherBoxes.ts
+++ b/packages/serve/OtherBoxes.ts
@@ -44,7 +44,7 @@
 
   constructor(private readonly options: OtherBoxesOptions) {
     const { settings, clock, logger } = options;
-    this.clients = new BoxClients(this.directory, settings);
+    this.clients = new BoxClients(this.directory, settings, { clock, logger });
     this.leaderAnnouncer = new LeaderAnnouncer({
       clock,
       logger,
@@ -75,14 +75,16 @@
     }
   }
 
-  /** Sends the leader announcements to other boxes that are due, while this box leads. Called periodically. */
+  /** Sends the leader announcements that are due, while this box leads, and probes of other boxes. Called periodically. */
   handleTick(): void {
+    this.clients.handleTick(this.options.isLeading());
     this.leaderAnnouncer.handleTick();
   }
 
   /** Records the address and resources of the box that announced its leadership. */
   applyLeaderAnnouncement({ record, address, cores, linkMbps }: LeaderAnnouncement): void {
     this.directory.setBox(record.box, address, { cores, linkMbps });
+    this.clients.getPresence().recordAnnouncement(record.box);
   }
 
   /** Returns whether and how the current leader can be reached. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -471,7 +471,7 @@
       maxAgeMs: settings.maxConfigurationAgeMs,
       isTopicUpToDate: () => this.followers.operator.isUpToDate(),
       getLastReadAt: () => this.followers.operator.getLastSuccessAt(),
-      listOthers: () => this.otherBoxes.clients.listOthers(),
+      listOthers: () => this.otherBoxes.clients.listOthersNotLost(),
       handleConfiguration: (configuration) => this.controller?.handleConfiguration(configuration),
     });
   }
@@ -524,11 +524,12 @@
       createEndpointClient: (profile, getToken, createJsonClient) =>
         adapter.createEndpointClient(profile, getToken, createJsonClient),
       ownBox: settings,
-      listRelayBoxes: () => this.otherBoxes.clients.listOthers(),
+      listRelayBoxes: () => this.otherBoxes.clients.listOthersNotLost(),
       isServiceRouted: (service) => this.router.hasService(service),
       longestLeaseMs: settings.longestLeaseMs,
       listChannels: () => this.adviceChannels.listChannels(),
       listOtherBoxes: () => this.otherBoxes.clients.listOthers(),
+      isBoxLost: (box) => this.otherBoxes.clients.getPresence().isLost(box),
       formatLeaderRecord: (isResigned, witnesses, extendedLeases) =>
         this.leadership.formatLeaderRecord(epoch, isResigned, witnesses, extendedLeases),
       handleLeadershipLost: (detail) => this.handleLeadershipLost(epoch, detail),
@@ -599,6 +600,7 @@
       followers,
       replica,
       loadView,
+      lostBoxes: this.otherBoxes.clients.getPresence().countLost(),
       epoch: this.leadership.getLeaderRecord()?.epoch,
       clock: this.options.clock,
     });
--- a/packages/serve/formatBoxMetrics.ts
+++ b/packages/serve/formatBoxMetrics.ts
@@ -18,6 +18,8 @@
   readonly followers: TopicFollowers;
   readonly replica: JobReplica;
   readonly loadView: LoadView;
+  /** Number of other boxes that have not responded to the newest request. */
+  readonly lostBoxes: number;
   /** Epoch of the newest known leader; undefined while none is known. */
   readonly epoch: number | undefined;
   readonly clock: MachineClock;
@@ -50,6 +52,7 @@
     readingStatesTopic: Number(followers.states.isUpToDate()),
     readingJobsTopic: Number(followers.jobs.isUpToDate()),
     knownJobs: replica.countJobs(),
+    lostBoxes: input.lostBoxes,
     ...getLoadGauges(input),
   });
   return text + formatCustomers(input);
--- a/tests/helpers/AdviceSimulation.ts
+++ b/tests/helpers/AdviceSimulation.ts
@@ -83,6 +83,8 @@
   readonly jobs: SimulatedJob[] = [];
   /** Times at which requests were sent, with or without a response. */
   readonly requestTimes: number[] = [];
+  /** Box and time of each response. */
+  readonly responses: { readonly box: number; readonly at: number }[] = [];
   /** Total time that the service has spent on requests, in milliseconds. */
   servedMs = 0;
   /** Number of starts with an expired ticket or none. */
@@ -195,6 +197,9 @@
       const respondedAt = freeAt + this.options.getBoxDelayMs(box, Date.now());
       const isLate = respondedAt - Date.now() > timeoutMs;
       await new Promise((resolve) => setTimeout(resolve, isLate ? timeoutMs : respondedAt - Date.now()));
+      if (!isLate) {
+        this.responses.push({ box, at: Date.now() });
+      }
       const allowed = endpoints.filter((id) => computeChance(`${step} ${id}`) < allowedShare);
       return isLate
         ? undefined
@@ -203,6 +208,7 @@
     return {
       box: `box-${box}`,
       isOwnBox: box === 0,
+      isReachable: () => true,
       client: { requestAdvice, stop: () => Promise.resolve() },
     };
   }
--- a/tests/helpers/createLeaderOptions.ts
+++ b/tests/helpers/createLeaderOptions.ts
@@ -45,6 +45,7 @@
   longestLeaseMs: 10_000,
   listChannels: () => [],
   listOtherBoxes: () => [],
+  isBoxLost: () => false,
   ownBox: { cores: 1, linkMbps: 100 },
   listRelayBoxes: () => [],
   formatLeaderRecord: () => 'heartbeat',
--- a/tests/leadership.test.ts
+++ b/tests/leadership.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { describe, expect, it } from 'vitest';
+import { systemClock } from '../packages/common/systemClock';
 import { BoxClients } from '../packages/boxes/BoxClients';
 import { BoxDirectory } from '../packages/boxes/BoxDirectory';
 import { Leadership } from '../packages/leadership/Leadership';
@@ -11,6 +12,10 @@
 import { LogFollower } from '../packages/store/LogFollower';
 import type { LogRecord } from '../packages/store/LogRecord';
 
+const CLIENT_OPTIONS = {
+  clock: systemClock,
+  logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+};
 const LONGEST_LEASE_MS = 10_000;
 const LEADER = { epoch: 1, box: 'box-0', process: 'box-0#1', isResigned: false };
 
@@ -220,7 +225,7 @@
       asked.push(server);
       directory.setBox(box, address, { cores, linkMbps: 7 });
     }
-    const clients = new BoxClients(directory, { box: 'wide', cores: 1.35, linkMbps: 140 });
+    const clients = new BoxClients(directory, { box: 'wide', cores: 1.35, linkMbps: 140 }, CLIENT_OPTIONS);
     const chosen = await clients.findLeaderCandidate();
     expect(chosen?.address).toBe(directory.listBoxes().find(({ box }) => box === 'narrow')!.address);
     await Promise.all(clients.listOthers().map(({ client }) => client.stop()));
@@ -239,7 +244,7 @@
       const value = BoxDirectory.formatAnnouncement(servers[index]!.address, OWN);
       directory.foldRecords([{ offset: index, key: BoxDirectory.toAnnouncementKey(box), value }], readAt);
     });
-    const clients = new BoxClients(directory, OWN);
+    const clients = new BoxClients(directory, OWN, CLIENT_OPTIONS);
     const successor = await clients.findSuccessor(0);
     const later = await clients.findSuccessor(25_000);
     await Promise.all(clients.listOthers().map(({ client }) => client.stop()));
--- a/tests/leaseRights.test.ts
+++ b/tests/leaseRights.test.ts
@@ -24,6 +24,7 @@
       epoch: EPOCH,
       clock: { getNow: () => now, getWallTime: () => now, getMaxElapsedSince: (since) => now - since },
       logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      isLost: () => false,
       listOthers: () =>
         BOXES.map((box) => ({
           box,
--- /dev/null
+++ b/tests/lostChannels.test.ts
@@ -0,0 +1,94 @@
+/*
+ * Guards against boxes that are lost for good and still count as channels for advice requests: work waited for them, or was sent over them again and
+ * again, while the channel of the leader's own box was idle.
+ */
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { AdvicePolicyName } from '../packages/dispatch/advice/AdvicePolicyName';
+import { AdviceSimulation } from './helpers/AdviceSimulation';
+
+const POLICIES: readonly AdvicePolicyName[] = ['asked', 'planned'];
+const BOXES = 7;
+const END_MS = 40_000;
+const RESPONSE_MS = 15;
+/** Time for which a job may have nothing running beside free capacity. */
+const MAX_WAIT_MS = 3000;
+/** Time until a box that is back carries requests again. */
+const MAX_RETURN_MS = 2000;
+
+/** Short and long requests that together take three fifths of the time of one box. */
+const STREAMS = [
+  {
+    queue: { name: 'short', priority: 0, advice: { decisionMs: 27, perEndpointMs: 0.28, validityMs: 2500 } },
+    step: { count: 3, estimatedMs: 400, demand: { cpuMillis: 500, memoryMb: 64, accelerators: 0 } },
+    perSecond: 4,
+    allowedShare: 0.7,
+  },
+  {
+    queue: { name: 'long', priority: 1, advice: { decisionMs: 528, perEndpointMs: 5.3, validityMs: 2500 } },
+    step: { count: 4, estimatedMs: 1000, demand: { cpuMillis: 1000, memoryMb: 64, accelerators: 0 } },
+    perSecond: 0.5,
+    allowedShare: 0.5,
+  },
+];
+
+/** Returns the time at which a box is lost, and the one at which it is back. */
+type LossFunction = (box: number) => readonly [lostAt: number, backAt: number];
+
+const NEVER: readonly [number, number] = [Infinity, Infinity];
+
+const losses: Readonly<Record<string, LossFunction>> = {
+  'all others before the first request': (box) => (box === 0 ? NEVER : [0, Infinity]),
+  'all others at once': (box) => (box === 0 ? NEVER : [8000, Infinity]),
+  'all others but one at once': (box) => (box < 2 ? NEVER : [8000, Infinity]),
+  'all others, one after the other': (box) => (box === 0 ? NEVER : [5000 + box * 3500, Infinity]),
+  'all others, for some time': (box) => (box === 0 ? NEVER : [8000, 24_000]),
+  'the own box, for some time': (box) => (box === 0 ? [8000, 24_000] : NEVER),
+};
+
+const runSimulation = async (policy: AdvicePolicyName, getLoss: LossFunction): Promise<AdviceSimulation> => {
+  vi.setSystemTime(0);
+  const simulation = new AdviceSimulation({
+    policy,
+    streams: STREAMS,
+    endpoints: 33,
+    boxes: BOXES,
+    seed: 1,
+    getBoxDelayMs: (box, now) => {
+      const [lostAt, backAt] = getLoss(box);
+      return now >= lostAt && now < backAt ? Infinity : RESPONSE_MS;
+    },
+  });
+  await simulation.runUntil(END_MS);
+  return simulation;
+};
+
+describe.each(POLICIES)('the work of a leader with the policy %s', (policy) => {
+  beforeEach(() => {
+    vi.useFakeTimers();
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it.each(Object.keys(losses))('does not wait for lost boxes: %s', async (name) => {
+    const { jobs } = await runSimulation(policy, losses[name]!);
+    const waits = jobs
+      .filter(({ sentAt }) => sentAt < END_MS - MAX_WAIT_MS)
+      .map(({ sentAt, startedAt = END_MS }) => startedAt - sentAt);
+    expect(Math.max(...waits)).toBeLessThan(MAX_WAIT_MS);
+  });
+
+  it('uses boxes again that are back', async () => {
+    const { responses } = await runSimulation(policy, losses['all others, for some time']!);
+    const backAt = 24_000;
+    const used = new Set(
+      responses
+        .filter(({ at, box }) => box > 0 && at >= backAt && at < backAt + MAX_RETURN_MS)
+        .map(({ box }) => box),
+    );
+    expect(used.size).toBeGreaterThan(0);
+    const later = new Set(responses.filter(({ at }) => at >= backAt).map(({ box }) => box));
+    expect(later.size).toBeGreaterThanOrEqual(BOXES - 1);
+  });
+});
--- a/tests/roundCosts.test.ts
+++ b/tests/roundCosts.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
+import { systemClock } from '../packages/common/systemClock';
 import { BoxClients } from '../packages/boxes/BoxClients';
 import { BoxDirectory } from '../packages/boxes/BoxDirectory';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
@@ -104,7 +105,14 @@
   it('is created again only after an announcement', () => {
     const directory = new BoxDirectory();
     const resources = { cores: 1, linkMbps: 100 };
-    const clients = new BoxClients(directory, { box: 'box-0', ...resources });
+    const clients = new BoxClients(
+      directory,
+      { box: 'box-0', ...resources },
+      {
+        clock: systemClock,
+        logger: { info: () => undefined, warn: () => undefined, error: () => undefined },
+      },
+    );
     directory.setBox('box-0', 'box-0:80', resources);
     directory.setBox('box-1', 'box-1:80', resources);
     const others = clients.listOthers();
