fix: the progress of a large job is recorded in parts

Cause: the progress of a job was one record of any length, written whole with each change. Above the largest record of the log each append was refused, and repeated with the records of all other jobs behind it.

Why this works: above 131,072 bytes the progress is divided into parts of 256 tasks, of which only the changed ones are written. A part counts for its tasks in place of the whole record, so that a leader may stop between any two; starts are sent and ends acknowledged only once all is durable. Up to that size the record is as before, for earlier versions too.

A record of 256 tasks with all that may be recorded of each is under 262,144 bytes.

--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -214,7 +214,8 @@
       client,
       progressTopic: options.progressTopic,
       epoch,
-      handleUnreadableProgress: (job) => options.logger.error('Progress of a job cannot be read.', { job }),
+      handleUnreadableProgress: (job, part) =>
+        options.logger.error('Progress of a job cannot be read.', { job, part }),
       handleFenced: (detail) => this.handleLeadershipLost(`the log rejected a write: ${detail}`),
     });
     this.callRelays = new CallRelays({
--- a/packages/dispatch/ProgressRecovery.ts
+++ b/packages/dispatch/ProgressRecovery.ts
@@ -13,8 +13,8 @@
   /** Topic of the progress of jobs. */
   readonly progressTopic: string;
   readonly epoch: number;
-  /** Called when the progress record of a job cannot be parsed; the job is treated as not started. */
-  readonly handleUnreadableProgress: (job: JobId) => void;
+  /** Called when the record of a job's progress, or of a part, cannot be parsed; the job or the tasks of the part are treated as not started. */
+  readonly handleUnreadableProgress: (job: JobId, part?: number) => void;
   /** Called when the log rejects the fencing append since a newer leader has fenced this one; the recovery has stopped. */
   readonly handleFenced: (detail: string) => void;
 }
@@ -31,6 +31,8 @@
 export class ProgressRecovery {
   /** Newest record of each job's progress, until it is taken. */
   private readonly progressTexts = new Map<JobId, string>();
+  /** Newest records of the parts of each job's progress, by number, until they are taken. */
+  private readonly partTexts = new Map<JobId, Map<number, string>>();
   private readonly progressReader: NewestReader;
   private isStopped = false;
 
@@ -48,19 +50,40 @@
   stop(): void {
     this.isStopped = true;
     this.progressTexts.clear();
+    this.partTexts.clear();
   }
 
   /** Returns the newest recorded progress of a job and forgets it; that of a new job if there is none or it cannot be parsed. */
   takeProgress(definition: JobDefinition): JobProgress {
-    const text = this.progressTexts.get(definition.id);
-    this.progressTexts.delete(definition.id);
-    const parsed = text === undefined ? undefined : parseProgress(definition, text);
-    if (text !== undefined && parsed === undefined) {
-      this.options.handleUnreadableProgress(definition.id);
+    const { id } = definition;
+    const text = this.progressTexts.get(id);
+    const parts = this.partTexts.get(id) ?? new Map<number, string>();
+    this.progressTexts.delete(id);
+    this.partTexts.delete(id);
+    const parsed = parseProgress(definition, {
+      text,
+      parts,
+      handleMalformedPart: (part) => this.options.handleUnreadableProgress(id, part),
+    });
+    if (parsed === undefined) {
+      this.options.handleUnreadableProgress(id);
     }
     return parsed ?? new JobProgress(definition);
   }
 
+  private recordText(key: string, value: string): void {
+    const { job, part } = jobKeys.parseProgressKey(key) ?? {};
+    if (job === undefined || value === '') {
+      return;
+    }
+    if (part === undefined) {
+      this.progressTexts.set(job, value);
+      return;
+    }
+    const parts = this.partTexts.get(job) ?? new Map<number, string>();
+    this.partTexts.set(job, parts.set(part, value));
+  }
+
   private async retryUntilDone(attempt: () => Promise<boolean>): Promise<void> {
     while (!this.isStopped && !(await attempt())) {
       await waitForDelay(LOG_RETRY_DELAY_MS);
@@ -97,10 +120,7 @@
         return false;
       }
       for (const { key, value } of page.value.records) {
-        const id = jobKeys.parseProgressKey(key);
-        if (id !== undefined) {
-          this.progressTexts.set(id, value);
-        }
+        this.recordText(key, value);
       }
       if (page.value.endOffset !== undefined) {
         return true;
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -5,6 +5,8 @@
 import type { RunOutcome } from './RunOutcome';
 import type { TaskAddress } from './TaskAddress';
 import type { TaskCrash } from './TaskCrash';
+import { ProgressParts } from './ProgressParts';
+import { TaskNumbering } from './TaskNumbering';
 import type { TaskProgress } from './TaskProgress';
 
 const NO_ENDPOINT = toId<EndpointIncarnation>('');
@@ -36,10 +38,14 @@
   private finalState: 'completed' | 'failed' | 'cancelled' | undefined;
   /** Newest run of each gang in which a member failed, by `REPETITION.STEP`. */
   private readonly failedGangRuns = new Map<string, number>();
+  private readonly numbering: TaskNumbering;
+  private readonly parts: ProgressParts;
   /** Number that increases with each change of a task. */
   private version = 0;
 
   constructor(private readonly definition: JobDefinition) {
+    this.numbering = new TaskNumbering(definition);
+    this.parts = new ProgressParts(this.numbering);
     for (let repetition = 0; repetition < definition.times; repetition += 1) {
       this.tasks.push(definition.steps.map((step) => Array<TaskProgress>(step.count).fill(INITIAL_PROGRESS)));
       this.openTaskCounts.push(definition.steps.map((step) => step.count));
@@ -55,6 +61,15 @@
     return this.tasks[repetition]?.[step] ?? [];
   }
 
+  getNumbering(): TaskNumbering {
+    return this.numbering;
+  }
+
+  /** Returns which parts are to be written, if the progress is recorded in parts. */
+  getParts(): ProgressParts {
+    return this.parts;
+  }
+
   /** Returns a number that increases with each change of any task of the job. */
   getVersion(): number {
     return this.version;
@@ -257,7 +272,9 @@
   }
 
   private setTask(address: TaskAddress, task: TaskProgress): void {
+    const tasks = this.tasks[address.repetition]![address.step]!;
+    this.parts.recordChange(address);
     this.version += 1;
-    this.tasks[address.repetition]![address.step]![address.index] = task;
+    tasks[address.index] = task;
   }
 }
--- a/packages/jobs/jobKeys.ts
+++ b/packages/jobs/jobKeys.ts
@@ -18,6 +18,16 @@
     .update(JSON.stringify([customer ?? '', isOpen ? queue : '']))
     .digest('base64url');
 
+/** Returns the job id of a key of progress, and the part if it is one; undefined for any other key. */
+const parseProgressKey = (
+  key: string,
+): { readonly job: JobId; readonly part: number | undefined } | undefined => {
+  const [, job, part] = /^p\/([^/]+)(?:\/(\d+))?$/.exec(key) ?? [];
+  return job === undefined
+    ? undefined
+    : { job: job as JobId, part: part === undefined ? undefined : Number(part) };
+};
+
 /** Formats and parses the keys of job records in the log. */
 export const jobKeys = {
   toDefinitionKey: (id: JobId): string => `${DEFINITION_PREFIX}${id}`,
@@ -26,10 +36,12 @@
   toEarlyCancelKey: (id: JobId, caller: JobCaller): string =>
     `${EARLY_CANCEL_PREFIX}${id}/${toCallerDigest(caller)}`,
   toProgressKey: (id: JobId): string => `${PROGRESS_PREFIX}${id}`,
+  /** Formats the key of a part of a job's progress. Earlier versions take it for that of an unknown job. */
+  toProgressPartKey: (id: JobId, part: number): string => `${PROGRESS_PREFIX}${id}/${part}`,
   toStateKey: (id: JobId): string => `${STATE_PREFIX}${id}`,
   parseDefinitionKey: (key: string) => parseJobKey(DEFINITION_PREFIX, key),
   parseCancelKey: (key: string) => parseJobKey(CANCEL_PREFIX, key),
   parseEarlyCancelKey: (key: string) => parseJobKey(EARLY_CANCEL_PREFIX, key.slice(0, key.lastIndexOf('/'))),
-  parseProgressKey: (key: string) => parseJobKey(PROGRESS_PREFIX, key),
+  parseProgressKey,
   parseStateKey: (key: string) => parseJobKey(STATE_PREFIX, key),
 } as const;
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -38,8 +38,8 @@
  * Records are formatted when they are sent, and a key that has changed several times until then is written once.
  */
 export class ExclusiveWriter {
-  /** Formatters of the newest values that have not been sent, by key. */
-  private readonly pendingValues = new Map<string, () => string>();
+  /** Formatters of the newest values that have not been sent, by key. One may queue writes of other keys, and return undefined to write nothing. */
+  private readonly pendingValues = new Map<string, () => string | undefined>();
   private queuedHandlers: QueuedHandler[] = [];
   private lastSequence: number;
   private isSending = false;
@@ -52,10 +52,10 @@
   }
 
   /**
-   * Queues the newest value of a key. `formatValue` is called when the append is sent. `handleWritten` is called once the value is
-   * durable, and never if the value does not become durable.
+   * Queues the newest value of a key. `formatValue` is called when the append is sent; it may queue writes of other keys, and return undefined to write
+   * nothing. `handleWritten` is called once the value is durable, and never if the value does not become durable.
    */
-  queueWrite(key: string, formatValue: () => string, handleWritten?: () => void): void {
+  queueWrite(key: string, formatValue: () => string | undefined, handleWritten?: () => void): void {
     if (this.isStopped) {
       return;
     }
@@ -113,8 +113,8 @@
       const writes = this.createBatch();
       // Handlers are called only after the append that leaves no queued values: until then, their values may not have been sent.
       const handlers = this.pendingValues.size === 0 ? this.queuedHandlers.splice(0) : [];
-      const isWritten = await this.sendBatch(writes);
-      if (!isWritten) {
+      const isSettled = writes.length === 0 || (await this.sendBatch(writes));
+      if (!isSettled) {
         break;
       }
       handlers.forEach(({ handleWritten }) => handleWritten());
@@ -129,7 +129,12 @@
     const writes: LogWrite[] = [];
     let bytes = 0;
     for (const [key, formatValue] of this.pendingValues) {
-      const write = { key, value: formatValue() };
+      const value = formatValue();
+      if (value === undefined) {
+        this.pendingValues.delete(key);
+        continue;
+      }
+      const write = { key, value };
       bytes += appendRules.computeRecordBytes(write);
       if (writes.length > 0 && bytes > this.options.maxBatchBytes) {
         break;
--- a/tests/cancelOrder.test.ts
+++ b/tests/cancelOrder.test.ts
@@ -4,14 +4,11 @@
 import { toId } from '../packages/common/toId';
 import type { CustomerName } from '../packages/customers/CustomerName';
 import type { JobCaller } from '../packages/customers/JobCaller';
-import type { EndpointClient } from '../packages/dispatch/endpoints/EndpointClient';
-import type { EndedTaskStatus } from '../packages/dispatch/endpoints/EndedTaskStatus';
 import type { EndpointProfile } from '../packages/dispatch/endpoints/EndpointProfile';
 import { LeaderController } from '../packages/dispatch/LeaderController';
 import { formatDefinition } from '../packages/jobs/formatDefinition';
 import { jobKeys } from '../packages/jobs/jobKeys';
 import { JobReplica } from '../packages/jobs/JobReplica';
-import type { TaskName } from '../packages/jobs/TaskName';
 import { BoxJobService } from '../packages/serve/BoxJobService';
 import { JobRecords } from '../packages/serve/JobRecords';
 import type { LoadAdmission } from '../packages/serve/LoadAdmission';
@@ -23,11 +20,11 @@
 import { createProfile } from './helpers/createProfile';
 import { createStep } from './helpers/createStep';
 import { MemoryLog } from './helpers/MemoryLog';
+import { TimedEndpoint } from './helpers/TimedEndpoint';
 
 const TASKS = 40;
 const RUN_MS = 50;
 const PAUSE_MS = 40;
-const POLL_MS = 10;
 /** Longer than any run, and than the takeover. */
 const SETTLED_MS = 1000;
 const DEFINITION = createJobDefinition(1, [createStep({ count: TASKS, estimatedMs: RUN_MS })]);
@@ -39,49 +36,6 @@
   removal: { key: jobKeys.toDefinitionKey(DEFINITION.id), value: '' },
 } as const;
 
-/** An endpoint whose runs take `RUN_MS`. */
-class Endpoint implements EndpointClient {
-  readonly startTimes: number[] = [];
-  private readonly runs = new Map<TaskName, { readonly run: number; readonly endsAt: number }>();
-  private readonly ended: EndedTaskStatus[] = [];
-
-  async sendStart({
-    task,
-    run,
-  }: Parameters<EndpointClient['sendStart']>[0]): ReturnType<EndpointClient['sendStart']> {
-    this.startTimes.push(performance.now());
-    this.runs.set(task, { run, endsAt: performance.now() + RUN_MS });
-    return Promise.resolve({ kind: 'done' });
-  }
-
-  async sendStop(task: TaskName): ReturnType<EndpointClient['sendStop']> {
-    this.runs.delete(task);
-    return Promise.resolve({ kind: 'done' });
-  }
-
-  async sendPoll(): ReturnType<EndpointClient['sendPoll']> {
-    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-    for (const [task, { run, endsAt }] of this.runs) {
-      if (endsAt <= performance.now()) {
-        this.runs.delete(task);
-        this.ended.push({ number: this.ended.length + 1, task, run, how: 'done', checkpoint: '' });
-      }
-    }
-    const running = [...this.runs].map(([task, { run }]) => ({
-      task,
-      run,
-      checkpoint: '',
-      percent: 1,
-      load: 0,
-    }));
-    return { kind: 'held', running, ended: [...this.ended] };
-  }
-
-  stop(): Promise<void> {
-    return Promise.resolve();
-  }
-}
-
 /** Ways by which a box learns of the records of a job and of its cancellation. */
 const deliveries = {
   readJob: (records: JobRecords) => records.applyRecords([RECORDS.job]),
@@ -101,7 +55,7 @@
 const runSteps = async (steps: readonly Step[]) => {
   const replica = new JobReplica();
   const log = new MemoryLog(() => 0.5);
-  const endpoint = new Endpoint();
+  const endpoint = new TimedEndpoint(RUN_MS);
   log.writeRecord('keyed.servers', 'i-0', JSON.stringify(createProfile('i-0')));
   const controller = new LeaderController(
     createLeaderOptions(log, {
@@ -136,8 +90,8 @@
     isOpen: job !== undefined && !job.progress.isEnded(),
     state: replica.getState(DEFINITION.id),
     pending: replica.countPending(DEFINITION.queue.name),
-    startsAfterwards: endpoint.startTimes.filter((at) => at > (knownAt ?? Infinity)).length,
-    starts: endpoint.startTimes.length,
+    startsAfterwards: endpoint.starts.filter(({ at }) => at > (knownAt ?? Infinity)).length,
+    starts: endpoint.starts.length,
   };
 };
 
--- a/tests/crashCharges.test.ts
+++ b/tests/crashCharges.test.ts
@@ -3,7 +3,7 @@
 import type { DispatchEffect } from '../packages/dispatch/DispatchEffect';
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
-import { formatProgress } from '../packages/jobs/formatProgress';
+import { progressTexts } from '../packages/jobs/progressTexts';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
 import { JobProgress } from '../packages/jobs/JobProgress';
 import type { JobStep } from '../packages/jobs/JobStep';
@@ -268,15 +268,15 @@
     const job = createJob();
     const progress = new JobProgress(job);
     progress.recordRunPlaced(FIRST_TASK, 1, toId<EndpointIncarnation>('i-1'));
-    const before = formatProgress(job, progress);
+    const before = progressTexts.formatWhole(job, progress);
     expect(before).not.toContain('crashes');
-    expect(parseProgress(job, before)!.getTask(FIRST_TASK)!.crashes).toEqual([]);
+    expect(parseProgress(job, { text: before })!.getTask(FIRST_TASK)!.crashes).toEqual([]);
     const crashes: readonly TaskCrash[] = [
       { endpoint: toId<EndpointIncarnation>('i-1'), blame: 'sole', ageMs: 10 },
       { endpoint: toId<EndpointIncarnation>('i-2'), blame: 'unproved', ageMs: 0 },
     ];
     crashes.forEach((crash) => progress.recordCrash(FIRST_TASK, crash));
-    const after = parseProgress(job, formatProgress(job, progress))!;
+    const after = parseProgress(job, { text: progressTexts.formatWhole(job, progress) })!;
     expect(after.getTask(FIRST_TASK)!.crashes).toEqual(crashes);
   });
 });
--- a/tests/dispatch.test.ts
+++ b/tests/dispatch.test.ts
@@ -12,7 +12,7 @@
 import type { EndpointProfile } from '../packages/dispatch/endpoints/EndpointProfile';
 import { findStragglerReason } from '../packages/dispatch/runs/findStragglerReason';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
-import { formatProgress } from '../packages/jobs/formatProgress';
+import { progressTexts } from '../packages/jobs/progressTexts';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
 import type { JobId } from '../packages/jobs/JobId';
 import { JobProgress } from '../packages/jobs/JobProgress';
@@ -192,7 +192,7 @@
 
   private readProgress(definition: JobDefinition): JobProgress {
     const text = this.log.get(definition.id);
-    return text === undefined ? new JobProgress(definition) : parseProgress(definition, text)!;
+    return text === undefined ? new JobProgress(definition) : parseProgress(definition, { text: text })!;
   }
 
   private applyEffects(hasFaults: boolean): void {
@@ -202,7 +202,7 @@
       if (effect.kind === 'record') {
         const job = this.dispatcher.getJob(effect.job);
         if (job !== undefined) {
-          this.log.set(effect.job, formatProgress(job.definition, job.progress));
+          this.log.set(effect.job, progressTexts.formatWhole(job.definition, job.progress));
         }
       } else if (effect.kind === 'start') {
         starts.push(effect);
@@ -506,9 +506,9 @@
     progress.recordRunEnd({ repetition: 0, step: 0, index: 1 }, 1, 'failed', 'saved');
     progress.recordRunPlaced({ repetition: 0, step: 0, index: 2 }, 1, endpoint);
     progress.recordRunEnd({ repetition: 0, step: 0, index: 2 }, 1, 'done', '');
-    const text = formatProgress(definition, progress);
-    const read = parseProgress(definition, text)!;
-    expect(formatProgress(definition, read)).toBe(text);
+    const text = progressTexts.formatWhole(definition, progress);
+    const read = parseProgress(definition, { text: text })!;
+    expect(progressTexts.formatWhole(definition, read)).toBe(text);
     expect(read.listTasks(0, 0)).toEqual(progress.listTasks(0, 0));
     expect(read.countOpenTasks(0, 0)).toBe(2);
   });
--- a/tests/foreignRecords.test.ts
+++ b/tests/foreignRecords.test.ts
@@ -6,7 +6,7 @@
 import { toId } from '../packages/common/toId';
 import { BoxDirectory } from '../packages/boxes/BoxDirectory';
 import { formatDefinition } from '../packages/jobs/formatDefinition';
-import { formatProgress } from '../packages/jobs/formatProgress';
+import { progressTexts } from '../packages/jobs/progressTexts';
 import type { JobId } from '../packages/jobs/JobId';
 import { jobKeys } from '../packages/jobs/jobKeys';
 import { JobProgress } from '../packages/jobs/JobProgress';
@@ -153,9 +153,9 @@
   it('of progress are parsed completely or not at all', () => {
     const progress = new JobProgress(DEFINITION);
     progress.recordRunPlaced({ repetition: 0, step: 0, index: 0 }, 1, toId('i-1@5'));
-    const valid: unknown = JSON.parse(formatProgress(DEFINITION, progress));
+    const valid: unknown = JSON.parse(progressTexts.formatWhole(DEFINITION, progress));
     checkProperty(createTexts(valid), (text) => {
-      const read = parseProgress(DEFINITION, text);
+      const read = parseProgress(DEFINITION, { text: text });
       const runs = read?.listTasks(0, 0).map(({ runNumber }) => runNumber) ?? [];
       expect(runs.every(isUsableNumber)).toBe(true);
     });
--- a/tests/gangFailures.test.ts
+++ b/tests/gangFailures.test.ts
@@ -3,7 +3,7 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { EndedTaskStatus } from '../packages/dispatch/endpoints/EndedTaskStatus';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
-import { formatProgress } from '../packages/jobs/formatProgress';
+import { progressTexts } from '../packages/jobs/progressTexts';
 import { JobProgress } from '../packages/jobs/JobProgress';
 import type { JobState } from '../packages/jobs/JobState';
 import { parseProgress } from '../packages/jobs/parseProgress';
@@ -85,7 +85,7 @@
         progress.recordRunEnd(members[1]!, run, 'interrupted', '');
       }
     }
-    const recovered = parseProgress(definition, formatProgress(definition, progress))!;
+    const recovered = parseProgress(definition, { text: progressTexts.formatWhole(definition, progress) })!;
     recovered.recordRunEnd(members[1]!, ATTEMPTS - 1, 'failed', '');
     const failureCounts = recovered.listTasks(0, 0).map(({ failureCount }) => failureCount);
     expect(failureCounts).toEqual([ATTEMPTS - 1, 0]);
--- a/tests/helpers/CrashSimulation.ts
+++ b/tests/helpers/CrashSimulation.ts
@@ -8,7 +8,7 @@
 import type { EndpointProfile } from '../../packages/dispatch/endpoints/EndpointProfile';
 import { endpointIncarnations } from '../../packages/jobs/endpointIncarnations';
 import type { EndpointIncarnation } from '../../packages/jobs/EndpointIncarnation';
-import { formatProgress } from '../../packages/jobs/formatProgress';
+import { progressTexts } from '../../packages/jobs/progressTexts';
 import type { JobDefinition } from '../../packages/jobs/JobDefinition';
 import type { JobId } from '../../packages/jobs/JobId';
 import { JobProgress } from '../../packages/jobs/JobProgress';
@@ -291,7 +291,7 @@
 
   private readProgress(definition: JobDefinition): JobProgress {
     const text = this.recordedProgress.get(definition.id);
-    return text === undefined ? new JobProgress(definition) : parseProgress(definition, text)!;
+    return text === undefined ? new JobProgress(definition) : parseProgress(definition, { text: text })!;
   }
 
   private createIncarnationProfile(machine: Machine, incarnation: EndpointIncarnation): EndpointProfile {
@@ -460,7 +460,7 @@
   }
 
   private writeProgress({ definition, progress }: LiveJob): void {
-    this.recordedProgress.set(definition.id, formatProgress(definition, progress));
+    this.recordedProgress.set(definition.id, progressTexts.formatWhole(definition, progress));
     const submitted = this.jobs.get(definition.id)!;
     if (progress.isEnded()) {
       submitted.endedAt ??= this.now;
--- a/tests/helpers/MemoryLog.ts
+++ b/tests/helpers/MemoryLog.ts
@@ -1,5 +1,6 @@
 import { waitForDelay } from '../../packages/common/waitForDelay';
 import type { Random } from '../../packages/common/Random';
+import { appendRules } from '../../packages/store/appendRules';
 import type { LogClient } from '../../packages/store/LogClient';
 import { KeyedTopic } from '../../packages/standins/platform/KeyedTopic';
 import { logFrames } from '../../platform/logFrames';
@@ -10,6 +11,10 @@
 /** In-memory log for simulations on virtual time, with a constant latency. */
 export class MemoryLog implements LogClient {
   private readonly topics = new Map<string, KeyedTopic>();
+  /** Size above which a record is never taken, in bytes. */
+  maxRecordBytes = 262_144;
+  /** Keys and sizes of all records that were taken. */
+  readonly recordSizes: { readonly key: string; readonly bytes: number }[] = [];
   /** Share of the appends that are written without a response. */
   lostResponseShare = 0;
 
@@ -26,6 +31,11 @@
     timeoutMs,
   }: Parameters<LogClient['append']>[0]): ReturnType<LogClient['append']> {
     await waitForDelay(LATENCY_MS);
+    const sizes = writes.map((write) => ({ key: write.key, bytes: appendRules.computeRecordBytes(write) }));
+    if (sizes.some(({ bytes }) => bytes > this.maxRecordBytes)) {
+      return { ok: false, error: { kind: 'refused', detail: 'record_bytes' } };
+    }
+    this.recordSizes.push(...sizes);
     const response = this.getTopic(topic).append(logFrames.formatWrites(writes), writer);
     if (response.status === 409) {
       return { ok: false, error: { kind: 'fenced', detail: response.body.reason } };
--- a/tests/possibleCrashes.test.ts
+++ b/tests/possibleCrashes.test.ts
@@ -8,7 +8,7 @@
 import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import type { CrashBlame } from '../packages/jobs/CrashBlame';
 import type { EndpointIncarnation } from '../packages/jobs/EndpointIncarnation';
-import { formatProgress } from '../packages/jobs/formatProgress';
+import { progressTexts } from '../packages/jobs/progressTexts';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
 import type { JobId } from '../packages/jobs/JobId';
 import { JobProgress } from '../packages/jobs/JobProgress';
@@ -74,14 +74,17 @@
   const startNextLeader = (draining?: EndpointIncarnation): void => {
     const texts = [...jobs.values()].map(
       (definition) =>
-        [definition, formatProgress(definition, dispatcher.getJob(definition.id)!.progress)] as const,
+        [
+          definition,
+          progressTexts.formatWhole(definition, dispatcher.getJob(definition.id)!.progress),
+        ] as const,
     );
     dispatcher = createLeader();
     if (draining !== undefined) {
       drainEndpoint(draining);
     }
     for (const [definition, text] of texts) {
-      dispatcher.handleJob(definition, parseProgress(definition, text)!, now);
+      dispatcher.handleJob(definition, parseProgress(definition, { text: text })!, now);
     }
   };
 
