fix: what a round takes on does not grow with the size of a job

Cause: a round placed all tasks that fit on the endpoints, 105,600 of them: a run, a command with the whole spec, a log row and queued closures for each. Nothing else bounded how many were under way.

Listing a large step no longer reads all of its tasks, and run times are compared with a bounded number.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -33,6 +33,7 @@
 import type { PlacedRun } from './runs/PlacedRun';
 import { Preemptor } from './placing/Preemptor';
 import { EndpointReservations } from './placing/EndpointReservations';
+import { RunBudget } from './placing/RunBudget';
 import { createPlacedRun } from './runs/createPlacedRun';
 import { AdviceStats } from './advice/AdviceStats';
 import { AdviceRequester } from './advice/AdviceRequester';
@@ -45,6 +46,7 @@
 import { StatusReconciler } from './endpoints/StatusReconciler';
 import { computeLoad } from './computeLoad';
 import { CapacityView } from './placing/CapacityView';
+import { RunCounts } from './runs/RunCounts';
 import { RunTracker } from './runs/RunTracker';
 import { RunMover } from './runs/RunMover';
 import { RunCommands } from './runs/RunCommands';
@@ -91,6 +93,8 @@
   private readonly jobs = new Map<JobId, LiveJob>();
   /** Resources in use by each customer's runs, kept up to date by the `EndpointState`s. */
   private readonly customerUsage = new CustomerUsage();
+  private readonly runCounts = new RunCounts();
+  private readonly runBudget = new RunBudget(this.endpoints, this.runCounts);
   /** Finds the jobs that are over their customer's share of jobs per second. */
   private readonly jobRateMeter = new JobRateMeter();
   private pendingEffects: DispatchEffect[] = [];
@@ -205,6 +209,7 @@
     this.stepPlacer = new StepPlacer({
       capacityView: this.capacityView,
       stepLimiter: limiter,
+      runBudget: this.runBudget,
       adviceRequester: this.adviceRequester,
       preemptor,
       reservations,
@@ -283,7 +288,9 @@
       if (name === undefined || job.progress.isEnded()) {
         continue;
       }
-      const waiting = job.getWaitingSteps(wallMs).reduce((sum, { indexes }) => sum + indexes.length, 0);
+      const waiting = job
+        .getWaitingSteps(wallMs)
+        .reduce((sum, { repetition, step }) => sum + job.progress.countWaitingTasks(repetition, step), 0);
       counts.set(name, (counts.get(name) ?? 0) + waiting);
     }
     return counts;
@@ -433,10 +440,7 @@
     this.isRoundDue = true;
     const endpoint = this.endpoints.get(profile.incarnation);
     if (endpoint === undefined) {
-      this.endpoints.set(
-        profile.incarnation,
-        new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage, this.extendedLeases),
-      );
+      this.endpoints.set(profile.incarnation, this.createEndpointState(profile));
       return;
     }
     endpoint.applyProfile(profile);
@@ -653,6 +657,7 @@
     this.crashTracker.applyCrashLimits(now, wallMs);
     this.isRoundDue = false;
     this.capacityView.clearCache();
+    this.runBudget.startRound();
     this.preemptor.startRound(now, wallMs);
     this.endpointQuarantine.clearCache();
     this.endpointPreference.setRoundWallTime(wallMs);
@@ -724,6 +729,11 @@
     this.runTracker.sendStop(endpoint, run, 'gaveWay');
   }
 
+  private createEndpointState(profile: EndpointProfile): EndpointState {
+    const { earlierLeasesEndAt, customerUsage, extendedLeases, runCounts } = this;
+    return new EndpointState(profile, earlierLeasesEndAt, customerUsage, extendedLeases, runCounts);
+  }
+
   /** Adds an unconfirmed run for a task that an earlier leader placed, and the state of its endpoint if there is none. */
   private addRecoveredRun(job: LiveJob, address: TaskAddress, task: TaskProgress, now: number): void {
     const { definition } = job;
@@ -731,7 +741,7 @@
     if (endpoint === undefined) {
       // Without a record the endpoint may still be running the task, until its lease expires.
       const profile = createDeregisteredProfile(task.endpoint, job.getQueue().service);
-      endpoint = new EndpointState(profile, this.earlierLeasesEndAt, this.customerUsage, this.extendedLeases);
+      endpoint = this.createEndpointState(profile);
       // The endpoint's record may have been deleted, by a drain or a crash, before this leader read the records.
       endpoint.recordDeregistration();
       this.endpoints.set(task.endpoint, endpoint);
--- a/packages/dispatch/computeLoad.ts
+++ b/packages/dispatch/computeLoad.ts
@@ -7,7 +7,7 @@
 import { computeDominantShare } from '../load/computeDominantShare';
 import type { EndpointState } from './endpoints/EndpointState';
 import type { LiveJob } from './waiting/LiveJob';
-import { computeWaitingDemand } from './waiting/computeWaitingDemand';
+import { toReservedDemand } from '../jobs/toReservedDemand';
 
 interface LoadInput {
   readonly endpoints: Iterable<EndpointState>;
@@ -50,15 +50,16 @@
     const steps = job.progress.isEnded() ? [] : job.getWaitingSteps(wallMs);
     const { customer, queue } = job.definition;
     for (const step of steps) {
-      const demand = computeWaitingDemand(step);
+      const waitingTasks = job.progress.countWaitingTasks(step.repetition, step.step);
+      const demand = resourceMath.computeProduct(toReservedDemand(step.shape), waitingTasks);
       const row = getQueueLoad(queue.name);
-      row.waitingTasks += step.indexes.length;
+      row.waitingTasks += waitingTasks;
       row.waitingCpuMillis += demand.cpuMillis;
       if (customer !== undefined) {
         const earlier = customers.get(customer.name);
         customers.set(customer.name, {
           weight: customer.weight,
-          waitingTasks: (earlier?.waitingTasks ?? 0) + step.indexes.length,
+          waitingTasks: (earlier?.waitingTasks ?? 0) + waitingTasks,
           waitingDemand: resourceMath.computeSum(earlier?.waitingDemand ?? resourceMath.ZERO, demand),
           usedResources: usage.getUsedResources(customer.name),
         });
--- a/packages/dispatch/endpoints/EndpointState.ts
+++ b/packages/dispatch/endpoints/EndpointState.ts
@@ -8,6 +8,7 @@
 import { leaderTimings } from '../../leadership/leaderTimings';
 import type { EndpointProfile } from './EndpointProfile';
 import type { PlacedRun } from '../runs/PlacedRun';
+import { RunCounts } from '../runs/RunCounts';
 import { FailureStreak } from '../stops/FailureStreak';
 
 /** Weight of the newest run in the moving average of failed runs. */
@@ -72,6 +73,8 @@
     private readonly customerUsage: CustomerUsage,
     /** Leases of endpoints that may be longer than the usual ones. */
     private readonly extendedLeases = new ExtendedLeases(),
+    /** Counts of the runs on all endpoints, updated with each run that is added or removed. */
+    private readonly runCounts = new RunCounts(),
   ) {}
 
   getProfile(): EndpointProfile {
@@ -117,11 +120,12 @@
     return this.runs.size;
   }
 
-  /** Adds a run, and reserves its demand here and in its customer's usage. */
+  /** Adds a run that is not there yet, and reserves its demand here and in its customer's usage. */
   addRun(run: PlacedRun): void {
     this.runs.set(`${run.task}#${run.run}`, run);
     this.usedCapacity = resourceMath.computeSum(this.usedCapacity, run.demand);
     this.customerUsage.recordRun(run);
+    this.runCounts.recordRun(run.job);
     if (run.isCrashSuspect) {
       this.startingSuspects.add(run);
     }
@@ -133,6 +137,7 @@
     if (this.runs.delete(`${run.task}#${run.run}`)) {
       this.usedCapacity = resourceMath.computeDifference(this.usedCapacity, run.demand);
       this.customerUsage.recordRunEnd(run);
+      this.runCounts.recordRunEnd(run.job);
     }
   }
 
--- a/packages/dispatch/placing/StepPlacer.ts
+++ b/packages/dispatch/placing/StepPlacer.ts
@@ -12,6 +12,7 @@
 import type { Preemptor } from './Preemptor';
 import { rankingRules } from './rankingRules';
 import type { EndpointReservations } from './EndpointReservations';
+import type { RunBudget } from './RunBudget';
 import type { CapacityView } from './CapacityView';
 import { isCrashSuspect } from '../crashes/isCrashSuspect';
 import type { SuspectCosts } from './SuspectCosts';
@@ -44,6 +45,7 @@
 interface StepPlacerOptions {
   readonly capacityView: CapacityView;
   readonly stepLimiter: StepLimiter;
+  readonly runBudget: RunBudget;
   readonly adviceRequester: AdviceRequester;
   readonly preemptor: Preemptor;
   readonly reservations: EndpointReservations;
@@ -69,16 +71,12 @@
    */
   placeStep(waitingStep: WaitingStep, now: number): boolean {
     const wait = waitingStep.job.getStepWait(waitingStep.repetition, waitingStep.step);
-    const due = this.computePartWithoutBackoff(waitingStep, now);
-    if (due === undefined) {
-      wait.recordCause('pause', now);
-      return false;
-    }
-    const step = this.options.stepLimiter.computeStartablePart(due);
-    if (step === undefined) {
-      wait.recordCause('limit', now);
+    const part = this.findStartablePart(waitingStep, now);
+    if (part.step === undefined) {
+      wait.recordCause(part.cause, now);
       return false;
     }
+    const { step } = part;
     const eligible = this.capacityView.listEligibleEndpoints(step);
     const hasCapacity = this.capacityView.hasCapacityForTask(step, eligible);
     if (hasCapacity && this.isWithoutTicket(step, now)) {
@@ -108,7 +106,7 @@
       );
     }
     if (placements.length < waitingStep.indexes.length) {
-      step.job.getStepWait(step.repetition, step.step).recordCause(missing > 0 ? cause : 'limit', now);
+      step.job.getStepWait(step.repetition, step.step).recordCause(missing > 0 ? cause : part.cause, now);
     }
     return placements.length > 0;
   }
@@ -118,8 +116,7 @@
    * taken until `releaseTentativePlacements`, so that requests for less urgent steps are for the remaining capacity.
    */
   requestAdviceAhead(waitingStep: WaitingStep, now: number): void {
-    const due = this.computePartWithoutBackoff(waitingStep, now);
-    const step = due === undefined ? undefined : this.options.stepLimiter.computeStartablePart(due);
+    const { step } = this.findStartablePart(waitingStep, now);
     if (step === undefined) {
       return;
     }
@@ -156,13 +153,9 @@
 
   /** Requests advice for an overdue step under the same conditions as `placeStep`, and places nothing. Returns what its tasks wait for. */
   private requestAdviceForOverdueStep(waitingStep: WaitingStep, now: number): WaitCause {
-    const due = this.computePartWithoutBackoff(waitingStep, now);
-    if (due === undefined) {
-      return 'pause';
-    }
-    const step = this.options.stepLimiter.computeStartablePart(due);
+    const { step, cause: waitCause } = this.findStartablePart(waitingStep, now);
     if (step === undefined) {
-      return 'limit';
+      return waitCause;
     }
     const eligible = this.capacityView.listEligibleEndpoints(step);
     if (
@@ -181,6 +174,27 @@
     return cause;
   }
 
+  /**
+   * Returns the step with only the tasks that may be placed now, and why the others may not; without a step when that holds for all, or for a member
+   * of a gang.
+   */
+  private findStartablePart(
+    waitingStep: WaitingStep,
+    now: number,
+  ): { readonly step?: WaitingStep; readonly cause: WaitCause } {
+    const due = this.computePartWithoutBackoff(waitingStep, now);
+    if (due === undefined) {
+      return { cause: 'pause' };
+    }
+    const limited = this.options.stepLimiter.computeStartablePart(due);
+    if (limited === undefined) {
+      return { cause: 'limit' };
+    }
+    const step = this.options.runBudget.computeStartablePart(limited);
+    const cause = limited.indexes.length < due.indexes.length ? 'limit' : 'bound';
+    return step === undefined ? { cause: 'bound' } : { step, cause };
+  }
+
   /** Returns the step without the tasks in backoff; undefined when none is left, or when a gang wouldn't be complete. */
   private computePartWithoutBackoff(waitingStep: WaitingStep, now: number): WaitingStep | undefined {
     const { job, repetition, step } = waitingStep;
@@ -356,7 +370,10 @@
 
   /** Returns the run number that all members of a gang start with: one more than the highest of any member. */
   private computeNextGangRun({ job, repetition, step }: WaitingStep): number {
-    return 1 + Math.max(0, ...job.progress.listTasks(repetition, step).map((task) => task.runNumber));
+    return (
+      1 +
+      job.progress.listTasks(repetition, step).reduce((newest, task) => Math.max(newest, task.runNumber), 0)
+    );
   }
 
   private getStepAdvice({ job, repetition, step }: WaitingStep): ReturnType<LiveJob['getStepAdvice']> {
@@ -378,6 +395,7 @@
     const gangCheckpoint = shape.isGang ? this.getGangCheckpoint(step) : '';
     const waits = job.getStepWait(step.repetition, step.step).getWaitTimes(now);
     this.options.reservations.releaseStepReservations(step);
+    this.options.runBudget.recordPlacements(definition.id, placements.length);
     const placed = placements.map(({ endpoint: state, run, ticket }) => {
       const { address, task } = run;
       const endpoint = state.getProfile().incarnation;
--- a/packages/dispatch/speeds/StepRunTimes.ts
+++ b/packages/dispatch/speeds/StepRunTimes.ts
@@ -1,4 +1,5 @@
 import { addToList } from '../../common/addToList';
+import { setBounded } from '../../common/setBounded';
 import type { EndpointIncarnation } from '../../jobs/EndpointIncarnation';
 import { computeMedian } from './computeMedian';
 import type { SiblingTime } from './SiblingTime';
@@ -11,24 +12,27 @@
   readonly logMs: number;
 }
 
-/** Latest run time of each task of one step, with the endpoint it ran on. */
+/** Number of tasks whose run times are kept, the newest ones. Each new time is compared with all of them. */
+const MAX_KEPT_TASKS = 512;
+
+/** Latest run times of the tasks of one step, with the endpoints they ran on. */
 export class StepRunTimes {
-  /** Latest run time of each task, by its index. */
+  /** Latest run times by the index of the task, in the order in which the tasks got their first. */
   private readonly taskTimes = new Map<number, TaskTime>();
   /** Highest run number passed to `claimGangRun`. */
   private latestGangRunNumber = 0;
 
   /** Records the run time of a task on an endpoint, in place of that of an earlier run. */
   recordTime(index: number, endpoint: EndpointIncarnation, logMs: number): void {
-    this.taskTimes.set(index, { endpoint, logMs });
+    setBounded(this.taskTimes, index, { endpoint, logMs }, MAX_KEPT_TASKS);
   }
 
-  /** Returns how many tasks have a recorded time. */
+  /** Returns how many tasks have a kept time. */
   countTasks(): number {
     return this.taskTimes.size;
   }
 
-  /** Returns how many tasks have a recorded time on an endpoint. */
+  /** Returns how many tasks have a kept time on an endpoint. */
   countTasksOn(endpoint: EndpointIncarnation): number {
     let count = 0;
     for (const task of this.taskTimes.values()) {
--- a/packages/dispatch/waiting/StepSpeeds.ts
+++ b/packages/dispatch/waiting/StepSpeeds.ts
@@ -1,8 +1,11 @@
 import { computeQuantile } from '../../common/computeQuantile';
+import { setBounded } from '../../common/setBounded';
 import { sortAscending } from '../../common/sortAscending';
 
 /** Number of tasks with a recorded pace from which the median is known. */
 const MIN_MEDIAN_TASK_COUNT = 3;
+/** Number of tasks whose paces are kept. The medians are computed from all of them after each change. */
+const MAX_KEPT_TASKS = 512;
 
 /** Newest paces of the tasks of one step, in milliseconds for one percent of progress. Stragglers are compared with their median. */
 export class StepSpeeds {
@@ -17,8 +20,8 @@
 
   /** Replaces the pace of a task, and the pace that it would have on a baseline endpoint, which is the same by default. */
   recordPace(index: number, msPerPercent: number, normalizedMsPerPercent = msPerPercent): void {
-    this.paces.set(index, msPerPercent);
-    this.normalizedPaces.set(index, normalizedMsPerPercent);
+    setBounded(this.paces, index, msPerPercent, MAX_KEPT_TASKS);
+    setBounded(this.normalizedPaces, index, normalizedMsPerPercent, MAX_KEPT_TASKS);
     this.medianPace = undefined;
     this.normalizedMedianPace = undefined;
   }
--- a/packages/dispatch/waiting/StepWait.ts
+++ b/packages/dispatch/waiting/StepWait.ts
@@ -10,6 +10,7 @@
     answer: 0,
     room: 0,
     limit: 0,
+    bound: 0,
     pause: 0,
   };
 
--- a/packages/dispatch/waiting/WaitingStep.ts
+++ b/packages/dispatch/waiting/WaitingStep.ts
@@ -9,7 +9,7 @@
   /** Index of the step in the job definition. */
   readonly step: number;
   readonly shape: JobStep;
-  /** Indexes of the waiting tasks within the step; all of them for a gang. */
+  /** Indexes of the waiting tasks within the step, the first ones of a large step; all of them for a gang. */
   readonly indexes: readonly number[];
   /** Wall clock time by which the repetition should be complete. */
   readonly objectiveAtMs: number;
--- a/packages/dispatch/waiting/waitMetricNames.ts
+++ b/packages/dispatch/waiting/waitMetricNames.ts
@@ -7,5 +7,6 @@
   answer: 'waitAnswerMs',
   room: 'waitRoomMs',
   limit: 'waitLimitMs',
+  bound: 'waitBoundMs',
   pause: 'waitPauseMs',
 } as const satisfies Readonly<Record<WaitCause, string>>;
--- a/packages/jobs/JobProgress.ts
+++ b/packages/jobs/JobProgress.ts
@@ -20,6 +20,15 @@
   unconfirmedCrashes: [],
 };
 
+/** Number of tasks from which the waiting ones of a step are counted with each change. */
+const MIN_LARGE_STEP = 1024;
+
+interface LargeStepWaiting {
+  count: number;
+  /** Index below which no task waits. */
+  firstIndex: number;
+}
+
 /**
  * Progress of one job: a table of tasks by [repetition][step][index], and the outcome of the job.
  * Pure state without clock or I/O. Placements, transfers and ends name their run and are ignored for older runs, so that it is safe to
@@ -38,6 +47,10 @@
   private finalState: 'completed' | 'failed' | 'cancelled' | undefined;
   /** Newest run of each gang in which a member failed, by `REPETITION.STEP`. */
   private readonly failedGangRuns = new Map<string, number>();
+  /** Waiting tasks of each step that is too large to be searched for them, by `REPETITION.STEP`. */
+  private readonly waitingTasks = new Map<string, LargeStepWaiting>();
+  /** Index of the first repetition that may have open tasks. */
+  private firstOpenRepetition = 0;
   private readonly numbering: TaskNumbering;
   private readonly parts: ProgressParts;
   /** Number that increases with each change of a task. */
@@ -91,6 +104,56 @@
     return this.openTaskCounts[repetition]?.[step] === 0;
   }
 
+  /** Returns the index of the first repetition with open tasks; the number of repetitions when there is none. */
+  getFirstOpenRepetition(): number {
+    const isDone = (counts: readonly number[] | undefined): boolean =>
+      counts?.every((count) => count === 0) === true;
+    while (isDone(this.openTaskCounts[this.firstOpenRepetition])) {
+      this.firstOpenRepetition += 1;
+    }
+    return this.firstOpenRepetition;
+  }
+
+  /** Returns how many tasks of a step wait. */
+  countWaitingTasks(repetition: number, step: number): number {
+    return (
+      this.getLargeStep(repetition, step)?.count ??
+      this.listTasks(repetition, step).reduce((sum, { phase }) => sum + (phase === 'waiting' ? 1 : 0), 0)
+    );
+  }
+
+  /** Returns the indexes of the first `maxCount` waiting tasks of a step. */
+  listWaitingIndexes(repetition: number, step: number, maxCount: number): readonly number[] {
+    const tasks = this.listTasks(repetition, step);
+    const largeStep = this.getLargeStep(repetition, step);
+    const indexes: number[] = [];
+    for (
+      let index = largeStep?.firstIndex ?? 0;
+      index < tasks.length && indexes.length < maxCount;
+      index += 1
+    ) {
+      if (tasks[index]!.phase === 'waiting') {
+        indexes.push(index);
+      }
+    }
+    if (largeStep !== undefined) {
+      largeStep.firstIndex = indexes[0] ?? tasks.length;
+    }
+    return indexes;
+  }
+
+  /** Returns what is kept of the waiting tasks of a large step; undefined for one that is not large. */
+  private getLargeStep(repetition: number, step: number): LargeStepWaiting | undefined {
+    const count = this.definition.steps[step]?.count ?? 0;
+    if (count < MIN_LARGE_STEP) {
+      return undefined;
+    }
+    const key = `${repetition}.${step}`;
+    const known = this.waitingTasks.get(key) ?? { count, firstIndex: 0 };
+    this.waitingTasks.set(key, known);
+    return known;
+  }
+
   /** Returns how many tasks of a step are not done. */
   countOpenTasks(repetition: number, step: number): number {
     return this.openTaskCounts[repetition]?.[step] ?? 0;
@@ -273,8 +336,27 @@
 
   private setTask(address: TaskAddress, task: TaskProgress): void {
     const tasks = this.tasks[address.repetition]![address.step]!;
+    this.updateLargeStep(address, tasks[address.index]!, task);
     this.parts.recordChange(address);
     this.version += 1;
     tasks[address.index] = task;
   }
+
+  private updateLargeStep(
+    { repetition, step, index }: TaskAddress,
+    before: TaskProgress,
+    after: TaskProgress,
+  ): void {
+    const largeStep = before.phase === after.phase ? undefined : this.getLargeStep(repetition, step);
+    if (largeStep === undefined) {
+      return;
+    }
+    if (before.phase === 'waiting') {
+      largeStep.count -= 1;
+    }
+    if (after.phase === 'waiting') {
+      largeStep.count += 1;
+      largeStep.firstIndex = Math.min(largeStep.firstIndex, index);
+    }
+  }
 }
--- a/packages/ledger/LedgerCause.ts
+++ b/packages/ledger/LedgerCause.ts
@@ -2,7 +2,7 @@
  * Cause that a part of a job's time is attributed to.
  * - `accept`: from the request until the job was durable.
  * - `handOver`: until the leader had added the job.
- * - `round`, `turn`, `answer`, `room`, `limit`, `pause`: a task was ready and not yet placed; see `WaitCause`.
+ * - `round`, `turn`, `answer`, `room`, `limit`, `bound`, `pause`: a task was ready and not yet placed; see `WaitCause`.
  * - `record`: until the placement was durable.
  * - `start`: until the endpoint had responded to the start command.
  * - `running`: a run that succeeded.
@@ -22,6 +22,7 @@
   | 'answer'
   | 'room'
   | 'limit'
+  | 'bound'
   | 'pause'
   | 'record'
   | 'start'
--- a/packages/ledger/computeCriticalPath.ts
+++ b/packages/ledger/computeCriticalPath.ts
@@ -6,7 +6,7 @@
 import type { WaitSample } from './WaitSample';
 
 /** Causes of waits before a placement, in reverse of the order in which they occur. */
-const WAIT_CAUSES: readonly LedgerCause[] = ['pause', 'limit', 'room', 'answer', 'turn', 'round'];
+const WAIT_CAUSES: readonly LedgerCause[] = ['pause', 'bound', 'limit', 'room', 'answer', 'turn', 'round'];
 /** Maximum difference between the times of lines that a leader writes in the same event loop turn. */
 const SAME_TURN_TOLERANCE_MS = 2;
 /** Maximum time from the end of the last run until the end of the job is recorded; a longer one means that the line of a run is missing. */
--- a/packages/ledger/ledgerCauses.ts
+++ b/packages/ledger/ledgerCauses.ts
@@ -9,6 +9,7 @@
   'answer',
   'room',
   'limit',
+  'bound',
   'pause',
   'record',
   'start',
--- a/packages/serve/ServeMetrics.ts
+++ b/packages/serve/ServeMetrics.ts
@@ -62,6 +62,7 @@
   | 'waitAnswerMs'
   | 'waitRoomMs'
   | 'waitLimitMs'
+  | 'waitBoundMs'
   | 'waitPauseMs';
 
 const toMetricName = (name: string): string => name.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
--- a/tests/largeJobs.test.ts
+++ b/tests/largeJobs.test.ts
@@ -1,13 +1,15 @@
 /*
- * Guards against a job that stops all others by its size: its progress outgrows a record of the log, and no record
+ * Guards against a job that stops all others by its size: its starts are all under way at once, its progress outgrows a record of the log, and no record
  * behind that one is written.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { EndpointProfile } from '../packages/dispatch/endpoints/EndpointProfile';
+import { Dispatcher } from '../packages/dispatch/Dispatcher';
 import { LeaderController } from '../packages/dispatch/LeaderController';
 import { formatDefinition } from '../packages/jobs/formatDefinition';
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
 import { jobKeys } from '../packages/jobs/jobKeys';
+import { JobProgress } from '../packages/jobs/JobProgress';
 import { JobReplica } from '../packages/jobs/JobReplica';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createLeaderOptions } from './helpers/createLeaderOptions';
@@ -22,6 +24,7 @@
 const SMALL_TASKS = 4;
 /** Time in which a job that may start has to be done. */
 const MAX_SMALL_MS = 3000;
+const MAX_PENDING_STARTS = 512;
 /** Fits one part of the progress. */
 const SMALL_APPEND_BYTES = 16_000;
 /** Times around the division of the progress into parts. */
@@ -93,6 +96,22 @@
     controller.stop();
   });
 
+  it('has a bounded number of starts under way, and leaves others their share', async () => {
+    const controller = await startLeader();
+    sendJob(controller, LARGE);
+    await vi.advanceTimersByTimeAsync(1);
+    const pending = [
+      ...controller.getDispatcher().getEndpointState(createProfile(ENDPOINT).incarnation)!.getRuns(),
+    ];
+    expect(pending.length).toBeGreaterThan(0);
+    expect(pending.length).toBeLessThanOrEqual(MAX_PENDING_STARTS);
+    const small = createSmall(2);
+    sendJob(controller, small);
+    await vi.advanceTimersByTimeAsync(100);
+    expect(countStarts(small)).toBe(SMALL_TASKS);
+    controller.stop();
+  });
+
   it.each([200, 500, 1000, 1500, 3000, 6000])(
     'goes on under the next leader when the first stops after %i ms, and starts no task again that is done',
     async (stopAfterMs) => {
@@ -145,6 +164,46 @@
   });
 });
 
+describe('a job with room for all of its tasks', () => {
+  const countPlacedTasks = (step: Parameters<typeof createStep>[0]): number => {
+    const dispatcher = new Dispatcher({ getDefinition: () => undefined, earlierLeasesEndAt: 0 });
+    const capacity = { cpuMillis: 1_000_000, memoryMb: 1_000_000, accelerators: 0 };
+    dispatcher.handleEndpointProfile(createProfile(ENDPOINT, { capacity }));
+    const { incarnation } = createProfile(ENDPOINT);
+    dispatcher.handleStatus({ endpoint: incarnation, running: [], ended: [], pollSentAt: 0 }, 0, 0);
+    const definition = createJobDefinition(1, [createStep({ demand: TINY, ...step })]);
+    dispatcher.handleJob(definition, new JobProgress(definition), 0);
+    for (let now = 100, hasStarts = true; hasStarts; now += 100) {
+      dispatcher.handleTick(now);
+      dispatcher.placeWaiting(now, now);
+      const starts = dispatcher.takeEffects().filter((effect) => effect.kind === 'start');
+      for (const start of starts) {
+        dispatcher.handleStartRecorded(start, now);
+        const { task, run } = start.command;
+        dispatcher.handleStartResult(start.endpoint, task, run, { kind: 'done' }, now);
+      }
+      hasStarts = starts.length > 0;
+    }
+    return dispatcher.getEndpointState(incarnation)!.countRuns();
+  };
+
+  it('runs 8,000 long-running ones', () => {
+    expect(countPlacedTasks({ count: 8000, isLongRunning: true })).toBe(8000);
+  });
+
+  it('runs 20,000 long-running ones', () => {
+    expect(countPlacedTasks({ count: 20_000, isLongRunning: true })).toBe(20_000);
+  });
+
+  it('starts a gang of 2,000', () => {
+    expect(countPlacedTasks({ count: 2000, isGang: true })).toBe(2000);
+  });
+
+  it('starts a gang of 20,000', () => {
+    expect(countPlacedTasks({ count: 20_000, isGang: true })).toBe(20_000);
+  });
+});
+
 describe('the record of a job', () => {
   it('is whole in the form that earlier versions read, while it fits', async () => {
     const controller = await startLeader();
--- a/tests/progressParts.test.ts
+++ b/tests/progressParts.test.ts
@@ -193,3 +193,32 @@
     expect(JSON.parse(progressTexts.formatDivided())).toMatchObject({ ending: 'cancelled', tasks: [] });
   });
 });
+
+describe('the waiting tasks of a large step', () => {
+  it('are those that a search of all tasks finds', () => {
+    const large = createJobDefinition(3, [createStep({ count: 1500 })]);
+    const arbitraryIndexes = fc.array(fc.tuple(fc.nat(1499), fc.boolean()), { maxLength: 80 });
+    fc.assert(
+      fc.property(arbitraryIndexes, fc.nat(30), (changes, listEvery) => {
+        const progress = new JobProgress(large);
+        for (const [number, [index, isPlaced]] of changes.entries()) {
+          const address = { repetition: 0, step: 0, index };
+          const { runNumber } = progress.getTask(address)!;
+          if (isPlaced) {
+            progress.recordRunPlaced(address, runNumber + 1, ENDPOINT);
+          } else {
+            progress.recordRunEnd(address, runNumber, index % 2 === 0 ? 'done' : 'interrupted', '');
+          }
+          if (number % (listEvery + 1) === 0) {
+            progress.listWaitingIndexes(0, 0, 10);
+          }
+        }
+        const waiting = progress
+          .listTasks(0, 0)
+          .flatMap(({ phase }, index) => (phase === 'waiting' ? [index] : []));
+        expect(progress.countWaitingTasks(0, 0)).toBe(waiting.length);
+        expect(progress.listWaitingIndexes(0, 0, 20)).toEqual(waiting.slice(0, 20));
+      }),
+    );
+  });
+});
