fix: a record that the log never takes is no outage

Cause: any refusal but 409 was taken for an outage of the log.

Why this works: 400 and 413 say that the log takes no such append, however often it is sent. Its records are sent one by one; the one that is rejected is reported and passed over, and the job that it belongs to fails, since its tasks could not be known to be done. The stand-in of the log rejects what the log rejects.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -425,6 +425,14 @@
     }
   }
 
+  /** Ends a job as failed, since its progress cannot be recorded, and stops its runs. Does nothing if the job is unknown or has ended. */
+  handleUnwritableJob(id: JobId, wallMs: number): void {
+    const job = this.jobs.get(id);
+    if (job !== undefined) {
+      this.runTracker.recordJobEnd(job, 'failed', wallMs);
+    }
+  }
+
   /** Ends a job as cancelled and stops its runs. Does nothing if the job is unknown or has ended. */
   handleCancel(id: JobId, wallMs: number): void {
     const job = this.jobs.get(id);
--- a/packages/dispatch/LeaderController.ts
+++ b/packages/dispatch/LeaderController.ts
@@ -199,6 +199,7 @@
       ...options,
       formatLeaderRecord: (isResigned) => this.formatLeaderRecord(isResigned),
       handleLeaderRecordWritten: () => this.handleLeaderRecordWritten(),
+      handleUnwritableProgress: (job) => this.handleUnwritableProgress(job),
       handleFenced: (detail) => this.handleLeadershipLost(`the log rejected a write: ${detail}`),
     });
     this.witnesses = new LeaseWitnesses({
@@ -538,6 +539,12 @@
     return formatLeaderRecord(isResigned, this.witnesses.updateNamedWitnesses(), leases);
   }
 
+  /** Fails a job whose progress the log never takes: without a record, its tasks could not be started again, nor known to be done. */
+  private handleUnwritableProgress(job: JobId): void {
+    this.dispatcher.handleUnwritableJob(job, this.options.clock.getWallTime());
+    this.effectSender.sendEffects();
+  }
+
   private handleLeaderRecordWritten(): void {
     this.witnesses.handleRecordWritten();
     if (this.options.extendedLeases.handleRecordWritten()) {
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -12,6 +12,7 @@
 import { loadKeys } from '../load/loadKeys';
 import { ExclusiveWriter } from '../store/ExclusiveWriter';
 import type { LogClient } from '../store/LogClient';
+import type { LogWrite } from '../store/LogWrite';
 
 interface LeaderJournalOptions {
   readonly epoch: number;
@@ -30,6 +31,8 @@
   readonly formatLeaderRecord: (isResigned: boolean) => string;
   /** Called when the leader's record that was formatted last is durable. */
   readonly handleLeaderRecordWritten: () => void;
+  /** Called when the log never takes a record of a job's progress. */
+  readonly handleUnwritableProgress: (job: JobId) => void;
   /** Called when the log rejects a write since a newer leader has fenced this one. */
   readonly handleFenced: (detail: string) => void;
   /** Called when the log has recovered from an outage, with the monotonic time at which the first successful append was sent. */
@@ -267,6 +270,21 @@
     this.acknowledgedSentAt = Math.max(this.acknowledgedSentAt, sentAt);
   }
 
+  /** Logs a record that the log never takes, and reports the job if it is of a job's progress. */
+  private handleRejected(topic: string, { key, value }: LogWrite, detail: string): void {
+    const { job } = jobKeys.parseProgressKey(key) ?? {};
+    const bytes = Buffer.byteLength(value);
+    this.options.logger.error('Record is rejected by the log and not written.', {
+      topic,
+      key,
+      bytes,
+      detail,
+    });
+    if (job !== undefined) {
+      this.options.handleUnwritableProgress(job);
+    }
+  }
+
   /**
    * Creates a writer of a topic that logs outages and recoveries; `handleConfirmed` gets the time at which an acknowledged write
    * was sent.
@@ -284,6 +302,7 @@
       maxBatchBytes: maxAppendBytes,
       handleFenced,
       handleConfirmed,
+      handleRejected: (write, detail) => this.handleRejected(topic, write, detail),
       handleConnection: (isConnected, detail, sentAt) => {
         const message = isConnected ? 'Writes to the log succeed again.' : 'Writes to the log fail.';
         logger.info(message, { topic, detail });
--- a/packages/standins/platform/LogStandin.ts
+++ b/packages/standins/platform/LogStandin.ts
@@ -24,6 +24,23 @@
 const DEFAULT_READ_KB = 1024;
 const BYTES_PER_KB = 1024;
 const MAX_APPEND_WAIT_MS = 2000;
+const MAX_RECORD_BYTES = 262_144;
+const MAX_APPEND_BYTES = 2_097_152;
+
+/** Returns why the log takes no append of these frames, however often it is sent; undefined when it does. */
+const findSizeProblem = (frames: Buffer): string | undefined => {
+  if (frames.length > MAX_APPEND_BYTES) {
+    return 'call_bytes';
+  }
+  for (let offset = 0; offset + FRAME_LENGTH_BYTES <= frames.length;) {
+    const length = frames.readUInt32BE(offset);
+    if (length > MAX_RECORD_BYTES) {
+      return 'record_bytes';
+    }
+    offset += FRAME_LENGTH_BYTES + length;
+  }
+  return undefined;
+};
 
 /** Stands in for the platform's log over HTTP: keyed topics of one partition, with the paths and bodies that the platform documents. */
 export class LogStandin {
@@ -169,7 +186,13 @@
       sendJson(response, 503, {});
       return;
     }
-    const result = this.getTopic(topic).append(Buffer.concat(chunks), writer);
+    const frames = Buffer.concat(chunks);
+    const problem = findSizeProblem(frames);
+    if (problem !== undefined) {
+      sendJson(response, 400, { reason: problem });
+      return;
+    }
+    const result = this.getTopic(topic).append(frames, writer);
     if (!isResponseLost) {
       sendJson(response, result.status, result.body);
     }
--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -23,6 +23,8 @@
    * others to read, long before the one that was acknowledged.
    */
   readonly handleConfirmed: (firstSentAt: number) => void;
+  /** Called for a record that the log never takes, which is passed over: the handlers of its writes are called as if it were durable. */
+  readonly handleRejected: (write: LogWrite, detail: string) => void;
   /** Called when appends start to fail or succeed again, with the monotonic time at which that append was sent. */
   readonly handleConnection: (isConnected: boolean, detail: string, sentAt: number) => void;
 }
@@ -145,6 +147,21 @@
     return writes;
   }
 
+  /** Sends the records of an append that the log never takes one by one, and reports those that it rejects by themselves. False once stopped. */
+  private async handleRejection(writes: readonly LogWrite[], detail: string): Promise<boolean> {
+    if (writes.length === 1) {
+      this.options.handleRejected(writes[0]!, detail);
+      return !this.hasStopped();
+    }
+    for (const write of writes) {
+      if (!(await this.sendBatch([write]))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Sends an append until it is acknowledged, or the log never takes it. Resolves to false when this writer has stopped. */
   private async sendBatch(writes: readonly LogWrite[]): Promise<boolean> {
     const { client, topic, clock, producer, epoch } = this.options;
     this.lastSequence += 1;
@@ -170,6 +187,12 @@
         this.options.handleFenced(response.error.detail);
         return false;
       }
+      if (response.error.kind === 'rejected') {
+        // The log has not counted the append.
+        this.lastSequence -= 1;
+        this.recordConnection(true, '', sentAt);
+        return this.handleRejection(writes, response.error.detail);
+      }
       const detail = response.error.kind === 'forgotten' ? 'forgotten' : response.error.detail;
       this.recordConnection(false, detail, sentAt);
       timeoutMs = Math.min(appendRules.maxTimeoutMs, timeoutMs * 2);
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -113,7 +113,7 @@
 
   /**
    * Sends a batch, with retries until it succeeds or the deadlines of all writes have passed. Writes are settled one by one when their
-   * deadline passes. Resolves to false when no write succeeded.
+   * deadline passes. Resolves to false when the log took no append.
    */
   private async sendBatch(batch: readonly QueuedWrite[]): Promise<boolean> {
     let pending = batch;
@@ -132,6 +132,10 @@
         pending.forEach(({ resolve }) => resolve('written'));
         return true;
       }
+      if (response.error.kind === 'rejected') {
+        await this.handleRejection(pending);
+        return true;
+      }
       this.recordFailure(response.error);
       mayBeWritten = mayBeWritten || response.error.kind === 'unknown';
       const now = this.options.clock.getNow() + APPEND_RETRY_DELAY_MS;
@@ -146,6 +150,18 @@
     return false;
   }
 
+  /** Sends the writes of a batch that the log never takes one by one, so that only those are refused that it rejects by themselves. */
+  private async handleRejection(batch: readonly QueuedWrite[]): Promise<void> {
+    this.recordSuccess();
+    if (batch.length === 1) {
+      batch[0]!.resolve('refused');
+      return;
+    }
+    for (const write of batch) {
+      await this.sendBatch([write]);
+    }
+  }
+
   private computeMaxRemainingMs(pending: readonly QueuedWrite[]): number {
     const latest = Math.max(...pending.map(({ deadline }) => deadline));
     return Math.max(1, latest - this.options.clock.getNow());
--- a/tests/largeJobs.test.ts
+++ b/tests/largeJobs.test.ts
@@ -204,6 +204,22 @@
   });
 });
 
+describe('a record that the log never takes', () => {
+  it('fails its job alone', async () => {
+    log.maxRecordBytes = 3000;
+    const controller = await startLeader();
+    const wide = createJobDefinition(1, [createStep({ count: 200, demand: TINY })]);
+    sendJob(controller, wide);
+    const small = createSmall(2);
+    sendJob(controller, small);
+    await vi.advanceTimersByTimeAsync(MAX_SMALL_MS);
+    expect(replica.getState(small.id)).toBe('completed');
+    expect(replica.getState(wide.id)).toBe('failed');
+    expect(countStarts(wide)).toBe(0);
+    controller.stop();
+  });
+});
+
 describe('the record of a job', () => {
   it('is whole in the form that earlier versions read, while it fits', async () => {
     const controller = await startLeader();
--- a/tests/suspension.test.ts
+++ b/tests/suspension.test.ts
@@ -176,6 +176,7 @@
       logger: LOGGER,
       formatLeaderRecord: () => 'leader',
       handleLeaderRecordWritten: () => undefined,
+      handleUnwritableProgress: handleUnexpectedCall,
       handleFenced: handleUnexpectedCall,
       handleLogRecovered: () => undefined,
     });
