advice: a late long request takes the own channel only if no other responds

A long request that is repeated over the leader's own box keeps that from short ones for its whole time. It now prefers another free channel that has responded since the request was sent, and takes the own one rather than one that has not, which may be lost as well.

The first test of tests/adviceRepetitions failed before.

--- a/packages/dispatch/advice/FirstFreeBalancer.ts
+++ b/packages/dispatch/advice/FirstFreeBalancer.ts
@@ -34,9 +34,9 @@
 const MAX_REQUEST_ATTEMPTS = 3;
 
 /**
- * Sends short requests over the leader's own box if it is free, and reserves it for them while another channel works; else requests go over the free channel
- * that has responded last, which is the least likely to be lost. Only channels that work carry requests; the others get copies of them, as trials. While none works, the service itself may fail: those that are
- * due for a trial carry the requests.
+ * Sends short requests over the leader's own box if it is free, and reserves it for them while another channel works; else requests go over the free
+ * channel that has responded last, which is the least likely to be lost. Only channels that work carry requests; the others get copies of them, as
+ * trials. While none works, the service itself may fail: those that are due for a trial carry the requests.
  */
 export class FirstFreeBalancer implements AdviceBalancer {
   /** State of each channel, by the name of its box. */
@@ -65,7 +65,7 @@
     if (first !== undefined) {
       this.startTrial(request);
     }
-    const tickets = first && (await this.waitForResponse(request, first));
+    const tickets = first && (await this.waitForResponse(request, first, requestedAt));
     if (!this.isStopped) {
       handleResponse(request, tickets, Math.round(clock.getNow() - requestedAt));
     }
@@ -75,28 +75,55 @@
     this.isStopped = true;
   }
 
-  private waitForResponse(request: AdviceRequest, first: RequestAttempt): Promise<Tickets> {
+  private waitForResponse(
+    request: AdviceRequest,
+    first: RequestAttempt,
+    requestedAt: number,
+  ): Promise<Tickets> {
     return waitForHedgedResponse<NonNullable<Tickets>, RequestAttempt>({
       first,
       maxAttempts: MAX_REQUEST_ATTEMPTS,
       computeLateMs: () => request.expectedResponseMs + LATE_MARGIN_MS,
       handleLate: ({ channel }) => this.getState(channel).trust.recordFailure(this.options.clock.getNow()),
-      startNext: () => this.startAttempt(request, true),
+      startNext: () => this.startRepetition(request, requestedAt),
       isStopped: () => this.isStopped,
     });
   }
 
-  /** Sends the request over a free channel; undefined when none is free. A repeated one may also take the own box if it is long. */
-  private startAttempt(request: AdviceRequest, isRepeated = false): RequestAttempt | undefined {
-    // A negative preference goes first.
-    const ownPreference = isRepeated ? 0 : request.isLongRequest ? 1 : -1;
-    const [channel] = this.listFreeChannels().sort(
+  /** Sends the request over a free channel; undefined when none is free. */
+  private startAttempt(request: AdviceRequest): RequestAttempt | undefined {
+    return this.startAttemptOver(this.listFreeByPreference(request)[0], request);
+  }
+
+  /**
+   * Sends a request whose response is late over another free channel; undefined when none is free. Even a long one takes the own channel rather than
+   * one that has not responded since the request was first sent, and may be lost as well.
+   */
+  private startRepetition(request: AdviceRequest, requestedAt: number): RequestAttempt | undefined {
+    const free = this.listFreeByPreference(request);
+    const channel =
+      free.find((other) => !other.isOwnBox && this.getState(other).respondedAt >= requestedAt) ??
+      free.find(({ isOwnBox }) => isOwnBox) ??
+      free[0];
+    return this.startAttemptOver(channel, request);
+  }
+
+  private startAttemptOver(
+    channel: AdviceChannel | undefined,
+    request: AdviceRequest,
+  ): RequestAttempt | undefined {
+    return channel && { channel, response: this.sendAttempt(request, channel) };
+  }
+
+  /** Returns the free channels: the own one first for a short request and last for a long one, the others by their newest responses. */
+  private listFreeByPreference({ isLongRequest }: AdviceRequest): readonly AdviceChannel[] {
+    const ownOrder = isLongRequest ? 1 : -1;
+    return this.listFreeChannels().sort(
       (left, right) =>
-        ownPreference * (Number(left.isOwnBox) - Number(right.isOwnBox)) ||
+        ownOrder * (Number(left.isOwnBox) - Number(right.isOwnBox)) ||
         this.getState(right).respondedAt - this.getState(left).respondedAt ||
         0,
     );
-    return channel && { channel, response: this.sendAttempt(request, channel) };
   }
 
   /** Sends a copy of a request over a channel that is due for a trial, if there is one and no trial is pending. */
