large jobs, lost boxes: what a reading of the mends found

A malformed record of a job beside parts is logged. A box that knows of no lost box walks no list at each tick.

--- a/packages/boxes/BoxPresence.ts
+++ b/packages/boxes/BoxPresence.ts
@@ -35,6 +35,7 @@
 export class BoxPresence {
   private readonly boxes = new Map<string, KnownPresence>();
   private probeCount = 0;
+  private lostCount = 0;
 
   constructor(private readonly options: BoxPresenceOptions) {}
 
@@ -50,7 +51,7 @@
 
   /** Returns the number of lost boxes. */
   countLost(): number {
-    return [...this.boxes.values()].filter(({ state }) => state === 'lost').length;
+    return this.lostCount;
   }
 
   /** Records a response of the box, whatever it says. */
@@ -58,6 +59,7 @@
     const now = this.options.clock.getNow();
     const known = this.getPresence(box);
     if (known.state === 'lost') {
+      this.lostCount -= 1;
       this.options.logger.info('Box responds again.', {
         other: box,
         lostMs: Math.round(now - known.lostAt),
@@ -77,6 +79,7 @@
     }
     const now = this.options.clock.getNow();
     known.state = 'lost';
+    this.lostCount += 1;
     known.lostAt = now;
     known.nextProbeAt = now;
     this.options.logger.info('Box does not respond.', {
@@ -95,14 +98,19 @@
 
   /** Sends the probes that are due to lost ones of the boxes and, with `isProbingUnknown`, to unknown ones. Called periodically. */
   handleTick(boxes: readonly { readonly box: string }[], isProbingUnknown: boolean): void {
+    if (this.lostCount === 0 && !isProbingUnknown) {
+      return;
+    }
     const now = this.options.clock.getNow();
-    const due = boxes
-      .map(({ box }) => ({ box, known: this.getPresence(box) }))
-      .filter(
-        ({ known: { state, isProbing, nextProbeAt } }) =>
-          !isProbing && now >= nextProbeAt && (state === 'lost' || (isProbingUnknown && state === 'unknown')),
-      )
-      .sort((left, right) => left.known.nextProbeAt - right.known.nextProbeAt);
+    const due: { readonly box: string; readonly known: KnownPresence }[] = [];
+    for (const { box } of boxes) {
+      const known = this.getPresence(box);
+      const isWanted = known.state === 'lost' || (isProbingUnknown && known.state === 'unknown');
+      if (isWanted && !known.isProbing && now >= known.nextProbeAt) {
+        due.push({ box, known });
+      }
+    }
+    due.sort((left, right) => left.known.nextProbeAt - right.known.nextProbeAt || 0);
     for (const { box, known } of due.slice(0, MAX_CONCURRENT_PROBES - this.probeCount)) {
       void this.runProbe(box, known);
     }
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -57,6 +57,7 @@
   private readonly stateWriter: ExclusiveWriter;
   /** Jobs whose progress this leader has begun to divide into parts. */
   private readonly dividedJobs = new Set<JobId>();
+  private isStopped = false;
   /** Monotonic time at which the newest acknowledged write to the states topic was sent; at first, the claim. */
   private acknowledgedSentAt: number;
 
@@ -86,9 +87,12 @@
 
   /**
    * Queues a write of a job's progress as it is when the append is sent; once durable, queues its state and calls `handleWritten`. Progress that is too
-   * long for one record is written in parts, of which only those are written that have changed.
+   * long for one record is written in parts, of which only those are written that have changed. Does nothing once stopped.
    */
   queueJobProgress(definition: JobDefinition, progress: JobProgress, handleWritten?: () => void): void {
+    if (this.isStopped) {
+      return;
+    }
     const { id } = definition;
     const isWhole = progress.getParts().getForm() === 'whole';
     const formatted: { state?: JobState } = {};
@@ -252,6 +256,7 @@
 
   /** Stops both writers, and drops queued writes. */
   stop(): void {
+    this.isStopped = true;
     this.progressWriter.stop();
     this.stateWriter.stop();
   }
--- a/packages/dispatch/ProgressRecovery.ts
+++ b/packages/dispatch/ProgressRecovery.ts
@@ -63,11 +63,8 @@
     const parsed = parseProgress(definition, {
       text,
       parts,
-      handleMalformedPart: (part) => this.options.handleUnreadableProgress(id, part),
+      handleMalformed: (part) => this.options.handleUnreadableProgress(id, part),
     });
-    if (parsed === undefined) {
-      this.options.handleUnreadableProgress(id);
-    }
     return parsed ?? new JobProgress(definition);
   }
 
--- a/packages/dispatch/placing/RunBudget.ts
+++ b/packages/dispatch/placing/RunBudget.ts
@@ -54,8 +54,10 @@
     const pending = { total: starts.total, ofJob: starts.byJob.get(id) ?? 0 };
     const runAllowance = computeAllowance(runs, MAX_RUNS);
     if (shape.isGang) {
-      // Its members start together, and so may be more than the pending starts of others leave.
-      const canStart = pending.total === 0 || indexes.length <= computeAllowance(pending, MAX_PENDING_STARTS);
+      // Its members start together, and may be more than can be under way otherwise.
+      const canStart =
+        pending.total <= MAX_PENDING_STARTS / 2 ||
+        indexes.length <= computeAllowance(pending, MAX_PENDING_STARTS);
       return canStart && indexes.length <= runAllowance ? step : undefined;
     }
     const count = Math.min(runAllowance, computeAllowance(pending, MAX_PENDING_STARTS));
--- a/packages/jobs/parseProgress.ts
+++ b/packages/jobs/parseProgress.ts
@@ -53,8 +53,8 @@
   readonly text: string | undefined;
   /** Texts of the records of its parts, by number. */
   readonly parts?: ReadonlyMap<number, string>;
-  /** Called for each part whose record is malformed: its tasks are as the other records say. */
-  readonly handleMalformedPart?: (part: number) => void;
+  /** Called for each malformed record, with its part or, for that of the job, undefined. Its tasks are as the other records say. */
+  readonly handleMalformed?: (part: number | undefined) => void;
 }
 
 /** Applies the tasks of a record for which `isApplied` returns true. */
@@ -120,16 +120,19 @@
 };
 
 /**
- * Parses the log records of a job's progress; undefined when the record of the job is malformed. Its tasks are those of the parts and, where there is
- * no part, those of the record of the job, which may be older.
+ * Parses the log records of a job's progress; undefined when the only one is malformed. Its tasks are those of the parts and, where there is no part,
+ * those of the record of the job, which may be older.
  */
 export const parseProgress = (
   definition: JobDefinition,
-  { text, parts = new Map(), handleMalformedPart }: ProgressRecords,
+  { text, parts = new Map(), handleMalformed }: ProgressRecords,
 ): JobProgress | undefined => {
   const parsed = text === undefined ? undefined : progressSchema.safeParse(parseJson(text));
-  if (parsed?.success === false && parts.size === 0) {
-    return undefined;
+  if (parsed?.success === false) {
+    handleMalformed?.(undefined);
+    if (parts.size === 0) {
+      return undefined;
+    }
   }
   const progress = new JobProgress(definition);
   const whole = parsed?.data;
@@ -140,7 +143,7 @@
     if (parsedPart.success) {
       readParts.set(part, parsedPart.data);
     } else {
-      handleMalformedPart?.(part);
+      handleMalformed?.(part);
     }
   }
   const numbering = progress.getNumbering();
--- a/tests/progressParts.test.ts
+++ b/tests/progressParts.test.ts
@@ -134,12 +134,12 @@
       ...{ checkpoint: '', hasCrash: false },
     }));
     applyEvents(progress, events);
-    const malformed: number[] = [];
+    const malformed: (number | undefined)[] = [];
     const parts = formatParts(progress).set(0, '{"tasks":');
     const read = parseProgress(DEFINITION, {
       text: progressTexts.formatDivided(),
       parts,
-      handleMalformedPart: (part) => malformed.push(part),
+      handleMalformed: (part) => malformed.push(part),
     })!;
     expect(malformed).toEqual([0]);
     expect(read.getTask({ repetition: 0, step: 0, index: 0 })!.phase).toBe('waiting');
