fix: the end of a job is recorded when its record is found too long

Callers would have seen tasks of a completed job run again under the next leader, for a job whose progress first outgrows a whole record in the change that ends it, or that an earlier version has recorded whole and this one ends at once.

Cause: the formatter of the whole record queues the end under the same key and returns undefined, upon which the writer removed the key, and with it the end.

Why this works: the writer removes only the formatter that it has called.

--- a/packages/store/ExclusiveWriter.ts
+++ b/packages/store/ExclusiveWriter.ts
@@ -133,7 +133,10 @@
     for (const [key, formatValue] of this.pendingValues) {
       const value = formatValue();
       if (value === undefined) {
-        this.pendingValues.delete(key);
+        // The formatter may have queued another value of its own key.
+        if (this.pendingValues.get(key) === formatValue) {
+          this.pendingValues.delete(key);
+        }
         continue;
       }
       const write = { key, value };
--- a/tests/largeJobs.test.ts
+++ b/tests/largeJobs.test.ts
@@ -10,6 +10,8 @@
 import type { JobDefinition } from '../packages/jobs/JobDefinition';
 import { jobKeys } from '../packages/jobs/jobKeys';
 import { JobProgress } from '../packages/jobs/JobProgress';
+import { parseProgress } from '../packages/jobs/parseProgress';
+import { progressTexts } from '../packages/jobs/progressTexts';
 import { JobReplica } from '../packages/jobs/JobReplica';
 import { createJobDefinition } from './helpers/createJobDefinition';
 import { createLeaderOptions } from './helpers/createLeaderOptions';
@@ -143,6 +145,28 @@
     },
   );
 
+  it('has its end recorded when that is the first change of a record that is too long', async () => {
+    const definition = createJobDefinition(1, [createStep({ count: 5000, demand: TINY })]);
+    const progress = new JobProgress(definition);
+    for (let index = 0; index < 4999; index += 1) {
+      progress.recordRunPlaced({ repetition: 0, step: 0, index }, 1, createProfile(ENDPOINT).incarnation);
+      progress.recordRunEnd({ repetition: 0, step: 0, index }, 1, 'done', '');
+    }
+    const key = jobKeys.toProgressKey(definition.id);
+    log.writeRecord('keyed.progress', key, progressTexts.formatWhole(definition, progress));
+    replica.recordDefinition(definition);
+    replica.recordCancel(definition.id);
+    const controller = await startLeader();
+    await vi.advanceTimersByTimeAsync(MAX_SMALL_MS);
+    controller.stop();
+    const page = await Promise.all([
+      log.readPageOfNewestByKey({ topic: 'keyed.progress', afterKey: undefined, timeoutMs: 100 }),
+      vi.advanceTimersByTimeAsync(100),
+    ]);
+    const text = page[0].ok ? page[0].value.records.find((record) => record.key === key)?.value : undefined;
+    expect(parseProgress(definition, { text })!.getState()).toBe('cancelled');
+  });
+
   it('can be cancelled, and leaves no parts in the log', async () => {
     const controller = await startLeader();
     sendJob(controller, LARGE);
