advice, boxes: trials of channels and the posting of JSON stand once

Comments of the hedged request say when its response is of no use. No behaviour is changed; the tests of channels, presence and leadership pass.

--- a/packages/boxes/BoxClient.ts
+++ b/packages/boxes/BoxClient.ts
@@ -1,8 +1,7 @@
 import { z } from 'zod';
 import type { Clock } from '../common/Clock';
 import { HttpClient } from '../common/HttpClient';
-import { formatJson } from '../common/formatJson';
-import { parseJson } from '../common/parseJson';
+import { parseJsonResult } from '../common/parseJsonResult';
 import type { HttpResult } from '../common/HttpResult';
 import type { JobCaller } from '../customers/JobCaller';
 import { configurationSchema } from '../gateway/configurationSchema';
@@ -87,7 +86,7 @@
     const sentAt = this.options.clock.getNow();
     const result = await this.sendJson(this.httpClient, '/advice', { step, endpoints, timeoutMs }, timeoutMs);
     this.recordFailure(result, sentAt);
-    return parseTickets(this.parseBody(result));
+    return parseTickets(parseJsonResult(result));
   }
 
   /** Requests the state of a job on behalf of a caller; undefined when the box does not lead or returns no state in time. */
@@ -169,19 +168,14 @@
     return this.requestJson(this.controlHttpClient, path, value, CONTROL_TIMEOUT_MS);
   }
 
-  /** Posts a value as JSON. Resolves to the body of a 200 response ({} if it is no JSON); else to undefined. */
+  /** Posts a value as JSON, and returns the body of a 200 response ({} if it is no JSON); else undefined. */
   private async requestJson(
     client: HttpClient,
     path: string,
     value: object,
     timeoutMs: number,
   ): Promise<unknown> {
-    return this.parseBody(await this.sendJson(client, path, value, timeoutMs));
-  }
-
-  private parseBody(result: HttpResult): unknown {
-    const isOk = result.kind === 'answered' && result.status === 200;
-    return isOk ? (parseJson(result.body.toString('utf8')) ?? {}) : undefined;
+    return parseJsonResult(await this.sendJson(client, path, value, timeoutMs));
   }
 
   private async sendJson(
@@ -190,12 +184,7 @@
     value: object,
     timeoutMs: number,
   ): Promise<HttpResult> {
-    const body = formatJson(value);
-    if (!body.ok) {
-      return { kind: 'refused', detail: body.error };
-    }
-    const headers = { 'content-type': 'application/json' };
-    const result = await client.sendRequest({ method: 'POST', path, headers, body: body.value, timeoutMs });
+    const result = await client.sendJsonRequest(path, value, timeoutMs);
     this.recordResponse(result);
     return result;
   }
--- a/packages/common/HttpClient.ts
+++ b/packages/common/HttpClient.ts
@@ -4,7 +4,7 @@
 import { formatJson } from './formatJson';
 import { HttpExchange } from './HttpExchange';
 import type { HttpResult } from './HttpResult';
-import { parseJson } from './parseJson';
+import { parseJsonResult } from './parseJsonResult';
 
 interface HttpClientOptions {
   /** Host and port. */
@@ -72,14 +72,17 @@
    * Never rejects.
    */
   async sendJson(path: string, value: object, timeoutMs: number): Promise<unknown> {
-    const headers = { 'content-type': 'application/json' };
+    return parseJsonResult(await this.sendJsonRequest(path, value, timeoutMs));
+  }
+
+  /** Posts a value as JSON. `refused` when the value can't be formatted. Never rejects. */
+  async sendJsonRequest(path: string, value: object, timeoutMs: number): Promise<HttpResult> {
     const body = formatJson(value);
     if (!body.ok) {
-      return undefined;
+      return { kind: 'refused', detail: body.error };
     }
-    const result = await this.sendRequest({ method: 'POST', path, headers, body: body.value, timeoutMs });
-    const isOk = result.kind === 'answered' && result.status === 200;
-    return isOk ? (parseJson(result.body.toString('utf8')) ?? {}) : undefined;
+    const headers = { 'content-type': 'application/json' };
+    return this.sendRequest({ method: 'POST', path, headers, body: body.value, timeoutMs });
   }
 
   /** Makes later requests use new connections; active requests keep theirs. */
--- a/packages/dispatch/advice/FirstFreeBalancer.ts
+++ b/packages/dispatch/advice/FirstFreeBalancer.ts
@@ -4,6 +4,7 @@
 import type { AdviceBalancerOptions } from './AdviceBalancerOptions';
 import type { AdviceChannel } from './AdviceChannel';
 import type { AdviceSlots } from './AdviceSlots';
+import { ChannelTrials } from './ChannelTrials';
 import { ChannelTrust } from './ChannelTrust';
 import { sendAdviceRequest } from './sendAdviceRequest';
 import { waitForHedgedResponse } from './waitForHedgedResponse';
@@ -41,8 +42,7 @@
 export class FirstFreeBalancer implements AdviceBalancer {
   /** State of each channel, by the name of its box. */
   private readonly channelStates = new Map<string, FirstFreeChannelState>();
-  /** Whether a trial is pending; there is one at a time. */
-  private isTrialPending = false;
+  private readonly trials = new ChannelTrials();
   private isStopped = false;
 
   constructor(private readonly options: AdviceBalancerOptions) {}
@@ -126,16 +126,10 @@
     );
   }
 
-  /** Sends a copy of a request over a channel that is due for a trial, if there is one and no trial is pending. */
+  /** Sends a copy of a request over a free channel that is due for a trial, if there is one. */
   private startTrial(request: AdviceRequest): void {
-    const channel = this.listTrialChannels().find((other) => !this.getState(other).isBusy);
-    if (channel === undefined || this.isTrialPending) {
-      return;
-    }
-    this.isTrialPending = true;
-    void this.sendAttempt(request, channel).then(() => {
-      this.isTrialPending = false;
-    });
+    const channels = this.listTrialChannels().filter((channel) => !this.getState(channel).isBusy);
+    this.trials.startTrial(channels, (channel) => this.sendAttempt(request, channel));
   }
 
   /** Sends the request over a channel and records the outcome. Resolves to the tickets; to undefined without a response. */
--- a/packages/dispatch/advice/HedgingBalancer.ts
+++ b/packages/dispatch/advice/HedgingBalancer.ts
@@ -3,6 +3,7 @@
 import type { AdviceChannel } from './AdviceChannel';
 import type { AdviceSlots } from './AdviceSlots';
 import { ChannelState } from './ChannelState';
+import { ChannelTrials } from './ChannelTrials';
 import type { AdviceBalancer } from './AdviceBalancer';
 import type { AdviceBalancerOptions } from './AdviceBalancerOptions';
 import { sendAdviceRequest } from './sendAdviceRequest';
@@ -41,8 +42,7 @@
   private readonly shortRequestReserve = new ShortRequestReserve();
   /** Monotonic time at which a channel last failed to get a response from the service. */
   private lastFailedAt = -Infinity;
-  /** Whether a trial is pending; there is one at a time. */
-  private isTrialPending = false;
+  private readonly trials = new ChannelTrials();
   private isStopped = false;
 
   constructor(private readonly options: AdviceBalancerOptions) {}
@@ -116,20 +116,14 @@
     return { channelState, response: this.sendAttempt(request, channel, channelState) };
   }
 
-  /** Sends a copy of a request over a channel of a reachable box that is due for a trial, if there is one and no trial is pending. */
+  /** Sends a copy of a request over a free channel of a reachable box that is due for a trial, if there is one. */
   private startTrial(request: AdviceRequest): void {
     const now = this.options.clock.getNow();
-    const channel = this.listReachableChannels().find((other) => {
-      const state = this.getState(other);
+    const channels = this.listReachableChannels().filter((channel) => {
+      const state = this.getState(channel);
       return !state.isBusy() && state.trust.isTrialDue(now);
     });
-    if (channel === undefined || this.isTrialPending) {
-      return;
-    }
-    this.isTrialPending = true;
-    void this.sendAttempt(request, channel, this.getState(channel)).then(() => {
-      this.isTrialPending = false;
-    });
+    this.trials.startTrial(channels, (channel) => this.sendAttempt(request, channel, this.getState(channel)));
   }
 
   /**
--- a/packages/dispatch/advice/waitForHedgedResponse.ts
+++ b/packages/dispatch/advice/waitForHedgedResponse.ts
@@ -15,7 +15,7 @@
   readonly handleLate: (attempt: Attempt) => void;
   /** Starts another attempt; undefined when none is possible now. */
   readonly startNext: () => Attempt | undefined;
-  /** Returns whether nobody waits for the response any more. */
+  /** Returns true once the response is of no use, since its leader has stopped. */
   readonly isStopped: () => boolean;
 }
 
@@ -31,7 +31,7 @@
 
 /**
  * Resolves to the first response to any attempt, and starts another one each time the latest is late or all have failed. Resolves to undefined once all
- * attempts have failed and no other can be started, or nobody waits any more.
+ * attempts have failed and no other can be started, or `isStopped` returns true.
  */
 export const waitForHedgedResponse = async <Response, Attempt extends HedgedAttempt<Response>>({
   first,
