dispatch: the policies of jobs have a class; a rejected write has a log line

`JobPolicies` keeps what follows from a version of the configuration, which stood in the dispatcher. The writer of all boxes reported a record that the log never takes to nobody; the box logs it now, as the leader does. The failed gangs of a part are looked up by its tasks, and no longer by all repetitions of the job.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -12,7 +12,6 @@
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { TaskName } from '../jobs/TaskName';
 import type { TaskProgress } from '../jobs/TaskProgress';
-import { isSameQueue } from '../jobs/isSameQueue';
 import { resourceMath } from '../jobs/resourceMath';
 import { ExtendedLeases } from '../leadership/ExtendedLeases';
 import { endpointIncarnations } from '../jobs/endpointIncarnations';
@@ -62,7 +61,7 @@
 import { StepPlacer } from './placing/StepPlacer';
 import { toStepName } from './waiting/toStepName';
 import type { WaitingStep } from './waiting/WaitingStep';
-import { QueuePolicies } from './waiting/QueuePolicies';
+import { JobPolicies } from './waiting/JobPolicies';
 import { LongWaitLogger } from './waiting/LongWaitLogger';
 
 interface DispatcherOptions extends Partial<DispatchPolicies> {
@@ -130,7 +129,7 @@
   private readonly capacityView: CapacityView;
   private readonly reservations = new EndpointReservations();
   private readonly extendedLeases: ExtendedLeases;
-  private readonly queuePolicies = new QueuePolicies();
+  private readonly jobPolicies: JobPolicies;
 
   constructor(private readonly options: DispatcherOptions) {
     this.earlierLeasesEndAt = options.earlierLeasesEndAt;
@@ -247,6 +246,13 @@
       crashes: this.crashTracker,
       getDefinition: options.getDefinition,
     });
+    this.jobPolicies = new JobPolicies({
+      jobs: this.jobs,
+      endpoints: this.endpoints,
+      capacityView,
+      reservations,
+      tracker: this.runTracker,
+    });
     this.longWaitLogger = new LongWaitLogger(this.jobs, (message, fields) =>
       this.runTracker.sendLogLine(message, fields),
     );
@@ -351,8 +357,7 @@
     }
     const job = new LiveJob(definition, progress, now, isOverShare);
     this.jobs.set(definition.id, job);
-    job.setQueue(this.queuePolicies.choosePolicy(definition, definition.queue));
-    this.capacityView.recordQueue(job.getQueue());
+    this.jobPolicies.applyCurrentPolicy(job);
     this.isRoundDue = true;
     for (let repetition = 0; repetition < definition.times; repetition += 1) {
       for (const [step] of definition.steps.entries()) {
@@ -368,61 +373,18 @@
   }
 
   /**
-   * Applies the policies of the queues in a version of the configuration to all jobs, and makes a round due. Runs stay where they are; what starts
-   * from now on follows the new policy. Fails jobs that have used up the attempts that are allowed now. Ignores a version that is not newer.
+   * Applies the policies of the queues in a version of the configuration to all jobs, and makes a round due (see `JobPolicies.applyVersion`). Ignores a
+   * version that is not newer.
    */
   handleQueuePolicies(version: number, queues: readonly JobQueue[], wallMs: number): void {
-    if (!this.queuePolicies.applyVersion({ version, queues })) {
-      return;
-    }
-    this.isRoundDue = true;
-    const changedQueues = new Map<
-      string,
-      { readonly before: JobQueue; readonly after: JobQueue; jobCount: number }
-    >();
-    for (const job of this.jobs.values()) {
-      const before = job.getQueue();
-      const after = this.queuePolicies.choosePolicy(job.definition, before);
-      if (isSameQueue(before, after)) {
-        continue;
-      }
-      job.setQueue(after);
-      this.reservations.releaseJobReservations(job.definition.id);
-      const change = changedQueues.get(after.name) ?? { before, after, jobCount: 0 };
-      changedQueues.set(after.name, { ...change, jobCount: change.jobCount + 1 });
-      this.applyAttemptsLimit(job.definition.id, wallMs);
-    }
-    this.capacityView.updateQueues((queue) => this.queuePolicies.getPolicy(queue));
-    this.updateRunPriorities();
-    for (const [queue, { before, after, jobCount }] of changedQueues) {
-      this.runTracker.sendLogLine('Jobs follow a new policy.', {
-        queue,
-        version,
-        jobs: jobCount,
-        service: after.service,
-        previousService: before.service,
-        priority: after.priority,
-        attempts: after.attempts,
-        isAdvised: after.advice !== undefined,
-      });
+    if (this.jobPolicies.applyVersion(version, queues, wallMs)) {
+      this.isRoundDue = true;
     }
   }
 
   /** Fails a job of which a waiting task has used up its attempts. Does nothing if the job is unknown or has ended. */
   applyAttemptsLimit(id: JobId, wallMs: number): void {
-    const job = this.jobs.get(id);
-    if (job !== undefined && !job.progress.isEnded() && job.hasExhaustedTask()) {
-      this.runTracker.recordJobEnd(job, 'failed', wallMs);
-    }
-  }
-
-  /** Sets the priority of each run to that of its job's queue. */
-  private updateRunPriorities(): void {
-    for (const endpoint of this.endpoints.values()) {
-      for (const run of endpoint.getRuns()) {
-        run.priority = this.jobs.get(run.job)?.getQueue().priority ?? run.priority;
-      }
-    }
+    this.jobPolicies.applyAttemptsLimit(id, wallMs);
   }
 
   /** Ends a job as failed, since its progress cannot be recorded, and stops its runs. Does nothing if the job is unknown or has ended. */
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -144,7 +144,7 @@
     for (const part of progress.getParts().takeChangedParts()) {
       this.progressWriter.queueWrite(jobKeys.toProgressPartKey(id, part), () => {
         formatted.state = progress.getState();
-        return progressTexts.formatPart(definition, progress, part);
+        return progressTexts.formatPart(progress, part);
       });
     }
     if (isDividing) {
--- a/packages/jobs/progressTexts.ts
+++ b/packages/jobs/progressTexts.ts
@@ -81,15 +81,17 @@
       ...toTaskFields(listStartedTasks(definition, progress), listFailedGangRuns(definition, progress)),
     }),
   /** Formats the tasks of a part, and the failed runs of the gangs that begin in it. */
-  formatPart: (definition: JobDefinition, progress: JobProgress, part: number): string => {
-    const isInPart = ([repetition, step]: FailedGangRun): boolean =>
-      progress.getNumbering().getPart({ repetition, step, index: 0 }) === part;
+  formatPart: (progress: JobProgress, part: number): string => {
+    const failedGangRuns = progress
+      .getNumbering()
+      .listAddresses(part)
+      .flatMap(({ repetition, step, index }): readonly FailedGangRun[] => {
+        const run = index === 0 ? progress.getFailedGangRun(repetition, step) : undefined;
+        return run === undefined ? [] : [[repetition, step, run]];
+      });
     return JSON.stringify({
       endedAtMs: 0,
-      ...toTaskFields(
-        listStartedTasksOfPart(progress, part),
-        listFailedGangRuns(definition, progress).filter(isInPart),
-      ),
+      ...toTaskFields(listStartedTasksOfPart(progress, part), failedGangRuns),
     });
   },
   /** Formats the end of a job whose progress is recorded in parts, which are not needed any more. */
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -145,6 +145,13 @@
       lingerMs: WRITE_LINGER_MS,
       maxBatchBytes: settings.maxAppendBytes,
       random,
+      handleRejected: ({ key, value }, detail) =>
+        this.logger.error('Record is rejected by the log and not written.', {
+          topic: topics.jobs,
+          key,
+          bytes: Buffer.byteLength(value),
+          detail,
+        }),
       probe: this.otherBoxes.createBoxAnnouncement(),
     });
     this.followers = this.createFollowers();
--- a/packages/store/LogWriter.ts
+++ b/packages/store/LogWriter.ts
@@ -18,6 +18,8 @@
   /** Maximum size of an append in bytes. */
   readonly maxBatchBytes: number;
   readonly random: Random;
+  /** Called for a record that the log never takes; its write is refused. */
+  readonly handleRejected: (write: LogWrite, detail: string) => void;
   /** Record that may be written at any time, to probe whether the log has recovered. */
   readonly probe: LogWrite;
 }
@@ -133,7 +135,7 @@
         return true;
       }
       if (response.error.kind === 'rejected') {
-        await this.handleRejection(pending);
+        await this.handleRejection(pending, response.error.detail);
         return true;
       }
       this.recordFailure(response.error);
@@ -151,10 +153,12 @@
   }
 
   /** Sends the writes of a batch that the log never takes one by one, so that only those are refused that it rejects by themselves. */
-  private async handleRejection(batch: readonly QueuedWrite[]): Promise<void> {
+  private async handleRejection(batch: readonly QueuedWrite[], detail: string): Promise<void> {
     this.recordSuccess();
-    if (batch.length === 1) {
-      batch[0]!.resolve('refused');
+    const [only, ...others] = batch;
+    if (only !== undefined && others.length === 0) {
+      this.options.handleRejected(only.write, detail);
+      only.resolve('refused');
       return;
     }
     for (const write of batch) {
--- a/tests/logWriter.test.ts
+++ b/tests/logWriter.test.ts
@@ -28,6 +28,7 @@
       lingerMs: 2,
       maxBatchBytes: 1000,
       random: () => 0.5,
+      handleRejected: () => undefined,
       probe: PROBE,
     });
     const now = systemClock.getNow();
--- a/tests/progressParts.test.ts
+++ b/tests/progressParts.test.ts
@@ -68,7 +68,7 @@
   Array.from({ length: progress.getNumbering().countParts() }, (_none, part) => part);
 
 const formatParts = (progress: JobProgress): Map<number, string> =>
-  new Map(listParts(progress).map((part) => [part, progressTexts.formatPart(DEFINITION, progress, part)]));
+  new Map(listParts(progress).map((part) => [part, progressTexts.formatPart(progress, part)]));
 
 describe('the numbering of tasks', () => {
   it('divides all tasks into parts, each task into one', () => {
@@ -116,9 +116,7 @@
           const read = parseProgress(DEFINITION, { text, parts })!;
           for (const part of listParts(progress)) {
             const expected = parts.has(part) ? progress : old;
-            expect(progressTexts.formatPart(DEFINITION, read, part)).toBe(
-              progressTexts.formatPart(DEFINITION, expected, part),
-            );
+            expect(progressTexts.formatPart(read, part)).toBe(progressTexts.formatPart(expected, part));
           }
           expect(read.getParts().getForm()).toBe(parts.size > 0 ? 'dividing' : 'whole');
         },
@@ -151,10 +149,10 @@
     for (let index = 0; index < 600; index += 1) {
       progress.recordRunPlaced({ repetition: 0, step: 0, index }, 1, ENDPOINT);
     }
-    const parts = new Map([0, 1, 2].map((part) => [part, progressTexts.formatPart(GANG, progress, part)]));
+    const parts = new Map([0, 1, 2].map((part) => [part, progressTexts.formatPart(progress, part)]));
     progress.recordRunEnd({ repetition: 0, step: 0, index: 599 }, 1, 'done', '');
     progress.recordGangDone(0, 0);
-    parts.set(2, progressTexts.formatPart(GANG, progress, 2));
+    parts.set(2, progressTexts.formatPart(progress, 2));
     expect(parseProgress(GANG, { text: undefined, parts })!.isAllDone()).toBe(true);
   });
 
--- a/tests/rejectedRecords.test.ts
+++ b/tests/rejectedRecords.test.ts
@@ -19,6 +19,7 @@
 
 describe('a record that the log never takes', () => {
   it('is refused at once by the writer of all boxes, which writes the others of its append', async () => {
+    const rejectedKeys: string[] = [];
     const writer = new LogWriter({
       client: createLog(),
       topic: TOPIC,
@@ -26,6 +27,7 @@
       lingerMs: 2,
       maxBatchBytes: 100_000,
       random: () => 0.5,
+      handleRejected: ({ key }) => rejectedKeys.push(key),
       probe: { key: 'b/box', value: 'here' },
     });
     const startedAt = systemClock.getNow();
@@ -35,6 +37,7 @@
       ),
     );
     expect(outcomes).toEqual(['written', 'refused', 'written']);
+    expect(rejectedKeys).toEqual(['j/1']);
     expect(systemClock.getNow() - startedAt).toBeLessThan(DEADLINE_MS / 2);
     expect(writer.getOutageMs()).toBe(0);
   });
