boxes: a late response has at most eight boxes checked at a time

On a fleet of 300 a leader that reads responses late would have had all boxes that are not in use probed again and again, and would have done without them until then. Only those are checked that a probe is free for, the next to be used first.

--- a/packages/boxes/BoxPresence.ts
+++ b/packages/boxes/BoxPresence.ts
@@ -91,16 +91,14 @@
 
   /**
    * Makes a reachable box unknown that has not responded since a monotonic time, and probes it at once: another request has shown that boxes may be
-   * lost. Does nothing for any other box.
+   * lost. Does nothing for any other box, and while as many probes are under way as may be.
    */
   checkPresence(box: string, since: number): void {
     const known = this.getPresence(box);
-    if (known.state !== 'reachable' || known.respondedAt >= since) {
-      return;
-    }
-    known.state = 'unknown';
-    known.nextProbeAt = -Infinity;
-    if (!known.isProbing && this.probeCount < MAX_CONCURRENT_PROBES) {
+    const isSilent = known.state === 'reachable' && known.respondedAt < since;
+    if (isSilent && !known.isProbing && this.probeCount < MAX_CONCURRENT_PROBES) {
+      known.state = 'unknown';
+      known.nextProbeAt = -Infinity;
       void this.runProbe(box, known);
     }
   }
--- a/packages/dispatch/advice/FirstFreeBalancer.ts
+++ b/packages/dispatch/advice/FirstFreeBalancer.ts
@@ -96,7 +96,10 @@
   /** Ends the trust in a channel whose response is late, and has the boxes checked that have been silent since: several may be lost at once. */
   private handleLateResponse(channel: AdviceChannel, requestedAt: number): void {
     this.getState(channel).trust.recordFailure(this.options.clock.getNow());
-    this.options.listChannels().forEach((other) => other.checkPresence(requestedAt));
+    // The number of checks at a time is bounded, so that those go first that would be used next.
+    [...this.options.listChannels()]
+      .sort((left, right) => this.getState(right).respondedAt - this.getState(left).respondedAt || 0)
+      .forEach((other) => other.checkPresence(requestedAt));
   }
 
   /** Sends the request over a free channel; undefined when none is free. */
--- a/tests/boxPresence.test.ts
+++ b/tests/boxPresence.test.ts
@@ -116,5 +116,10 @@
     expect(probes.length).toBeLessThanOrEqual(8);
     await runFor(60_000, ['box-0']);
     expect(probes.filter((box) => box === 'box-0').length).toBeLessThanOrEqual(45);
+    boxes.forEach((box) => presence.recordResponse(box));
+    probes = [];
+    boxes.forEach((box) => presence.checkPresence(box, now + 1));
+    expect(probes.length).toBeLessThanOrEqual(8);
+    expect(boxes.filter((box) => presence.isReachable(box)).length).toBeGreaterThanOrEqual(92);
   });
 });
