dispatch: progress in parts and recovered runs have classes; a rejected record is logged in one place

The log line on a rejected record stood twice. `wholeSchema` read like the whole record. No change of behaviour: tests of large jobs, progress parts, rejected records, leadership, queue policies and dispatch pass as before.

--- a/packages/dispatch/Dispatcher.ts
+++ b/packages/dispatch/Dispatcher.ts
@@ -1,5 +1,4 @@
 import { CrashTracker } from './crashes/CrashTracker';
-import { isCrashSuspect } from './crashes/isCrashSuspect';
 import type { CustomerName } from '../customers/CustomerName';
 import { CustomerUsage } from '../customers/CustomerUsage';
 import { JobRateMeter } from '../customers/JobRateMeter';
@@ -8,10 +7,8 @@
 import type { JobId } from '../jobs/JobId';
 import type { JobQueue } from '../jobs/JobQueue';
 import type { JobProgress } from '../jobs/JobProgress';
-import type { TaskAddress } from '../jobs/TaskAddress';
 import type { TaskDemand } from '../jobs/TaskDemand';
 import type { TaskName } from '../jobs/TaskName';
-import type { TaskProgress } from '../jobs/TaskProgress';
 import { resourceMath } from '../jobs/resourceMath';
 import { ExtendedLeases } from '../leadership/ExtendedLeases';
 import { endpointIncarnations } from '../jobs/endpointIncarnations';
@@ -21,7 +18,6 @@
 import type { DispatchPolicies } from './DispatchPolicies';
 import { EndpointState } from './endpoints/EndpointState';
 import { EndpointLossHandler } from './endpoints/EndpointLossHandler';
-import { createDeregisteredProfile } from './endpoints/createDeregisteredProfile';
 import type { EndpointProfile } from './endpoints/EndpointProfile';
 import { LabelSlowdowns } from './placing/LabelSlowdowns';
 import { StepLimiter } from './placing/StepLimiter';
@@ -33,7 +29,6 @@
 import { Preemptor } from './placing/Preemptor';
 import { EndpointReservations } from './placing/EndpointReservations';
 import { RunBudget } from './placing/RunBudget';
-import { createPlacedRun } from './runs/createPlacedRun';
 import { AdviceStats } from './advice/AdviceStats';
 import { AdviceRequester } from './advice/AdviceRequester';
 import type { AdviceSlots } from './advice/AdviceSlots';
@@ -48,6 +43,7 @@
 import { RunCounts } from './runs/RunCounts';
 import { RunTracker } from './runs/RunTracker';
 import { RunMover } from './runs/RunMover';
+import { RunRecovery } from './runs/RunRecovery';
 import { RunCommands } from './runs/RunCommands';
 import { EndpointSpeeds } from './speeds/EndpointSpeeds';
 import { RunLearner } from './speeds/RunLearner';
@@ -130,6 +126,7 @@
   private readonly reservations = new EndpointReservations();
   private readonly extendedLeases: ExtendedLeases;
   private readonly jobPolicies: JobPolicies;
+  private readonly runRecovery: RunRecovery;
 
   constructor(private readonly options: DispatcherOptions) {
     this.earlierLeasesEndAt = options.earlierLeasesEndAt;
@@ -253,6 +250,11 @@
       reservations,
       tracker: this.runTracker,
     });
+    this.runRecovery = new RunRecovery({
+      endpoints: this.endpoints,
+      crashTracker: this.crashTracker,
+      createEndpointState: (profile) => this.createEndpointState(profile),
+    });
     this.longWaitLogger = new LongWaitLogger(this.jobs, (message, fields) =>
       this.runTracker.sendLogLine(message, fields),
     );
@@ -359,17 +361,7 @@
     this.jobs.set(definition.id, job);
     this.jobPolicies.applyCurrentPolicy(job);
     this.isRoundDue = true;
-    for (let repetition = 0; repetition < definition.times; repetition += 1) {
-      for (const [step] of definition.steps.entries()) {
-        for (const [index, task] of progress.listTasks(repetition, step).entries()) {
-          const address = { repetition, step, index };
-          this.crashTracker.applyRecoveredCrashes(job, address, now);
-          if (task.phase === 'placed') {
-            this.addRecoveredRun(job, address, task, now);
-          }
-        }
-      }
-    }
+    this.runRecovery.addRecoveredRuns(job, now);
   }
 
   /**
@@ -704,27 +696,6 @@
     return new EndpointState(profile, earlierLeasesEndAt, customerUsage, extendedLeases, runCounts);
   }
 
-  /** Adds an unconfirmed run for a task that an earlier leader placed, and the state of its endpoint if there is none. */
-  private addRecoveredRun(job: LiveJob, address: TaskAddress, task: TaskProgress, now: number): void {
-    const { definition } = job;
-    let endpoint = this.endpoints.get(task.endpoint);
-    if (endpoint === undefined) {
-      // Without a record the endpoint may still be running the task, until its lease expires.
-      const profile = createDeregisteredProfile(task.endpoint, job.getQueue().service);
-      endpoint = this.createEndpointState(profile);
-      // The endpoint's record may have been deleted, by a drain or a crash, before this leader read the records.
-      endpoint.recordDeregistration();
-      this.endpoints.set(task.endpoint, endpoint);
-    }
-    const run = createPlacedRun(definition, address, task.runNumber, now, {
-      queue: job.getQueue(),
-      isCrashSuspect: isCrashSuspect(task),
-    });
-    run.stage = 'unconfirmed';
-    run.checkpoint = task.checkpoint;
-    endpoint.addRun(run);
-  }
-
   /** Removes ended jobs whose last change has been taken to be recorded. */
   private removeEndedJobs(): void {
     for (const [id, job] of this.jobs) {
--- a/packages/dispatch/LeaderJournal.ts
+++ b/packages/dispatch/LeaderJournal.ts
@@ -6,13 +6,14 @@
 import type { JobProgress } from '../jobs/JobProgress';
 import type { JobReplica } from '../jobs/JobReplica';
 import type { JobState } from '../jobs/JobState';
-import { progressTexts } from '../jobs/progressTexts';
 import { leaderKeys } from '../leadership/leaderKeys';
 import { leaderTimings } from '../leadership/leaderTimings';
 import { loadKeys } from '../load/loadKeys';
 import { ExclusiveWriter } from '../store/ExclusiveWriter';
 import type { LogClient } from '../store/LogClient';
+import { logRejectedRecord } from '../store/logRejectedRecord';
 import type { LogWrite } from '../store/LogWrite';
+import { ProgressRecorder } from './ProgressRecorder';
 
 interface LeaderJournalOptions {
   readonly epoch: number;
@@ -42,8 +43,6 @@
 /** Delay of an append after the first change, for which further changes are gathered into it. */
 const APPEND_LINGER_MS = 8;
 const RESIGNATION_FLUSH_TIMEOUT_MS = 600;
-/** Size of a job's progress above which it is recorded in parts. Half of the largest record of the log. */
-const MAX_WHOLE_PROGRESS_BYTES = 131_072;
 /** Time from the sending of one acknowledged write to the acknowledgement of the next above which that one is logged as late. */
 const MAX_TIMELY_INTERVAL_MS = 1000;
 
@@ -55,8 +54,7 @@
   private readonly progressWriter: ExclusiveWriter;
   /** Writer of the states topic. */
   private readonly stateWriter: ExclusiveWriter;
-  /** Jobs whose progress this leader has begun to divide into parts. */
-  private readonly dividedJobs = new Set<JobId>();
+  private readonly progressRecorder: ProgressRecorder;
   private isStopped = false;
   /** Monotonic time at which the newest acknowledged write to the states topic was sent; at first, the claim. */
   private acknowledgedSentAt: number;
@@ -65,6 +63,11 @@
     this.acknowledgedSentAt = options.claimedAt;
     this.progressWriter = this.createWriter(options.progressTopic, () => undefined);
     this.stateWriter = this.createWriter(options.statesTopic, (sentAt) => this.recordAcknowledged(sentAt));
+    this.progressRecorder = new ProgressRecorder({
+      writer: this.progressWriter,
+      logger: options.logger,
+      queueJobState: (id, state) => this.queueJobState(id, state),
+    });
   }
 
   /**
@@ -85,121 +88,13 @@
     return this.progressWriter.getOutageMs();
   }
 
-  /**
-   * Queues a write of a job's progress as it is when the append is sent; once durable, queues its state and calls `handleWritten`. Progress that is too
-   * long for one record is written in parts, of which only those are written that have changed. Does nothing once stopped.
-   */
+  /** Queues a write of a job's progress as it is when the append is sent; once durable, queues its state and calls `handleWritten`. Nothing once stopped. */
   queueJobProgress(definition: JobDefinition, progress: JobProgress, handleWritten?: () => void): void {
-    if (this.isStopped) {
-      return;
-    }
-    const { id } = definition;
-    const isWhole = progress.getParts().getForm() === 'whole';
-    const formatted: { state?: JobState } = {};
-    if (isWhole) {
-      this.queueWholeProgress(definition, progress, formatted);
-    } else {
-      this.queueChangedParts(definition, progress, formatted);
-    }
-    this.progressWriter.queueBarrier(() => {
-      // Changes of one job that go into one append are formatted only once, by the last of these functions.
-      if (formatted.state !== undefined) {
-        this.queueJobState(id, formatted.state);
-      }
-      handleWritten?.();
-    });
-  }
-
-  /** Queues a write of the whole progress, unless it is found too long when it is formatted. `formatted` gets the state that it shows. */
-  private queueWholeProgress(
-    definition: JobDefinition,
-    progress: JobProgress,
-    formatted: { state?: JobState },
-  ): void {
-    this.progressWriter.queueWrite(jobKeys.toProgressKey(definition.id), () => {
-      if (progress.getParts().getForm() === 'whole') {
-        formatted.state = progress.getState();
-        const text = progressTexts.formatWhole(definition, progress);
-        if (Buffer.byteLength(text) <= MAX_WHOLE_PROGRESS_BYTES) {
-          return text;
-        }
-      }
-      this.queueChangedParts(definition, progress, formatted);
-      return undefined;
-    });
-  }
-
-  /** Queues writes of the parts that have changed, or of the end of the job. Divides the progress first if it is not yet divided. */
-  private queueChangedParts(
-    definition: JobDefinition,
-    progress: JobProgress,
-    formatted: { state?: JobState },
-  ): void {
-    const { id } = definition;
-    if (progress.isEnded()) {
-      this.queueEndOfParts(definition, progress, formatted);
-      return;
-    }
-    const isDividing = this.startDivision(definition, progress);
-    for (const part of progress.getParts().takeChangedParts()) {
-      this.progressWriter.queueWrite(jobKeys.toProgressPartKey(id, part), () => {
-        formatted.state = progress.getState();
-        return progressTexts.formatPart(progress, part);
-      });
-    }
-    if (isDividing) {
-      this.progressWriter.queueBarrier(() => this.recordDivision(definition, progress));
+    if (!this.isStopped) {
+      this.progressRecorder.queueJobProgress(definition, progress, handleWritten);
     }
   }
 
-  /**
-   * Marks all parts with tasks that have had a run as changed. Returns false, without a change, if this leader has begun that already, or an earlier one has
-   * completed it.
-   */
-  private startDivision({ id }: JobDefinition, progress: JobProgress): boolean {
-    const parts = progress.getParts();
-    if (parts.getForm() === 'parts' || this.dividedJobs.has(id)) {
-      return false;
-    }
-    this.dividedJobs.add(id);
-    parts.setForm('dividing');
-    const numbering = progress.getNumbering();
-    for (let part = 0; part < numbering.countParts(); part += 1) {
-      if (numbering.listAddresses(part).some((address) => (progress.getTask(address)?.runNumber ?? 0) > 0)) {
-        parts.addChangedPart(part);
-      }
-    }
-    const partCount = numbering.countParts();
-    this.options.logger.info('Progress of a job is recorded in parts.', { job: id, parts: partCount });
-    return true;
-  }
-
-  /** Replaces the whole record, once all parts are durable. */
-  private recordDivision({ id }: JobDefinition, progress: JobProgress): void {
-    progress.getParts().setForm('parts');
-    this.progressWriter.queueWrite(jobKeys.toProgressKey(id), () =>
-      progress.isEnded() ? progressTexts.formatEnd(progress) : progressTexts.formatDivided(),
-    );
-  }
-
-  /** Queues a write of the end of a job whose progress is recorded in parts and, once that is durable, deletes the parts. */
-  private queueEndOfParts(
-    { id }: JobDefinition,
-    progress: JobProgress,
-    formatted: { state?: JobState },
-  ): void {
-    this.progressWriter.queueWrite(jobKeys.toProgressKey(id), () => {
-      formatted.state = progress.getState();
-      return progressTexts.formatEnd(progress);
-    });
-    this.progressWriter.queueBarrier(() => {
-      for (const part of progress.getParts().takeWrittenParts()) {
-        this.progressWriter.queueWrite(jobKeys.toProgressPartKey(id, part), () => '');
-      }
-      this.dividedJobs.delete(id);
-    });
-  }
-
   /**
    * Queues a write of a job's state, unless the replica has it as written, and sets it in the replica once it is durable. A queued job is not
    * written: an earlier leader may know that it has begun.
@@ -276,15 +171,9 @@
   }
 
   /** Logs a record that the log never takes, and reports the job if it is of a job's progress. */
-  private handleRejected(topic: string, { key, value }: LogWrite, detail: string): void {
-    const { job } = jobKeys.parseProgressKey(key) ?? {};
-    const bytes = Buffer.byteLength(value);
-    this.options.logger.error('Record is rejected by the log and not written.', {
-      topic,
-      key,
-      bytes,
-      detail,
-    });
+  private handleRejected(topic: string, write: LogWrite, detail: string): void {
+    logRejectedRecord(this.options.logger, topic, write, detail);
+    const { job } = jobKeys.parseProgressKey(write.key) ?? {};
     if (job !== undefined) {
       this.options.handleUnwritableProgress(job);
     }
--- a/packages/jobs/parseProgress.ts
+++ b/packages/jobs/parseProgress.ts
@@ -6,14 +6,14 @@
 import { JobProgress } from './JobProgress';
 import type { TaskAddress } from './TaskAddress';
 
-const wholeSchema = z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER);
+const naturalSchema = z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER);
 
 const crashRowsSchema = z
   .array(
     z.tuple([
-      wholeSchema,
-      wholeSchema,
-      wholeSchema,
+      naturalSchema,
+      naturalSchema,
+      naturalSchema,
       z.array(
         z.tuple([z.string(), z.enum(['sole', 'shared', 'inherited', 'present', 'unproved']), z.number()]),
       ),
@@ -28,12 +28,12 @@
   isDivided: z.boolean().default(false),
   tasks: z.array(
     z.tuple([
-      wholeSchema,
-      wholeSchema,
-      wholeSchema,
+      naturalSchema,
+      naturalSchema,
+      naturalSchema,
       z.enum(['w', 'p', 'd']),
-      wholeSchema,
-      wholeSchema,
+      naturalSchema,
+      naturalSchema,
       z.string(),
       z.string(),
     ]),
@@ -43,7 +43,7 @@
   /** Unconfirmed crashes by task. */
   doubts: crashRowsSchema,
   /** Runs of gangs in which a member has failed while others have not ended. Not given by earlier versions. */
-  failedGangRuns: z.array(z.tuple([wholeSchema, wholeSchema, wholeSchema])).default([]),
+  failedGangRuns: z.array(z.tuple([naturalSchema, naturalSchema, naturalSchema])).default([]),
 });
 
 type ParsedProgress = z.infer<typeof progressSchema>;
--- a/packages/serve/ServeProcess.ts
+++ b/packages/serve/ServeProcess.ts
@@ -26,6 +26,7 @@
 import type { LogClient } from '../store/LogClient';
 import type { LogRecord } from '../store/LogRecord';
 import type { LogWrite } from '../store/LogWrite';
+import { logRejectedRecord } from '../store/logRejectedRecord';
 import { LogWriter } from '../store/LogWriter';
 import type { WriteOutcome } from '../store/WriteOutcome';
 import { AdviceChannels } from './AdviceChannels';
@@ -145,13 +146,7 @@
       lingerMs: WRITE_LINGER_MS,
       maxBatchBytes: settings.maxAppendBytes,
       random,
-      handleRejected: ({ key, value }, detail) =>
-        this.logger.error('Record is rejected by the log and not written.', {
-          topic: topics.jobs,
-          key,
-          bytes: Buffer.byteLength(value),
-          detail,
-        }),
+      handleRejected: (write, detail) => logRejectedRecord(this.logger, topics.jobs, write, detail),
       probe: this.otherBoxes.createBoxAnnouncement(),
     });
     this.followers = this.createFollowers();
