fix: with the policy `planned`, too, a late request goes on as soon as a channel is free

Callers would have seen jobs wait for up to 3.9 s when the other boxes are lost and the channel that is left is busy at the moment at which a response is late.

Cause: the repetition as soon as a channel is free was given to one of the two balancers; the other tried once. Found by reading.

Why it works: the hedge waits for its pending attempts and looks for a channel every 50 ms, in both balancers, where one of them did every 20 ms: on a large fleet whose channels are all busy, each late request pays for each look.

--- a/packages/dispatch/advice/FirstFreeBalancer.ts
+++ b/packages/dispatch/advice/FirstFreeBalancer.ts
@@ -31,8 +31,6 @@
 const RESPONSE_TIMEOUT_MARGIN_MS = 1200;
 /** Time by which a response may exceed its expected response time before the request is also sent over another channel. */
 const LATE_MARGIN_MS = 400;
-/** Time after which a late request looks for a free channel again. */
-const REPETITION_RETRY_MS = 20;
 /** Maximum number of attempts for a request. */
 const MAX_REQUEST_ATTEMPTS = 3;
 
@@ -88,7 +86,6 @@
       computeLateMs: () => request.expectedResponseMs + LATE_MARGIN_MS,
       handleLate: ({ channel }) => this.getState(channel).trust.recordFailure(this.options.clock.getNow()),
       startNext: () => this.startRepetition(request, requestedAt),
-      retryMs: REPETITION_RETRY_MS,
       isStopped: () => this.isStopped,
     });
   }
--- a/packages/dispatch/advice/HedgingBalancer.ts
+++ b/packages/dispatch/advice/HedgingBalancer.ts
@@ -86,7 +86,6 @@
       computeLateMs: (attempt) => request.expectedResponseMs + this.computeHedgeDelayMs(request, attempt),
       handleLate: ({ channelState }) => channelState.trust.recordFailure(this.options.clock.getNow()),
       startNext: () => this.startAttempt(request),
-      retryMs: Infinity,
       isStopped: () => this.isStopped,
     });
   }
--- a/packages/dispatch/advice/waitForHedgedResponse.ts
+++ b/packages/dispatch/advice/waitForHedgedResponse.ts
@@ -15,12 +15,12 @@
   readonly handleLate: (attempt: Attempt) => void;
   /** Starts another attempt; undefined when none is possible now. */
   readonly startNext: () => Attempt | undefined;
-  /** Time after which an attempt that was not possible is tried again, in milliseconds; Infinity to wait for the pending ones alone. */
-  readonly retryMs: number;
   /** Returns true once the response is of no use, since its leader has stopped. */
   readonly isStopped: () => boolean;
 }
 
+/** Time after which an attempt that was not possible is tried again, while others are pending. */
+const RETRY_DELAY_MS = 50;
 /** Marks, in a race with a response, that the time is up. */
 const LATE = Symbol('late');
 
@@ -32,8 +32,8 @@
   ).catch(() => undefined);
 
 /**
- * Resolves to the first response to any attempt, and starts another one each time the latest is late or all have failed. Resolves to undefined once all
- * attempts have failed and no other can be started, or `isStopped` returns true.
+ * Resolves to the first response to any attempt, and starts another one each time the latest is late or all have failed, as soon as one is possible.
+ * Resolves to undefined once all attempts have failed and no other can be started, or `isStopped` returns true.
  */
 export const waitForHedgedResponse = async <Response, Attempt extends HedgedAttempt<Response>>({
   first,
@@ -41,7 +41,6 @@
   computeLateMs,
   handleLate,
   startNext,
-  retryMs,
   isStopped,
 }: HedgedRequest<Response, Attempt>): Promise<Response | undefined> => {
   const attempts = [first];
@@ -52,7 +51,7 @@
     const responses = waitForFirst(attempts);
     let result = await Promise.race([
       responses,
-      waitForDelay(awaited === undefined ? retryMs : computeLateMs(awaited), cancellation.signal).then(
+      waitForDelay(awaited === undefined ? RETRY_DELAY_MS : computeLateMs(awaited), cancellation.signal).then(
         () => LATE,
       ),
     ]);
@@ -72,7 +71,7 @@
       handleLate(awaited);
     }
     const next = attempts.length < maxAttempts ? startNext() : undefined;
-    const canRetry = result === LATE && attempts.length < maxAttempts && retryMs < Infinity;
+    const canRetry = result === LATE && attempts.length < maxAttempts;
     if (next !== undefined) {
       attempts.push(next);
     } else if (!canRetry) {
--- a/tests/lostChannels.test.ts
+++ b/tests/lostChannels.test.ts
@@ -133,6 +133,7 @@
     ['planned', 3, 'all others before the first request', 11],
     ['asked', 3, 'all others before the first request', 12],
     ['planned', 3, 'all others, one after the other', 18],
+    ['asked', 7, 'all others at once', 20],
   ] as const)(
     'does not wait for lost boxes: %s, %i boxes, %s, seed %i',
     async (policy, boxes, name, seed) => {
