--- a/dev/cell/Cell.ts
+++ b/dev/cell/Cell.ts
@@ -136,7 +136,12 @@
     for (const addresses of boxAddresses) {
       await cell.startNewBox(addresses);
     }
-    await Promise.all(cell.boxes.map((box) => cell.startReady(box)));
+    try {
+      await Promise.all(cell.boxes.map((box) => cell.startReady(box)));
+    } catch (error) {
+      await cell.stop();
+      throw error;
+    }
     return cell;
   }
 
