--- a/review/tools-3/Executor.mjs
+++ b/review/tools-3/Executor.mjs
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 
 const START_MS = 20;
+const SAVE_MS = 500;
 const BEAT_MS = 1500;
 /** Beats of silence after which the store drops the entry. */
 const LOST_BEATS = 3;
@@ -17,8 +18,8 @@
 };
 
 /**
- * A task's work is given in its spec: `{"ms":N}` ends `done` after N ms of work, `{"lasts":true}` runs until it is stopped. A crash ends everything that
- * runs; the next life has a new id, at the same address and on the same machine.
+ * A task's work is given in its spec: `{"ms":N}` ends `done` after N ms of work, `{"lasts":true}` runs until it is stopped; `saveBytes` is the length of its
+ * checkpoints, if it writes any. A crash ends everything that runs; the next life has a new id, at the same address and on the same machine.
  */
 export class Executor {
   constructor({ store, name, service, zone, labels, cpu, memory, record }) {
@@ -173,7 +174,19 @@
     if (body['expires-ms'] <= this.getClock()) {
       return this.send(response, 409, { reason: 'late' });
     }
-    this.running.set(task, { task, run, work: JSON.parse(spec), startedAt: this.getClock() });
+    const work = JSON.parse(spec);
+    const saved = body['last-checkpoint'] ?? '';
+    // A checkpoint begins with the work that it has saved, in milliseconds.
+    const savedMs = saved === '' ? 0 : Number.parseInt(saved, 10);
+    this.running.set(task, {
+      task,
+      run,
+      work,
+      saved,
+      savedMs,
+      startedAt: this.getClock(),
+      nextSaveMs: SAVE_MS,
+    });
     this.record('start', { executor: this.name, id: this.id, task, run, token: body['fencing-token'] });
     this.handleStarted({ task, run, spec, executor: this });
     return this.send(response, 200, {});
@@ -189,11 +202,11 @@
     return this.send(response, 200, {});
   }
 
-  endRun({ task, run }, how) {
+  endRun({ task, run, saved }, how) {
     this.running.delete(task);
     this.barred.set(task, Math.max(run, this.barred.get(task) ?? 0));
     this.newestEnd += 1;
-    this.ends.push([this.newestEnd, task, run, how, '']);
+    this.ends.push([this.newestEnd, task, run, how, how === 'done' ? '' : saved]);
     this.record('end', { executor: this.name, id: this.id, task, run, how });
     this.handleEnded({ task, run, how, executor: this });
     this.waiters.forEach((resolve) => resolve());
@@ -208,15 +221,26 @@
       return;
     }
     for (const entry of entries) {
-      if (entry.work.ms !== undefined && now - entry.startedAt >= entry.work.ms) {
+      const ageMs = now - entry.startedAt;
+      this.saveWork(entry, ageMs);
+      if (entry.work.ms !== undefined && entry.savedMs + ageMs >= entry.work.ms) {
         this.endRun(entry, 'done');
       }
     }
   }
 
-  getPercent({ work, startedAt }) {
-    const ageMs = this.getClock() - startedAt;
-    const share = work.ms === undefined ? ageMs / START_MS : ageMs / work.ms;
+  /** Renews the checkpoint of a task, if it writes any, with each `SAVE_MS` of work. */
+  saveWork(entry, ageMs) {
+    const { saveBytes = 0 } = entry.work;
+    if (saveBytes > 0 && ageMs >= entry.nextSaveMs) {
+      entry.nextSaveMs += SAVE_MS;
+      entry.saved = `${entry.savedMs + Math.floor(ageMs)} ${entry.task} `.padEnd(saveBytes, 'c');
+    }
+  }
+
+  getPercent({ work, startedAt, savedMs }) {
+    const workedMs = savedMs + this.getClock() - startedAt;
+    const share = work.ms === undefined ? workedMs / START_MS : workedMs / work.ms;
     return Math.floor(100 * Math.min(1, share));
   }
 
@@ -241,7 +265,7 @@
     const running = [...this.running.values()].map((entry) => [
       entry.task,
       entry.run,
-      '',
+      entry.saved,
       this.getPercent(entry),
       0,
     ]);
